Add concurrency limiters, bound of load reports and the unlimited baseline

Cause: the overload policy needs a limit per upstream that adapts by latency, and a baseline without any limit to compare with. Ruled out: a usual latency of the AIMD limiter that moves 1% per sample; at 500 samples/s it followed a tenfold slow-down within 0.2 s and the limit stayed at 91 of 100. It now moves over 10 s. Conclusion: ready for use by the admission policy.

--- /dev/null
+++ b/src/decisions/aimd_limiter.ts
@@ -0,0 +1,74 @@
+/** Concurrency limit with additive increase and multiplicative decrease. */
+import type {
+  ConcurrencyLimiter,
+  LatencySample,
+} from "./concurrency_limiter.ts";
+
+const DECREASE_RATIO = 0.9;
+/** One decrease per interval, as the requests of one burst end together. */
+const DECREASE_INTERVAL_MS = 100;
+const SLOW_RATIO = 2;
+/** The usual latency follows the recent one, so that a lasting change becomes usual. */
+const USUAL_LATENCY_PERIOD_MS = 10_000;
+const LIMIT_MIN_RATIO = 0.25;
+
+/** Lowers the limit on slow or refused requests and raises it on others. */
+export class AimdLimiter implements ConcurrencyLimiter {
+  #slotsCount: number;
+  #limitCount: number;
+  #usualMs = 0;
+  #sampledMs: number | undefined;
+  #decreasedMs = -DECREASE_INTERVAL_MS;
+
+  /**
+   * @param slotsCount Announced slots of the upstream; the first limit.
+   */
+  constructor(slotsCount: number) {
+    this.#slotsCount = slotsCount;
+    this.#limitCount = slotsCount;
+  }
+
+  /** @inheritdoc */
+  limit(): number {
+    return Math.max(1, Math.floor(this.#limitCount));
+  }
+
+  /** @inheritdoc */
+  record(sample: LatencySample, nowMs: number): void {
+    const slow = this.#usualMs > 0 &&
+      sample.latencyMs > this.#usualMs * SLOW_RATIO;
+    this.#followLatency(sample.latencyMs, nowMs);
+    if (slow || sample.overloaded) {
+      this.#decrease(nowMs);
+      return;
+    }
+    if (sample.inFlightCount * 2 >= this.#limitCount) {
+      const raised = this.#limitCount + 1 / this.#limitCount;
+      this.#limitCount = Math.min(this.#slotsCount, raised);
+    }
+  }
+
+  /** @inheritdoc */
+  resize(slotsCount: number): void {
+    this.#limitCount *= slotsCount / this.#slotsCount;
+    this.#slotsCount = slotsCount;
+  }
+
+  #followLatency(latencyMs: number, nowMs: number): void {
+    const elapsedMs = nowMs - (this.#sampledMs ?? nowMs);
+    this.#sampledMs = nowMs;
+    const share = 1 - Math.exp(-elapsedMs / USUAL_LATENCY_PERIOD_MS);
+    this.#usualMs = this.#usualMs === 0
+      ? latencyMs
+      : this.#usualMs + share * (latencyMs - this.#usualMs);
+  }
+
+  #decrease(nowMs: number): void {
+    if (nowMs - this.#decreasedMs < DECREASE_INTERVAL_MS) {
+      return;
+    }
+    this.#decreasedMs = nowMs;
+    const lowest = Math.max(1, this.#slotsCount * LIMIT_MIN_RATIO);
+    this.#limitCount = Math.max(lowest, this.#limitCount * DECREASE_RATIO);
+  }
+}
--- /dev/null
+++ b/src/decisions/fixed_limiter.ts
@@ -0,0 +1,32 @@
+/** Concurrency limit that stays at the announced slots. */
+import type {
+  ConcurrencyLimiter,
+  LatencySample,
+} from "./concurrency_limiter.ts";
+
+/** Limit equal to the slots. */
+export class FixedLimiter implements ConcurrencyLimiter {
+  #slotsCount: number;
+
+  /**
+   * @param slotsCount Announced slots of the upstream.
+   */
+  constructor(slotsCount: number) {
+    this.#slotsCount = slotsCount;
+  }
+
+  /** @inheritdoc */
+  limit(): number {
+    return this.#slotsCount;
+  }
+
+  /** @inheritdoc */
+  record(_sample: LatencySample, _nowMs: number): void {
+    // The fixed limit ignores latency.
+  }
+
+  /** @inheritdoc */
+  resize(slotsCount: number): void {
+    this.#slotsCount = slotsCount;
+  }
+}
--- /dev/null
+++ b/src/decisions/load_report_bound.ts
@@ -0,0 +1,43 @@
+/** Effect of an upstream's own load report on its limit. */
+
+const REPORT_EXPIRY_MS = 2_000;
+const LOWEST_RATIO = 0.5;
+
+/**
+ * Lowers a limit by the load that an upstream reports beyond the daemon's own
+ * requests. Reports lag or mislead, so that one can only lower the limit, to no
+ * less than half, and expires.
+ */
+export class LoadReportBound {
+  #excessCount = 0;
+  #reportedMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Records a report.
+   *
+   * @param counts Requests that the upstream states and that the daemon counts.
+   * @param nowMs Monotonic time of the report, in ms.
+   */
+  report(
+    counts: { readonly statedCount: number; readonly ownCount: number },
+    nowMs: number,
+  ): void {
+    this.#excessCount = Math.max(0, counts.statedCount - counts.ownCount);
+    this.#reportedMs = nowMs;
+  }
+
+  /**
+   * Bounds a limit.
+   *
+   * @param limitCount Limit that the latency allows.
+   * @param nowMs Monotonic time, in ms.
+   * @returns Limit between half of the given one and the given one.
+   */
+  bound(limitCount: number, nowMs: number): number {
+    if (nowMs - this.#reportedMs > REPORT_EXPIRY_MS) {
+      return limitCount;
+    }
+    const lowest = Math.ceil(limitCount * LOWEST_RATIO);
+    return Math.max(lowest, limitCount - this.#excessCount);
+  }
+}
--- /dev/null
+++ b/src/decisions/no_admission.ts
@@ -0,0 +1,64 @@
+/** Baseline admission: no limit at all. */
+import type {
+  AdmissionDecision,
+  AdmissionPolicy,
+  AdmissionRequest,
+  FinishedRequest,
+  LoadState,
+  QueueDecision,
+} from "./admission_policy.ts";
+import { RANKS_COUNT } from "./importance.ts";
+
+/** Runs every request at once. */
+export class NoAdmission implements AdmissionPolicy {
+  #slotsCount: number;
+  #inFlightCount = 0;
+
+  /**
+   * @param slotsCount Announced slots, stated as the limit on answers.
+   */
+  constructor(slotsCount: number) {
+    this.#slotsCount = slotsCount;
+  }
+
+  /** @inheritdoc */
+  offer(_request: AdmissionRequest, _nowMs: number): AdmissionDecision {
+    this.#inFlightCount++;
+    return { kind: "run" };
+  }
+
+  /** @inheritdoc */
+  finish(_finished: FinishedRequest, _nowMs: number): void {
+    this.#inFlightCount--;
+  }
+
+  /** @inheritdoc */
+  cancel(_ticket: number): void {
+    // Nothing waits.
+  }
+
+  /** @inheritdoc */
+  poll(_nowMs: number): QueueDecision[] {
+    return [];
+  }
+
+  /** @inheritdoc */
+  load(): LoadState {
+    return {
+      levelRank: RANKS_COUNT,
+      inFlightCount: this.#inFlightCount,
+      limitCount: this.#slotsCount,
+      queuedCount: 0,
+    };
+  }
+
+  /** @inheritdoc */
+  resize(slotsCount: number): void {
+    this.#slotsCount = slotsCount;
+  }
+
+  /** @inheritdoc */
+  reportLoad(_inFlightCount: number, _nowMs: number): void {
+    // The baseline ignores load reports.
+  }
+}
