--- a/src/decisions/per_hop_retries.ts
+++ b/src/decisions/per_hop_retries.ts
@@ -9,6 +9,11 @@
     // The baseline keeps no counts.
   }
 
+  /** @inheritdoc */
+  recordRepeated(_pool: string, _nowMs: number): void {
+    // The baseline keeps no counts.
+  }
+
   /** @inheritdoc */
   mayRetry(failed: FailedAttempt, _nowMs: number): boolean {
     return isRepeatable(failed) && failed.attemptsLeftCount > 0 &&
--- a/src/decisions/retry_policy.ts
+++ b/src/decisions/retry_policy.ts
@@ -15,12 +15,25 @@
   readonly overloaded: boolean;
   /** Time that the deadline leaves, in ms. */
   readonly remainingMs: number;
+  /**
+   * Whether the attempt made calls further down, which a retry would repeat.
+   * Absent means that it is not known, as after a broken connection.
+   */
+  readonly calledFurther?: boolean;
 };
 
 /** Bounds retries. */
 export interface RetryPolicy {
-  /** Records an original request at monotonic time `nowMs`. */
+  /**
+   * Records the first send of a request that no hop nearer the caller has
+   * repeated, at monotonic time `nowMs`.
+   */
   recordOriginal(pool: string, nowMs: number): void;
+  /**
+   * Records the first send of a request that a hop nearer the caller repeats:
+   * one that arrived with fewer attempts left than the route grants.
+   */
+  recordRepeated(pool: string, nowMs: number): void;
   /** Decides on a retry and, when it is allowed, charges the budget. */
   mayRetry(failed: FailedAttempt, nowMs: number): boolean;
 }
