Add rank-based admission

Cause: a fixed queue without classes sheds enrolments as readily as log views. Change: RankAdmission joins the level (AdmissionLevel over RankHistogram), the queue, the limiter, the tenants' shares, the estimates of service times and the bound of load reports. Standing delay is the shortest queue of the interval divided by the service rate, because with a queue by class the smallest measured delay is that of critical requests, which hardly wait. Ranks above the level keep their last density for about 5 s, as calling daemons refuse them and a raise of the level would otherwise see an empty distribution. New optional fields: AdmissionRequest.route, FinishedRequest.route and nestedMs.

--- /dev/null
+++ b/src/decisions/admission_level.ts
@@ -0,0 +1,109 @@
+/** Admission level of one upstream. */
+import { RANKS_COUNT } from "./importance.ts";
+import type { OverloadTuning } from "./overload_tuning.ts";
+import { RankHistogram } from "./rank_histogram.ts";
+
+/** Queue in excess of the target is drained over this many intervals. */
+const DRAIN_INTERVALS_COUNT = 10;
+const ADMITTED_MIN_RATIO = 0.8;
+const RISE_MAX_RATIO = 1.5;
+/** Share of free slots below which the upstream counts as fully used. */
+const FREE_MIN_RATIO = 0.02;
+
+/** What one control interval showed. */
+export type LevelObservation = {
+  /** Delay that the shortest queue of the interval means, in ms. */
+  readonly standingDelayMs: number;
+  /** Requests that waited throughout the interval. */
+  readonly standingCount: number;
+  /** Requests that the upstream serves per interval with all slots in use. */
+  readonly servedCount: number;
+  /** Average share of the limit that was free. */
+  readonly freeRatio: number;
+  /** Share of the ended requests that failed by overload further down. */
+  readonly refusedBelowRatio: number;
+};
+
+/**
+ * Moves the level along the distribution of offered ranks: down to what the
+ * upstream serves while requests wait longer than the target, up by the share
+ * of free slots otherwise.
+ */
+export class AdmissionLevel {
+  readonly #tuning: OverloadTuning;
+  readonly #histogram = new RankHistogram();
+  #levelRank = RANKS_COUNT;
+
+  /**
+   * @param tuning Figures that the preference scales.
+   */
+  constructor(tuning: OverloadTuning) {
+    this.#tuning = tuning;
+  }
+
+  /** Requests with a lower rank are admitted. */
+  get levelRank(): number {
+    return this.#levelRank;
+  }
+
+  /**
+   * Counts an offered request, admitted or not.
+   *
+   * @param rank Rank in `[0, 512)`.
+   */
+  observe(rank: number): void {
+    this.#histogram.observe(rank);
+  }
+
+  /**
+   * Ends a control interval and moves the level.
+   *
+   * @param seen Observations of the interval.
+   */
+  adjust(seen: LevelObservation): void {
+    this.#histogram.endInterval(this.#levelRank);
+    if (seen.standingDelayMs > this.#tuning.delayTargetMs) {
+      this.#lower(this.#drainingCount(seen));
+      return;
+    }
+    if (this.#isRefusedBelow(seen)) {
+      const admitted = this.#histogram.admittedBelow(this.#levelRank);
+      this.#lower(admitted * (1 - seen.refusedBelowRatio / 2));
+      return;
+    }
+    if (seen.freeRatio > FREE_MIN_RATIO && seen.standingCount === 0) {
+      this.#raise(seen.freeRatio);
+    }
+  }
+
+  #isRefusedBelow(seen: LevelObservation): boolean {
+    return seen.refusedBelowRatio > 0.05;
+  }
+
+  /** Requests to admit so that the excess queue drains. */
+  #drainingCount(seen: LevelObservation): number {
+    const allowedRatio = this.#tuning.delayTargetMs / seen.standingDelayMs;
+    const excess = seen.standingCount * (1 - allowedRatio);
+    return Math.max(
+      seen.servedCount * ADMITTED_MIN_RATIO,
+      seen.servedCount - excess / DRAIN_INTERVALS_COUNT,
+    );
+  }
+
+  #lower(wantedCount: number): void {
+    const wanted = this.#histogram.levelFor(Math.max(wantedCount, 0.01));
+    this.#levelRank = Math.max(1, Math.min(this.#levelRank - 1, wanted));
+  }
+
+  #raise(freeRatio: number): void {
+    const admitted = this.#histogram.admittedBelow(this.#levelRank);
+    const factor = Math.min(RISE_MAX_RATIO, 1 / (1 - freeRatio));
+    const wanted = this.#histogram.levelFor(admitted * factor + 0.01);
+    const highest = this.#levelRank + this.#tuning.levelRiseMaxCount;
+    this.#levelRank = Math.min(
+      RANKS_COUNT,
+      highest,
+      Math.max(this.#levelRank + 1, wanted),
+    );
+  }
+}
--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -14,6 +14,8 @@
   readonly depthCount: number;
   /** Monotonic time by which the answer must be there, in ms. */
   readonly deadlineMs: number;
+  /** Route, for its typical service time; absent uses that of all routes. */
+  readonly route?: string;
 };
 
 /** Decision on one request. */
@@ -33,6 +35,10 @@
   /** Time from the start of the upstream's work to its end, in ms. */
   readonly latencyMs: number;
   readonly result: "succeeded" | "failed" | "overloaded" | "cancelled";
+  /** Route of the request; absent counts for all routes only. */
+  readonly route?: string;
+  /** Part of the latency spent on calls further down, in ms; absent is 0. */
+  readonly nestedMs?: number;
 };
 
 /** Load of one upstream as its daemon states it on answers. */
@@ -52,7 +58,10 @@
   finish(finished: FinishedRequest, nowMs: number): void;
   /** Removes a waiting request whose caller has gone. */
   cancel(ticket: number): void;
-  /** Returns the waiting requests that run or are refused now. */
+  /**
+   * Returns the waiting requests that run or are refused now. Called after each
+   * offer that waits, after each finish, and by a timer while requests wait.
+   */
   poll(nowMs: number): QueueDecision[];
   /** States the load for answers and metrics. */
   load(): LoadState;
--- a/src/decisions/importance.ts
+++ b/src/decisions/importance.ts
@@ -8,6 +8,9 @@
 /** Admission keys per class. */
 export const ADMISSION_KEYS_COUNT = 128;
 
+/** Ranks by which each passed hop makes a request more important. */
+const DEPTH_RANKS_COUNT = 16;
+
 /** Ranks in all: a level of this value admits every request. */
 export const RANKS_COUNT = IMPORTANCE_CLASSES.length * ADMISSION_KEYS_COUNT;
 
@@ -50,3 +53,18 @@
   const index = Math.floor(rank / ADMISSION_KEYS_COUNT);
   return IMPORTANCE_CLASSES[index] ?? "background";
 }
+
+/**
+ * Prefers requests on which work has already been done, within their class.
+ *
+ * @param rank Rank in `[0, 512)`.
+ * @param depthCount Hops that the request has passed.
+ * @returns Rank lowered by 16 per hop, not below the first of its class.
+ *
+ * @example
+ * effectiveRank(300, 2); // 268
+ */
+export function effectiveRank(rank: number, depthCount: number): number {
+  const firstOfClass = rank - rank % ADMISSION_KEYS_COUNT;
+  return Math.max(firstOfClass, rank - DEPTH_RANKS_COUNT * depthCount);
+}
--- /dev/null
+++ b/src/decisions/rank_admission.ts
@@ -0,0 +1,307 @@
+/** Rank-based admission with a level, a limit and a queue by class. */
+import { AdmissionLevel } from "./admission_level.ts";
+import type {
+  AdmissionDecision,
+  AdmissionPolicy,
+  AdmissionRequest,
+  FinishedRequest,
+  LoadState,
+  QueueDecision,
+} from "./admission_policy.ts";
+import type { ConcurrencyLimiter } from "./concurrency_limiter.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
+import { ADMISSION_KEYS_COUNT, effectiveRank } from "./importance.ts";
+import { IntervalMeter } from "./interval_meter.ts";
+import { LoadReportBound } from "./load_report_bound.ts";
+import {
+  CONTROL_INTERVAL_MS,
+  type OverloadTuning,
+  tuneOverload,
+} from "./overload_tuning.ts";
+import { type QueueEntry, RankQueue } from "./rank_queue.ts";
+import { ServiceEstimates } from "./service_estimates.ts";
+import { TenantShares } from "./tenant_shares.ts";
+
+/** Missed intervals that are made up for at most after a pause. */
+const INTERVALS_MAX_COUNT = 64;
+const ALL_ROUTES = "";
+
+/** Options of {@link RankAdmission}. */
+export type RankAdmissionOptions = {
+  /** Limit on the requests that run at once. */
+  limiter: ConcurrencyLimiter;
+  /** Requests that may wait. */
+  queueMaxCount: number;
+  /** Longest wait that the pool allows, in ms. */
+  queueAgeMaxMs: number;
+  /** 0 prefers goodput, 1 prefers recovery. */
+  overloadPreference: number;
+};
+
+/**
+ * Admits requests below a level that follows the queueing delay, runs them up
+ * to a concurrency limit, and lets the others wait by class.
+ *
+ * @example
+ * const admission = new RankAdmission({
+ *   limiter: createLimiter("gradient", 100),
+ *   queueMaxCount: 200,
+ *   queueAgeMaxMs: 500,
+ *   overloadPreference: 0.5,
+ * });
+ * admission.offer(request, nowMs);
+ */
+export class RankAdmission implements AdmissionPolicy {
+  readonly #options: RankAdmissionOptions;
+  readonly #tuning: OverloadTuning;
+  readonly #level: AdmissionLevel;
+  readonly #queue = new RankQueue();
+  readonly #shares = new TenantShares();
+  readonly #estimates = new ServiceEstimates();
+  readonly #meter = new IntervalMeter();
+  readonly #reports = new LoadReportBound();
+  #decided: QueueDecision[] = [];
+  #inFlightCount = 0;
+  #limitCount: number;
+  #overloaded = false;
+  #intervalStartMs: number | undefined;
+
+  /**
+   * @param options Limit, queue and preference.
+   */
+  constructor(options: RankAdmissionOptions) {
+    this.#options = options;
+    this.#tuning = tuneOverload(
+      options.overloadPreference,
+      options.queueAgeMaxMs,
+    );
+    this.#level = new AdmissionLevel(this.#tuning);
+    this.#limitCount = options.limiter.limit();
+  }
+
+  /** @inheritdoc */
+  offer(request: AdmissionRequest, nowMs: number): AdmissionDecision {
+    this.#advance(nowMs);
+    const rank = effectiveRank(
+      this.#shares.rank(request),
+      request.depthCount,
+    );
+    this.#level.observe(rank);
+    if (rank >= this.#level.levelRank) {
+      return { kind: "refuse", error: "shed" };
+    }
+    if (!this.#canMeetDeadline(request, this.#expectedWaitMs(rank), nowMs)) {
+      return { kind: "refuse", error: "deadline_unmeetable" };
+    }
+    if (this.#inFlightCount < this.#limitCount && this.#queue.size === 0) {
+      this.#start(nowMs);
+      return { kind: "run" };
+    }
+    return this.#wait({ request, rank, sinceMs: nowMs }, nowMs);
+  }
+
+  /** @inheritdoc */
+  finish(finished: FinishedRequest, nowMs: number): void {
+    this.#advance(nowMs);
+    this.#estimates.recordEnd();
+    this.#meter.recordEnd(finished.result === "overloaded");
+    this.#recordLatency(finished, nowMs);
+    this.#inFlightCount--;
+    this.#measure(nowMs);
+  }
+
+  /** @inheritdoc */
+  cancel(ticket: number): void {
+    this.#queue.remove(ticket);
+  }
+
+  /** @inheritdoc */
+  poll(nowMs: number): QueueDecision[] {
+    this.#advance(nowMs);
+    this.#refuseAged(nowMs);
+    while (this.#inFlightCount < this.#limitCount) {
+      const entry = this.#queue.take(
+        this.#overloaded ? "newest-first" : "oldest-first",
+      );
+      if (entry === undefined) {
+        break;
+      }
+      this.#dispatch(entry, nowMs);
+    }
+    this.#measure(nowMs);
+    const decided = this.#decided;
+    this.#decided = [];
+    return decided;
+  }
+
+  /** @inheritdoc */
+  load(): LoadState {
+    return {
+      levelRank: this.#level.levelRank,
+      inFlightCount: this.#inFlightCount,
+      limitCount: this.#limitCount,
+      queuedCount: this.#queue.size,
+    };
+  }
+
+  /** @inheritdoc */
+  resize(slotsCount: number): void {
+    this.#options.limiter.resize(slotsCount);
+    this.#limitCount = this.#options.limiter.limit();
+  }
+
+  /** @inheritdoc */
+  reportLoad(inFlightCount: number, nowMs: number): void {
+    this.#reports.report(
+      { statedCount: inFlightCount, ownCount: this.#inFlightCount },
+      nowMs,
+    );
+    this.#applyLimit(nowMs);
+  }
+
+  #wait(entry: QueueEntry, nowMs: number): AdmissionDecision {
+    if (this.#queue.size >= this.#options.queueMaxCount) {
+      const worst = this.#queue.leastImportant();
+      if (worst === undefined || worst.rank <= entry.rank) {
+        return { kind: "refuse", error: "queue_full" };
+      }
+      this.#queue.remove(worst.request.ticket);
+      this.#refuse(worst, "queue_full");
+    }
+    this.#queue.push(entry);
+    this.#measure(nowMs);
+    return { kind: "wait" };
+  }
+
+  #start(nowMs: number): void {
+    this.#inFlightCount++;
+    this.#measure(nowMs);
+  }
+
+  #dispatch(entry: QueueEntry, nowMs: number): void {
+    if (!this.#canMeetDeadline(entry.request, 0, nowMs)) {
+      this.#refuse(entry, "deadline_unmeetable");
+      return;
+    }
+    const { ticket } = entry.request;
+    this.#inFlightCount++;
+    this.#decided.push({ ticket, decision: { kind: "run" } });
+  }
+
+  #refuse(entry: QueueEntry, error: ErrorKind): void {
+    const { ticket } = entry.request;
+    this.#decided.push({ ticket, decision: { kind: "refuse", error } });
+  }
+
+  #refuseAged(nowMs: number): void {
+    const beforeMs = nowMs - this.#tuning.queueAgeMaxMs;
+    let entry = this.#queue.takeOlderThan(beforeMs);
+    while (entry !== undefined) {
+      this.#refuse(entry, "queue_timeout");
+      entry = this.#queue.takeOlderThan(beforeMs);
+    }
+  }
+
+  #canMeetDeadline(
+    request: AdmissionRequest,
+    waitMs: number,
+    nowMs: number,
+  ): boolean {
+    const serviceMs = this.#estimates.typicalMs(request.route ?? ALL_ROUTES);
+    return nowMs + waitMs + serviceMs <= request.deadlineMs &&
+      nowMs < request.deadlineMs;
+  }
+
+  /** Requests that run earlier, divided by the rate of completions. */
+  #expectedWaitMs(rank: number): number {
+    if (this.#queue.size === 0) {
+      return 0;
+    }
+    const classIndex = Math.floor(rank / ADMISSION_KEYS_COUNT);
+    const sameClass = this.#overloaded
+      ? 0
+      : this.#queue.countInClass(classIndex);
+    const ahead = this.#queue.countAboveClass(classIndex) + sameClass;
+    const ratePerMs = this.#serviceRatePerMs();
+    return ratePerMs === 0 ? 0 : ahead / ratePerMs;
+  }
+
+  /** Rate with all slots in use; the measured rate lags after idle times. */
+  #serviceRatePerMs(): number {
+    const serviceMs = this.#estimates.typicalMs(ALL_ROUTES);
+    const fullRatePerMs = serviceMs === 0 ? 0 : this.#limitCount / serviceMs;
+    return Math.max(this.#estimates.ratePerMs, fullRatePerMs);
+  }
+
+  #recordLatency(finished: FinishedRequest, nowMs: number): void {
+    const { latencyMs, result, route } = finished;
+    if (result === "cancelled") {
+      return;
+    }
+    this.#options.limiter.record({
+      latencyMs: latencyMs - (finished.nestedMs ?? 0),
+      inFlightCount: this.#inFlightCount,
+      overloaded: result === "overloaded",
+    }, nowMs);
+    this.#applyLimit(nowMs);
+    if (result !== "succeeded") {
+      return;
+    }
+    this.#estimates.record(ALL_ROUTES, latencyMs);
+    if (route !== undefined) {
+      this.#estimates.record(route, latencyMs);
+    }
+  }
+
+  #applyLimit(nowMs: number): void {
+    this.#limitCount = this.#reports.bound(
+      this.#options.limiter.limit(),
+      nowMs,
+    );
+  }
+
+  #measure(nowMs: number): void {
+    this.#meter.measure({
+      inFlightCount: this.#inFlightCount,
+      queuedCount: this.#queue.size,
+    }, nowMs);
+  }
+
+  /** Ends the control intervals that have passed. */
+  #advance(nowMs: number): void {
+    this.#intervalStartMs ??= nowMs;
+    let elapsedCount = Math.floor(
+      (nowMs - this.#intervalStartMs) / CONTROL_INTERVAL_MS,
+    );
+    if (elapsedCount <= 0) {
+      return;
+    }
+    this.#intervalStartMs += elapsedCount * CONTROL_INTERVAL_MS;
+    this.#applyLimit(nowMs);
+    for (
+      elapsedCount = Math.min(elapsedCount, INTERVALS_MAX_COUNT);
+      elapsedCount > 0;
+      elapsedCount--
+    ) {
+      this.#endInterval(nowMs);
+    }
+  }
+
+  #endInterval(nowMs: number): void {
+    this.#estimates.endInterval(CONTROL_INTERVAL_MS);
+    this.#shares.endInterval();
+    const seen = this.#meter.endInterval(nowMs);
+    const ratePerMs = this.#serviceRatePerMs();
+    const standingDelayMs = seen.standingCount === 0
+      ? 0
+      : seen.standingCount / Math.max(ratePerMs, 0.001);
+    this.#overloaded = standingDelayMs > this.#tuning.delayTargetMs;
+    this.#level.adjust({
+      standingDelayMs,
+      standingCount: seen.standingCount,
+      servedCount: ratePerMs * CONTROL_INTERVAL_MS,
+      freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
+      refusedBelowRatio: seen.refusedBelowRatio,
+    });
+  }
+}
--- /dev/null
+++ b/src/decisions/rank_histogram.ts
@@ -0,0 +1,73 @@
+/** Distribution of the ranks of offered requests. */
+import { RANKS_COUNT } from "./importance.ts";
+
+/** Weight of the newest interval; about ten intervals are averaged. */
+const NEWEST_SHARE = 0.2;
+/**
+ * Calling daemons refuse ranks above the level, so that these are hardly
+ * offered. Their last density fades by this factor per interval, over about 5 s.
+ */
+const UNSEEN_FADE_RATIO = 0.98;
+
+/** Offered requests per rank and control interval, smoothed. */
+export class RankHistogram {
+  readonly #offered = new Uint32Array(RANKS_COUNT);
+  readonly #density = new Float64Array(RANKS_COUNT);
+
+  /**
+   * Counts an offered request.
+   *
+   * @param rank Rank in `[0, 512)`.
+   */
+  observe(rank: number): void {
+    this.#offered[rank] = (this.#offered[rank] ?? 0) + 1;
+  }
+
+  /**
+   * Ends a control interval.
+   *
+   * @param levelRank Level that was in force; higher ranks were hardly offered.
+   */
+  endInterval(levelRank: number): void {
+    for (let rank = 0; rank < RANKS_COUNT; rank++) {
+      const offered = this.#offered[rank] as number;
+      const density = this.#density[rank] as number;
+      const unseen = rank >= levelRank && offered < density;
+      this.#density[rank] = unseen
+        ? density * UNSEEN_FADE_RATIO
+        : density + NEWEST_SHARE * (offered - density);
+    }
+    this.#offered.fill(0);
+  }
+
+  /**
+   * Finds the level at which a number of requests is admitted per interval.
+   *
+   * @param wantedCount Requests to admit per interval.
+   * @returns Lowest level that admits at least that many, at most 512.
+   */
+  levelFor(wantedCount: number): number {
+    let admitted = 0;
+    for (let rank = 0; rank < RANKS_COUNT; rank++) {
+      admitted += this.#density[rank] as number;
+      if (admitted >= wantedCount) {
+        return rank + 1;
+      }
+    }
+    return RANKS_COUNT;
+  }
+
+  /**
+   * Sums the requests that a level admits per interval.
+   *
+   * @param levelRank Level.
+   * @returns Smoothed number of requests.
+   */
+  admittedBelow(levelRank: number): number {
+    let admitted = 0;
+    for (let rank = 0; rank < levelRank; rank++) {
+      admitted += this.#density[rank] as number;
+    }
+    return admitted;
+  }
+}
--- /dev/null
+++ b/src/decisions/service_estimates.ts
@@ -0,0 +1,72 @@
+/** Estimates of service times and of the rate of completions. */
+
+const NEWEST_SHARE = 0.1;
+const RATE_NEWEST_SHARE = 0.2;
+
+type Estimate = { meanMs: number; deviationMs: number };
+
+function follow(estimate: Estimate | undefined, latencyMs: number): Estimate {
+  if (estimate === undefined) {
+    return { meanMs: latencyMs, deviationMs: latencyMs / 4 };
+  }
+  const difference = latencyMs - estimate.meanMs;
+  return {
+    meanMs: estimate.meanMs + NEWEST_SHARE * difference,
+    deviationMs: estimate.deviationMs +
+      NEWEST_SHARE * (Math.abs(difference) - estimate.deviationMs),
+  };
+}
+
+/**
+ * Typical service times per route and the smoothed rate of completions.
+ *
+ * @example
+ * estimates.record("enrol", 120);
+ * estimates.typicalMs("enrol"); // 120
+ */
+export class ServiceEstimates {
+  readonly #byRoute = new Map<string, Estimate>();
+  #endedCount = 0;
+  #ratePerMs = 0;
+
+  /** Requests that ended per ms, smoothed; 0 until some have ended. */
+  get ratePerMs(): number {
+    return this.#ratePerMs;
+  }
+
+  /** Counts a request that ended in any way and freed its slot. */
+  recordEnd(): void {
+    this.#endedCount++;
+  }
+
+  /**
+   * Takes the service time of a complete request into account.
+   *
+   * @param route Route of the request; "" when it is not known.
+   * @param latencyMs Time from start to end, in ms.
+   */
+  record(route: string, latencyMs: number): void {
+    this.#byRoute.set(route, follow(this.#byRoute.get(route), latencyMs));
+  }
+
+  /**
+   * Returns the mean service time of a route.
+   *
+   * @param route Route of the request; "" when it is not known.
+   * @returns Time in ms; 0 while the route is not known.
+   */
+  typicalMs(route: string): number {
+    return this.#byRoute.get(route)?.meanMs ?? 0;
+  }
+
+  /**
+   * Ends a control interval.
+   *
+   * @param elapsedMs Length of the interval, in ms.
+   */
+  endInterval(elapsedMs: number): void {
+    const ratePerMs = this.#endedCount / elapsedMs;
+    this.#endedCount = 0;
+    this.#ratePerMs += RATE_NEWEST_SHARE * (ratePerMs - this.#ratePerMs);
+  }
+}
--- /dev/null
+++ b/src/decisions/tenant_shares.ts
@@ -0,0 +1,96 @@
+/** Weighted shares of tenants under overload. */
+import { ADMISSION_KEYS_COUNT, RANKS_COUNT } from "./importance.ts";
+
+const CLASSES_COUNT = RANKS_COUNT / ADMISSION_KEYS_COUNT;
+/** Offered counts fade by this factor per control interval, over about 1 s. */
+const FADE_RATIO = 0.9;
+const FORGET_COUNT = 0.05;
+/** The fair share is at least this part of the mean share per weight. */
+const FAIR_MIN_RATIO = 0.25;
+/** Requests over the share use the last quarter of the class's ranks. */
+const EXCESS_START_KEY = ADMISSION_KEYS_COUNT * 3 / 4;
+
+type TenantDemand = { weight: number; offeredCount: number; overRatio: number };
+
+/** What the shares need to know of a request. */
+export type SharedRequest = {
+  readonly rank: number;
+  readonly tenant: string;
+  readonly tenantWeight: number;
+};
+
+function mean(demands: readonly TenantDemand[]): number {
+  let offered = 0;
+  let weight = 0;
+  for (const demand of demands) {
+    offered += demand.offeredCount;
+    weight += demand.weight;
+  }
+  return weight === 0 ? 0 : offered / weight;
+}
+
+/**
+ * Ranks the requests of a tenant beyond its weighted share last in their class.
+ * A rank never becomes more important, so that a level refuses at the caller
+ * only what it would refuse here.
+ */
+export class TenantShares {
+  readonly #byClass = Array.from(
+    { length: CLASSES_COUNT },
+    () => new Map<string, TenantDemand>(),
+  );
+
+  /**
+   * Counts an offered request and ranks it by its tenant's share.
+   *
+   * @param request Request with its own rank.
+   * @returns Rank of the same class, not below the request's own.
+   */
+  rank(request: SharedRequest): number {
+    const classIndex = Math.floor(request.rank / ADMISSION_KEYS_COUNT);
+    const demand = this.#demandOf(request, classIndex);
+    demand.offeredCount++;
+    const key = request.rank % ADMISSION_KEYS_COUNT;
+    const withinShare = key * demand.overRatio < ADMISSION_KEYS_COUNT;
+    const rankedKey = withinShare
+      ? Math.floor(key * demand.overRatio)
+      : EXCESS_START_KEY + Math.floor(key / 4);
+    return classIndex * ADMISSION_KEYS_COUNT + rankedKey;
+  }
+
+  /** Ends a control interval: computes which tenants are over their share. */
+  endInterval(): void {
+    for (const demands of this.#byClass) {
+      this.#shareClass(demands);
+    }
+  }
+
+  #demandOf(request: SharedRequest, classIndex: number): TenantDemand {
+    const demands = this.#byClass[classIndex] as Map<string, TenantDemand>;
+    let demand = demands.get(request.tenant);
+    if (demand === undefined) {
+      demand = { weight: request.tenantWeight, offeredCount: 0, overRatio: 1 };
+      demands.set(request.tenant, demand);
+    }
+    demand.weight = request.tenantWeight;
+    return demand;
+  }
+
+  #shareClass(demands: Map<string, TenantDemand>): void {
+    const all = [...demands.values()];
+    const meanShare = mean(all);
+    const within = all.filter((d) => d.offeredCount <= meanShare * d.weight);
+    const fairShare = Math.max(mean(within), meanShare * FAIR_MIN_RATIO);
+    for (const [tenant, demand] of demands) {
+      const fairCount = fairShare * demand.weight;
+      const over = demand.offeredCount > meanShare * demand.weight;
+      demand.overRatio = over && fairCount > 0
+        ? demand.offeredCount / fairCount
+        : 1;
+      demand.offeredCount *= FADE_RATIO;
+      if (demand.offeredCount < FORGET_COUNT) {
+        demands.delete(tenant);
+      }
+    }
+  }
+}
