Add the open-loop load source of the overload benchmark

Cause: the overload benchmark needs calls that are offered whether or not earlier ones were answered, with latency from the intended send time.

--- /dev/null
+++ b/bench/overload/call_stream.ts
@@ -0,0 +1,204 @@
+/** Offers one stream of calls in an open loop and sums up the results. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { Agent, request } from "undici";
+import { v7 as timeOrderedUuid } from "uuid";
+import type { RandomSource } from "../../src/core/random.ts";
+import type {
+  LoadBucket,
+  LoadPlan,
+  LoadStream,
+  StreamResult,
+} from "./load_plan.ts";
+
+/** Checks the body of a successful answer. */
+export type BodyCheck = (path: string, body: Buffer) => boolean;
+
+const CONNECTIONS_MAX_COUNT = 2_000;
+const LATENCY_MAX_MS = 600_000;
+
+type Call = { intendedMs: number; key: string | undefined; triesCount: number };
+
+/** One stream of calls with its own connections. */
+export class CallStream {
+  readonly #stream: LoadStream;
+  readonly #plan: LoadPlan;
+  readonly #random: RandomSource;
+  readonly #isWhole: BodyCheck;
+  readonly #agent = new Agent({
+    connections: CONNECTIONS_MAX_COUNT,
+    pipelining: 1,
+  });
+  readonly #buckets: LoadBucket[] = [];
+  readonly #failures: Record<string, number> = {};
+  readonly #latencies: Histogram = build({
+    highestTrackableValue: LATENCY_MAX_MS,
+    numberOfSignificantValueDigits: 3,
+  });
+  readonly #body: Buffer | undefined;
+  #nextMs = 0;
+  #wrongAnswersCount = 0;
+  #activeCount = 0;
+
+  /**
+   * @param stream Stream to offer.
+   * @param plan Plan that the stream belongs to.
+   * @param options Random numbers and the check of bodies.
+   */
+  constructor(
+    stream: LoadStream,
+    plan: LoadPlan,
+    options: { random: RandomSource; isWhole: BodyCheck },
+  ) {
+    this.#stream = stream;
+    this.#plan = plan;
+    this.#random = options.random;
+    this.#isWhole = options.isWhole;
+    this.#body = stream.bodyBytes > 0
+      ? Buffer.alloc(stream.bodyBytes, "x")
+      : undefined;
+    this.#nextMs = this.#advance(0);
+  }
+
+  /** Calls that have not ended. */
+  get activeCount(): number {
+    return this.#activeCount;
+  }
+
+  /**
+   * Starts all calls that are due.
+   *
+   * @param nowMs Time since the start of the run, in ms.
+   */
+  startDue(nowMs: number): void {
+    while (this.#nextMs <= nowMs) {
+      void this.#run({
+        intendedMs: this.#nextMs,
+        key: this.#stream.keyed ? timeOrderedUuid() : undefined,
+        triesCount: 0,
+      });
+      this.#nextMs = this.#advance(this.#nextMs);
+    }
+  }
+
+  /** Sums up the results and closes the connections. */
+  async finish(): Promise<StreamResult> {
+    await this.#agent.destroy();
+    return {
+      name: this.#stream.name,
+      importanceClass: this.#stream.importanceClass,
+      buckets: this.#buckets,
+      latencyMs: {
+        p50: this.#latencies.getValueAtPercentile(50),
+        p99: this.#latencies.getValueAtPercentile(99),
+        max: this.#latencies.maxValue,
+      },
+      wrongAnswersCount: this.#wrongAnswersCount,
+      failures: this.#failures,
+    };
+  }
+
+  /** Draws the time of the next call of a Poisson process with phases. */
+  #advance(fromMs: number): number {
+    let timeMs = fromMs;
+    for (const phase of this.#stream.phases) {
+      if (timeMs >= phase.untilMs) {
+        continue;
+      }
+      if (phase.ratePerS > 0) {
+        const gapMs = -Math.log(1 - this.#random.nextFloat()) * 1_000 /
+          phase.ratePerS;
+        if (timeMs + gapMs < phase.untilMs) {
+          return timeMs + gapMs;
+        }
+      }
+      timeMs = phase.untilMs;
+    }
+    return Infinity;
+  }
+
+  async #run(call: Call): Promise<void> {
+    this.#activeCount++;
+    const bucket = this.#bucket(call.intendedMs);
+    bucket.offeredCount++;
+    const deadlineMs = call.intendedMs + this.#stream.deadlineMs;
+    while (
+      call.triesCount < this.#stream.triesMax && this.#nowMs() < deadlineMs
+    ) {
+      call.triesCount++;
+      bucket.triesCount++;
+      if (await this.#try(call, deadlineMs)) {
+        this.#succeed(call, bucket);
+        break;
+      }
+      await pause(this.#stream.retryDelayMs);
+    }
+    this.#activeCount--;
+  }
+
+  async #try(call: Call, deadlineMs: number): Promise<boolean> {
+    const { method, path } = this.#stream;
+    const remainingMs = Math.max(1, Math.round(deadlineMs - this.#nowMs()));
+    const { entries } = this.#plan;
+    const entry = entries[this.#random.nextInt(entries.length)] as string;
+    try {
+      const answer = await request(`${entry}${path}`, {
+        method,
+        dispatcher: this.#agent,
+        body: this.#body,
+        signal: AbortSignal.timeout(remainingMs),
+        headers: {
+          "goldcrest-deadline-ms": String(remainingMs),
+          ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
+        },
+      });
+      const body = Buffer.from(await answer.body.arrayBuffer());
+      if (answer.statusCode !== 200) {
+        const kind = answer.headers["goldcrest-error"] ?? answer.statusCode;
+        this.#countFailure(String(kind));
+        return false;
+      }
+      if (!this.#isWhole(path, body)) {
+        this.#wrongAnswersCount++;
+        return false;
+      }
+      return true;
+    } catch (error) {
+      this.#countFailure((error as Error).name);
+      return false;
+    }
+  }
+
+  #succeed(call: Call, bucket: LoadBucket): void {
+    const endMs = this.#nowMs();
+    bucket.succeededCount++;
+    this.#bucket(endMs).goodputCount++;
+    this.#latencies.recordValue(Math.max(0, endMs - call.intendedMs));
+  }
+
+  #countFailure(name: string): void {
+    this.#failures[name] = (this.#failures[name] ?? 0) + 1;
+  }
+
+  #bucket(timeMs: number): LoadBucket {
+    const { bucketMs } = this.#plan;
+    const index = Math.floor(timeMs / bucketMs);
+    while (this.#buckets.length <= index) {
+      this.#buckets.push({
+        fromMs: this.#buckets.length * bucketMs,
+        offeredCount: 0,
+        succeededCount: 0,
+        triesCount: 0,
+        goodputCount: 0,
+      });
+    }
+    return this.#buckets[index] as LoadBucket;
+  }
+
+  #nowMs(): number {
+    return Date.now() - this.#plan.startWallMs;
+  }
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
