Add choice of upstream by two choices

Cause: a random choice keeps sending to slow, failed, cold and draining upstreams, and requests that a whole pool would refuse still cross a hop. Levels expire after 1 s, so that a caller with few requests learns of recovery without waiting for a probe. SelectionRequest.depthCount is new and optional. Depth counts from 1 at the entry, as the data path sends it; only later hops lower the rank. Ruled out: a failure penalty without a lower bound; an idle pool never used a recovered upstream again.

--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -10,7 +10,7 @@
   readonly tenant: string;
   /** Share of the tenant under overload relative to others. */
   readonly tenantWeight: number;
-  /** Hops that the request has passed. */
+  /** Hops of the request, 1 at the entry of the call graph. */
   readonly depthCount: number;
   /** Monotonic time by which the answer must be there, in ms. */
   readonly deadlineMs: number;
--- /dev/null
+++ b/src/decisions/endpoint_record.ts
@@ -0,0 +1,194 @@
+/** What a calling daemon knows of one upstream. */
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { LoadState } from "./admission_policy.ts";
+import { RANKS_COUNT } from "./importance.ts";
+import type { Endpoint } from "./upstream_directory.ts";
+import type { AttemptResult } from "./upstream_selector.ts";
+
+const EJECTION_FAILURES_COUNT = 5;
+const EJECTION_MS = 5_000;
+const EJECTION_MAX_MS = 40_000;
+const PENALTY_PERIOD_MS = 5_000;
+/** A failure counts as much as half the limit in requests. */
+const FAILURE_PENALTY = 0.5;
+/** Without a lower bound an idle pool would never use a recovered upstream. */
+const PENALTY_FORGET = 0.01;
+const LOAD_PERIOD_MS = 1_000;
+/** A level that no answer has renewed for this long is not used any more. */
+const LEVEL_EXPIRY_MS = 1_000;
+const COLD_WEIGHT_MIN = 0.1;
+
+/** Bound on the ejections of a pool at one time. */
+export type EjectionBound = {
+  readonly nowMs: number;
+  /** Whether the pool allows one more ejection. */
+  readonly allowed: boolean;
+};
+
+/** Own counts, stated load and ejection of one incarnation of an upstream. */
+export class EndpointRecord {
+  readonly incarnationEpochMs: number;
+  readonly #learnedMs: number;
+  readonly #slotsCount: number;
+  readonly #machine: StateMachine;
+  #ownCount = 0;
+  #load: LoadState | undefined;
+  #loadMs = 0;
+  #penalty = 0;
+  #penaltyMs = 0;
+  #failuresCount = 0;
+  #ejectionsCount = 0;
+  #ejectedUntilMs = 0;
+
+  /**
+   * @param endpoint Upstream as the directory lists it.
+   */
+  constructor(endpoint: Endpoint) {
+    this.incarnationEpochMs = endpoint.incarnationEpochMs;
+    this.#learnedMs = endpoint.learnedMs;
+    this.#slotsCount = endpoint.slotsCount;
+    this.#machine = new StateMachine(UPSTREAM_CHART, this);
+  }
+
+  /** Attempts that this daemon has running at the upstream. */
+  get ownCount(): number {
+    return this.#ownCount;
+  }
+
+  /** Counts an attempt that was sent. */
+  start(): void {
+    this.#ownCount++;
+  }
+
+  /**
+   * Records the end of an attempt.
+   *
+   * @param result Result with the load that the answer stated.
+   * @param bound Whether the pool allows an ejection.
+   */
+  finish(result: AttemptResult, bound: EjectionBound): void {
+    this.#ownCount = Math.max(0, this.#ownCount - 1);
+    if (result.load !== undefined) {
+      this.#load = result.load;
+      this.#loadMs = bound.nowMs;
+    }
+    if (result.result === "succeeded") {
+      this.#machine.send("succeeded");
+    }
+    if (result.result === "failed") {
+      this.#machine.send("failed", bound);
+    }
+  }
+
+  /**
+   * Tells whether the upstream is ejected, and ends an ejection that is over.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns True while nothing is sent to the upstream.
+   */
+  isEjected(nowMs: number): boolean {
+    if (!this.#machine.is("ejected")) {
+      return false;
+    }
+    if (nowMs < this.#ejectedUntilMs) {
+      return true;
+    }
+    this.#machine.send("ejectionEnded");
+    return false;
+  }
+
+  /**
+   * Returns the level that the upstream stated last.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Level; 512 when none is known or the last one has expired.
+   */
+  levelRank(nowMs: number): number {
+    return this.#load === undefined || nowMs - this.#loadMs > LEVEL_EXPIRY_MS
+      ? RANKS_COUNT
+      : this.#load.levelRank;
+  }
+
+  /**
+   * Computes own and stated requests over the limit, with slow start.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param coldStartMs Time over which a new upstream gets its full weight.
+   * @returns Load ratio; 1 and above is saturated.
+   */
+  loadRatio(nowMs: number, coldStartMs: number): number {
+    const limitCount = Math.max(1, this.#load?.limitCount ?? this.#slotsCount);
+    const requests = this.#ownCount + this.#statedCount(nowMs);
+    return requests / (limitCount * this.#weight(nowMs, coldStartMs));
+  }
+
+  /**
+   * Computes the figure by which two choices are compared.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param coldStartMs Time over which a new upstream gets its full weight.
+   * @returns Score; lower is better.
+   */
+  score(nowMs: number, coldStartMs: number): number {
+    const limitCount = Math.max(1, this.#load?.limitCount ?? this.#slotsCount);
+    const requests = this.#ownCount + 1 + this.#statedCount(nowMs);
+    const ratio = requests / limitCount + this.#penaltyAt(nowMs);
+    return ratio / this.#weight(nowMs, coldStartMs);
+  }
+
+  /** Chart guard: enough consecutive failures, and the pool allows it. */
+  mayEject(bound: EjectionBound): boolean {
+    return bound.allowed &&
+      this.#failuresCount + 1 >= EJECTION_FAILURES_COUNT;
+  }
+
+  /** Chart action: counts a failure and adds the penalty. */
+  countFailure(bound: EjectionBound): void {
+    this.#failuresCount++;
+    this.#penalty = this.#penaltyAt(bound.nowMs) + FAILURE_PENALTY;
+    this.#penaltyMs = bound.nowMs;
+  }
+
+  /** Chart action: starts an ejection, each one twice as long as the last. */
+  startEjection(bound: EjectionBound): void {
+    const durationMs = EJECTION_MS * 2 ** this.#ejectionsCount;
+    this.#ejectionsCount++;
+    this.#ejectedUntilMs = bound.nowMs + Math.min(durationMs, EJECTION_MAX_MS);
+  }
+
+  /** Chart action: forgets consecutive failures. */
+  clearFailures(): void {
+    this.#failuresCount = 0;
+  }
+
+  /** Chart action: the next ejection is short again. */
+  clearEjections(): void {
+    this.#ejectionsCount = 0;
+  }
+
+  #statedCount(nowMs: number): number {
+    if (this.#load === undefined) {
+      return 0;
+    }
+    const { inFlightCount, queuedCount } = this.#load;
+    const ageMs = nowMs - this.#loadMs;
+    return (inFlightCount + queuedCount) * Math.exp(-ageMs / LOAD_PERIOD_MS);
+  }
+
+  #penaltyAt(nowMs: number): number {
+    const penalty = this.#penalty *
+      Math.exp(-(nowMs - this.#penaltyMs) / PENALTY_PERIOD_MS);
+    return penalty < PENALTY_FORGET ? 0 : penalty;
+  }
+
+  #weight(nowMs: number, coldStartMs: number): number {
+    if (coldStartMs === 0) {
+      return 1;
+    }
+    const warm = (nowMs - this.#learnedMs) / coldStartMs;
+    return Math.min(1, Math.max(COLD_WEIGHT_MIN, warm));
+  }
+}
+
+const UPSTREAM_CHART = loadChart("upstream", EndpointRecord.prototype);
--- a/src/decisions/importance.ts
+++ b/src/decisions/importance.ts
@@ -58,13 +58,15 @@
  * Prefers requests on which work has already been done, within their class.
  *
  * @param rank Rank in `[0, 512)`.
- * @param depthCount Hops that the request has passed.
- * @returns Rank lowered by 16 per hop, not below the first of its class.
+ * @param depthCount Hops of the request, 1 at the entry of the call graph.
+ * @returns Rank lowered by 16 per hop after the first, not below the first rank
+ * of its class.
  *
  * @example
- * effectiveRank(300, 2); // 268
+ * effectiveRank(300, 2); // 284
  */
 export function effectiveRank(rank: number, depthCount: number): number {
   const firstOfClass = rank - rank % ADMISSION_KEYS_COUNT;
-  return Math.max(firstOfClass, rank - DEPTH_RANKS_COUNT * depthCount);
+  const passedCount = Math.max(0, depthCount - 1);
+  return Math.max(firstOfClass, rank - DEPTH_RANKS_COUNT * passedCount);
 }
--- a/src/decisions/upstream_selector.ts
+++ b/src/decisions/upstream_selector.ts
@@ -17,6 +17,8 @@
   readonly rank: number;
   /** Instances that already refused or failed this request. */
   readonly excludedIds: readonly string[];
+  /** Hops of the call to send, 1 at the entry of the graph; absent is 1. */
+  readonly depthCount?: number;
 };
 
 /** A chosen endpoint or the reason why there is none. */
