--- /dev/null
+++ b/bench/policy/policies.ts
@@ -0,0 +1,106 @@
+/** Policies that the bench compares. */
+import { SeededRandom } from "../../src/core/random.ts";
+import type { AdmissionPolicy } from "../../src/decisions/admission_policy.ts";
+import { createLimiter } from "../../src/decisions/create_limiter.ts";
+import { FixedAdmission } from "../../src/decisions/fixed_admission.ts";
+import { NoAdmission } from "../../src/decisions/no_admission.ts";
+import { PerHopRetries } from "../../src/decisions/per_hop_retries.ts";
+import { RandomSelector } from "../../src/decisions/random_selector.ts";
+import { RankAdmission } from "../../src/decisions/rank_admission.ts";
+import type { RetryPolicy } from "../../src/decisions/retry_policy.ts";
+import { SlidingRatioRetries } from "../../src/decisions/sliding_ratio_retries.ts";
+import { TwoChoiceSelector } from "../../src/decisions/two_choice_selector.ts";
+import type { UpstreamSelector } from "../../src/decisions/upstream_selector.ts";
+
+const QUEUE_MAX_COUNT = 200;
+const QUEUE_AGE_MAX_MS = 500;
+
+/** Identity of a daemon and its seed. */
+export type DaemonIdentity = {
+  callerId: string;
+  dataCentre: string;
+  seed: number;
+};
+
+/** Constructs the decisions of one daemon. */
+export interface BenchPolicy {
+  readonly name: string;
+  /** Whether a call further down gets new attempts, as without a budget. */
+  readonly freshAttempts: boolean;
+  /** Constructs the admission of one upstream. */
+  admission(slotsCount: number): AdmissionPolicy;
+  /** Constructs the choice of upstreams of one daemon. */
+  selector(identity: DaemonIdentity): UpstreamSelector;
+  /** Constructs the retries of one daemon. */
+  retries(): RetryPolicy;
+}
+
+/** Baseline: no limit and three tries per hop. */
+export class UnlimitedPolicy implements BenchPolicy {
+  readonly name: string = "no-limit";
+  readonly freshAttempts = true;
+
+  /** @inheritdoc */
+  admission(slotsCount: number): AdmissionPolicy {
+    return new NoAdmission(slotsCount);
+  }
+
+  /** @inheritdoc */
+  selector({ seed }: DaemonIdentity): UpstreamSelector {
+    return new RandomSelector(new SeededRandom(seed));
+  }
+
+  /** @inheritdoc */
+  retries(): RetryPolicy {
+    return new PerHopRetries();
+  }
+}
+
+/** Baseline: a fixed limit and one queue without classes. */
+export class FixedPolicy extends UnlimitedPolicy {
+  override readonly name = "fixed-limit";
+
+  /** @inheritdoc */
+  override admission(slotsCount: number): AdmissionPolicy {
+    return new FixedAdmission({
+      slotsCount,
+      queueMaxCount: QUEUE_MAX_COUNT,
+      queueAgeMaxMs: QUEUE_AGE_MAX_MS,
+    });
+  }
+}
+
+/** The policy of this project. */
+export class RankPolicy implements BenchPolicy {
+  readonly name: string;
+  readonly freshAttempts = false;
+  readonly #overloadPreference: number;
+
+  /**
+   * @param overloadPreference 0 prefers goodput, 1 prefers recovery.
+   */
+  constructor(overloadPreference: number) {
+    this.name = `policy-${overloadPreference}`;
+    this.#overloadPreference = overloadPreference;
+  }
+
+  /** @inheritdoc */
+  admission(slotsCount: number): AdmissionPolicy {
+    return new RankAdmission({
+      limiter: createLimiter("gradient", slotsCount),
+      queueMaxCount: QUEUE_MAX_COUNT,
+      queueAgeMaxMs: QUEUE_AGE_MAX_MS,
+      overloadPreference: this.#overloadPreference,
+    });
+  }
+
+  /** @inheritdoc */
+  selector(identity: DaemonIdentity): UpstreamSelector {
+    return new TwoChoiceSelector(new SeededRandom(identity.seed), identity);
+  }
+
+  /** @inheritdoc */
+  retries(): RetryPolicy {
+    return new SlidingRatioRetries({ retryRatio: 0.1 });
+  }
+}
