State the number of calling daemons in the policy bench

Cause: the bench used the default of 100 calling daemons, so that the connection limit of inscription gave subsets of one endpoint; retries then found no upstream.

--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -1,7 +1,7 @@
 /**
  * Compares overload policies under a virtual clock:
  * `npm run bench:policy -- [--seeds N] [--scenario NAME] [--json FILE]
- * [--svg FOLDER] [--details]`.
+ * [--policies NAME,...] [--svg FOLDER] [--details]`.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -74,7 +74,11 @@
     new FixedPolicy(),
     ...ends.map((preference) => new RankPolicy(preference)),
   ];
-  return policies.map((policy) => ({
+  const wanted = values.policies.split(",").filter((name) => name !== "");
+  const selected = policies.filter(({ name }) =>
+    wanted.length === 0 || wanted.includes(name)
+  );
+  return selected.map((policy) => ({
     name: policy.name,
     reports: seeds.map((seed) => runOnce(scenario, policy, seed)),
   }));
@@ -83,6 +87,7 @@
 const { values } = parseArgs({
   options: {
     seeds: { type: "string", default: "3" },
+    policies: { type: "string", default: "" },
     scenario: { type: "string", default: "association,regie" },
     json: { type: "string" },
     svg: { type: "string" },
--- a/bench/policy/world.ts
+++ b/bench/policy/world.ts
@@ -43,6 +43,8 @@
 
   #addPool(pool: string): void {
     const { dataCentres, pools } = this.#scenario;
+    const callersCount = Object.values(pools)
+      .reduce((sum, { endpointsCount }) => sum + endpointsCount, 0);
     const load = pools[pool] as Scenario["pools"][string];
     const { endpointsCount, slotsCount, connectionsMaxCount } = load;
     const endpoints = Array.from({ length: endpointsCount }, (_, index) => {
@@ -67,6 +69,7 @@
       slotsCount,
       connectionsMaxCount,
       endpointsCount,
+      callersMaxCount: callersCount,
     });
     this.pools.set(pool, { name: pool, rules, endpoints });
   }
