Lower the gradient limit only when that shortens latency

Fewer requests at once do not make it faster, so slots stay unused; certify used 61% of its slots, and votes were shed. Change: a decrease is a trial. After twice the latency it is kept when latency fell by at least half of the decrease; otherwise the limit returns and the present latency becomes the usual one.

--- a/src/decisions/gradient_limiter.ts
+++ b/src/decisions/gradient_limiter.ts
@@ -10,14 +10,23 @@
 const USUAL_LATENCY_PERIOD_MS = 10_000;
 /** Recent latency may exceed the usual one by this factor before the limit falls. */
 const TOLERANCE_RATIO = 1.5;
-const GRADIENT_MIN_RATIO = 0.5;
-const SMOOTHING_RATIO = 0.2;
+const DECREASE_RATIO = 0.8;
+/**
+ * A decrease is kept when latency falls by at least half of it. Otherwise the
+ * upstream is slow for another reason, and fewer requests would only leave its
+ * slots unused.
+ */
+const KEPT_LATENCY_RATIO = 1 - (1 - DECREASE_RATIO) / 2;
+const INCREASE_RATIO = 0.2;
 /** The limit never falls below this share of the slots, as latency alone is no proof of overload. */
 const LIMIT_MIN_RATIO = 0.25;
 
+/** A decrease whose effect on the latency is not known yet. */
+type Trial = { limitCount: number; latencyMs: number; untilMs: number };
+
 /**
- * Lowers the limit while recent latency exceeds the usual latency, and raises
- * it back to the slots otherwise.
+ * Lowers the limit while recent latency exceeds the usual latency and falls
+ * with the limit, and raises it back to the slots otherwise.
  *
  * @example
  * const limiter = new GradientLimiter(100);
@@ -31,6 +40,7 @@
   #windowSumMs = 0;
   #windowCount = 0;
   #busy = false;
+  #trial: Trial | undefined;
 
   /**
    * @param slotsCount Announced slots of the upstream; the first limit.
@@ -55,7 +65,7 @@
     if (elapsedMs < WINDOW_MS || this.#windowCount < WINDOW_SAMPLES_MIN_COUNT) {
       return;
     }
-    this.#adapt(this.#windowSumMs / this.#windowCount, elapsedMs);
+    this.#adapt(this.#windowSumMs / this.#windowCount, { elapsedMs, nowMs });
     this.#windowStartMs = nowMs;
     this.#windowSumMs = 0;
     this.#windowCount = 0;
@@ -66,29 +76,58 @@
   resize(slotsCount: number): void {
     this.#limitCount *= slotsCount / this.#slotsCount;
     this.#slotsCount = slotsCount;
+    this.#trial = undefined;
+  }
+
+  #adapt(recentMs: number, at: { elapsedMs: number; nowMs: number }): void {
+    if (this.#trial !== undefined) {
+      this.#endTrial(this.#trial, recentMs, at.nowMs);
+      return;
+    }
+    this.#followLatency(recentMs, at.elapsedMs);
+    if (recentMs <= TOLERANCE_RATIO * this.#usualMs) {
+      this.#setLimit(
+        this.#limitCount + INCREASE_RATIO * Math.sqrt(this.#limitCount),
+      );
+      return;
+    }
+    if (this.#busy) {
+      this.#startTrial(recentMs, at.nowMs);
+    }
   }
 
-  #adapt(recentMs: number, elapsedMs: number): void {
+  #followLatency(recentMs: number, elapsedMs: number): void {
     const share = 1 - Math.exp(-elapsedMs / USUAL_LATENCY_PERIOD_MS);
-    this.#usualMs = this.#usualMs === 0
+    const usualMs = this.#usualMs === 0
       ? recentMs
       : this.#usualMs + share * (recentMs - this.#usualMs);
     // The usual latency falls at once, so that a quiet start sets the base.
-    this.#usualMs = Math.min(this.#usualMs, recentMs * TOLERANCE_RATIO);
-    const gradient = Math.min(
-      1,
-      Math.max(
-        GRADIENT_MIN_RATIO,
-        TOLERANCE_RATIO * this.#usualMs / Math.max(recentMs, 0.001),
-      ),
-    );
-    if (gradient < 1 && !this.#busy) {
+    this.#usualMs = Math.min(usualMs, recentMs * TOLERANCE_RATIO);
+  }
+
+  #startTrial(latencyMs: number, nowMs: number): void {
+    // Requests that were running before the decrease have ended by then.
+    const untilMs = nowMs + 2 * Math.max(WINDOW_MS, latencyMs);
+    this.#trial = { limitCount: this.#limitCount, latencyMs, untilMs };
+    this.#setLimit(this.#limitCount * DECREASE_RATIO);
+  }
+
+  #endTrial(trial: Trial, recentMs: number, nowMs: number): void {
+    if (nowMs < trial.untilMs) {
       return;
     }
-    const wanted = this.#limitCount * gradient + Math.sqrt(this.#limitCount);
-    const next = this.#limitCount +
-      SMOOTHING_RATIO * (wanted - this.#limitCount);
+    this.#trial = undefined;
+    if (recentMs > trial.latencyMs * KEPT_LATENCY_RATIO) {
+      this.#usualMs = recentMs;
+      this.#setLimit(trial.limitCount);
+    }
+  }
+
+  #setLimit(limitCount: number): void {
     const lowest = Math.max(1, this.#slotsCount * LIMIT_MIN_RATIO);
-    this.#limitCount = Math.min(this.#slotsCount, Math.max(lowest, next));
+    this.#limitCount = Math.min(
+      this.#slotsCount,
+      Math.max(lowest, limitCount),
+    );
   }
 }
