Add the platform client with call budget, back-off and watches

Cause: readers, the acceptor and the tool need the object API, and hundreds of clients that return together after an outage must stay under its rate limits. Ruled out: back-off by doubling without jitter (clients return in step); a bucket that is full after an outage (300 clients times 5 calls at once). A failed write states whether it may have taken effect.

--- /dev/null
+++ b/src/platform/http_platform_client.ts
@@ -0,0 +1,224 @@
+/** Client of the platform's object API over HTTP with JSON. */
+import type { Readable } from "node:stream";
+import { setTimeout as delay } from "node:timers/promises";
+import { type Stream, Stream as MostStream } from "most";
+import { Agent, type Dispatcher, request } from "undici";
+import type { Clock } from "../core/clock.ts";
+import {
+  type PlatformClient,
+  PlatformError,
+  type PutCondition,
+  type PutResult,
+  type StoredObject,
+} from "../core/platform_client.ts";
+import type { RandomSource } from "../core/random.ts";
+import { storedListSchema } from "../schemas/platform_schema.ts";
+import { CallGate } from "./call_gate.ts";
+import {
+  conditionHeaders,
+  exchangeError,
+  isOutageStatus,
+  readGetStatus,
+  readPutAnswer,
+  readVersion,
+  statusError,
+} from "./platform_calls.ts";
+import { WatchSession } from "./watch_session.ts";
+
+/** Options of {@link HttpPlatformClient}. */
+export type HttpPlatformClientOptions = {
+  /** Base URL of the object API. */
+  url: string;
+  /** Longest wait for an answer, in ms. */
+  timeoutMs: number;
+  /** Call budget of this process. */
+  callsPerSMax: number;
+  clock: Clock;
+  /** Source of the jitter. */
+  random: RandomSource;
+  /** Upper bound of any pause after failures, in ms. */
+  backoffMaxMs?: number;
+};
+
+// The platform sends an empty line on idle watches every 5 s.
+const WATCH_SILENCE_MAX_MS = 15_000;
+// Each waiting watch occupies one connection; an acceptor that also reads and
+// writes announcements has three.
+const CONNECTIONS_MAX = 8;
+const OK = 200;
+
+type WatchSink = { event(timeMs: number, object: StoredObject): void };
+
+/**
+ * `PlatformClient` with timeouts, a call budget and jittered back-off. A call
+ * that would have to wait longer than the timeout for its turn fails at once
+ * with the outcome `not-applied`.
+ *
+ * @example
+ * const client = new HttpPlatformClient({ ...settings.platform, clock, random });
+ * await client.get("config", "accepted");
+ * await client.close();
+ */
+export class HttpPlatformClient implements PlatformClient {
+  readonly #options: HttpPlatformClientOptions;
+  readonly #gate: CallGate;
+  readonly #dispatcher: Agent;
+  readonly #sessions = new Set<WatchSession>();
+
+  /**
+   * @param options Address, limits, clock and random numbers.
+   */
+  constructor(options: HttpPlatformClientOptions) {
+    this.#options = options;
+    this.#gate = new CallGate({
+      callsPerSMax: options.callsPerSMax,
+      random: options.random,
+      ...(options.backoffMaxMs && { backoffMaxMs: options.backoffMaxMs }),
+    });
+    this.#dispatcher = new Agent({
+      connections: CONNECTIONS_MAX,
+      connect: { timeout: options.timeoutMs },
+    });
+  }
+
+  /** @inheritdoc */
+  async get(kind: string, name: string): Promise<StoredObject | undefined> {
+    const path = `/objects/${kind}/${name}`;
+    return await this.#call(path, { method: "GET" }, async (answer) => {
+      if (!readGetStatus(answer.statusCode)) {
+        await answer.body.dump();
+        return undefined;
+      }
+      const version = readVersion(answer.headers);
+      return { kind, name, version, value: await answer.body.json() };
+    });
+  }
+
+  /** @inheritdoc */
+  async list(kind: string): Promise<StoredObject[]> {
+    const path = `/objects/${kind}`;
+    return await this.#call(path, { method: "GET" }, async (answer) => {
+      readGetStatus(answer.statusCode);
+      const body = storedListSchema.parse(await answer.body.json());
+      return body.objects.map((object) => ({ ...object, value: object.value }));
+    });
+  }
+
+  /** @inheritdoc */
+  async put(
+    object: Omit<StoredObject, "version">,
+    condition: PutCondition,
+  ): Promise<PutResult> {
+    const init = {
+      method: "PUT" as const,
+      headers: {
+        "content-type": "application/json",
+        ...conditionHeaders(condition),
+      },
+      body: JSON.stringify(object.value),
+    };
+    const path = `/objects/${object.kind}/${object.name}`;
+    return await this.#call(path, init, async (answer) => {
+      await answer.body.dump();
+      return readPutAnswer(answer);
+    });
+  }
+
+  /** @inheritdoc */
+  watch(kind: string): Stream<StoredObject> {
+    const open = (sink: WatchSink) => this.#openSession(kind, sink);
+    return new MostStream<StoredObject>({
+      run(sink: WatchSink) {
+        const dispose = open(sink);
+        return { dispose: async () => dispose() };
+      },
+      // deno-lint-ignore no-explicit-any -- most's typings omit the source's shape
+    } as any);
+  }
+
+  /** Ends all watches and closes all connections. */
+  async close(): Promise<void> {
+    this.#sessions.forEach((session) => session.stop());
+    this.#sessions.clear();
+    await this.#dispatcher.destroy();
+  }
+
+  async #call<T>(
+    path: string,
+    init: { method: "GET" | "PUT"; headers?: object; body?: string },
+    read: (answer: Dispatcher.ResponseData) => Promise<T>,
+  ): Promise<T> {
+    const write = init.method === "PUT";
+    await this.#takeTurn();
+    try {
+      const answer = await request(`${this.#options.url}${path}`, {
+        ...init,
+        headers: init.headers as Record<string, string>,
+        dispatcher: this.#dispatcher,
+        signal: AbortSignal.timeout(this.#options.timeoutMs),
+      });
+      this.#count(answer.statusCode);
+      return await read(answer);
+    } catch (error) {
+      if (error instanceof PlatformError) {
+        throw error;
+      }
+      this.#gate.failed(this.#options.clock.monotonicMs());
+      throw exchangeError(error, write);
+    }
+  }
+
+  /** Waits for the budget and the back-off, within the timeout. */
+  async #takeTurn(): Promise<void> {
+    const { clock, timeoutMs } = this.#options;
+    const nowMs = clock.monotonicMs();
+    if (this.#gate.waitMs(nowMs) > timeoutMs) {
+      throw new PlatformError(
+        "not-applied",
+        "Platform call was not sent: call budget or back-off after failures",
+      );
+    }
+    const waitMs = this.#gate.reserve(nowMs);
+    if (waitMs > 0) {
+      await delay(waitMs);
+    }
+  }
+
+  #count(status: number): void {
+    if (isOutageStatus(status)) {
+      this.#gate.failed(this.#options.clock.monotonicMs());
+      return;
+    }
+    this.#gate.succeeded();
+  }
+
+  #openSession(kind: string, sink: WatchSink): () => void {
+    const session = new WatchSession({
+      open: (signal) => this.#openWatch(kind, signal),
+      emit: (object) => sink.event(performance.now(), object),
+      pauseMs: () => this.#gate.reserve(this.#options.clock.monotonicMs()),
+      onBroken: () => this.#gate.failed(this.#options.clock.monotonicMs()),
+    });
+    this.#sessions.add(session);
+    session.start();
+    return () => {
+      session.stop();
+      this.#sessions.delete(session);
+    };
+  }
+
+  async #openWatch(kind: string, signal: AbortSignal): Promise<Readable> {
+    const answer = await request(`${this.#options.url}/watch/${kind}`, {
+      dispatcher: this.#dispatcher,
+      headersTimeout: this.#options.timeoutMs,
+      bodyTimeout: WATCH_SILENCE_MAX_MS,
+      signal,
+    });
+    this.#count(answer.statusCode);
+    if (answer.statusCode !== OK) {
+      await answer.body.dump();
+      throw statusError(answer.statusCode, false);
+    }
+    return answer.body;
+  }
+}
--- /dev/null
+++ b/src/platform/platform_calls.ts
@@ -0,0 +1,129 @@
+/** Mapping between platform calls and HTTP answers. */
+import type { Dispatcher } from "undici";
+import {
+  PlatformError,
+  type PutCondition,
+  type PutResult,
+} from "../core/platform_client.ts";
+
+/** Failures before a request can have reached the platform. */
+const UNSENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+const OK = 200;
+const NOT_FOUND = 404;
+const PRECONDITION_FAILED = 412;
+const TOO_MANY_REQUESTS = 429;
+const SERVER_ERROR_MIN = 500;
+
+/**
+ * Tells whether a status means that the platform itself is in trouble.
+ *
+ * @param status HTTP status.
+ * @returns True for a refusal by rate limit and for server errors.
+ */
+export function isOutageStatus(status: number): boolean {
+  return status === TOO_MANY_REQUESTS || status >= SERVER_ERROR_MIN;
+}
+
+/**
+ * Describes a failed exchange.
+ *
+ * @param error Error of the HTTP client.
+ * @param write Whether the call was a write.
+ * @returns Error that states whether the write may have taken effect.
+ */
+export function exchangeError(error: unknown, write: boolean): PlatformError {
+  const { code, message } = error as NodeJS.ErrnoException;
+  const sent = code === undefined || !UNSENT_CODES.has(code);
+  return new PlatformError(
+    write && sent ? "unknown" : "not-applied",
+    `Platform does not answer: ${message}${code ? ` (${code})` : ""}`,
+  );
+}
+
+/**
+ * Describes an answer that is neither a success nor an expected refusal.
+ *
+ * @param status HTTP status.
+ * @param write Whether the call was a write.
+ * @returns Error; server errors leave the effect of a write open.
+ */
+export function statusError(status: number, write: boolean): PlatformError {
+  const open = write && status >= SERVER_ERROR_MIN;
+  return new PlatformError(
+    open ? "unknown" : "not-applied",
+    `Platform answers with status ${status}`,
+  );
+}
+
+/**
+ * Reads the version from the headers of an answer.
+ *
+ * @param headers Headers of the answer.
+ * @returns Version.
+ * @throws {PlatformError} When the header is missing or malformed.
+ */
+export function readVersion(headers: Dispatcher.ResponseData["headers"]) {
+  const match = /^"(\d+)"$/.exec(String(headers.etag));
+  if (match === null) {
+    throw new PlatformError("unknown", "Platform answers without a version");
+  }
+  return Number(match[1]);
+}
+
+/**
+ * Encodes the condition of a write.
+ *
+ * @param condition Version that the write replaces.
+ * @returns Request headers.
+ */
+export function conditionHeaders(
+  condition: PutCondition,
+): Record<string, string> {
+  const { expectedVersion } = condition;
+  return expectedVersion === "absent"
+    ? { "if-none-match": "*" }
+    : { "if-match": `"${expectedVersion}"` };
+}
+
+/**
+ * Interprets the answer to a write.
+ *
+ * @param answer Status and headers.
+ * @returns New version or a conflict.
+ * @throws {PlatformError} On any other answer.
+ */
+export function readPutAnswer(
+  answer: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
+): PutResult {
+  if (answer.statusCode === OK) {
+    return { kind: "written", version: readVersion(answer.headers) };
+  }
+  if (answer.statusCode === PRECONDITION_FAILED) {
+    return { kind: "conflict" };
+  }
+  throw statusError(answer.statusCode, true);
+}
+
+/**
+ * Interprets the status of a read.
+ *
+ * @param status HTTP status.
+ * @returns False when the object does not exist.
+ * @throws {PlatformError} On any other answer.
+ */
+export function readGetStatus(status: number): boolean {
+  if (status === NOT_FOUND) {
+    return false;
+  }
+  if (status !== OK) {
+    throw statusError(status, false);
+  }
+  return true;
+}
--- /dev/null
+++ b/src/schemas/platform_schema.ts
@@ -0,0 +1,35 @@
+/** Schemas of the platform's answers and of the records of leases. */
+import { z } from "zod";
+import { nameSchema } from "./common_schema.ts";
+
+/** Schema of an object in lists and watches. */
+export const storedObjectSchema = z.object({
+  kind: z.string(),
+  name: z.string(),
+  version: z.int().min(1),
+  value: z.unknown(),
+});
+
+/** Schema of the answer to a list. */
+export const storedListSchema = z.object({
+  objects: z.array(storedObjectSchema),
+});
+
+/** Schema of the token of a lease; a new one for each write. */
+export const leaseTokenSchema = z.strictObject({
+  instanceId: nameSchema,
+  incarnationEpochMs: z.number().min(0),
+  counter: z.int().min(0).describe("Grows with each write of the holder"),
+});
+
+/** Schema of the record of a lease, `leases/NAME`. */
+export const leaseRecordSchema = z.strictObject({
+  token: leaseTokenSchema.describe("Names the last writer"),
+  released: z.boolean().describe("Whether the writer gave the lease up"),
+  lengthMs: z.int().min(1),
+});
+
+/** Token of a lease. */
+export type LeaseToken = z.infer<typeof leaseTokenSchema>;
+/** Record of a lease. */
+export type LeaseRecord = z.infer<typeof leaseRecordSchema>;
