Add leases with renewal, expiry by the monotonic clock and read-back

Cause: the acceptor and the readers need one holder at a time, and holders may be paused or lose answers. Trusting the chart's state alone: isHeld() reads the clock at each use.

--- /dev/null
+++ b/src/platform/lease_holder.ts
@@ -0,0 +1,183 @@
+/** Competes for one lease and renews it, by the chart `lease`. */
+import { merge, periodic, type Stream } from "most";
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { Clock } from "../core/clock.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import type { PlatformClient } from "../core/platform_client.ts";
+import type { RandomSource } from "../core/random.ts";
+import type { LeaseToken } from "../schemas/platform_schema.ts";
+import type { LeaseStatus } from "../schemas/status_schema.ts";
+import { LEASE_LENGTH_MS, LEASE_RENEWAL_MS } from "./lease_decision.ts";
+import { LeaseStore, type LeaseWrite } from "./lease_store.ts";
+
+/** Events of a lease holder. */
+export type LeaseEvent =
+  | { readonly kind: "tick" | "release" }
+  | { readonly kind: "granted"; readonly attempt: number; sentMs: number }
+  | { readonly kind: "refused" | "failed"; readonly attempt: number };
+
+/** Options of {@link LeaseHolder}. */
+export type LeaseHolderOptions = {
+  /** Name of the lease; the record is `leases/NAME`. */
+  leaseName: string;
+  /** Identity of this daemon. */
+  holder: Omit<LeaseToken, "counter">;
+  platform: PlatformClient;
+  clock: Clock;
+  /** Source of the jitter between attempts. */
+  random: RandomSource;
+  /** Whether this daemon should compete now; default always. */
+  isCandidate?: () => boolean;
+  /** Ticks; default one each second. */
+  ticks?: Stream<unknown>;
+};
+
+const TICK_MS = 1_000;
+type Granted = Extract<LeaseEvent, { kind: "granted" }>;
+
+/**
+ * Holder of one lease. Check {@link LeaseHolder.isHeld} before each use; it
+ * reads the monotonic clock, so that a process that was paused notices the
+ * lapse before it acts.
+ *
+ * Wiring: construct one per lease, pass it as `lease` to the part that needs
+ * it, and register it with the `EventLoop`. Call `release()` when the daemon
+ * drains.
+ *
+ * @example
+ * const lease = new LeaseHolder({ leaseName: "config-acceptor", holder, platform, clock, random });
+ * loop.register(lease);
+ * if (lease.isHeld()) { ... }
+ */
+export class LeaseHolder implements ControlPart<LeaseEvent> {
+  static readonly #CHART = loadChart("lease", LeaseHolder.prototype);
+
+  readonly name: string;
+  readonly inputs: Stream<LeaseEvent>;
+  readonly #options: LeaseHolderOptions;
+  readonly #machine: StateMachine;
+  readonly #store: LeaseStore;
+  readonly #events = new EventSource<LeaseEvent>();
+  readonly #changes = new EventSource<boolean>();
+  #attempt = 0;
+  #nextAttemptMs = -Infinity;
+  #renewalDueMs = 0;
+  #expiresMs = -Infinity;
+
+  /**
+   * @param options Name, identity, platform, clock and candidacy.
+   */
+  constructor(options: LeaseHolderOptions) {
+    this.#options = options;
+    this.name = `lease ${options.leaseName}`;
+    this.#machine = new StateMachine(LeaseHolder.#CHART, this);
+    this.#store = new LeaseStore(options);
+    const ticks = (options.ticks ?? periodic(TICK_MS))
+      .map((): LeaseEvent => ({ kind: "tick" }));
+    this.inputs = merge(ticks, this.#events.stream);
+  }
+
+  /** Emits true when the lease is won and false when it is lost or released. */
+  get changes(): Stream<boolean> {
+    return this.#changes.stream;
+  }
+
+  /** Whether the lease may be used at this moment. */
+  isHeld(): boolean {
+    const usable = this.#machine.is("held") || this.#machine.is("renewing");
+    return usable && this.#options.clock.monotonicMs() < this.#expiresMs;
+  }
+
+  /** State and last known holder for `/status`. */
+  status(): LeaseStatus {
+    const holder = this.#store.lastHolder();
+    return {
+      name: this.#options.leaseName,
+      state: this.#machine.state,
+      heldBySelf: this.isHeld(),
+      ...(holder !== undefined && { holder }),
+    };
+  }
+
+  /** Gives the lease up for good; another candidate may take it at once. */
+  release(): void {
+    this.#events.emit({ kind: "release" });
+  }
+
+  /** @inheritdoc */
+  handle(event: LeaseEvent): void {
+    if ("attempt" in event && event.attempt !== this.#attempt) {
+      return;
+    }
+    this.#machine.send(event.kind, event);
+  }
+
+  /** Guard: the pause between attempts is over and this daemon competes. */
+  isAttemptDue(): boolean {
+    return this.#nowMs() >= this.#nextAttemptMs &&
+      (this.#options.isCandidate?.() ?? true);
+  }
+
+  /** Guard: the grant was sent less than the lease's length ago. */
+  isInTime(event: Granted): boolean {
+    return this.#nowMs() < event.sentMs + LEASE_LENGTH_MS;
+  }
+
+  /** Guard: the lease has lapsed by the monotonic clock. */
+  isExpired(): boolean {
+    return this.#nowMs() >= this.#expiresMs;
+  }
+
+  /** Guard: the renewal interval has passed. */
+  isRenewalDue(): boolean {
+    return this.#nowMs() >= this.#renewalDueMs;
+  }
+
+  /** Action: reads the record and takes it when it is free. */
+  startAcquire(): void {
+    // Candidates spread their attempts over 0.5 to 1.5 renewal intervals.
+    const jitter = 0.5 + this.#options.random.nextFloat();
+    this.#nextAttemptMs = this.#nowMs() + jitter * LEASE_RENEWAL_MS;
+    this.#run(() => this.#store.acquire());
+  }
+
+  /** Action: writes the record again. */
+  startRenewal(): void {
+    this.#run(() => this.#store.renew());
+  }
+
+  /** Action: writes the record as released; a failure leaves it to lapse. */
+  startRelease(): void {
+    this.#store.release().catch(() => {});
+  }
+
+  /** Action: counts expiry and renewal from before the write was sent. */
+  recordGrant(event: Granted): void {
+    this.#expiresMs = event.sentMs + LEASE_LENGTH_MS;
+    this.#renewalDueMs = event.sentMs + LEASE_RENEWAL_MS;
+  }
+
+  /** Action: tells observers that the lease is held. */
+  announceHeld(): void {
+    this.#changes.emit(true);
+  }
+
+  /** Action: tells observers that the lease must not be used any more. */
+  announceLost(): void {
+    this.#changes.emit(false);
+  }
+
+  #nowMs(): number {
+    return this.#options.clock.monotonicMs();
+  }
+
+  #run(write: () => Promise<LeaseWrite>): void {
+    const attempt = ++this.#attempt;
+    write().then(
+      (result) => this.#events.emit({ ...result, attempt }),
+      () => this.#events.emit({ kind: "failed", attempt }),
+    );
+  }
+}
