Add acceptance, reading and distribution of the configuration

Cause: every daemon needs the accepted pair of tables within seconds, also when floods are lost, the platform is down or two acceptors act at once.

Change: schemas of the objects and messages, pure rules (validation, delta, digest, generations, acceptance), ConfigStore (ConfigSource), ConfigAcceptor, ConfigReader, ConfigDistributor with charts/configuration.jsonc, a memory peer network and a bed for tests under src/testing.

--- /dev/null
+++ b/src/config/accept_decision.ts
@@ -0,0 +1,98 @@
+/** Decides what an acceptor does with a pair of tables. */
+import type {
+  Accepted,
+  ConfigHead,
+  ConfigStep,
+  StoredTable,
+  TableMistake,
+  TableVersions,
+} from "../schemas/config_schema.ts";
+import type { Versioned } from "./config_objects.ts";
+import { compareVersions } from "./generation_rule.ts";
+import { isStepSmall } from "./step_history.ts";
+import { checkPair } from "./stored_pair.ts";
+import { computeDelta } from "./table_delta.ts";
+import { digestEntries } from "./table_digest.ts";
+import { splitTables, type TableEntries } from "./table_entries.ts";
+
+/** Both stored tables with their versions. */
+export type StoredPair = {
+  readonly routes: Versioned<StoredTable>;
+  readonly pools: Versioned<StoredTable>;
+};
+
+/** Decision about a pair. */
+export type AcceptDecision =
+  /** The pair is accepted already, or older than the accepted one. */
+  | { readonly kind: "nothing" }
+  | { readonly kind: "invalid"; readonly mistakes: TableMistake[] }
+  | {
+    readonly kind: "accept";
+    readonly head: ConfigHead;
+    readonly entries: TableEntries;
+  };
+
+/**
+ * Names the versions of a pair.
+ *
+ * @param pair Stored tables.
+ * @returns Versions of both tables.
+ */
+export function pairVersions(pair: StoredPair): TableVersions {
+  return { routes: pair.routes.version, pools: pair.pools.version };
+}
+
+/**
+ * Judges a pair of tables against the accepted configuration.
+ *
+ * @param pair Stored tables.
+ * @param accepted Accepted configuration; undefined before the first one.
+ * @returns Nothing to do, the mistakes, or the next generation.
+ */
+export function decideAccept(
+  pair: StoredPair,
+  accepted: Accepted | undefined,
+): AcceptDecision {
+  const versions = pairVersions(pair);
+  if (compareVersions(accepted?.versions, versions) !== "newer") {
+    return { kind: "nothing" };
+  }
+  const checked = checkPair({
+    routes: pair.routes.value.text,
+    pools: pair.pools.value.text,
+  });
+  if (checked.kind === "invalid") {
+    return checked;
+  }
+  const entries = splitTables(checked.tables);
+  const head = {
+    generation: (accepted?.head.generation ?? 0) + 1,
+    digest: digestEntries(entries),
+  };
+  return { kind: "accept", head, entries };
+}
+
+/**
+ * Computes the step that the accepted object carries.
+ *
+ * @param base Configuration before, when its entries are at hand.
+ * @param next Configuration after.
+ * @param acceptedEpochMs Wall time of the acceptance.
+ * @returns Step; undefined without a base or when it is too large.
+ */
+export function acceptedStep(
+  base: { head: ConfigHead; entries: TableEntries } | undefined,
+  next: { head: ConfigHead; entries: TableEntries },
+  acceptedEpochMs: number,
+): ConfigStep | undefined {
+  if (base === undefined) {
+    return undefined;
+  }
+  const step: ConfigStep = {
+    base: base.head,
+    next: next.head,
+    acceptedEpochMs,
+    delta: computeDelta(base.entries, next.entries),
+  };
+  return isStepSmall(step) ? step : undefined;
+}
--- /dev/null
+++ b/src/config/config_acceptor.ts
@@ -0,0 +1,236 @@
+/** Accepts pairs of tables while this daemon holds the lease `config-acceptor`. */
+import { empty, mergeArray, periodic, type Stream } from "most";
+import type { Clock } from "../core/clock.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import {
+  type Accepted,
+  type AcceptorStatus,
+  type SnapshotPlace,
+  type StoredTable,
+  storedTableSchema,
+  TABLE_NAMES,
+  type TableMistake,
+  type TableName,
+} from "../schemas/config_schema.ts";
+import {
+  type AcceptDecision,
+  acceptedStep,
+  decideAccept,
+  pairVersions,
+  type StoredPair,
+} from "./accept_decision.ts";
+import {
+  ACCEPTED_NAME,
+  CONFIG_KIND,
+  readAccepted,
+  readAcceptorStatus,
+  STATUS_NAME,
+  TABLES_KIND,
+  type Versioned,
+} from "./config_objects.ts";
+import type { ConfigStore } from "./config_store.ts";
+import { compareHeads } from "./generation_rule.ts";
+import type { LeaseView } from "./lease_view.ts";
+import { chooseSlot, SnapshotStore } from "./snapshot_store.ts";
+import type { TableEntries } from "./table_entries.ts";
+
+/** Events of the acceptor. */
+export type AcceptorEvent =
+  | { readonly kind: "table"; readonly object: StoredObject }
+  | { readonly kind: "lease" | "tick" | "settled" };
+
+/** Options of {@link ConfigAcceptor}. */
+export type ConfigAcceptorOptions = {
+  instanceId: string;
+  incarnationEpochMs: number;
+  platform: PlatformClient;
+  lease: LeaseView;
+  /** Copy of the configuration in this daemon, to compute steps. */
+  store: ConfigStore;
+  clock: Clock;
+  /** Ticks that repeat attempts after failures; default one each second. */
+  ticks?: Stream<unknown>;
+};
+
+type AcceptStep = Extract<AcceptDecision, { kind: "accept" }>;
+const TICK_MS = 1_000;
+
+/**
+ * Acceptor of the configuration. Two acceptors at once are safe: the accepted
+ * object is written on the version that was read, and one of them wins.
+ *
+ * Wiring: construct it with the `LeaseHolder` of `config-acceptor`, and
+ * register both with the `EventLoop`. It watches the tables only while the
+ * lease is held.
+ *
+ * @example
+ * loop.register(new ConfigAcceptor({ instanceId, incarnationEpochMs, platform, lease, store, clock }));
+ */
+export class ConfigAcceptor implements ControlPart<AcceptorEvent> {
+  readonly name = "config acceptor";
+  readonly inputs: Stream<AcceptorEvent>;
+  readonly #options: ConfigAcceptorOptions;
+  readonly #snapshots: SnapshotStore;
+  readonly #events = new EventSource<AcceptorEvent>();
+  readonly #tables = new Map<TableName, Versioned<StoredTable>>();
+  #pending = false;
+  #running = false;
+  #failed = false;
+
+  /**
+   * @param options Identity, platform, lease, store and clock.
+   */
+  constructor(options: ConfigAcceptorOptions) {
+    this.#options = options;
+    this.#snapshots = new SnapshotStore(options.platform);
+    const { lease, platform, ticks = periodic(TICK_MS) } = options;
+    const tables = lease.changes
+      .map((held) => held ? platform.watch(TABLES_KIND) : empty())
+      .switchLatest() as Stream<StoredObject>;
+    this.inputs = mergeArray<AcceptorEvent>([
+      tables.map((object) => ({ kind: "table", object })),
+      lease.changes.map(() => ({ kind: "lease" })),
+      ticks.map(() => ({ kind: "tick" })),
+      this.#events.stream,
+    ]);
+  }
+
+  /** @inheritdoc */
+  handle(event: AcceptorEvent): void | Promise<void> {
+    if (event.kind === "table") {
+      this.#remember(event.object);
+    }
+    if (event.kind === "settled") {
+      this.#running = false;
+    }
+    // A failed attempt is repeated by the next tick, not at once.
+    const repeat = event.kind === "tick" && this.#failed;
+    this.#pending ||= event.kind === "lease" || repeat;
+    return this.#startWhenDue();
+  }
+
+  #remember(object: StoredObject): void {
+    const name = TABLE_NAMES.find((table) => table === object.name);
+    if (name === undefined) {
+      return;
+    }
+    const value = storedTableSchema.parse(object.value);
+    this.#tables.set(name, { version: object.version, value });
+    this.#pending = true;
+  }
+
+  #startWhenDue(): void | Promise<void> {
+    const routes = this.#tables.get("routes");
+    const pools = this.#tables.get("pools");
+    const due = this.#pending && !this.#running && this.#options.lease.isHeld();
+    if (!due || routes === undefined || pools === undefined) {
+      return;
+    }
+    this.#pending = false;
+    this.#running = true;
+    return this.#attempt({ routes, pools });
+  }
+
+  async #attempt(pair: StoredPair): Promise<void> {
+    this.#failed = true;
+    try {
+      await this.#judge(pair);
+      this.#failed = false;
+    } finally {
+      this.#events.emit({ kind: "settled" });
+    }
+  }
+
+  async #judge(pair: StoredPair): Promise<void> {
+    const accepted = await readAccepted(this.#options.platform);
+    const decision = decideAccept(pair, accepted?.value);
+    if (decision.kind === "nothing") {
+      return;
+    }
+    if (decision.kind === "invalid") {
+      return await this.#report(pair, {
+        generation: accepted?.value.head.generation ?? 0,
+        mistakes: decision.mistakes,
+      });
+    }
+    if (await this.#accept(pair, decision, accepted)) {
+      await this.#report(pair, { generation: decision.head.generation });
+    }
+  }
+
+  /** Returns false when the lease lapsed or another acceptor won. */
+  async #accept(
+    pair: StoredPair,
+    decision: AcceptStep,
+    accepted: Versioned<Accepted> | undefined,
+  ): Promise<boolean> {
+    const base = await this.#findBase(accepted?.value);
+    const snapshot = await this.#writeSnapshot(decision, accepted?.value);
+    const acceptedEpochMs = this.#options.clock.wallMs();
+    const step = acceptedStep(base, decision, acceptedEpochMs);
+    const value: Accepted = {
+      head: decision.head,
+      versions: pairVersions(pair),
+      snapshot,
+      acceptedBy: this.#options.instanceId,
+      acceptedEpochMs,
+      ...(step && { step }),
+    };
+    if (!this.#options.lease.isHeld()) {
+      return false;
+    }
+    const object = { kind: CONFIG_KIND, name: ACCEPTED_NAME, value };
+    const result = await this.#options.platform.put(object, {
+      expectedVersion: accepted?.version ?? "absent",
+    });
+    this.#pending ||= result.kind === "conflict";
+    return result.kind === "written";
+  }
+
+  /** Entries of the accepted configuration, from this daemon or the platform. */
+  async #findBase(accepted: Accepted | undefined) {
+    if (accepted === undefined) {
+      return undefined;
+    }
+    const { store } = this.#options;
+    const { head } = accepted;
+    const own = store.head();
+    if (own !== undefined && compareHeads(own, head) === "same") {
+      return { head, entries: store.entries() };
+    }
+    const entries = await this.#snapshots.read(accepted);
+    return entries && { head, entries };
+  }
+
+  async #writeSnapshot(
+    decision: { head: Accepted["head"]; entries: TableEntries },
+    accepted: Accepted | undefined,
+  ): Promise<SnapshotPlace> {
+    const { instanceId, incarnationEpochMs } = this.#options;
+    const { head, entries } = decision;
+    const writer = `${instanceId} ${incarnationEpochMs} ${head.generation}`;
+    const slot = chooseSlot(writer, accepted?.snapshot.slot);
+    return await this.#snapshots.write(head, entries, slot);
+  }
+
+  async #report(
+    pair: StoredPair,
+    judgement: { generation: number; mistakes?: TableMistake[] },
+  ): Promise<void> {
+    const { platform } = this.#options;
+    const { generation, mistakes = [] } = judgement;
+    const value: AcceptorStatus = {
+      versions: pairVersions(pair),
+      result: mistakes.length === 0 ? "accepted" : "invalid",
+      generation,
+      mistakes,
+    };
+    const before = await readAcceptorStatus(platform);
+    const object = { kind: CONFIG_KIND, name: STATUS_NAME, value };
+    await platform.put(object, {
+      expectedVersion: before?.version ?? "absent",
+    });
+  }
+}
--- /dev/null
+++ b/src/config/config_distributor.ts
@@ -0,0 +1,317 @@
+/** Distributes the accepted configuration between daemons. */
+import { mergeArray, periodic, type Stream } from "most";
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { Clock } from "../core/clock.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import type {
+  NeighbourSource,
+  Peer,
+  PeerTransport,
+} from "../core/peer_transport.ts";
+import type { PlatformClient } from "../core/platform_client.ts";
+import type { RandomSource } from "../core/random.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { ConfigHead } from "../schemas/config_schema.ts";
+import { ConfigFetcher } from "./config_fetcher.ts";
+import { readAccepted } from "./config_objects.ts";
+import { applyAccepted } from "./config_reader.ts";
+import { ConfigServer } from "./config_server.ts";
+import type { AppliedChange, ConfigStore } from "./config_store.ts";
+import { compareHeads } from "./generation_rule.ts";
+import { FLOOD_METHOD } from "./peer_methods.ts";
+
+/** A peer's head and, where known, its address. */
+export type Candidate = {
+  readonly head: ConfigHead;
+  readonly address?: Address;
+};
+
+/** Events of the distributor. */
+export type DistributorEvent =
+  | { readonly kind: "tick" }
+  | ({ readonly kind: "answered" | "behind" } & Candidate)
+  | { readonly kind: "applied"; readonly change: AppliedChange }
+  | { readonly kind: "failed"; readonly attempt: number }
+  | { readonly kind: "conflict"; head: ConfigHead; instanceId: string };
+
+/** Options of {@link ConfigDistributor}. */
+export type ConfigDistributorOptions = {
+  store: ConfigStore;
+  transport: PeerTransport;
+  neighbours: NeighbourSource;
+  /** Contact addresses of the settings. */
+  contacts: readonly Address[];
+  platform: PlatformClient;
+  clock: Clock;
+  random: RandomSource;
+  /** Ticks; default one each 500 ms. */
+  ticks?: Stream<unknown>;
+};
+
+const TICK_MS = 500;
+const COMPARE_INTERVAL_MS = 2_000;
+const ASK_WINDOW_MS = 1_000;
+const FLOOD_TIMEOUT_MS = 1_000;
+// The sender and two others; the next comparison tries again.
+const FETCH_PEERS_MAX_COUNT = 3;
+
+/**
+ * Keeps the store of this daemon at the highest generation that its peers
+ * have, by the chart `configuration`: floods steps to neighbours, compares
+ * heads with one neighbour every 2 s, and fetches what was missed.
+ *
+ * Wiring: construct a `ConfigStore` (it is the `ConfigSource` of the data
+ * path), pass it here and to the readers and the acceptor, and register this
+ * part with the `EventLoop`. The constructor registers the peer handlers. The
+ * daemon is ready when `store.current()` is defined.
+ *
+ * @example
+ * const store = new ConfigStore(clock);
+ * loop.register(new ConfigDistributor({ store, transport, neighbours, contacts, platform, clock, random }));
+ */
+export class ConfigDistributor implements ControlPart<DistributorEvent> {
+  static readonly #CHART = loadChart(
+    "configuration",
+    ConfigDistributor.prototype,
+  );
+
+  readonly name = "config distributor";
+  readonly inputs: Stream<DistributorEvent>;
+  readonly #options: ConfigDistributorOptions;
+  readonly #machine: StateMachine;
+  readonly #fetcher: ConfigFetcher;
+  readonly #events = new EventSource<DistributorEvent>();
+  #candidates: Candidate[] = [];
+  #askedMs: number | undefined;
+  #openAsksCount = 0;
+  #attempt = 0;
+  #compareDueMs = 0;
+
+  /**
+   * @param options Store, peers, platform, clock and random numbers.
+   */
+  constructor(options: ConfigDistributorOptions) {
+    const { store, transport, ticks = periodic(TICK_MS) } = options;
+    this.#options = options;
+    this.#machine = new StateMachine(ConfigDistributor.#CHART, this);
+    this.#fetcher = new ConfigFetcher(store, transport);
+    this.#registerHandlers();
+    this.inputs = mergeArray<DistributorEvent>([
+      ticks.map(() => ({ kind: "tick" })),
+      store.changes.map((change) => ({ kind: "applied", change })),
+      this.#events.stream,
+    ]);
+  }
+
+  /** State of the chart `configuration`. */
+  get state(): string {
+    return this.#machine.state;
+  }
+
+  /** @inheritdoc */
+  handle(event: DistributorEvent): void {
+    if (event.kind === "conflict") {
+      const { generation } = event.head;
+      throw new Error(
+        `Instance "${event.instanceId}" has another content of generation ${generation}`,
+      );
+    }
+    if (event.kind === "failed" && event.attempt !== this.#attempt) {
+      return;
+    }
+    this.#machine.send(event.kind, event);
+    if (event.kind === "applied") {
+      this.#flood(event.change);
+    }
+  }
+
+  /** Guard: a peer has a configuration and the time to wait for others is over. */
+  hasCandidate(): boolean {
+    const waiting = this.#openAsksCount > 0 && !this.#isWindowClosed();
+    return this.#candidates.length > 0 && !waiting;
+  }
+
+  /** Guard: no peer had a configuration within the window. */
+  isWindowOver(): boolean {
+    return this.#askedMs !== undefined && this.#isWindowClosed();
+  }
+
+  /** Guard: no peer was asked yet. */
+  isWindowUnopened(): boolean {
+    return this.#askedMs === undefined;
+  }
+
+  /** Guard: the interval between comparisons has passed. */
+  isCompareDue(): boolean {
+    return this.#nowMs() >= this.#compareDueMs;
+  }
+
+  /** Guard: a peer's head is newer than the one in force. */
+  isNewer({ head }: Candidate): boolean {
+    return compareHeads(this.#options.store.head(), head) === "newer";
+  }
+
+  /** Action: asks all neighbours and contacts for their head. */
+  askPeers(): void {
+    const addresses = this.#knownAddresses();
+    this.#askedMs = this.#nowMs();
+    this.#openAsksCount = addresses.length;
+    for (const address of addresses) {
+      this.#compare(address).finally(() => this.#openAsksCount--);
+    }
+  }
+
+  /**
+   * Action: reads the platform. Of k peers that all lack a configuration, about
+   * one reads it, so that a restarted data centre does not flood the platform.
+   */
+  askPlatform(): void {
+    const { store, platform, random } = this.#options;
+    if (random.nextInt(this.#knownAddresses().length + 1) !== 0) {
+      return;
+    }
+    readAccepted(platform)
+      .then((accepted) =>
+        accepted && applyAccepted(accepted.value, store, platform)
+      )
+      .catch(() => {}); // The next window asks again.
+  }
+
+  /** Action: remembers a peer, the highest generation first. */
+  rememberCandidate({ head, address }: Candidate): void {
+    this.#candidates = [...this.#candidates, { head, address }]
+      .sort((a, b) => b.head.generation - a.head.generation)
+      .slice(0, FETCH_PEERS_MAX_COUNT);
+  }
+
+  /** Action: forgets the peers that were tried. */
+  forgetCandidates(): void {
+    this.#candidates = [];
+    this.#askedMs = undefined;
+  }
+
+  /** Action: fetches from the remembered peers, then from other neighbours. */
+  startFetch(): void {
+    const attempt = ++this.#attempt;
+    const known = this.#candidates.flatMap(({ address }) => address ?? []);
+    const addresses = distinctAddresses([...known, ...this.#knownAddresses()])
+      .slice(0, FETCH_PEERS_MAX_COUNT);
+    this.#fetcher.fetch(addresses).then((fetched) => {
+      if (!fetched) {
+        this.#events.emit({ kind: "failed", attempt });
+      }
+    });
+  }
+
+  /** Action: compares heads with one neighbour and one remote reader. */
+  comparePeers(): void {
+    this.#compareDueMs = this.#nowMs() + COMPARE_INTERVAL_MS;
+    const { neighbours } = this.#options;
+    const chosen = [
+      this.#choose(neighbours.neighbours()),
+      this.#choose(neighbours.remoteReaders()),
+    ];
+    chosen.forEach((peer) => peer && this.#compare(peer.address));
+  }
+
+  #registerHandlers(): void {
+    const { store, transport } = this.#options;
+    new ConfigServer(store, (relation, head, { instanceId }) => {
+      if (relation === "conflicting") {
+        this.#events.emit({ kind: "conflict", head, instanceId });
+      }
+      if (relation === "newer") {
+        const address = this.#findAddress(instanceId);
+        this.#events.emit({
+          kind: "behind",
+          head,
+          ...(address && { address }),
+        });
+      }
+    }).register(transport);
+  }
+
+  async #compare(address: Address): Promise<void> {
+    try {
+      const { head } = await this.#fetcher.compare(address);
+      this.#noteHead(head, address);
+    } catch {
+      // Membership detects failed peers; the next comparison asks another.
+    }
+  }
+
+  #noteHead(head: ConfigHead | undefined, address: Address): void {
+    if (head !== undefined && this.isNewer({ head })) {
+      this.#events.emit({ kind: "answered", head, address });
+    }
+  }
+
+  #flood({ step, origin }: AppliedChange): void {
+    if (step === undefined && origin.source !== "platform") {
+      return;
+    }
+    const receivers = this.#options.neighbours.neighbours()
+      .filter(({ identity }) => identity.instanceId !== origin.instanceId);
+    for (const { address } of receivers) {
+      step === undefined
+        ? this.#sendHead(address)
+        : this.#sendStep(address, step);
+    }
+  }
+
+  /** A neighbour that is behind fetches from this daemon. */
+  #sendHead(address: Address): void {
+    this.#compare(address);
+  }
+
+  async #sendStep(
+    address: Address,
+    step: NonNullable<AppliedChange["step"]>,
+  ): Promise<void> {
+    try {
+      const { head } = await this.#options.transport.request(
+        address,
+        { method: FLOOD_METHOD, body: step },
+        { timeoutMs: FLOOD_TIMEOUT_MS },
+      );
+      this.#noteHead(head, address);
+    } catch {
+      // The neighbour's next comparison repairs a flood that was missed.
+    }
+  }
+
+  #isWindowClosed(): boolean {
+    return this.#nowMs() >= (this.#askedMs ?? Infinity) + ASK_WINDOW_MS;
+  }
+
+  #choose(peers: readonly Peer[]): Peer | undefined {
+    return peers.length === 0
+      ? undefined
+      : peers[this.#options.random.nextInt(peers.length)];
+  }
+
+  #knownAddresses(): Address[] {
+    const { neighbours, contacts } = this.#options;
+    const peers = neighbours.neighbours().map(({ address }) => address);
+    return distinctAddresses([...peers, ...contacts]);
+  }
+
+  #findAddress(instanceId: string): Address | undefined {
+    const { neighbours } = this.#options;
+    return [...neighbours.neighbours(), ...neighbours.remoteReaders()]
+      .find(({ identity }) => identity.instanceId === instanceId)?.address;
+  }
+
+  #nowMs(): number {
+    return this.#options.clock.monotonicMs();
+  }
+}
+
+function distinctAddresses(addresses: readonly Address[]): Address[] {
+  const byText = new Map(
+    addresses.map((address) => [`${address.host}:${address.port}`, address]),
+  );
+  return [...byText.values()];
+}
--- /dev/null
+++ b/src/config/config_reader.ts
@@ -0,0 +1,116 @@
+/** Reads the accepted configuration from the platform. */
+import { empty, merge, periodic, type Stream } from "most";
+import type { ControlPart } from "../core/event_loop.ts";
+import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import { type Accepted, acceptedSchema } from "../schemas/config_schema.ts";
+import { ACCEPTED_NAME, CONFIG_KIND } from "./config_objects.ts";
+import type { ConfigStore } from "./config_store.ts";
+import { compareHeads } from "./generation_rule.ts";
+import type { LeaseView } from "./lease_view.ts";
+import { SnapshotStore } from "./snapshot_store.ts";
+
+/** Options of {@link ConfigReader}. */
+export type ConfigReaderOptions = {
+  platform: PlatformClient;
+  /** Lease `DATA CENTRE-reader-N`. */
+  lease: LeaseView;
+  store: ConfigStore;
+  /** Ticks that repeat failed reads of snapshots; default one each 2 s. */
+  ticks?: Stream<unknown>;
+};
+
+/** Events of a reader. */
+export type ReaderEvent =
+  | { readonly kind: "object"; readonly object: StoredObject }
+  | { readonly kind: "tick" };
+
+const TICK_MS = 2_000;
+
+/**
+ * Applies an accepted configuration to a store: its step when it fits, else
+ * the snapshot.
+ *
+ * @param accepted Object `config/accepted`.
+ * @param store Copy of this daemon.
+ * @param platform Object API.
+ * @returns True when the store has this configuration or a later one.
+ * @throws {PlatformError} When the snapshot cannot be read.
+ */
+export async function applyAccepted(
+  accepted: Accepted,
+  store: ConfigStore,
+  platform: PlatformClient,
+): Promise<boolean> {
+  const { head, step, acceptedEpochMs } = accepted;
+  const relation = compareHeads(store.head(), head);
+  if (relation === "same") {
+    store.confirm();
+  }
+  if (relation !== "newer") {
+    return relation !== "conflicting";
+  }
+  const origin = { source: "platform" } as const;
+  if (step !== undefined && store.applyStep(step, origin)) {
+    return true;
+  }
+  const entries = await new SnapshotStore(platform).read(accepted);
+  return entries !== undefined &&
+    store.applyFull({ head, entries, acceptedEpochMs }, origin);
+}
+
+/**
+ * Reader of the accepted configuration. While its lease is held it watches the
+ * platform and applies what it reads to the store; the distributor floods it.
+ *
+ * Wiring: construct one per reader lease of the data centre, with that
+ * `LeaseHolder`, and register both with the `EventLoop`.
+ *
+ * @example
+ * loop.register(new ConfigReader({ platform, lease, store }));
+ */
+export class ConfigReader implements ControlPart<ReaderEvent> {
+  readonly name = "config reader";
+  readonly inputs: Stream<ReaderEvent>;
+  readonly #options: ConfigReaderOptions;
+  /** Accepted configuration that could not be applied yet. */
+  #unapplied: Accepted | undefined;
+
+  /**
+   * @param options Platform, lease and store.
+   */
+  constructor(options: ConfigReaderOptions) {
+    this.#options = options;
+    const { lease, platform, ticks = periodic(TICK_MS) } = options;
+    const objects = lease.changes
+      .map((held) => held ? platform.watch(CONFIG_KIND) : empty())
+      .switchLatest() as Stream<StoredObject>;
+    this.inputs = merge<ReaderEvent>(
+      objects.map((object) => ({ kind: "object", object })),
+      ticks.map(() => ({ kind: "tick" })),
+    );
+  }
+
+  /** @inheritdoc */
+  async handle(event: ReaderEvent): Promise<void> {
+    if (event.kind === "object" && event.object.name === ACCEPTED_NAME) {
+      await this.#apply(acceptedSchema.parse(event.object.value));
+    }
+    if (event.kind === "tick" && this.#unapplied !== undefined) {
+      await this.#apply(this.#unapplied);
+    }
+  }
+
+  async #apply(accepted: Accepted): Promise<void> {
+    const { store, platform } = this.#options;
+    this.#unapplied = accepted;
+    const applied = await applyAccepted(accepted, store, platform);
+    if (!applied) {
+      const { generation } = accepted.head;
+      throw new Error(`Snapshot of generation ${generation} does not match`);
+    }
+    // A later object may have arrived while the snapshot was read.
+    if (this.#unapplied === accepted) {
+      this.#unapplied = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/config/config_server.ts
@@ -0,0 +1,96 @@
+/** Answers the requests of peers about the configuration. */
+import type { PeerIdentity, PeerTransport } from "../core/peer_transport.ts";
+import type { ConfigHead, TableEntry } from "../schemas/config_schema.ts";
+import { chunkEntries } from "./chunk_entries.ts";
+import type { ConfigStore } from "./config_store.ts";
+import { compareHeads, type HeadRelation } from "./generation_rule.ts";
+import { CHUNK_METHOD, COMPARE_METHOD, FLOOD_METHOD } from "./peer_methods.ts";
+import type { TableEntries } from "./table_entries.ts";
+
+const CHUNK_MAX_BYTES = 131_072;
+
+/** Receives heads of peers that differ from the own one. */
+export type HeadObserver = (
+  relation: HeadRelation,
+  head: ConfigHead,
+  from: PeerIdentity,
+) => void;
+
+/**
+ * Serves floods, comparisons and full copies from a store.
+ *
+ * @example
+ * new ConfigServer(store, observe).register(transport);
+ */
+export class ConfigServer {
+  readonly #store: ConfigStore;
+  readonly #observe: HeadObserver;
+  /** Chunks of the entries that were asked for last. */
+  #chunked: { entries: TableEntries; chunks: TableEntry[][] } | undefined;
+
+  /**
+   * @param store Copy of this daemon.
+   * @param observe Receives the heads that peers state.
+   */
+  constructor(store: ConfigStore, observe: HeadObserver) {
+    this.#store = store;
+    this.#observe = observe;
+  }
+
+  /**
+   * Registers the handlers.
+   *
+   * @param transport Requests of peers.
+   */
+  register(transport: PeerTransport): void {
+    transport.serve(FLOOD_METHOD, (step, from) => {
+      const { instanceId } = from;
+      if (!this.#store.applyStep(step, { source: "flood", instanceId })) {
+        this.#observeHead(step.next, from);
+      }
+      return this.#ownHead();
+    });
+    transport.serve(COMPARE_METHOD, ({ head }, from) => {
+      if (head === undefined) {
+        return { ...this.#ownHead(), steps: [] };
+      }
+      this.#observeHead(head, from);
+      return { ...this.#ownHead(), steps: this.#store.stepsFrom(head) };
+    });
+    transport.serve(
+      CHUNK_METHOD,
+      ({ head, index }) => this.#chunk(head, index),
+    );
+  }
+
+  #ownHead(): { head?: ConfigHead } {
+    const head = this.#store.head();
+    return head === undefined ? {} : { head };
+  }
+
+  #observeHead(head: ConfigHead, from: PeerIdentity): void {
+    const relation = compareHeads(this.#store.head(), head);
+    if (relation === "same") {
+      this.#store.confirm();
+    }
+    this.#observe(relation, head, from);
+  }
+
+  #chunk(head: ConfigHead, index: number) {
+    const own = this.#store.head();
+    if (own === undefined || compareHeads(own, head) !== "same") {
+      return { ...this.#ownHead(), chunksCount: 0, entries: [] };
+    }
+    const entries = this.#store.entries();
+    if (this.#chunked?.entries !== entries) {
+      const chunks = chunkEntries(entries, CHUNK_MAX_BYTES);
+      this.#chunked = { entries, chunks };
+    }
+    const { chunks } = this.#chunked;
+    return {
+      head: own,
+      chunksCount: chunks.length,
+      entries: chunks[index] ?? [],
+    };
+  }
+}
--- /dev/null
+++ b/src/config/lease_view.ts
@@ -0,0 +1,10 @@
+/** What parts of the configuration see of a lease. */
+import type { Stream } from "most";
+
+/** A lease; `LeaseHolder` of `src/platform/` implements it. */
+export interface LeaseView {
+  /** Whether the lease may be used at this moment. */
+  isHeld(): boolean;
+  /** Emits true when the lease is won and false when it is lost. */
+  readonly changes: Stream<boolean>;
+}
--- /dev/null
+++ b/src/config/table_entries.ts
@@ -0,0 +1,96 @@
+/** Conversion between a pair of tables and its entries. */
+import type { TableEntry } from "../schemas/config_schema.ts";
+import {
+  poolsTableSchema,
+  routesTableSchema,
+  type Tables,
+} from "../schemas/tables_schema.ts";
+
+/** Entries by key. */
+export type TableEntries = ReadonlyMap<string, TableEntry>;
+
+/**
+ * Names an entry uniquely in a pair of tables.
+ *
+ * @param entry Section and name.
+ * @returns Key, `SECTION/NAME`.
+ *
+ * @example
+ * entryKey({ section: "pools", name: "logbook" }); // "pools/logbook"
+ */
+export function entryKey(entry: Pick<TableEntry, "section" | "name">): string {
+  return `${entry.section}/${entry.name}`;
+}
+
+/**
+ * Indexes entries by their key.
+ *
+ * @param entries Entries with distinct keys.
+ * @returns Entries by key.
+ */
+export function indexEntries(entries: Iterable<TableEntry>): TableEntries {
+  return new Map([...entries].map((entry) => [entryKey(entry), entry]));
+}
+
+function sectionEntries(
+  section: TableEntry["section"],
+  values: Record<string, unknown>,
+): TableEntry[] {
+  return Object.entries(values).map(([name, value]) =>
+    ({ section, name, value }) as TableEntry
+  );
+}
+
+/**
+ * Splits a pair of tables into entries.
+ *
+ * @param tables Pair of tables with defaults filled in.
+ * @returns Entries by key.
+ */
+export function splitTables({ routes, pools }: Tables): TableEntries {
+  return indexEntries([
+    ...sectionEntries("rules", { rules: routes.rules }),
+    ...sectionEntries("tenants", routes.tenants),
+    ...sectionEntries("branches", routes.branches),
+    ...sectionEntries("routes", routes.routes),
+    ...sectionEntries("pools", pools.pools),
+  ]);
+}
+
+/** Without a prototype, a caller's name such as `constructor` finds nothing. */
+function createSection(): Record<string, unknown> {
+  return Object.create(null);
+}
+
+/**
+ * Joins entries to a pair of tables. The values are shared, not copied.
+ *
+ * @param entries Entries by key.
+ * @returns Pair of tables.
+ */
+export function joinEntries(entries: TableEntries): Tables {
+  const sections: Record<string, Record<string, unknown>> = {
+    rules: createSection(),
+    tenants: createSection(),
+    branches: createSection(),
+    routes: createSection(),
+    pools: createSection(),
+  };
+  for (const { section, name, value } of entries.values()) {
+    (sections[section] as Record<string, unknown>)[name] = value;
+  }
+  const { rules, tenants, branches, routes, pools } = sections;
+  const central = rules?.rules ?? routesTableSchema.shape.rules.parse({});
+  return {
+    routes: { rules: central, tenants, branches, routes },
+    pools: { pools },
+  } as Tables;
+}
+
+/** A pair of empty tables with the default central rules. */
+export function emptyTables(): Tables {
+  return {
+    routes: routesTableSchema.parse({ routes: {} }),
+    pools: poolsTableSchema.parse({ pools: {} }),
+  };
+}
--- /dev/null
+++ b/src/schemas/config_schema.ts
@@ -0,0 +1,182 @@
+/** Schemas of the configuration's objects, deltas and messages between peers. */
+import { z } from "zod";
+import { nameSchema } from "./common_schema.ts";
+import {
+  poolSchema,
+  poolsTableSchema,
+  routeSchema,
+  routesTableSchema,
+} from "./tables_schema.ts";
+
+/** The two tables. */
+export const TABLE_NAMES = ["routes", "pools"] as const;
+/** Name of a table. */
+export type TableName = typeof TABLE_NAMES[number];
+
+/** Schema of one entry of a table; the central rules are one entry. */
+export const tableEntrySchema = z.discriminatedUnion("section", [
+  z.strictObject({
+    section: z.literal("rules"),
+    name: z.literal("rules"),
+    value: routesTableSchema.shape.rules.unwrap(),
+  }),
+  z.strictObject({
+    section: z.literal("tenants"),
+    name: nameSchema,
+    value: routesTableSchema.shape.tenants.unwrap().valueType,
+  }),
+  z.strictObject({
+    section: z.literal("branches"),
+    name: nameSchema,
+    value: routesTableSchema.shape.branches.unwrap().valueType,
+  }),
+  z.strictObject({
+    section: z.literal("routes"),
+    name: nameSchema,
+    value: routeSchema,
+  }),
+  z.strictObject({
+    section: z.literal("pools"),
+    name: nameSchema,
+    value: poolSchema,
+  }),
+]);
+/** One entry of a table. */
+export type TableEntry = z.infer<typeof tableEntrySchema>;
+
+/** Key of an entry, `SECTION/NAME`. */
+export const entryKeySchema = z.string().min(3);
+
+/** Schema of the difference between two pairs of tables. */
+export const tablesDeltaSchema = z.strictObject({
+  puts: z.array(tableEntrySchema).describe("Entries that are new or changed"),
+  removals: z.array(entryKeySchema).describe("Keys of entries that are gone"),
+});
+/** Difference between two pairs of tables. */
+export type TablesDelta = z.infer<typeof tablesDeltaSchema>;
+
+const generationSchema = z.int().min(1);
+const digestSchema = z.string().regex(/^[0-9a-f]{64}$/);
+const versionSchema = z.int().min(1);
+
+/** Number of edit ids that a stored table keeps. */
+export const RECENT_EDIT_IDS_MAX = 32;
+
+/** Schema of the objects `tables/routes` and `tables/pools`. */
+export const storedTableSchema = z.strictObject({
+  editId: z.string().min(1).describe("Names the edit that wrote the table"),
+  recentEditIds: z.array(z.string().min(1)).max(RECENT_EDIT_IDS_MAX)
+    .describe("Latest edits, newest first, the own one included"),
+  text: z.string().describe("The table as JSON with comments"),
+});
+/** A table as the platform stores it. */
+export type StoredTable = z.infer<typeof storedTableSchema>;
+
+/** Schema of the versions of both tables. */
+export const tableVersionsSchema = z.strictObject({
+  routes: versionSchema,
+  pools: versionSchema,
+});
+/** Versions of both tables. */
+export type TableVersions = z.infer<typeof tableVersionsSchema>;
+
+/** Schema of a generation and its digest. */
+export const configHeadSchema = z.strictObject({
+  generation: generationSchema,
+  digest: digestSchema,
+});
+/** A generation and its digest. */
+export type ConfigHead = z.infer<typeof configHeadSchema>;
+
+/** Schema of one step from a generation to a later one. */
+export const configStepSchema = z.strictObject({
+  base: configHeadSchema,
+  next: configHeadSchema,
+  acceptedEpochMs: z.number().min(0),
+  delta: tablesDeltaSchema,
+});
+/** One step from a generation to a later one. */
+export type ConfigStep = z.infer<typeof configStepSchema>;
+
+/** Schema of the place of a snapshot, `snapshots/SLOT-INDEX`. */
+export const snapshotPlaceSchema = z.strictObject({
+  slot: z.int().min(0),
+  chunksCount: z.int().min(1),
+});
+/** Place of a snapshot in the platform. */
+export type SnapshotPlace = z.infer<typeof snapshotPlaceSchema>;
+
+/** Schema of one chunk of a snapshot. */
+export const snapshotChunkSchema = z.strictObject({
+  head: configHeadSchema,
+  entries: z.array(tableEntrySchema),
+});
+
+/** Schema of the object `config/accepted`. */
+export const acceptedSchema = z.strictObject({
+  head: configHeadSchema,
+  versions: tableVersionsSchema,
+  snapshot: snapshotPlaceSchema,
+  acceptedBy: nameSchema,
+  acceptedEpochMs: z.number().min(0),
+  step: configStepSchema.optional()
+    .describe("Step from the generation before; absent when it is too large"),
+});
+/** The accepted configuration. */
+export type Accepted = z.infer<typeof acceptedSchema>;
+
+/** Schema of one mistake in a pair of tables. */
+export const tableMistakeSchema = z.strictObject({
+  table: z.enum(TABLE_NAMES),
+  entry: z.string().describe("For example `routes.enrol`"),
+  field: z.string().describe("Field within the entry, empty for the entry"),
+  reason: z.string(),
+});
+/** One mistake in a pair of tables. */
+export type TableMistake = z.infer<typeof tableMistakeSchema>;
+
+/** Schema of the object `config/status`: the last pair that was judged. */
+export const acceptorStatusSchema = z.strictObject({
+  versions: tableVersionsSchema,
+  result: z.enum(["accepted", "invalid"]),
+  generation: z.int().min(0).describe("Generation in force after it"),
+  mistakes: z.array(tableMistakeSchema),
+});
+/** Last judgement of the acceptor. */
+export type AcceptorStatus = z.infer<typeof acceptorStatusSchema>;
+
+/** Schema of a comparison; `head` is absent before the first configuration. */
+export const compareRequestSchema = z.strictObject({
+  head: configHeadSchema.optional(),
+});
+/** Schema of the answer to a comparison. */
+export const compareAnswerSchema = z.strictObject({
+  head: configHeadSchema.optional(),
+  steps: z.array(configStepSchema)
+    .describe("Steps from the asker's generation, where they are still kept"),
+});
+/** Answer to a comparison. */
+export type CompareAnswer = z.infer<typeof compareAnswerSchema>;
+
+/** Schema of the answer to a flooded step. */
+export const floodAnswerSchema = z.strictObject({
+  head: configHeadSchema.optional(),
+});
+
+/** Schema of a request for one chunk of a full copy. */
+export const chunkRequestSchema = z.strictObject({
+  head: configHeadSchema,
+  index: z.int().min(0),
+});
+/** Schema of one chunk; no entries when the peer has another generation. */
+export const chunkAnswerSchema = z.strictObject({
+  head: configHeadSchema.optional(),
+  chunksCount: z.int().min(0),
+  entries: z.array(tableEntrySchema),
+});
+
+/** Schemas of whole tables, by name. */
+export const TABLE_SCHEMAS = {
+  routes: routesTableSchema,
+  pools: poolsTableSchema,
+} as const;
