--- /dev/null
+++ b/src/cli/edit_plan.ts
@@ -0,0 +1,165 @@
+/** Plans an edit of the tables: validation, order of writes and diffs. */
+import { createTwoFilesPatch } from "diff";
+import {
+  checkPair,
+  checkStoredSize,
+  checkTables,
+  type TableTexts,
+} from "../config/stored_pair.ts";
+import { InputError, type InputMistake } from "../errors/input_error.ts";
+import {
+  TABLE_NAMES,
+  TABLE_SCHEMAS,
+  type TableMistake,
+  type TableName,
+} from "../schemas/config_schema.ts";
+import { locateJsonc } from "../schemas/locate_jsonc.ts";
+import { parseJsonc } from "../schemas/parse_jsonc.ts";
+import type { Tables } from "../schemas/tables_schema.ts";
+import { makeEdit, type TableBase } from "./table_edit.ts";
+
+/** Stored tables that an edit starts from. */
+export type TableBases = Record<TableName, TableBase>;
+
+/** Names of the sources of both tables, for messages. */
+export type TableSources = Record<TableName, string>;
+
+/** Texts of tables that do not exist yet. */
+const EMPTY_TEXTS: TableTexts = {
+  routes: '{ "routes": {} }',
+  pools: '{ "pools": {} }',
+};
+
+const EDIT_ID_SAMPLE = "00000000-0000-7000-8000-000000000000";
+
+/**
+ * Returns the texts of the stored tables.
+ *
+ * @param bases Stored tables.
+ * @returns Texts; an absent table is empty.
+ */
+export function baseTexts(bases: TableBases): TableTexts {
+  return {
+    routes: bases.routes?.value.text ?? EMPTY_TEXTS.routes,
+    pools: bases.pools?.value.text ?? EMPTY_TEXTS.pools,
+  };
+}
+
+function throwMistakes(
+  mistakes: TableMistake[],
+  texts: TableTexts,
+  sources: TableSources,
+): never {
+  throw new InputError(mistakes.map(({ table, entry, field, reason }) => {
+    const path = [entry, field].filter((part) => part !== "").join(".");
+    const steps = path === "" ? [] : path.split(".");
+    const position = locateJsonc(texts[table], steps);
+    return { source: sources[table], ...position, path, message: reason };
+  }));
+}
+
+function parseTable(
+  table: TableName,
+  texts: TableTexts,
+  sources: TableSources,
+): { value?: unknown; mistakes?: readonly InputMistake[] } {
+  try {
+    const source = sources[table];
+    return {
+      value: parseJsonc(texts[table], TABLE_SCHEMAS[table], { source }),
+    };
+  } catch (error) {
+    if (error instanceof InputError) {
+      return { mistakes: error.mistakes };
+    }
+    throw error;
+  }
+}
+
+/**
+ * Validates a pair of texts.
+ *
+ * @param texts Both tables.
+ * @param sources Names for messages.
+ * @throws {InputError} With position and reason of each mistake.
+ */
+export function requireValidPair(
+  texts: TableTexts,
+  sources: TableSources,
+): void {
+  const parsed = TABLE_NAMES.map((table) => parseTable(table, texts, sources));
+  const mistakes = parsed.flatMap((result) => result.mistakes ?? []);
+  if (mistakes.length > 0) {
+    throw new InputError(mistakes);
+  }
+  const [routes, pools] = parsed.map(({ value }) => value);
+  const faults = checkTables({ routes, pools } as Tables);
+  if (faults.length > 0) {
+    throwMistakes(faults, texts, sources);
+  }
+}
+
+/**
+ * Checks that the platform can hold the edited tables.
+ *
+ * @param bases Stored tables.
+ * @param texts New texts.
+ * @param sources Names for messages.
+ * @throws {InputError} When a value would be too large.
+ */
+export function requireStorable(
+  bases: TableBases,
+  texts: TableTexts,
+  sources: TableSources,
+): void {
+  const mistakes = TABLE_NAMES.flatMap((table) =>
+    checkStoredSize(table, makeEdit(bases[table], texts[table], EDIT_ID_SAMPLE))
+  );
+  if (mistakes.length > 0) {
+    throwMistakes(mistakes, texts, sources);
+  }
+}
+
+/**
+ * Orders the writes of an edit. Between two writes the stored pair mixes both;
+ * where one order keeps the mixed pair valid, it is chosen.
+ *
+ * @param before Texts before the edit.
+ * @param after Texts after the edit.
+ * @returns Tables to write, in order; empty when nothing changes.
+ */
+export function orderWrites(
+  before: TableTexts,
+  after: TableTexts,
+): TableName[] {
+  const changed = TABLE_NAMES.filter((table) => before[table] !== after[table]);
+  if (changed.length < TABLE_NAMES.length) {
+    return changed;
+  }
+  const routesFirst = checkPair({ ...before, routes: after.routes });
+  return routesFirst.kind === "valid" ? ["routes", "pools"] : [
+    "pools",
+    "routes",
+  ];
+}
+
+/**
+ * Shows the difference between two texts of a table.
+ *
+ * @param table Name of the table.
+ * @param before Text before.
+ * @param after Text after.
+ * @returns Unified diff.
+ */
+export function diffTexts(
+  table: TableName,
+  before: string,
+  after: string,
+): string {
+  return createTwoFilesPatch(
+    `${table} (stored)`,
+    `${table} (new)`,
+    before,
+    after,
+  );
+}
--- /dev/null
+++ b/src/cli/in_force.ts
@@ -0,0 +1,161 @@
+/** Waits until an edit is accepted and in force in the daemons. */
+import { setTimeout as delay } from "node:timers/promises";
+import { readAccepted, readAcceptorStatus } from "../config/config_objects.ts";
+import { compareVersions } from "../config/generation_rule.ts";
+import { type PlatformClient, PlatformError } from "../core/platform_client.ts";
+import type {
+  ConfigHead,
+  TableMistake,
+  TableVersions,
+} from "../schemas/config_schema.ts";
+import {
+  type DaemonView,
+  listMemberUrls,
+  viewDaemons,
+} from "./daemon_client.ts";
+
+/** How far the edit has come. */
+export type ForceState =
+  | { readonly kind: "waiting" }
+  | { readonly kind: "refused"; readonly mistakes: TableMistake[] }
+  | { readonly kind: "accepted"; readonly head: ConfigHead }
+  | { readonly kind: "in-force"; readonly head: ConfigHead; count: number }
+  | {
+    readonly kind: "timeout";
+    readonly head?: ConfigHead;
+    readonly lagging: string[];
+  };
+
+/** Options of {@link waitInForce}. */
+export type WaitOptions = {
+  /** Operator listeners of daemons; their members are asked too. */
+  daemonUrls: readonly string[];
+  timeoutMs: number;
+  /** Receives a line whenever something changed. */
+  progress: (line: string) => void;
+};
+
+const POLL_MS = 250;
+
+/**
+ * Describes a daemon that lags behind a generation.
+ *
+ * @param view Daemon.
+ * @param generation Generation that should be in force.
+ * @returns Description; undefined when the daemon has it or a later one.
+ */
+export function describeLag(
+  view: DaemonView,
+  generation: number,
+): string | undefined {
+  if (view.status === undefined) {
+    return `${view.url}: ${view.error}`;
+  }
+  const { instanceId, config } = view.status;
+  return config.generation >= generation
+    ? undefined
+    : `${instanceId} at ${view.url}: generation ${config.generation}`;
+}
+
+async function readAcceptance(
+  platform: PlatformClient,
+  versions: TableVersions,
+): Promise<ForceState> {
+  const accepted = await readAccepted(platform);
+  const relation = compareVersions(accepted?.value.versions, versions);
+  if (accepted !== undefined && relation !== "newer") {
+    return { kind: "accepted", head: accepted.value.head };
+  }
+  const status = await readAcceptorStatus(platform);
+  const judged = status !== undefined &&
+    compareVersions(status.value.versions, versions) !== "newer";
+  return judged && status.value.result === "invalid"
+    ? { kind: "refused", mistakes: status.value.mistakes }
+    : { kind: "waiting" };
+}
+
+async function pollAcceptance(
+  platform: PlatformClient,
+  versions: TableVersions,
+): Promise<ForceState> {
+  try {
+    return await readAcceptance(platform, versions);
+  } catch (error) {
+    if (error instanceof PlatformError) {
+      return { kind: "waiting" };
+    }
+    throw error;
+  }
+}
+
+async function listLagging(
+  options: WaitOptions,
+  generation: number,
+): Promise<{ lagging: string[]; count: number }> {
+  const seeds = await viewDaemons(options.daemonUrls);
+  const others = listMemberUrls(seeds)
+    .filter((url) => !options.daemonUrls.includes(url));
+  const views = [...seeds, ...await viewDaemons(others)];
+  const lagging = views.flatMap((view) => describeLag(view, generation) ?? []);
+  return { lagging, count: views.length };
+}
+
+async function awaitAcceptance(
+  platform: PlatformClient,
+  versions: TableVersions,
+  deadlineMs: number,
+): Promise<ForceState> {
+  while (performance.now() < deadlineMs) {
+    const state = await pollAcceptance(platform, versions);
+    if (state.kind !== "waiting") {
+      return state;
+    }
+    await delay(POLL_MS);
+  }
+  return { kind: "timeout", lagging: ["No acceptor accepted the tables"] };
+}
+
+async function awaitDaemons(
+  head: ConfigHead,
+  options: WaitOptions,
+  deadlineMs: number,
+): Promise<ForceState> {
+  let reported = -1;
+  while (true) {
+    const { lagging, count } = await listLagging(options, head.generation);
+    if (lagging.length === 0) {
+      return { kind: "in-force", head, count };
+    }
+    if (lagging.length !== reported) {
+      options.progress(`In force in ${count - lagging.length} of ${count}`);
+      reported = lagging.length;
+    }
+    if (performance.now() >= deadlineMs) {
+      return { kind: "timeout", head, lagging };
+    }
+    await delay(POLL_MS);
+  }
+}
+
+/**
+ * Waits until the daemons have a configuration with these versions in force.
+ *
+ * @param platform Object API.
+ * @param versions Versions of both tables after the edit.
+ * @param options Daemons, timeout and receiver of progress.
+ * @returns In force, refused by the acceptor, or timed out with the daemons
+ * that lag.
+ */
+export async function waitInForce(
+  platform: PlatformClient,
+  versions: TableVersions,
+  options: WaitOptions,
+): Promise<ForceState> {
+  const deadlineMs = performance.now() + options.timeoutMs;
+  const state = await awaitAcceptance(platform, versions, deadlineMs);
+  if (state.kind !== "accepted") {
+    return state;
+  }
+  options.progress(`Accepted as generation ${state.head.generation}`);
+  return await awaitDaemons(state.head, options, deadlineMs);
+}
--- a/src/config/stored_pair.ts
+++ b/src/config/stored_pair.ts
@@ -98,6 +98,16 @@
   }
 }
 
+/**
+ * Checks a pair of parsed tables: the rules between them and their sizes.
+ *
+ * @param tables Pair of tables.
+ * @returns All mistakes; empty when the pair can be accepted.
+ */
+export function checkTables(tables: Tables): TableMistake[] {
+  return [...validateTables(tables), ...checkEntrySizes(tables)];
+}
+
 /**
  * Parses and validates a pair of tables.
  *
@@ -115,7 +125,7 @@
     return { kind: "invalid", mistakes };
   }
   const tables = { routes: routes.value, pools: pools.value };
-  const mistakes = [...validateTables(tables), ...checkEntrySizes(tables)];
+  const mistakes = checkTables(tables);
   return mistakes.length === 0
     ? { kind: "valid", tables }
     : { kind: "invalid", mistakes };
