Add the remaining commands of the tool

Cause: operators need to check files, edit single entries, see daemons and understand which rules apply. Ruled out: an external editor for edit, because it would start a process and could not be scripted; edit takes FIELD=VALUE and set takes a whole entry, and both keep the comments of the stored text. Change: validate, routes and pools show|edit|set, explain, charts, status, top, drain, undrain; plain output without colours when it is not a terminal.

--- a/src/cli/apply_command_test.ts
+++ b/src/cli/apply_command_test.ts
@@ -1,93 +1,43 @@
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { PassThrough } from "node:stream";
-import { text } from "node:stream/consumers";
-import { test, type TestContext } from "node:test";
-import { PlatformServer } from "../../stand_ins/platform_server.ts";
-import { sampleTables } from "../testing/config_bed.ts";
+import { test } from "node:test";
+import {
+  routesText,
+  runTool,
+  sampleStatus,
+  serveStatus,
+  startToolBed,
+} from "../testing/cli_bed.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
-import { runCli } from "./run_cli.ts";
-
-async function startBed(t: TestContext) {
-  const platform = new PlatformServer();
-  const url = `http://127.0.0.1:${await platform.listen(0)}`;
-  const folder = mkdtempSync(join(tmpdir(), "goldcrestrelay-"));
-  t.after(async () => {
-    rmSync(folder, { recursive: true });
-    await platform.close();
-  });
-  const tables = sampleTables();
-  for (const name of ["routes", "pools"] as const) {
-    const editId = `first ${name}`;
-    const value = {
-      editId,
-      recentEditIds: [editId],
-      text: JSON.stringify(tables[name]),
-    };
-    const key = { kind: "tables", name };
-    platform.store.write(key, value, { expectedVersion: "absent" });
-  }
-  const apply = async (routesText: string, ...args: string[]) => {
-    const file = join(folder, "routes.jsonc");
-    writeFileSync(file, routesText);
-    return await run("apply", "--platform", url, "--routes", file, ...args);
-  };
-  return { platform, url, apply };
-}
-
-async function run(...args: string[]) {
-  const stdout = new PassThrough();
-  const stderr = new PassThrough();
-  const texts = Promise.all([text(stdout), text(stderr)]);
-  const code = await runCli(args, { stdout, stderr });
-  stdout.end();
-  stderr.end();
-  const [out, err] = await texts;
-  return { code, out, err };
-}
-
-function routesText(count: number): string {
-  return JSON.stringify(sampleTables(count).routes, undefined, 2);
-}
-
-function storedRoutes(platform: PlatformServer) {
-  return platform.store.read({ kind: "tables", name: "routes" }) as {
-    version: number;
-    value: { text: string };
-  };
-}
 
 test("an applied edit shows its difference and its version", async (t) => {
-  const { platform, apply } = await startBed(t);
+  const { storedText, apply } = await startToolBed(t);
   const { code, out } = await apply(routesText(3));
   assert.equal(code, EXIT_CODES.applied);
   assert.match(out, /\+ {4}"r2": \{/);
   assert.match(out, /routes: applied, edit .*, version 2/);
-  assert.equal(storedRoutes(platform).value.text, routesText(3));
+  assert.equal(storedText(), routesText(3));
 });
 
 test("an answer lost after the write took effect is reported as applied", async (t) => {
-  const { platform, apply } = await startBed(t);
+  const { platform, storedText, apply } = await startToolBed(t);
   platform.setFaults({ loseWriteAnswersCount: 1 });
   const { code, out } = await apply(routesText(3), "--json");
   assert.equal(code, EXIT_CODES.applied);
   assert.equal(JSON.parse(out).edits[0].outcome, "applied");
-  assert.equal(storedRoutes(platform).version, 2);
+  assert.equal(storedText(), routesText(3));
 });
 
 test("a write lost before it took effect is reported as not applied", async (t) => {
-  const { platform, apply } = await startBed(t);
+  const { platform, storedText, apply } = await startToolBed(t);
   platform.setFaults({ dropWritesCount: 1 });
   const { code, out } = await apply(routesText(3), "--json");
   assert.equal(code, EXIT_CODES.notApplied);
   assert.equal(JSON.parse(out).edits[0].outcome, "not-applied");
-  assert.equal(storedRoutes(platform).version, 1);
+  assert.notEqual(storedText(), routesText(3));
 });
 
 test("without a platform nothing was written", async (t) => {
-  const { platform, apply } = await startBed(t);
+  const { platform, apply } = await startToolBed(t);
   platform.setFaults({ down: true });
   const { code, err } = await apply(routesText(3));
   assert.equal(code, EXIT_CODES.error);
@@ -95,30 +45,67 @@
 });
 
 test("mistakes of a pair are printed with file, line and column", async (t) => {
-  const { platform, apply } = await startBed(t);
-  const { code, err } = await apply(
-    routesText(2).replace('"pool": "logbook"', '"pool": "nowhere"'),
-  );
+  const { storedText, apply } = await startToolBed(t);
+  const text = routesText(2).replace('"pool": "logbook"', '"pool": "nowhere"');
+  const { code, err } = await apply(text);
   assert.equal(code, EXIT_CODES.badInput);
   assert.match(
     err,
     /routes\.jsonc:8:15: routes\.r0\.pool: Pool "nowhere" does not exist\n$/,
   );
-  assert.equal(storedRoutes(platform).version, 1);
+  assert.notEqual(storedText(), text);
 });
 
 test("an unknown option is bad input", async () => {
-  assert.equal((await run("apply", "--unknown")).code, EXIT_CODES.badInput);
+  const { code } = await runTool("apply", "--unknown");
+  assert.equal(code, EXIT_CODES.badInput);
 });
 
-test("waiting names why the configuration is not in force", async (t) => {
-  const { apply } = await startBed(t);
-  const { code, err } = await apply(
-    routesText(3),
-    "--wait",
-    "--wait-timeout",
-    "0.1",
-  );
+test("waiting without an acceptor ends with a timeout", async (t) => {
+  const { apply } = await startToolBed(t);
+  const wait = ["--wait", "--wait-timeout", "0.1"];
+  const { code, err } = await apply(routesText(3), ...wait);
   assert.equal(code, EXIT_CODES.timeout);
   assert.match(err, /No acceptor accepted the tables/);
 });
+
+test("a timeout names the daemons that lag, and only these", async (t) => {
+  const { put, apply } = await startToolBed(t);
+  put("config", "accepted", {
+    head: { generation: 7, digest: "0".repeat(64) },
+    versions: { routes: 2, pools: 1 },
+    snapshot: { slot: 0, chunksCount: 1 },
+    acceptedBy: "a",
+    acceptedEpochMs: 1,
+  });
+  const lagging = await serveStatus(t, sampleStatus("late", 6));
+  const [, port] = lagging.split("127.0.0.1:");
+  const current = sampleStatus("current", 7);
+  current.members.push({
+    instanceId: "late",
+    incarnationEpochMs: 1,
+    dataCentre: "dc-1",
+    state: "alive",
+    operator: { host: "127.0.0.1", port: Number(port) },
+  });
+  const url = await serveStatus(t, current);
+  const wait = ["--wait", "--wait-timeout", "0.1", "--daemon", url];
+  const { code, err } = await apply(routesText(3), ...wait);
+  assert.equal(code, EXIT_CODES.timeout);
+  assert.match(err, /In force in 1 of 2/);
+  assert.match(err, new RegExp(`Lags: late at ${lagging}: generation 6\n$`));
+});
+
+test("an edit that the acceptor refuses is not applied, with the reason", async (t) => {
+  const { put, apply } = await startToolBed(t);
+  const reason = "Refused for the test";
+  put("config", "status", {
+    versions: { routes: 2, pools: 1 },
+    result: "invalid",
+    generation: 0,
+    mistakes: [{ table: "routes", entry: "routes.r0", field: "", reason }],
+  });
+  const { code, err } = await apply(routesText(3), "--wait");
+  assert.equal(code, EXIT_CODES.notApplied);
+  assert.match(err, /Refused: routes: routes\.r0 : Refused for the test/);
+});
--- /dev/null
+++ b/src/cli/daemon_commands.ts
@@ -0,0 +1,148 @@
+/** `status`, `top`, `drain` and `undrain`: commands that ask daemons. */
+import process from "node:process";
+import { setTimeout as delay } from "node:timers/promises";
+import { Command, Option } from "clipanion";
+import {
+  type DaemonView,
+  listMemberUrls,
+  postDrain,
+  readMetrics,
+  viewDaemons,
+} from "./daemon_client.ts";
+import { describeStatus, describeTop } from "./daemon_text.ts";
+import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
+import { CommandError, RelayCommand } from "./relay_command.ts";
+
+const CLEAR_SCREEN = "\x1b[2J\x1b[H";
+
+/** A command that asks one or more daemons. */
+abstract class DaemonCommand extends RelayCommand {
+  daemons = Option.Array("--daemon", {
+    description:
+      "Operator listener, repeatable; default GOLDCRESTRELAY_DAEMONS, comma-separated",
+  });
+
+  /** Operator listeners that the operator named. */
+  protected listUrls(): string[] {
+    const listed = process.env.GOLDCRESTRELAY_DAEMONS?.split(",") ?? [];
+    const urls = (this.daemons ?? listed).filter((url) => url !== "");
+    if (urls.length === 0) {
+      const message = "No daemon: give --daemon or GOLDCRESTRELAY_DAEMONS";
+      throw new CommandError(EXIT_CODES.badInput, message);
+    }
+    return urls;
+  }
+}
+
+/** Reads the named daemons and, on demand, the members that they name. */
+async function viewAll(
+  urls: string[],
+  members: boolean,
+): Promise<DaemonView[]> {
+  const views = await viewDaemons(urls);
+  if (!members) {
+    return views;
+  }
+  const others = listMemberUrls(views).filter((url) => !urls.includes(url));
+  return [...views, ...await viewDaemons(others)];
+}
+
+function exitCodeOf(views: DaemonView[]): ExitCode {
+  const failed = views.some(({ error }) => error !== undefined);
+  return failed ? EXIT_CODES.error : EXIT_CODES.applied;
+}
+
+/** Command `status`. */
+export class StatusCommand extends DaemonCommand {
+  static override paths = [["status"]];
+  static override usage = Command.Usage({
+    description: "Print the status of daemons",
+    details: "Exit codes: 0 all answered, 1 a daemon did not, 2 bad input.",
+    examples: [[
+      "Ask one daemon and its members",
+      "goldcrestrelay status --daemon http://10.0.0.7:9084 --members",
+    ]],
+  });
+
+  members = Option.Boolean("--members", false, {
+    description: "Ask the members that the daemons name too",
+  });
+
+  /** @inheritdoc */
+  override async run(): Promise<ExitCode> {
+    const views = await viewAll(this.listUrls(), this.members);
+    this.print({ daemons: views }, views.flatMap(describeStatus));
+    return exitCodeOf(views);
+  }
+}
+
+/** Command `top`. */
+export class TopCommand extends DaemonCommand {
+  static override paths = [["top"]];
+  static override usage = Command.Usage({
+    description: "Show load and shedding of daemons, refreshed",
+    details: "Exit codes: 0 all answered the last time, 1 a daemon did not.",
+  });
+
+  intervalS = Option.String("--interval", "2", {
+    description: "Seconds between refreshes",
+  });
+  once = Option.Boolean("--once", false, { description: "Print once and end" });
+  members = Option.Boolean("--members", false, {
+    description: "Show the members that the daemons name too",
+  });
+  metrics = Option.Boolean("--metrics", false, {
+    description: "Print the metrics of the daemons once instead",
+  });
+
+  /** @inheritdoc */
+  override async run(): Promise<ExitCode> {
+    if (this.metrics) {
+      return await this.#printMetrics();
+    }
+    let before: DaemonView[] = [];
+    while (true) {
+      const views = await viewAll(this.listUrls(), this.members);
+      if (!this.json && !this.once) {
+        this.context.stdout.write(CLEAR_SCREEN);
+      }
+      const intervalMs = Number(this.intervalS) * 1_000;
+      const lines = describeTop(views, { before, intervalMs });
+      this.print({ daemons: views }, lines);
+      if (this.once) {
+        return exitCodeOf(views);
+      }
+      before = views;
+      await delay(intervalMs);
+    }
+  }
+
+  async #printMetrics(): Promise<ExitCode> {
+    const urls = this.listUrls();
+    const texts = await Promise.all(urls.map(readMetrics));
+    const metrics = urls.map((url, index) => ({ url, text: texts[index] }));
+    this.print({ metrics }, texts);
+    return EXIT_CODES.applied;
+  }
+}
+
+/** Commands `drain` and `undrain`. */
+export class DrainCommand extends DaemonCommand {
+  static override paths = [["drain"], ["undrain"]];
+  static override usage = Command.Usage({
+    description: "Start or cancel the drain of daemons",
+    details: "Exit codes: 0 requested, 1 a daemon did not answer, 2 bad input.",
+  });
+
+  /** @inheritdoc */
+  override async run(): Promise<ExitCode> {
+    const action = this.path[0] === "undrain" ? "undrain" : "drain";
+    const urls = this.listUrls();
+    for (const url of urls) {
+      await postDrain(url, action);
+    }
+    const requested = urls.map((url) => ({ url, action }));
+    this.print({ requested }, urls.map((url) => `${url}: ${action} requested`));
+    return EXIT_CODES.applied;
+  }
+}
--- /dev/null
+++ b/src/cli/explain_route.ts
@@ -0,0 +1,123 @@
+/** Explains which rules apply to a request and why. */
+import { RouteMatcher } from "../decisions/route_matcher.ts";
+import type { ImportanceClass } from "../schemas/common_schema.ts";
+import type { Pool, Route, Tables } from "../schemas/tables_schema.ts";
+
+/** A request to explain. */
+export type ExplainedRequest = {
+  readonly method: string;
+  readonly path: string;
+  readonly tenant: string;
+};
+
+/** Rules that apply to a request, with their reasons. */
+export type Explanation = {
+  readonly request: ExplainedRequest;
+  readonly route: string;
+  readonly pathPrefix: string;
+  /** Routes that also match, with shorter prefixes. */
+  readonly shadowed: string[];
+  readonly branch?: string;
+  readonly class: ImportanceClass;
+  readonly classReason: string;
+  readonly timeoutMs: number;
+  readonly timeoutReason: string;
+  readonly bounds: Route["branchBounds"] | "none";
+  readonly idempotent: boolean;
+  readonly keys: Route["keys"];
+  readonly attemptsMax: number;
+  readonly tenantWeight: number;
+  readonly pool: string;
+  readonly poolRules: Pool;
+};
+
+function listShadowed(tables: Tables, request: ExplainedRequest, used: string) {
+  return Object.entries(tables.routes.routes)
+    .filter(([name, { match }]) =>
+      name !== used && match.method === request.method &&
+      request.path.startsWith(match.pathPrefix)
+    )
+    .map(([name]) => name);
+}
+
+function describeSource(
+  central: unknown,
+  wanted: unknown,
+  used: unknown,
+): string {
+  if (wanted === undefined) {
+    return "central rule";
+  }
+  if (wanted === used) {
+    return `branch rule, central rule is ${central}`;
+  }
+  return `branch wants ${wanted}, the centre's bounds give ${used}`;
+}
+
+/**
+ * Explains a request.
+ *
+ * @param tables Pair of tables.
+ * @param request Method, path and tenant.
+ * @returns Rules with reasons; undefined when no route matches.
+ *
+ * @example
+ * explainRoute(tables, { method: "GET", path: "/logs/7", tenant: "default" })?.classReason;
+ */
+export function explainRoute(
+  tables: Tables,
+  request: ExplainedRequest,
+): Explanation | undefined {
+  const { method, path, tenant } = request;
+  const rules = new RouteMatcher(tables).match(method, path, tenant);
+  if (rules === undefined) {
+    return undefined;
+  }
+  const { name, route, pool, importanceClass, timeoutMs } = rules;
+  const { branch, weight = 1 } = tables.routes.tenants[tenant] ?? {};
+  const bent = tables.routes.branches[branch ?? ""]?.routes[name];
+  return {
+    request,
+    route: name,
+    pathPrefix: route.match.pathPrefix,
+    shadowed: listShadowed(tables, request, name),
+    ...(branch !== undefined && { branch }),
+    class: importanceClass,
+    classReason: describeSource(route.class, bent?.class, importanceClass),
+    timeoutMs,
+    timeoutReason: describeSource(route.timeoutMs, bent?.timeoutMs, timeoutMs),
+    bounds: route.branchBounds ?? "none",
+    idempotent: route.idempotent,
+    keys: route.keys,
+    attemptsMax: route.attemptsMax,
+    tenantWeight: weight,
+    pool: route.pool,
+    poolRules: pool,
+  };
+}
+
+/**
+ * Writes an explanation as text.
+ *
+ * @param explanation Rules with reasons.
+ * @returns Lines.
+ */
+export function describeExplanation(explanation: Explanation): string[] {
+  const { request, shadowed, poolRules } = explanation;
+  const { branch = "none" } = explanation;
+  return [
+    `request   ${request.method} ${request.path} of tenant ${request.tenant}`,
+    `route     ${explanation.route}: longest matching prefix ${explanation.pathPrefix}`,
+    ...(shadowed.length > 0 ? [`          before ${shadowed.join(", ")}`] : []),
+    `branch    ${branch}, tenant weight ${explanation.tenantWeight}`,
+    `class     ${explanation.class} (${explanation.classReason})`,
+    `timeout   ${explanation.timeoutMs} ms (${explanation.timeoutReason})`,
+    `bounds    ${JSON.stringify(explanation.bounds)}`,
+    `repeats   ${
+      explanation.idempotent ? "idempotent" : "only on a proved not-run"
+    }, keys ${explanation.keys}, at most ${explanation.attemptsMax} attempts`,
+    `pool      ${explanation.pool}: ${poolRules.endpointsCount} endpoints of ` +
+    `${poolRules.slotsCount} slots in ${poolRules.dataCentres.join(", ")}`,
+    `queue     ${poolRules.queueMaxCount} requests, at most ${poolRules.queueAgeMaxMs} ms`,
+  ];
+}
--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -49,7 +49,7 @@
   generation: number,
 ): string | undefined {
   if (view.status === undefined) {
-    return `${view.url}: ${view.error}`;
+    return view.error ?? view.url;
   }
   const { instanceId, config } = view.status;
   return config.generation >= generation
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -1,13 +1,32 @@
 /** Parses the command line and runs one command. */
 import type { Writable } from "node:stream";
+import type { WriteStream } from "node:tty";
 import { Builtins, Cli, type Command, type CommandClass } from "clipanion";
 import { ApplyCommand } from "./apply_command.ts";
+import { ChartsCommand } from "./charts_command.ts";
+import { DrainCommand, StatusCommand, TopCommand } from "./daemon_commands.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
+import { ExplainCommand } from "./explain_command.ts";
+import {
+  EditFieldsCommand,
+  SetEntryCommand,
+  ShowCommand,
+} from "./table_commands.ts";
+import { ValidateCommand } from "./validate_command.ts";
 
 const COMMANDS: CommandClass[] = [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ApplyCommand,
+  ChartsCommand,
+  DrainCommand,
+  EditFieldsCommand,
+  ExplainCommand,
+  SetEntryCommand,
+  ShowCommand,
+  StatusCommand,
+  TopCommand,
+  ValidateCommand,
 ];
 
 /** Streams of the tool. */
@@ -31,6 +50,7 @@
     binaryLabel: "goldcrestrelay",
     binaryName: "goldcrestrelay",
     binaryVersion: "0.1.0",
+    enableColors: (streams.stdout as WriteStream).isTTY === true,
   });
   const context = { ...Cli.defaultContext, ...streams };
   let command: Command;
--- /dev/null
+++ b/src/cli/table_commands.ts
@@ -0,0 +1,142 @@
+/** `routes` and `pools` with `show`, `edit` and `set`. */
+import { Command, Option } from "clipanion";
+import { parse } from "jsonc-parser";
+import type { TableTexts } from "../config/stored_pair.ts";
+import { InputError } from "../errors/input_error.ts";
+import type { TableName } from "../schemas/config_schema.ts";
+import { readInput } from "./apply_command.ts";
+import { EditCommand, type PlannedEdit } from "./edit_command.ts";
+import { baseTexts } from "./edit_plan.ts";
+import {
+  entryPath,
+  parseAssignment,
+  readEntry,
+  setValue,
+} from "./entry_edit.ts";
+import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "./exit_codes.ts";
+import { PlatformCommand } from "./relay_command.ts";
+import { TableWriter } from "./table_writer.ts";
+
+const SOURCES = { routes: "tables/routes", pools: "tables/pools" } as const;
+const NAME_HELP =
+  "NAME is an entry, SECTION.NAME (tenants, branches) or rules.";
+
+/** The table that a command's path starts with. */
+function tableOf(command: Command): TableName {
+  return command.path[0] === "pools" ? "pools" : "routes";
+}
+
+/** Commands `routes show` and `pools show`. */
+export class ShowCommand extends PlatformCommand {
+  static override paths = [["routes", "show"], ["pools", "show"]];
+  static override usage = Command.Usage({
+    description: "Print a stored table or one of its entries",
+    details: NAME_HELP,
+  });
+
+  entry = Option.String({ required: false, name: "NAME" });
+
+  /** @inheritdoc */
+  override run(): Promise<ExitCode> {
+    return this.withPlatform(async (platform) => {
+      const table = tableOf(this);
+      const stored = await new TableWriter(platform).read(table);
+      const text = baseTexts({ routes: stored, pools: stored })[table];
+      const value = this.entry === undefined
+        ? parse(text, [], { allowTrailingComma: true })
+        : readEntry(text, entryPath(table, this.entry));
+      const shown = this.entry === undefined
+        ? text.trimEnd()
+        : JSON.stringify(value, undefined, 2);
+      const { version = 0 } = stored ?? {};
+      this.print({ table, version, value }, [shown]);
+      return EXIT_CODES.applied;
+    });
+  }
+}
+
+/** Commands `routes edit` and `pools edit`. */
+export class EditFieldsCommand extends EditCommand {
+  static override paths = [["routes", "edit"], ["pools", "edit"]];
+  static override usage = Command.Usage({
+    description: "Change fields of one entry",
+    details: `
+      ${NAME_HELP} Each assignment is FIELD=VALUE with VALUE as JSON or plain
+      text; an empty VALUE removes the field.
+      ${EXIT_CODES_HELP}`,
+    examples: [[
+      "Give a route another class",
+      "goldcrestrelay routes edit browse-logs class=standard timeoutMs=15000",
+    ]],
+  });
+
+  entry = Option.String({ name: "NAME" });
+  assignments = Option.Rest({ required: 1, name: "FIELD=VALUE" });
+
+  /** @inheritdoc */
+  override async plan(before: TableTexts): Promise<PlannedEdit> {
+    const table = tableOf(this);
+    const path = entryPath(table, this.entry);
+    readEntry(before[table], path);
+    const text = this.assignments.map(parseAssignment).reduce(
+      (result, field) =>
+        setValue(result, [...path, ...field.path], field.value),
+      before[table],
+    );
+    return { texts: { ...before, [table]: text }, sources: SOURCES };
+  }
+}
+
+/** Commands `routes set` and `pools set`. */
+export class SetEntryCommand extends EditCommand {
+  static override paths = [["routes", "set"], ["pools", "set"]];
+  static override usage = Command.Usage({
+    description: "Create, replace or remove one entry",
+    details: `
+      ${NAME_HELP} VALUE is the entry as JSON, or @FILE.
+      ${EXIT_CODES_HELP}`,
+    examples: [
+      [
+        "Replace a pool by a file",
+        "goldcrestrelay pools set logbook @logbook.jsonc",
+      ],
+      ["Remove a route", "goldcrestrelay routes set browse-logs --remove"],
+    ],
+  });
+
+  entry = Option.String({ name: "NAME" });
+  value = Option.String({ required: false, name: "VALUE" });
+  remove = Option.Boolean("--remove", false, {
+    description: "Remove the entry",
+  });
+
+  /** @inheritdoc */
+  override async plan(before: TableTexts): Promise<PlannedEdit> {
+    const table = tableOf(this);
+    const path = entryPath(table, this.entry);
+    if (this.remove) {
+      readEntry(before[table], path);
+    }
+    const value = this.remove ? undefined : await this.#readValue();
+    const text = setValue(before[table], path, value);
+    return { texts: { ...before, [table]: text }, sources: SOURCES };
+  }
+
+  async #readValue(): Promise<unknown> {
+    const given = this.value ?? "";
+    const text = given.startsWith("@")
+      ? await readInput(given.slice(1))
+      : given;
+    const errors: Parameters<typeof parse>[1] = [];
+    const value = parse(text, errors, { allowTrailingComma: true });
+    if (value === undefined || errors?.length) {
+      const message = "VALUE must be the entry as JSON";
+      throw new InputError([{
+        source: "arguments",
+        path: this.entry,
+        message,
+      }]);
+    }
+    return value;
+  }
+}
