Add the daemon program with operator listener, drain and metrics

Cause: other parts need a process to run and to ask for its state.

Change: goldcrestrelayd reads its settings, checks the charts, binds the listeners, prints their addresses as one JSON line, drains on SIGTERM and re-reads the peer keys on SIGHUP. The charts daemon and drain are run by DaemonLife and DrainController as parts of the control loop. The operator listener answers health, readiness, status, metrics, drain and announcements. Requests are counted per pool and recorded into histograms per tenant, class and side.

Ruled out: ending a drain as soon as no request is open. Also ruled out: counting only the services' active requests, since a slow reader still has bytes in Node's buffers when they reach zero.

--- /dev/null
+++ b/src/daemon/daemon_life.ts
@@ -0,0 +1,153 @@
+/** Life cycle of the daemon's process. */
+import { mergeArray, type Stream } from "most";
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import type { Status } from "../schemas/status_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
+import type { OpenExchange } from "./open_exchanges.ts";
+
+/** Event of the chart `daemon`. */
+export type LifeEvent =
+  | "configured"
+  | "terminate"
+  | "drained"
+  | "limitReached"
+  | "reloadKeys";
+
+/** State of the chart `daemon`. */
+export type DaemonState = Status["state"];
+
+/** What the life cycle needs of the daemon. */
+export interface LifeHost {
+  /** Starts the drain; `drained` follows. */
+  startDrain(): void;
+  /** Re-reads the peer keys. */
+  reloadKeys(): void;
+  /** Lists work that a stop at this moment cuts. */
+  listOpen(): { count: number; first: readonly OpenExchange[] };
+  /** Reads the monotonic clock, in ms. */
+  nowMs(): number;
+}
+
+/** Options of {@link DaemonLife}. */
+export type DaemonLifeOptions = {
+  log: Logger;
+  /** Longest drain, in ms. */
+  drainLimitMs: number;
+  /** Signals of the process. */
+  signals: Stream<LifeEvent>;
+};
+
+/** Exit code after a clean drain. */
+export const EXIT_CLEAN = 0;
+/** Exit code when work was cut. */
+export const EXIT_CUT = 1;
+
+/** Runs the chart `daemon`. */
+export class DaemonLife implements ControlPart<LifeEvent> {
+  readonly name = "daemon";
+  readonly inputs: Stream<LifeEvent>;
+  /** Resolves with the exit code. */
+  readonly ended: Promise<number>;
+  readonly #source = new EventSource<LifeEvent>();
+  readonly #host: LifeHost;
+  readonly #options: DaemonLifeOptions;
+  readonly #machine: StateMachine;
+  #resolveEnded: (exitCode: number) => void = () => {};
+  #limitTimer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param host Parts of the daemon.
+   * @param options Log, limit of the drain and signals.
+   */
+  constructor(host: LifeHost, options: DaemonLifeOptions) {
+    this.#host = host;
+    this.#options = options;
+    this.inputs = mergeArray([options.signals, this.#source.stream]);
+    this.#machine = new StateMachine(DAEMON_CHART, this);
+    this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
+  }
+
+  /** Name of the current state. */
+  get state(): DaemonState {
+    return this.#machine.state as DaemonState;
+  }
+
+  /** Whether the process was told to end. */
+  get isEnding(): boolean {
+    return this.#machine.is("draining") || this.#machine.isFinal;
+  }
+
+  /**
+   * Adds an event from inside the daemon.
+   *
+   * @param event Event of the chart.
+   */
+  notify(event: LifeEvent): void {
+    this.#source.emit(event);
+  }
+
+  /** @inheritdoc */
+  handle(event: LifeEvent): void {
+    this.#machine.send(event);
+  }
+
+  /** Action: reports that the daemon takes requests. */
+  reportReady(): void {
+    this.#options.log.info("Ready");
+  }
+
+  /** Action: starts to leave. */
+  startDrain(): void {
+    const { log, drainLimitMs } = this.#options;
+    log.info("Draining before the end of the process", { drainLimitMs });
+    this.#limitTimer = setTimeout(
+      () => this.#source.emit("limitReached"),
+      drainLimitMs,
+    );
+    this.#host.startDrain();
+  }
+
+  /** Action: re-reads the peer keys. */
+  readKeys(): void {
+    this.#host.reloadKeys();
+  }
+
+  /** Action: logs the work that is cut. */
+  reportCut(): void {
+    const { count, first } = this.#host.listOpen();
+    const nowMs = this.#host.nowMs();
+    for (const { listener, method, path, arrivedMs } of first) {
+      this.#options.log.warn("Request is cut", {
+        listener,
+        method,
+        path,
+        ageMs: Math.round(nowMs - arrivedMs),
+      });
+    }
+    this.#options.log.warn("Stopping before the drain ended", {
+      cutCount: count,
+    });
+  }
+
+  /** Action: ends after a clean drain. */
+  endClean(): void {
+    this.#options.log.info("Drained, stopping");
+    this.#end(EXIT_CLEAN);
+  }
+
+  /** Action: ends although the drain has not. */
+  endCut(): void {
+    const { count } = this.#host.listOpen();
+    this.#end(count === 0 ? EXIT_CLEAN : EXIT_CUT);
+  }
+
+  #end(exitCode: number): void {
+    clearTimeout(this.#limitTimer);
+    this.#resolveEnded(exitCode);
+  }
+}
+
+const DAEMON_CHART = loadChart("daemon", DaemonLife.prototype);
--- /dev/null
+++ b/src/daemon/operator_view.ts
@@ -0,0 +1,124 @@
+/** The daemon as the operator listener sees it. */
+import type { ConfigSource } from "../decisions/config_source.ts";
+import type { LoadState } from "../decisions/admission_policy.ts";
+import type { OperatorTarget, Readiness } from "../operator/operator_target.ts";
+import type { Announcement, Settings } from "../schemas/settings_schema.ts";
+import type { Status } from "../schemas/status_schema.ts";
+import type { Metrics } from "../telemetry/metrics.ts";
+import type { DaemonLife } from "./daemon_life.ts";
+import type { DrainController } from "./drain_controller.ts";
+import type { UpstreamAttachment } from "./upstream_attachment.ts";
+
+/** Parts of the status that membership and configuration provide. */
+export type ControlStatus = Pick<Status, "config" | "members" | "leases">;
+
+/** Parts of {@link OperatorView}. */
+export type OperatorViewParts = {
+  config: ConfigSource;
+  life: DaemonLife;
+  drain: DrainController;
+  attachment: UpstreamAttachment;
+  metrics: Metrics;
+  /** Load of the own upstream; undefined when none is attached. */
+  load: () => LoadState | undefined;
+  /** State of membership and configuration. */
+  controlStatus: () => ControlStatus;
+};
+
+/** Options of {@link OperatorView}. */
+export type OperatorViewOptions = {
+  instance: Settings["instance"];
+  incarnationEpochMs: number;
+};
+
+const NO_LOAD = {
+  levelRank: 0,
+  inFlightCount: 0,
+  limitCount: 0,
+  queuedCount: 0,
+};
+
+/** Answers operators from the parts of the daemon. */
+export class OperatorView implements OperatorTarget {
+  readonly #parts: OperatorViewParts;
+  readonly #options: OperatorViewOptions;
+
+  /**
+   * @param parts Parts of the daemon.
+   * @param options Identity of the daemon.
+   */
+  constructor(parts: OperatorViewParts, options: OperatorViewOptions) {
+    this.#parts = parts;
+    this.#options = options;
+  }
+
+  /** @inheritdoc */
+  readiness(): Readiness {
+    const { life, drain } = this.#parts;
+    if (life.state === "starting") {
+      return { ready: false, reason: "No configuration is in force" };
+    }
+    if (life.state !== "ready" || !drain.isServing) {
+      return { ready: false, reason: "The instance is draining" };
+    }
+    return { ready: true };
+  }
+
+  /** @inheritdoc */
+  status(): Status {
+    const { instance, incarnationEpochMs } = this.#options;
+    return {
+      instanceId: instance.id,
+      incarnationEpochMs,
+      dataCentre: instance.dataCentre,
+      state: this.#state(),
+      ...this.#parts.controlStatus(),
+      admission: this.#admission(),
+      counters: this.#parts.metrics.requests.counters(),
+    };
+  }
+
+  /** @inheritdoc */
+  metricsText(): Promise<string> {
+    return this.#parts.metrics.text();
+  }
+
+  /** @inheritdoc */
+  drain(): void {
+    this.#parts.drain.start();
+  }
+
+  /** @inheritdoc */
+  undrain(): boolean {
+    if (this.#parts.life.isEnding) {
+      return false;
+    }
+    this.#parts.drain.cancel();
+    return true;
+  }
+
+  /** @inheritdoc */
+  announce(announcement: Announcement): void {
+    this.#parts.attachment.announce(announcement);
+  }
+
+  /** @inheritdoc */
+  withdraw(): void {
+    this.#parts.attachment.withdraw();
+  }
+
+  #state(): Status["state"] {
+    const { life, drain } = this.#parts;
+    return life.state === "ready" && !drain.isServing ? "draining" : life.state;
+  }
+
+  #admission(): Status["admission"] {
+    const load = this.#parts.load() ?? NO_LOAD;
+    return {
+      level: load.levelRank,
+      inFlightCount: load.inFlightCount,
+      limitCount: Math.round(load.limitCount),
+      queueCount: load.queuedCount,
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/run_daemon.ts
@@ -0,0 +1,63 @@
+/** Runs one daemon from its settings to its exit code. */
+import process from "node:process";
+import { InputError } from "../errors/input_error.ts";
+import type { Settings } from "../schemas/settings_schema.ts";
+import { JsonLogger } from "../telemetry/logger.ts";
+import { readSettings } from "./read_settings.ts";
+import { SignalSource } from "./signal_source.ts";
+import { type Daemon, wireDaemon } from "./wire.ts";
+
+/** Exit code on bad input at the start. */
+export const EXIT_BAD_INPUT = 2;
+
+async function bind(daemon: Daemon, settingsFile: string): Promise<void> {
+  try {
+    const listeners = await daemon.listen();
+    const { instanceId, incarnationEpochMs } = daemon;
+    const line = { instanceId, incarnationEpochMs, listeners };
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+  } catch (error) {
+    const { message } = error as Error;
+    throw new InputError([
+      { source: settingsFile, path: "listeners", message },
+    ]);
+  }
+}
+
+async function runToEnd(daemon: Daemon, settingsFile: string): Promise<number> {
+  try {
+    await bind(daemon, settingsFile);
+    return await daemon.ended;
+  } finally {
+    await daemon.destroy();
+  }
+}
+
+/**
+ * Runs a daemon until it is told to end.
+ *
+ * @param settings Checked settings.
+ * @param settingsFile File of the settings, which `SIGHUP` re-reads.
+ * @returns Exit code: 0 after a clean drain, 1 when work was cut.
+ * @throws {InputError} When a listener cannot be bound.
+ */
+export async function runDaemon(
+  settings: Settings,
+  settingsFile: string,
+): Promise<number> {
+  const log = new JsonLogger({
+    level: settings.log.level,
+    fields: { instance: settings.instance.id },
+  });
+  const signals = new SignalSource();
+  const daemon = wireDaemon(settings, {
+    log,
+    signals: signals.stream,
+    readKeys: () => readSettings(settingsFile).peers.keys,
+  });
+  try {
+    return await runToEnd(daemon, settingsFile);
+  } finally {
+    signals.close();
+  }
+}
--- /dev/null
+++ b/src/daemon/signal_source.ts
@@ -0,0 +1,32 @@
+/** Signals of the process as control events. */
+import process from "node:process";
+import { EventSource } from "../core/event_source.ts";
+import type { LifeEvent } from "./daemon_life.ts";
+
+const SIGNAL_EVENTS = {
+  SIGTERM: "terminate",
+  SIGINT: "terminate",
+  SIGHUP: "reloadKeys",
+} as const satisfies Record<string, LifeEvent>;
+
+/** Listens to signals until it is closed. */
+export class SignalSource {
+  readonly #source = new EventSource<LifeEvent>();
+  /** Events of the chart `daemon`. */
+  readonly stream = this.#source.stream;
+  readonly #handle = (signal: NodeJS.Signals) =>
+    this.#source.emit(SIGNAL_EVENTS[signal as keyof typeof SIGNAL_EVENTS]);
+
+  constructor() {
+    for (const signal of Object.keys(SIGNAL_EVENTS)) {
+      process.on(signal, this.#handle);
+    }
+  }
+
+  /** Restores the default effect of the signals. */
+  close(): void {
+    for (const signal of Object.keys(SIGNAL_EVENTS)) {
+      process.off(signal, this.#handle);
+    }
+  }
+}
--- /dev/null
+++ b/src/operator/operator_server.ts
@@ -0,0 +1,198 @@
+/** HTTP listener for operators and for announcements of the upstream. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { InputError } from "../errors/input_error.ts";
+import { parseJsonc } from "../schemas/parse_jsonc.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import { announcementSchema } from "../schemas/settings_schema.ts";
+import { statusSchema } from "../schemas/status_schema.ts";
+import { errorFields, type Logger } from "../telemetry/logger.ts";
+import type { OperatorTarget } from "./operator_target.ts";
+import { readText, TextTooLargeError } from "./read_text.ts";
+
+type Answer = {
+  readonly status: number;
+  readonly body: unknown;
+  /** Media type; JSON when absent. */
+  readonly type?: string;
+};
+type Action = (request: IncomingMessage) => Answer | Promise<Answer>;
+
+const ANNOUNCEMENT_MAX_BYTES = 16_384;
+const REQUEST_TIMEOUT_MS = 10_000;
+const METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+function ok(body: unknown): Answer {
+  return { status: 200, body };
+}
+
+function describeFailure(error: unknown): Answer {
+  if (error instanceof InputError) {
+    return { status: 400, body: { mistakes: error.mistakes } };
+  }
+  if (error instanceof TextTooLargeError) {
+    return { status: 413, body: { error: error.message } };
+  }
+  return { status: 500, body: { error: "Internal error" } };
+}
+
+/**
+ * Serves `/healthz`, `/readyz`, `/status`, `/metrics`, `/drain`, `/undrain`
+ * and `/announce`.
+ *
+ * @example
+ * const server = new OperatorServer(target, { log });
+ * const address = await server.listen({ host: "127.0.0.1", port: 0 });
+ */
+export class OperatorServer {
+  readonly #target: OperatorTarget;
+  readonly #log: Logger;
+  readonly #server: Server;
+  readonly #actions: ReadonlyMap<string, ReadonlyMap<string, Action>>;
+
+  /**
+   * @param target The daemon.
+   * @param options Log.
+   */
+  constructor(target: OperatorTarget, options: { log: Logger }) {
+    this.#target = target;
+    this.#log = options.log;
+    this.#server = createServer({
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: REQUEST_TIMEOUT_MS,
+    }, (request, response) => void this.#handle(request, response));
+    this.#actions = this.#listActions();
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address Address to bind; port 0 lets the system choose.
+   * @returns The bound address.
+   * @throws When the address cannot be bound.
+   */
+  listen(address: Address): Promise<Address> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(address.port, address.host, () => {
+        this.#server.removeListener("error", reject);
+        const { port } = this.#server.address() as AddressInfo;
+        resolve({ host: address.host, port });
+      });
+    });
+  }
+
+  /** Closes the listener and all its connections. */
+  destroy(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #listActions(): ReadonlyMap<string, ReadonlyMap<string, Action>> {
+    const target = this.#target;
+    return new Map([
+      ["/healthz", new Map([["GET", () => ok({ healthy: true })]])],
+      ["/readyz", new Map([["GET", () => this.#readiness()]])],
+      ["/status", new Map([["GET", () => this.#status()]])],
+      ["/metrics", new Map([["GET", () => this.#metrics()]])],
+      ["/drain", new Map([["POST", () => this.#drain()]])],
+      ["/undrain", new Map([["POST", () => this.#undrain()]])],
+      [
+        "/announce",
+        new Map<string, Action>([
+          ["POST", (request) => this.#announce(request)],
+          ["DELETE", () => {
+            target.withdraw();
+            return ok({ announced: false });
+          }],
+        ]),
+      ],
+    ]);
+  }
+
+  #readiness(): Answer {
+    const readiness = this.#target.readiness();
+    return { status: readiness.ready ? 200 : 503, body: readiness };
+  }
+
+  #status(): Answer {
+    return ok(statusSchema.parse(this.#target.status()));
+  }
+
+  async #metrics(): Promise<Answer> {
+    const body = await this.#target.metricsText();
+    return { status: 200, body, type: METRICS_TYPE };
+  }
+
+  #drain(): Answer {
+    this.#target.drain();
+    this.#log.info("Drain requested by an operator");
+    return { status: 202, body: { draining: true } };
+  }
+
+  #undrain(): Answer {
+    if (!this.#target.undrain()) {
+      return { status: 409, body: { error: "The process is ending" } };
+    }
+    this.#log.info("Drain cancelled by an operator");
+    return { status: 202, body: { draining: false } };
+  }
+
+  async #announce(request: IncomingMessage): Promise<Answer> {
+    const text = await readText(request, {
+      maxBytes: ANNOUNCEMENT_MAX_BYTES,
+    });
+    const announcement = parseJsonc(text, announcementSchema, {
+      source: "announcement",
+    });
+    this.#target.announce(announcement);
+    return ok({ announced: true });
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const path = (request.url ?? "").split("?", 1)[0] ?? "";
+    const methods = this.#actions.get(path);
+    const action = methods?.get(request.method ?? "");
+    if (methods === undefined) {
+      this.#send(response, { status: 404, body: { error: "Unknown path" } });
+      return;
+    }
+    if (action === undefined) {
+      response.setHeader("allow", [...methods.keys()].join(", "));
+      const body = { error: "Method is not allowed" };
+      this.#send(response, { status: 405, body });
+      return;
+    }
+    try {
+      this.#send(response, await action(request));
+    } catch (error) {
+      const answer = describeFailure(error);
+      if (answer.status === 500) {
+        this.#log.error("Operator request failed", {
+          path,
+          ...errorFields(error),
+        });
+      }
+      this.#send(response, answer);
+    }
+  }
+
+  #send(response: ServerResponse, answer: Answer): void {
+    const text = typeof answer.body === "string"
+      ? answer.body
+      : `${JSON.stringify(answer.body)}\n`;
+    response.writeHead(answer.status, {
+      "content-type": answer.type ?? "application/json",
+      "content-length": Buffer.byteLength(text),
+    });
+    response.end(text);
+  }
+}
--- /dev/null
+++ b/src/schemas/status_schema.ts
@@ -0,0 +1,95 @@
+/** Schema of the JSON that the operator listener answers at `/status`. */
+import { z } from "zod";
+import {
+  addressSchema,
+  importanceClassSchema,
+  nameSchema,
+} from "./common_schema.ts";
+
+const generationSchema = z.int().min(0);
+const epochMsSchema = z.number().min(0);
+const amountSchema = z.int().min(0);
+
+/** Schema of one generation that a daemon applied. */
+export const appliedGenerationSchema = z.strictObject({
+  generation: generationSchema,
+  digest: z.string(),
+  appliedEpochMs: epochMsSchema.describe("Wall time of the daemon"),
+  acceptedEpochMs: epochMsSchema.optional()
+    .describe("Wall time of the acceptor, where the source stated it"),
+  source: z.enum(["flood", "peer", "platform"])
+    .describe("Delta flooded by a neighbour, fetched from a peer, or read"),
+});
+
+/** Schema of the configuration of a daemon. */
+export const configStatusSchema = z.strictObject({
+  generation: generationSchema.describe("0 before the first configuration"),
+  digest: z.string().describe("Empty before the first configuration"),
+  confirmedAgeMs: z.number().min(0)
+    .describe("Time since a peer or the platform last confirmed it"),
+  applied: z.array(appliedGenerationSchema)
+    .describe("Most recent applications, oldest first"),
+});
+
+/** Schema of one member as a daemon sees it. */
+export const memberStatusSchema = z.strictObject({
+  instanceId: nameSchema,
+  incarnationEpochMs: epochMsSchema,
+  dataCentre: nameSchema,
+  state: z.enum(["alive", "suspect", "draining", "dead", "left"]),
+  pool: nameSchema.optional(),
+  operator: addressSchema.optional()
+    .describe("Operator listener, where the member announced it"),
+});
+
+/** Schema of one lease as a daemon sees it. */
+export const leaseStatusSchema = z.strictObject({
+  name: z.string(),
+  state: z.string().describe("State of the chart `lease`"),
+  heldBySelf: z.boolean(),
+  holder: nameSchema.optional().describe("Last known holder"),
+});
+
+/** Schema of the counters of one tenant and class. */
+export const classCountersSchema = z.strictObject({
+  tenant: nameSchema,
+  class: importanceClassSchema,
+  offeredCount: amountSchema,
+  completeCount: amountSchema,
+  notRunCount: amountSchema,
+  unknownCount: amountSchema,
+});
+
+/** Schema of the admission state beside one upstream. */
+export const admissionStatusSchema = z.strictObject({
+  level: z.int().min(0).max(512).describe("512 admits all"),
+  inFlightCount: amountSchema,
+  limitCount: amountSchema,
+  queueCount: amountSchema,
+});
+
+/** Schema of the answer at `/status`. */
+export const statusSchema = z.strictObject({
+  instanceId: nameSchema,
+  incarnationEpochMs: epochMsSchema,
+  dataCentre: nameSchema,
+  state: z.enum(["starting", "ready", "draining", "stopped"]),
+  config: configStatusSchema,
+  members: z.array(memberStatusSchema),
+  leases: z.array(leaseStatusSchema),
+  admission: admissionStatusSchema,
+  counters: z.array(classCountersSchema),
+});
+
+/** Answer at `/status`. */
+export type Status = z.infer<typeof statusSchema>;
+/** Configuration part of a status. */
+export type ConfigStatus = z.infer<typeof configStatusSchema>;
+/** One generation that a daemon applied. */
+export type AppliedGeneration = z.infer<typeof appliedGenerationSchema>;
+/** One member of a status. */
+export type MemberStatus = z.infer<typeof memberStatusSchema>;
+/** One lease of a status. */
+export type LeaseStatus = z.infer<typeof leaseStatusSchema>;
+/** Counters of one tenant and class. */
+export type ClassCounters = z.infer<typeof classCountersSchema>;
--- /dev/null
+++ b/src/telemetry/metrics.ts
@@ -0,0 +1,119 @@
+/** Metrics of one daemon in Prometheus text format. */
+import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import { type MetricName, METRICS } from "./metric_names.ts";
+import { RequestMetrics } from "./request_metrics.ts";
+import { summariesText } from "./summaries_text.ts";
+
+/** Present values that the daemon states when the metrics are read. */
+export type GaugeValues = Readonly<Record<GaugeName, number>>;
+
+/** Name of a gauge. */
+export type GaugeName = {
+  [N in MetricName]: typeof METRICS[N]["kind"] extends "gauge" ? N : never;
+}[MetricName];
+
+function isGauge(name: MetricName): name is GaugeName {
+  return METRICS[name].kind === "gauge";
+}
+
+/**
+ * Registry of a daemon. Each daemon has its own one, so that several daemons
+ * in one process, as in tests, do not add up.
+ *
+ * @example
+ * const metrics = new Metrics(() => readGauges());
+ * await metrics.text();
+ */
+export class Metrics {
+  /** Counts and latencies of requests. */
+  readonly requests = new RequestMetrics();
+  readonly #registry = new Registry();
+  readonly #readGauges: () => GaugeValues;
+
+  /**
+   * @param readGauges Reads the present values of all gauges.
+   */
+  constructor(readGauges: () => GaugeValues) {
+    this.#readGauges = readGauges;
+    this.#registerRequests();
+    this.#registerAttempts();
+    this.#registerGauges();
+  }
+
+  /**
+   * Adds the metrics of the Node.js process. They register observers of the
+   * process, so that tests leave them out.
+   */
+  collectProcess(): void {
+    collectDefaultMetrics({ register: this.#registry });
+  }
+
+  /**
+   * Adds metrics of another part.
+   *
+   * @returns Registry that the part adds its counters and gauges to.
+   */
+  get registry(): Registry {
+    return this.#registry;
+  }
+
+  /**
+   * Writes all metrics.
+   *
+   * @returns Prometheus text format.
+   */
+  async text(): Promise<string> {
+    const registered = await this.#registry.metrics();
+    return `${registered}\n${summariesText(this.requests.listSeries())}`;
+  }
+
+  #registerRequests(): void {
+    const { requests } = this;
+    new Counter({
+      name: "goldcrest_requests_total",
+      help: METRICS.goldcrest_requests_total.help,
+      labelNames: METRICS.goldcrest_requests_total.labels,
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const series of requests.listResults()) {
+          const { side, pool, importanceClass } = series;
+          for (const [result, count] of series.counts) {
+            this.inc({ side, pool, class: importanceClass, result }, count);
+          }
+        }
+      },
+    });
+  }
+
+  #registerAttempts(): void {
+    const { requests } = this;
+    new Counter({
+      name: "goldcrest_attempts_total",
+      help: METRICS.goldcrest_attempts_total.help,
+      labelNames: METRICS.goldcrest_attempts_total.labels,
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const series of requests.listResults()) {
+          const { side, pool, importanceClass, attemptsCount } = series;
+          this.inc({ side, pool, class: importanceClass }, attemptsCount);
+        }
+      },
+    });
+  }
+
+  #registerGauges(): void {
+    const readGauges = this.#readGauges;
+    for (const name of (Object.keys(METRICS) as MetricName[]).filter(isGauge)) {
+      new Gauge({
+        name,
+        help: METRICS[name].help,
+        registers: [this.#registry],
+        collect() {
+          this.set(readGauges()[name]);
+        },
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/telemetry/request_metrics.ts
@@ -0,0 +1,226 @@
+/** Counts and latencies of finished requests per tenant, class and side. */
+import { errorAnswer } from "../errors/error_kinds.ts";
+import {
+  IMPORTANCE_CLASSES,
+  type ImportanceClass,
+} from "../schemas/common_schema.ts";
+import type { ClassCounters } from "../schemas/status_schema.ts";
+import { LatencyHistogram } from "./latency_histogram.ts";
+import type { RequestObserver, RequestRecord } from "./request_observer.ts";
+
+/** Side of a request in a daemon. */
+export type Side = RequestRecord["side"];
+
+/** Requests of one tenant, class and side. */
+export type RequestSeries = {
+  readonly side: Side;
+  readonly tenant: string;
+  readonly importanceClass: ImportanceClass;
+  offeredCount: number;
+  completeCount: number;
+  notRunCount: number;
+  unknownCount: number;
+  readonly latency: LatencyHistogram;
+  /** Queue wait; only on the inbound side. */
+  readonly queueWait: LatencyHistogram | undefined;
+};
+
+/** Requests of one pool, class and side by result. */
+export type ResultSeries = {
+  readonly side: Side;
+  readonly pool: string;
+  readonly importanceClass: ImportanceClass;
+  /** Requests by result. */
+  readonly counts: Map<RequestRecord["result"], number>;
+  attemptsCount: number;
+};
+
+/** Options of {@link RequestMetrics}. */
+export type RequestMetricsOptions = {
+  /** Tenants with series of their own; further ones share one series. */
+  tenantsMaxCount?: number;
+};
+
+/** Tenant label of the tenants over the bound. */
+export const OTHER_TENANTS = "other_tenants";
+
+// With 64 tenants and all four classes on both sides in use, the histograms
+// hold 768 arrays; the measured memory is in docs/operators/errors_and_metrics.md.
+const TENANTS_MAX_COUNT = 64;
+const POOLS_MAX_COUNT = 256;
+const OTHER_POOLS = "other_pools";
+
+const CLASS_INDEX: Readonly<Record<ImportanceClass, number>> = {
+  critical: 0,
+  important: 1,
+  standard: 2,
+  background: 3,
+};
+
+function seriesIndex(record: RequestRecord): number {
+  const side = record.side === "inbound" ? IMPORTANCE_CLASSES.length : 0;
+  return side + CLASS_INDEX[record.importanceClass];
+}
+
+/** Finds the row of a name, or the shared row when too many names are known. */
+function findRow<T>(
+  rows: Map<string, T[]>,
+  name: string,
+  bound: { maxCount: number; otherName: string },
+): { row: T[]; name: string } {
+  const known = rows.get(name);
+  if (known !== undefined) {
+    return { row: known, name };
+  }
+  const label = rows.size < bound.maxCount ? name : bound.otherName;
+  const row = rows.get(label) ?? [];
+  rows.set(label, row);
+  return { row, name: label };
+}
+
+/**
+ * Records finished requests. Recording finds its series by two lookups and
+ * creates no labels; labels are written when the metrics are read.
+ *
+ * @example
+ * const metrics = new RequestMetrics();
+ * metrics.record(record);
+ * metrics.counters();
+ */
+export class RequestMetrics implements RequestObserver {
+  readonly #tenants = new Map<string, RequestSeries[]>();
+  readonly #pools = new Map<string, ResultSeries[]>();
+  readonly #tenantBound: { maxCount: number; otherName: string };
+
+  /**
+   * @param options Bound of the number of tenants.
+   */
+  constructor(options: RequestMetricsOptions = {}) {
+    const { tenantsMaxCount = TENANTS_MAX_COUNT } = options;
+    this.#tenantBound = { maxCount: tenantsMaxCount, otherName: OTHER_TENANTS };
+  }
+
+  /** @inheritdoc */
+  record(record: RequestRecord): void {
+    this.#recordTenant(record);
+    this.#recordPool(record);
+  }
+
+  /** Starts a new interval of the latency quantiles. */
+  rotate(): void {
+    for (const { latency, queueWait } of this.listSeries()) {
+      latency.rotate();
+      queueWait?.rotate();
+    }
+  }
+
+  /** Lists the series per tenant, class and side. */
+  listSeries(): RequestSeries[] {
+    return [...this.#tenants.values()].flatMap((row) => row.filter(Boolean));
+  }
+
+  /** Lists the series per pool, class and side. */
+  listResults(): ResultSeries[] {
+    return [...this.#pools.values()].flatMap((row) => row.filter(Boolean));
+  }
+
+  /**
+   * Sums up for `/status`. A request that is answered beside its upstream and
+   * one that this daemon sends count once each.
+   *
+   * @returns Counters by tenant and class.
+   */
+  counters(): ClassCounters[] {
+    const sums = new Map<string, ClassCounters>();
+    for (const series of this.listSeries()) {
+      const { tenant, importanceClass } = series;
+      const key = `${tenant} ${importanceClass}`;
+      const sum = sums.get(key) ?? emptyCounters(tenant, importanceClass);
+      sum.offeredCount += series.offeredCount;
+      sum.completeCount += series.completeCount;
+      sum.notRunCount += series.notRunCount;
+      sum.unknownCount += series.unknownCount;
+      sums.set(key, sum);
+    }
+    return [...sums.values()];
+  }
+
+  #recordTenant(record: RequestRecord): void {
+    const { row, name } = findRow(
+      this.#tenants,
+      record.tenant,
+      this.#tenantBound,
+    );
+    const index = seriesIndex(record);
+    const series = row[index] ??= createSeries(record, name);
+    series.offeredCount++;
+    countOutcome(series, record.result);
+    series.latency.record(record.latencyMs);
+    series.queueWait?.record(record.queueMs);
+  }
+
+  #recordPool(record: RequestRecord): void {
+    const { row, name } = findRow(this.#pools, record.pool, {
+      maxCount: POOLS_MAX_COUNT,
+      otherName: OTHER_POOLS,
+    });
+    const index = seriesIndex(record);
+    const series = row[index] ??= {
+      side: record.side,
+      pool: name,
+      importanceClass: record.importanceClass,
+      counts: new Map(),
+      attemptsCount: 0,
+    };
+    const before = series.counts.get(record.result) ?? 0;
+    series.counts.set(record.result, before + 1);
+    series.attemptsCount += record.attemptsCount;
+  }
+}
+
+function emptyCounters(
+  tenant: string,
+  importanceClass: ImportanceClass,
+): ClassCounters {
+  return {
+    tenant,
+    class: importanceClass,
+    offeredCount: 0,
+    completeCount: 0,
+    notRunCount: 0,
+    unknownCount: 0,
+  };
+}
+
+function createSeries(record: RequestRecord, tenant: string): RequestSeries {
+  return {
+    side: record.side,
+    tenant,
+    importanceClass: record.importanceClass,
+    offeredCount: 0,
+    completeCount: 0,
+    notRunCount: 0,
+    unknownCount: 0,
+    latency: new LatencyHistogram(),
+    queueWait: record.side === "inbound" ? new LatencyHistogram() : undefined,
+  };
+}
+
+function countOutcome(
+  series: RequestSeries,
+  result: RequestRecord["result"],
+): void {
+  if (result === "complete") {
+    series.completeCount++;
+    return;
+  }
+  if (result === "cancelled" || result === "broken") {
+    series.unknownCount++;
+    return;
+  }
+  if (errorAnswer(result).outcome === "not-run") {
+    series.notRunCount++;
+    return;
+  }
+  series.unknownCount++;
+}
