--- /dev/null
+++ b/src/daemon/drain_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import { request } from "undici";
+import { EventSource } from "../core/event_source.ts";
+import { settingsSchema } from "../schemas/settings_schema.ts";
+import { FixedConfig, FixedDirectory } from "../testing/fixed_parts.ts";
+import type { LifeEvent } from "./daemon_life.ts";
+import { wireDaemon } from "./wire.ts";
+
+const LOOPBACK = "127.0.0.1";
+const ANY_PORT = { host: LOOPBACK, port: 0 };
+const SLOTS = { slotsCount: 4, connectionsMaxCount: 10 };
+
+const config = new FixedConfig({
+  routes: {
+    routes: {
+      video: {
+        match: { method: "GET", pathPrefix: "/videos" },
+        pool: "mediatheque",
+        class: "standard",
+        idempotent: true,
+      },
+    },
+  },
+  pools: {
+    pools: {
+      mediatheque: { dataCentres: ["zig-centre"], endpointsCount: 1, ...SLOTS },
+    },
+  },
+});
+
+/** Starts a daemon with one transfer whose first half has arrived. */
+async function startTransfer(t: TestContext, drainLimitMs: number) {
+  const responses: ServerResponse[] = [];
+  const upstream = createServer((_request, response) => {
+    response.write("first half, ");
+    responses.push(response);
+  }).listen(0, LOOPBACK);
+  await once(upstream, "listening");
+  const settings = settingsSchema.parse({
+    instance: { id: "mediatheque-1", dataCentre: "zig-centre" },
+    listeners: {
+      callers: ANY_PORT,
+      hop: ANY_PORT,
+      outbound: ANY_PORT,
+      peer: ANY_PORT,
+      operator: ANY_PORT,
+    },
+    platform: { url: "http://127.0.0.1:9" },
+    peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
+    drainLimitMs,
+  });
+  const directory = new FixedDirectory();
+  const signals = new EventSource<LifeEvent>();
+  const daemon = wireDaemon(settings, {
+    config,
+    directory,
+    signals: signals.stream,
+  });
+  t.after(async () => {
+    await daemon.destroy();
+    upstream.closeAllConnections();
+    upstream.close();
+  });
+  const bound = await daemon.listen();
+  const { port } = upstream.address() as AddressInfo;
+  daemon.attachUpstream({
+    pool: "mediatheque",
+    host: LOOPBACK,
+    port,
+    ...SLOTS,
+  });
+  directory.add({
+    instanceId: "mediatheque-1",
+    incarnationEpochMs: daemon.incarnationEpochMs,
+    dataCentre: "zig-centre",
+    pool: "mediatheque",
+    hopHost: LOOPBACK,
+    hopPort: bound.hop.port,
+    ...SLOTS,
+    state: "alive",
+    learnedMs: 0,
+  });
+  const get = () =>
+    request(`http://${LOOPBACK}:${bound.callers.port}/videos/1`);
+  const transfer = await get();
+  return { daemon, signals, transfer, get, responses };
+}
+
+test("a drain refuses new work, completes a running transfer and ends with 0", async (t) => {
+  const { daemon, signals, transfer, get, responses } = await startTransfer(
+    t,
+    60_000,
+  );
+  signals.emit("terminate");
+  const refused = await get();
+  await refused.body.dump();
+  assert.equal(refused.headers["goldcrest-error"], "draining");
+  assert.equal(refused.headers["goldcrest-outcome"], "not-run");
+  responses[0]?.end("second half");
+  assert.equal(await transfer.body.text(), "first half, second half");
+  assert.equal(await daemon.ended, 0);
+});
+
+test("a drain that reaches its limit ends with 1 and breaks the transfer visibly", async (t) => {
+  const { daemon, signals, transfer } = await startTransfer(t, 1);
+  signals.emit("terminate");
+  assert.equal(await daemon.ended, 1);
+  await daemon.destroy();
+  await assert.rejects(transfer.body.text());
+});
