--- /dev/null
+++ b/src/testing/check_history.ts
@@ -0,0 +1,81 @@
+/** Checks recorded calls against the upstreams' records of effects. */
+import type { CallRecord } from "../../stand_ins/call_record.ts";
+import type { Effect } from "../../stand_ins/upstream_settings.ts";
+
+/** A run as it was recorded. */
+export type RecordedHistory = {
+  /** All attempts of all callers. */
+  readonly calls: readonly CallRecord[];
+  /** Records of all upstreams by pool, those of replaced instances included. */
+  readonly effects: Readonly<Record<string, readonly Effect[]>>;
+};
+
+/**
+ * Checks a history against the promises to callers:
+ *
+ * 1. An attempt that was answered `not-run` has no effect: none with its
+ *    request id, and, without a key, none with its token in any pool.
+ * 2. A pool has at most one effect for a tenant's key.
+ * 3. An answer that claims to be complete has its full length, belongs to the
+ *    request's token and tenant in every byte, and names the tenant.
+ *
+ * @param history Calls and effects.
+ * @returns One line for each violation; empty when all rules hold.
+ */
+export function checkHistory(history: RecordedHistory): string[] {
+  return [
+    ...checkNotRun(history),
+    ...checkAtMostOnce(history),
+    ...checkComplete(history),
+  ];
+}
+
+function checkNotRun({ calls, effects }: RecordedHistory): string[] {
+  const applied = Object.values(effects).flat().filter((one) => one.effect);
+  const requestIds = new Set(applied.map((effect) => effect.requestId));
+  const tokens = new Set(applied.map((effect) => effect.token));
+  return calls
+    .filter((call) => call.outcome === "not-run")
+    .filter((call) =>
+      requestIds.has(call.requestId) ||
+      (call.key === "" && tokens.has(call.token))
+    )
+    .map((call) => `not-run but took effect: ${call.token} ${call.requestId}`);
+}
+
+function checkAtMostOnce({ effects }: RecordedHistory): string[] {
+  return Object.entries(effects).flatMap(([pool, records]) =>
+    [...countEffects(records)]
+      .filter(([, count]) => count > 1)
+      .map(([key, count]) => `${count} effects in ${pool}: ${key}`)
+  );
+}
+
+function checkComplete({ calls }: RecordedHistory): string[] {
+  return calls
+    .filter((call) => call.outcome === "complete")
+    .filter((call) =>
+      !call.whole || !call.bodyMatches || call.answerTenant !== call.tenant
+    )
+    .map((call) => `wrong answer: ${call.token} of ${call.tenant}`);
+}
+
+/**
+ * Counts the effects of keyed requests.
+ *
+ * @param records Records of one pool.
+ * @returns Effects by tenant and key.
+ */
+export function countEffects(
+  records: readonly Effect[],
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { effect, tenant, key } of records) {
+    if (!effect || key === "") {
+      continue;
+    }
+    const name = `${tenant} ${key}`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/stand_ins/upstream_server.ts
+++ b/stand_ins/upstream_server.ts
@@ -30,6 +30,7 @@
 /** Ports that an upstream stand-in listens on. */
 export type UpstreamPorts = { port: number; controlPort: number };
 
+const DEFAULT_TENANT = "default";
 const ANNOUNCE_RETRY_MS = 500;
 
 function listen(server: Server, host: string, port: number): Promise<number> {
@@ -213,7 +214,7 @@
   #record(request: IncomingMessage, wish: AnswerWish): Effect {
     const effect: Effect = {
       requestId: readHeader(request, "goldcrest-request-id"),
-      tenant: readHeader(request, "goldcrest-tenant"),
+      tenant: readHeader(request, "goldcrest-tenant") || DEFAULT_TENANT,
       key: readHeader(request, "idempotency-key"),
       token: wish.token,
       path: request.url ?? "",
