Add peer transport over gRPC with signed envelopes

Cause: daemons need an authenticated exchange of control messages, and the failure detector needs to tell a refused connection from a timeout. Ruled out: the address as the target of a message (a relay in the tests and a listener at 0.0.0.0 change it; the instance that last answered is used instead); gRPC's shared connection pool (a closed client's back-off would answer the next probe without an attempt). Conclusion: the transport can be wired; load figures are not measured yet.

--- /dev/null
+++ b/src/peer/channel_cache.ts
@@ -0,0 +1,119 @@
+/** Cached gRPC clients, one for each peer address. */
+import { Client, credentials } from "@grpc/grpc-js";
+import { LRUCache } from "lru-cache";
+import type { Address } from "../schemas/common_schema.ts";
+
+/** Connections that are unused for this long are closed. */
+export const CHANNEL_IDLE_MS = 30_000;
+const CHANNELS_MAX_COUNT = 256;
+
+/**
+ * After this many timeouts in a row the connection is replaced: one that lost
+ * its packets in a partition recovers only after TCP's retransmission back-off.
+ */
+const TIMEOUTS_BEFORE_RECONNECT_COUNT = 2;
+
+const CLIENT_OPTIONS = {
+  "grpc.enable_http_proxy": 0,
+  "grpc.enable_retries": 0,
+  // A shared pool would keep a closed connection and its back-off alive.
+  "grpc.use_local_subchannel_pool": 1,
+};
+
+/** One open client with what was learned over it. */
+export type PeerChannel = {
+  readonly client: Client;
+  /** Instance that answered last; empty before the first answer. */
+  instanceId: string;
+  timeoutsInRowCount: number;
+};
+
+/**
+ * Formats an address as a target that gRPC uses without name resolution.
+ *
+ * @param address IP address and port.
+ * @returns gRPC target.
+ *
+ * @example
+ * formatTarget({ host: "127.0.0.1", port: 7000 }); // "ipv4:127.0.0.1:7000"
+ */
+export function formatTarget(address: Address): string {
+  return address.host.includes(":")
+    ? `ipv6:[${address.host}]:${address.port}`
+    : `ipv4:${address.host}:${address.port}`;
+}
+
+/** Opens clients on demand and closes those that are idle. */
+export class ChannelCache {
+  readonly #channels: LRUCache<string, PeerChannel>;
+
+  /**
+   * @param options Time after which an unused client is closed.
+   */
+  constructor(options: { idleMs?: number } = {}) {
+    this.#channels = new LRUCache({
+      max: CHANNELS_MAX_COUNT,
+      ttl: options.idleMs ?? CHANNEL_IDLE_MS,
+      updateAgeOnGet: true,
+      dispose: (channel) => channel.client.close(),
+    });
+  }
+
+  /** Number of open clients. */
+  get openCount(): number {
+    return this.#channels.size;
+  }
+
+  /**
+   * Returns the client of an address and closes clients that became idle.
+   *
+   * @param address Address of the peer.
+   * @returns Open client.
+   */
+  open(address: Address): PeerChannel {
+    this.#channels.purgeStale();
+    const target = formatTarget(address);
+    const known = this.#channels.get(target);
+    if (known !== undefined) {
+      return known;
+    }
+    const client = new Client(
+      target,
+      credentials.createInsecure(),
+      CLIENT_OPTIONS,
+    );
+    const channel = { client, instanceId: "", timeoutsInRowCount: 0 };
+    this.#channels.set(target, channel);
+    return channel;
+  }
+
+  /**
+   * Closes the client of an address, so that the next request connects anew.
+   *
+   * @param address Address of the peer.
+   */
+  drop(address: Address): void {
+    this.#channels.delete(formatTarget(address));
+  }
+
+  /**
+   * Counts a timeout and drops a client that had several in a row.
+   *
+   * @param address Address of the peer.
+   */
+  countTimeout(address: Address): void {
+    const channel = this.#channels.get(formatTarget(address));
+    if (channel === undefined) {
+      return;
+    }
+    channel.timeoutsInRowCount++;
+    if (channel.timeoutsInRowCount >= TIMEOUTS_BEFORE_RECONNECT_COUNT) {
+      this.drop(address);
+    }
+  }
+
+  /** Closes all clients. */
+  closeAll(): void {
+    this.#channels.clear();
+  }
+}
--- /dev/null
+++ b/src/peer/grpc_peer_transport.ts
@@ -0,0 +1,328 @@
+/** Exchange of control messages between daemons over gRPC. */
+import { randomBytes } from "node:crypto";
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  type ServiceError,
+  status,
+} from "@grpc/grpc-js";
+import VError from "verror";
+import type { z } from "zod";
+import type { Clock } from "../core/clock.ts";
+import {
+  PeerError,
+  type PeerFailure,
+  type PeerHandler,
+  type PeerIdentity,
+  type PeerMethod,
+  type PeerRequestOptions,
+  type PeerTransport,
+} from "../core/peer_transport.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { EnvelopeHead } from "../schemas/peer_schema.ts";
+import { ChannelCache, type PeerChannel } from "./channel_cache.ts";
+import {
+  openEnvelope,
+  packBody,
+  RejectedMessageError,
+  type RejectionReason,
+  sealEnvelope,
+  unpackBody,
+} from "./envelope.ts";
+import type { KeyRing } from "./key_ring.ts";
+
+const SERVICE_PATH = "/goldcrestrelay.Peer";
+
+/** Options of {@link GrpcPeerTransport}. */
+export type GrpcPeerTransportOptions = {
+  /** Returns the own identity; its incarnation may be raised at run time. */
+  identity: () => PeerIdentity;
+  keys: KeyRing;
+  clock: Clock;
+  /** Counts rejected messages, of peers' requests and of answers. */
+  onRejected?: (reason: RejectionReason) => void;
+  /** Time after which an unused connection is closed, in ms. */
+  idleMs?: number;
+};
+
+type AnyMethod = PeerMethod<z.ZodType, z.ZodType>;
+type AnyHandler = PeerHandler<z.ZodType, z.ZodType>;
+type Reply = sendUnaryData<Buffer>;
+
+function passBytes(bytes: Buffer): Buffer {
+  return bytes;
+}
+
+function classifyFailure(error: ServiceError): PeerFailure {
+  switch (error.code) {
+    case status.DEADLINE_EXCEEDED:
+      return "timeout";
+    case status.UNAVAILABLE:
+      return error.details.includes("ECONNREFUSED") ? "refused" : "broken";
+    case status.PERMISSION_DENIED:
+    case status.INVALID_ARGUMENT:
+    case status.UNIMPLEMENTED:
+      return "rejected";
+    default:
+      return "broken";
+  }
+}
+
+function rejectionCode(reason: RejectionReason): status {
+  return reason === "schema" || reason === "malformed"
+    ? status.INVALID_ARGUMENT
+    : status.PERMISSION_DENIED;
+}
+
+/**
+ * Transport with one generic unary gRPC method for each {@link PeerMethod}.
+ * Bodies are packed by msgpackr, checked by the method's schemas, and signed.
+ *
+ * A request names the instance that last answered at the address as its
+ * target, so that a recorded request cannot be replayed to another daemon. The
+ * target is empty until the first answer.
+ *
+ * @example
+ * const transport = new GrpcPeerTransport({ identity, keys, clock });
+ * transport.serve(PROBE, (request, from) => membership.answerProbe(request, from));
+ * const address = await transport.listen(settings.listeners.peer);
+ * await transport.close();
+ */
+export class GrpcPeerTransport implements PeerTransport {
+  readonly #options: GrpcPeerTransportOptions;
+  readonly #channels: ChannelCache;
+  readonly #server = new Server();
+
+  /**
+   * @param options Identity, keys, clock and counter callback.
+   */
+  constructor(options: GrpcPeerTransportOptions) {
+    this.#options = options;
+    this.#channels = new ChannelCache({ idleMs: options.idleMs });
+  }
+
+  /** Number of connections that are cached for own requests. */
+  get openChannelsCount(): number {
+    return this.#channels.openCount;
+  }
+
+  /**
+   * Starts to serve requests of peers.
+   *
+   * @param address Address to listen at; port 0 lets the system choose.
+   * @returns Address with the port in use.
+   * @throws {VError} When the address cannot be bound.
+   */
+  listen(address: Address): Promise<Address> {
+    const host = address.host.includes(":")
+      ? `[${address.host}]`
+      : address.host;
+    return new Promise((resolve, reject) => {
+      this.#server.bindAsync(
+        `${host}:${address.port}`,
+        ServerCredentials.createInsecure(),
+        (error, port) => {
+          if (error !== null) {
+            reject(new VError(error, "Cannot listen at %s", host));
+            return;
+          }
+          resolve({ host: address.host, port });
+        },
+      );
+    });
+  }
+
+  /** Stops to serve, ends all connections, and closes all clients. */
+  close(): Promise<void> {
+    this.#channels.closeAll();
+    this.#server.forceShutdown();
+    return Promise.resolve();
+  }
+
+  /** @inheritdoc */
+  serve<Q extends z.ZodType, A extends z.ZodType>(
+    method: PeerMethod<Q, A>,
+    handler: PeerHandler<Q, A>,
+  ): void {
+    const added = this.#server.register<Buffer, Buffer>(
+      `${SERVICE_PATH}/${method.name}`,
+      (call: ServerUnaryCall<Buffer, Buffer>, reply: Reply) => {
+        this.#answer(method, handler as AnyHandler, call.request)
+          .then((answer) => reply(null, answer))
+          .catch((error: unknown) => this.#replyError(error, reply));
+      },
+      passBytes,
+      passBytes,
+      "unary",
+    );
+    if (!added) {
+      throw new VError('Method "%s" has two handlers', method.name);
+    }
+  }
+
+  /** @inheritdoc */
+  async request<Q extends z.ZodType, A extends z.ZodType>(
+    address: Address,
+    call: { method: PeerMethod<Q, A>; body: z.infer<Q> },
+    options: PeerRequestOptions,
+  ): Promise<z.infer<A>> {
+    const { method, body } = call;
+    const channel = this.#channels.open(address);
+    const requestId = randomBytes(9).toString("base64url");
+    const message = sealEnvelope(
+      this.#head(method.name, {
+        direction: "request",
+        target: channel.instanceId,
+        requestId,
+      }),
+      packBody(body, method.request),
+      { keys: this.#options.keys },
+    );
+    const reply = await this.#exchange(address, {
+      channel,
+      path: `${SERVICE_PATH}/${method.name}`,
+      message,
+      timeoutMs: options.timeoutMs,
+    });
+    return this.#openAnswer(reply, { method, requestId, channel });
+  }
+
+  #head(
+    method: string,
+    fields: Pick<EnvelopeHead, "direction" | "target" | "requestId">,
+  ): Omit<EnvelopeHead, "version" | "keyId"> {
+    return {
+      ...fields,
+      method,
+      from: this.#options.identity(),
+      sentEpochMs: this.#options.clock.wallMs(),
+    };
+  }
+
+  #exchange(
+    address: Address,
+    exchange: {
+      channel: PeerChannel;
+      path: string;
+      message: Buffer;
+      timeoutMs: number;
+    },
+  ): Promise<Buffer> {
+    const { channel, path, message, timeoutMs } = exchange;
+    return new Promise((resolve, reject) => {
+      channel.client.makeUnaryRequest(
+        path,
+        passBytes,
+        passBytes,
+        message,
+        { deadline: Date.now() + timeoutMs },
+        (error, reply) => {
+          if (error !== null) {
+            reject(this.#fail(address, channel, error));
+            return;
+          }
+          channel.timeoutsInRowCount = 0;
+          resolve(reply as Buffer);
+        },
+      );
+    });
+  }
+
+  #fail(
+    address: Address,
+    channel: PeerChannel,
+    error: ServiceError,
+  ): PeerError {
+    const failure = classifyFailure(error);
+    if (failure === "timeout") {
+      this.#channels.countTimeout(address);
+    }
+    if (failure === "refused" || failure === "broken") {
+      // gRPC repeats the last error while it backs off; a new client connects.
+      this.#channels.drop(address);
+    }
+    if (failure === "rejected") {
+      channel.instanceId = "";
+    }
+    return new PeerError(failure, error.details);
+  }
+
+  #openAnswer<A extends z.ZodType>(
+    reply: Buffer,
+    expected: {
+      method: PeerMethod<z.ZodType, A>;
+      requestId: string;
+      channel: PeerChannel;
+    },
+  ): z.infer<A> {
+    const { method, requestId, channel } = expected;
+    try {
+      const { head, body } = this.#open(reply, method, "answer");
+      if (head.requestId !== requestId) {
+        throw new RejectedMessageError("target", "Answer of another request");
+      }
+      const answer = unpackBody(body, method.answer);
+      channel.instanceId = head.from.instanceId;
+      return answer;
+    } catch (error) {
+      if (error instanceof RejectedMessageError) {
+        this.#options.onRejected?.(error.reason);
+        throw new PeerError("rejected", error.message);
+      }
+      throw error;
+    }
+  }
+
+  #open(
+    bytes: Buffer,
+    method: AnyMethod,
+    direction: EnvelopeHead["direction"],
+  ): { head: EnvelopeHead; body: Uint8Array } {
+    const { keys, clock, identity } = this.#options;
+    const opened = openEnvelope(bytes, { keys, wallMs: clock.wallMs() });
+    const { head } = opened;
+    const isForUs = head.target === "" ||
+      head.target === identity().instanceId;
+    if (
+      !isForUs || head.method !== method.name || head.direction !== direction
+    ) {
+      throw new RejectedMessageError(
+        "target",
+        `Message is for ${direction} "${head.method}" of "${head.target}"`,
+      );
+    }
+    return opened;
+  }
+
+  async #answer(
+    method: AnyMethod,
+    handler: AnyHandler,
+    bytes: Buffer,
+  ): Promise<Buffer> {
+    const { head, body } = this.#open(bytes, method, "request");
+    const request = unpackBody(body, method.request);
+    const answer = await handler(request, head.from);
+    return sealEnvelope(
+      this.#head(method.name, {
+        direction: "answer",
+        target: head.from.instanceId,
+        requestId: head.requestId,
+      }),
+      packBody(answer, method.answer),
+      { keys: this.#options.keys },
+    );
+  }
+
+  #replyError(error: unknown, reply: Reply): void {
+    if (error instanceof RejectedMessageError) {
+      this.#options.onRejected?.(error.reason);
+      const code = rejectionCode(error.reason);
+      reply({ code, details: `Rejected (${error.reason}): ${error.message}` });
+      return;
+    }
+    const details = error instanceof Error ? error.message : String(error);
+    reply({ code: status.INTERNAL, details });
+  }
+}
--- /dev/null
+++ b/src/peer/grpc_peer_transport_test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { z } from "zod";
+import { ManualClock } from "../core/clock.ts";
+import { PeerError, type PeerFailure } from "../core/peer_transport.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { PeerKey } from "../schemas/settings_schema.ts";
+import type { RejectionReason } from "./envelope.ts";
+import { GrpcPeerTransport } from "./grpc_peer_transport.ts";
+import { KeyRing } from "./key_ring.ts";
+
+const OLD_KEY: PeerKey = { id: "old", secret: "0123456789abcdef-old" };
+const NEW_KEY: PeerKey = { id: "new", secret: "0123456789abcdef-new" };
+const LOOPBACK: Address = { host: "127.0.0.1", port: 0 };
+const ECHO = {
+  name: "echo",
+  request: z.strictObject({ text: z.string() }),
+  answer: z.strictObject({ text: z.string(), from: z.string() }),
+};
+const LOOSE_ECHO = { ...ECHO, request: z.unknown() };
+
+type Node = {
+  transport: GrpcPeerTransport;
+  keys: KeyRing;
+  clock: ManualClock;
+  rejected: RejectionReason[];
+  address: Address;
+};
+
+async function startNode(
+  context: TestContext,
+  instanceId: string,
+  options: { keys?: PeerKey[]; listen?: Address; idleMs?: number } = {},
+): Promise<Node> {
+  const keys = new KeyRing(options.keys ?? [OLD_KEY]);
+  const clock = new ManualClock(1_700_000_000_000);
+  const rejected: RejectionReason[] = [];
+  const transport = new GrpcPeerTransport({
+    identity: () => ({ instanceId, incarnationEpochMs: 1, dataCentre: "dc-a" }),
+    keys,
+    clock,
+    onRejected: (reason) => rejected.push(reason),
+    idleMs: options.idleMs,
+  });
+  transport.serve(ECHO, ({ text }, from) => ({ text, from: from.instanceId }));
+  context.after(() => transport.close());
+  const address = await transport.listen(options.listen ?? LOOPBACK);
+  return { transport, keys, clock, rejected, address };
+}
+
+function echo(node: Node, address: Address): Promise<{ from: string }> {
+  const call = { method: ECHO, body: { text: "hello" } };
+  return node.transport.request(address, call, { timeoutMs: 2_000 });
+}
+
+function failsWith(failure: PeerFailure) {
+  return (error: unknown) => {
+    assert.ok(error instanceof PeerError);
+    assert.equal(error.failure, failure, error.message);
+    return true;
+  };
+}
+
+test("an answer carries the authenticated identity of the sender", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  assert.deepEqual(await echo(a, b.address), { text: "hello", from: "a" });
+});
+
+test("keys are replaced at run time without a failed request", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  b.keys.replace([OLD_KEY, NEW_KEY]);
+  a.keys.replace([NEW_KEY, OLD_KEY]);
+  assert.equal((await echo(a, b.address)).from, "a");
+  a.keys.replace([NEW_KEY]);
+  b.keys.replace([OLD_KEY]);
+  await assert.rejects(echo(a, b.address), failsWith("rejected"));
+  assert.deepEqual(b.rejected, ["mac"]);
+});
+
+test("a stale message and a wrong schema are rejected and counted", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  const call = { method: LOOSE_ECHO, body: { text: 5 } };
+  await assert.rejects(
+    a.transport.request(b.address, call, { timeoutMs: 2_000 }),
+    failsWith("rejected"),
+  );
+  a.clock.jumpWall(60_000);
+  await assert.rejects(echo(a, b.address), failsWith("rejected"));
+  assert.deepEqual(b.rejected, ["schema", "stale"]);
+});
+
+test("each refused connection is a new attempt, and a restart is reached", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  await echo(a, b.address);
+  await b.transport.close();
+  await assert.rejects(echo(a, b.address));
+  await assert.rejects(echo(a, b.address), failsWith("refused"));
+  await assert.rejects(echo(a, b.address), failsWith("refused"));
+  await startNode(t, "b", { listen: b.address });
+  assert.equal((await echo(a, b.address)).from, "a");
+});
+
+test("a message for the former instance at an address is rejected once", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  await echo(a, b.address);
+  await b.transport.close();
+  const c = await startNode(t, "c", { listen: b.address });
+  const results = [];
+  for (let attempt = 0; attempt < 3; attempt++) {
+    results.push(await echo(a, b.address).then(() => "ok", () => "failed"));
+  }
+  assert.equal(results.at(-1), "ok");
+  assert.ok(c.rejected.length <= 1);
+});
+
+test("a peer that accepts connections but is frozen gives a timeout", async (t) => {
+  const a = await startNode(t, "a");
+  const sockets: Socket[] = [];
+  const frozen: Server = createServer((socket) => sockets.push(socket));
+  await new Promise<void>((done) => frozen.listen(0, "127.0.0.1", done));
+  t.after(() => {
+    sockets.forEach((socket) => socket.destroy());
+    frozen.close();
+  });
+  const { port } = frozen.address() as { port: number };
+  const call = { method: ECHO, body: { text: "hello" } };
+  await assert.rejects(
+    a.transport.request({ host: "127.0.0.1", port }, call, { timeoutMs: 100 }),
+    failsWith("timeout"),
+  );
+});
+
+test("a connection that is not used is closed", async (t) => {
+  const a = await startNode(t, "a", { idleMs: 20 });
+  const [b, c] = [await startNode(t, "b"), await startNode(t, "c")];
+  await echo(a, b.address);
+  await new Promise((done) => setTimeout(done, 60));
+  await echo(a, c.address);
+  assert.equal(a.transport.openChannelsCount, 1);
+});
--- /dev/null
+++ b/src/schemas/peer_schema.ts
@@ -0,0 +1,40 @@
+/** Schemas of the envelope around each message between daemons. */
+import { z } from "zod";
+import { nameSchema } from "./common_schema.ts";
+
+/** Version of the envelope; messages of another version are rejected. */
+export const ENVELOPE_VERSION = 1;
+
+const bytesSchema = z.instanceof(Uint8Array);
+
+/** Schema of the identity that a daemon states in each message. */
+export const peerIdentitySchema = z.strictObject({
+  instanceId: nameSchema,
+  incarnationEpochMs: z.number().min(0),
+  dataCentre: nameSchema,
+});
+
+/** Schema of the part of a message that does not depend on its kind. */
+export const envelopeHeadSchema = z.strictObject({
+  version: z.int(),
+  method: z.string().min(1).max(63),
+  direction: z.enum(["request", "answer"]),
+  keyId: nameSchema,
+  from: peerIdentitySchema,
+  /** Instance that the message is for; empty while the sender does not know it. */
+  target: z.union([nameSchema, z.literal("")]),
+  sentEpochMs: z.number(),
+  /** Random id of the request; the answer repeats it. */
+  requestId: z.string().min(8).max(64),
+});
+/** Head of a message between daemons. */
+export type EnvelopeHead = z.infer<typeof envelopeHeadSchema>;
+
+/** Schema of a message on the wire: packed head, packed body, and their MAC. */
+export const envelopeSchema = z.strictObject({
+  head: bytesSchema,
+  body: bytesSchema,
+  mac: bytesSchema,
+});
+/** Message between daemons on the wire. */
+export type Envelope = z.infer<typeof envelopeSchema>;
