Run keyed requests at most once by owner and ledger

Cause: a caller that repeats an enrolment after a lost answer must not cause a second one. Ruled out: reading the fence only from the last answered probe, because an answer that waited in the socket during a freeze would hide the lapse; the fence also looks at the gap between two looks. Unlimited recorded answers: 60,000 keys of 64 KB would need 3.9 GB, so 16 MiB of answers and 200,000 entries bound the ledger. A failed request reports the outcome of all its attempts: a retry without another endpoint answered no_upstream with not-run although the first attempt may have run. Connecting to a peer is given up after 1,000 ms and is not-run.

--- a/src/charts/load_chart.ts
+++ b/src/charts/load_chart.ts
@@ -17,6 +17,7 @@
 export const CHART_NAMES = [
   "inbound_request",
   "outbound_request",
+  "keyed_request",
   "upstream",
   "member",
   "drain",
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -3,6 +3,9 @@
 import { SeededRandom } from "../core/random.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import { FixedAdmission } from "../decisions/fixed_admission.ts";
+import type { OwnerHistory } from "../decisions/key_owner.ts";
+import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
+import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import { PerHopRetries } from "../decisions/per_hop_retries.ts";
 import { RandomSelector } from "../decisions/random_selector.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
@@ -13,6 +16,7 @@
 import { HopTokens } from "../proxy/hop_token.ts";
 import { HopTransport } from "../proxy/hop_transport.ts";
 import { InboundService } from "../proxy/inbound_service.ts";
+import { KeyedGate } from "../proxy/keyed_gate.ts";
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
 import { HttpUpstreamClient } from "../proxy/upstream_client.ts";
@@ -24,6 +28,7 @@
 export type WireParts = {
   config: ConfigSource;
   directory: UpstreamDirectory;
+  owners: OwnerHistory;
 };
 
 /** Bound addresses of a daemon's listeners. */
@@ -41,6 +46,31 @@
 };
 
 const HOP_CONNECTIONS_MAX_COUNT = 64;
+const LEDGER_LIMITS = {
+  entriesMaxCount: 200_000,
+  answersMaxBytes: 16_777_216,
+};
+
+function wireKeyedGate(
+  settings: Settings,
+  parts: WireParts & {
+    clock: KeyClock;
+    nowMs: () => number;
+    incarnationEpochMs: number;
+  },
+): KeyedGate {
+  const { config, directory, clock, nowMs } = parts;
+  const ledger = new MemoryLedger(LEDGER_LIMITS);
+  const admission = new KeyedAdmission(parts.owners, ledger, {
+    instanceId: settings.instance.id,
+    dataCentre: settings.instance.dataCentre,
+    startedEpochMs: parts.incarnationEpochMs,
+    startedMs: nowMs(),
+  });
+  return new KeyedGate({ admission, ledger, clock, config, directory }, {
+    nowMs,
+  });
+}
 
 /**
  * Constructs a daemon.
@@ -57,10 +87,18 @@
   const observer = new NullRequestObserver();
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
+  const keyClock = new KeyClock(() => clock.wallMs());
+  const keyed = wireKeyedGate(settings, {
+    ...parts,
+    clock: keyClock,
+    nowMs,
+    incarnationEpochMs,
+  });
   const inbound = new InboundService(chain, {
     instanceId,
     nowMs,
     observer,
+    keyed,
     tenantWeight: (tenant) =>
       parts.config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
   });
@@ -76,6 +114,7 @@
     transport: new LocalTransport(inbound, hopTransport, { instanceId }),
     chain,
     observer,
+    keyClock,
   }, { nowMs });
   const entry = new EntryHandler({ config: parts.config, outbound }, { nowMs });
   const ownCalls = new EntryHandler(
@@ -117,6 +156,7 @@
   }
 
   async function listen() {
+    keyed.start();
     return {
       callers: await listeners.callers.listen(settings.listeners.callers),
       hop: await listeners.hop.listen(settings.listeners.hop),
@@ -125,6 +165,7 @@
   }
 
   async function destroy(): Promise<void> {
+    keyed.stop();
     for (const listener of Object.values(listeners)) {
       listener.destroy();
     }
--- a/src/daemon/wire_test.ts
+++ b/src/daemon/wire_test.ts
@@ -4,7 +4,11 @@
 import { after, before, test } from "node:test";
 import { request } from "undici";
 import { settingsSchema } from "../schemas/settings_schema.ts";
-import { FixedConfig, FixedDirectory } from "../testing/fixed_parts.ts";
+import {
+  FixedConfig,
+  FixedDirectory,
+  FixedOwners,
+} from "../testing/fixed_parts.ts";
 import { type Daemon, wireDaemon } from "./wire.ts";
 
 const LOOPBACK = "127.0.0.1";
@@ -70,7 +74,11 @@
     platform: { url: "http://127.0.0.1:1" },
     peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
   });
-  const daemon = wireDaemon(settings, { config, directory });
+  const daemon = wireDaemon(settings, {
+    config,
+    directory,
+    owners: new FixedOwners(),
+  });
   daemons.push(daemon);
   const bound = await daemon.listen();
   const port = await listenUpstream(handler);
--- a/src/decisions/upstream_directory.ts
+++ b/src/decisions/upstream_directory.ts
@@ -21,7 +21,10 @@
 export type PeerStanding = {
   /** Other members of the data centre that are known and not confirmed gone. */
   readonly knownPeersCount: number;
-  /** Monotonic time of the last own probe that was answered, in ms. */
+  /**
+   * Monotonic time at which the last own probe that was answered was sent, in
+   * ms. The time of the answer would count one that waited during a freeze.
+   */
   readonly lastAckMs: number;
   /** Monotonic time since which no peer held this daemon suspect or dead. */
   readonly acceptedSinceMs: number;
--- a/src/proxy/answer_receiver.ts
+++ b/src/proxy/answer_receiver.ts
@@ -28,6 +28,8 @@
   readonly outcome: Outcome;
   /** State of the serving daemon, when it refused the request itself. */
   readonly serving?: ServingState;
+  /** Status of an earlier answer for the same key that is not recorded. */
+  readonly recordedStatus?: number;
 };
 
 /** Receives one answer in order: a head, data and an end, or a failure. */
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { v4 as randomRequestId } from "uuid";
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
+import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
+import { homeDataCentre } from "../decisions/key_owner.ts";
 import { admissionKey } from "../decisions/importance.ts";
 import type { RouteRules } from "../decisions/route_matcher.ts";
 import { RelayError } from "../errors/relay_error.ts";
@@ -41,9 +43,27 @@
   return valueMs;
 }
 
-function readIdempotencyKey(request: IncomingMessage): string | undefined {
+/** Reads the key where the route binds the daemons to it. */
+function readIdempotencyKey(
+  request: IncomingMessage,
+  { route, pool }: RouteRules,
+): string | undefined {
   const value = request.headers["idempotency-key"];
-  return typeof value === "string" ? value : undefined;
+  if (
+    route.keys === "none" || (value === undefined && route.keys !== "required")
+  ) {
+    return undefined;
+  }
+  const key = typeof value === "string"
+    ? parseIdempotencyKey(value)
+    : undefined;
+  if (key === undefined) {
+    throw new RelayError("key_invalid", "The idempotency key is malformed");
+  }
+  if (homeDataCentre(key, pool.dataCentres) === undefined) {
+    throw new RelayError("key_invalid", "The pool is not in the key's home");
+  }
+  return key.text;
 }
 
 /**
@@ -170,7 +190,7 @@
     },
   ): RequestContext {
     const { requestId, tenant, parent } = options;
-    const idempotencyKey = readIdempotencyKey(request);
+    const idempotencyKey = readIdempotencyKey(request, rules);
     const nowMs = this.#options.nowMs();
     const timeoutMs = Math.min(
       rules.timeoutMs,
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -4,6 +4,7 @@
 import { filterHeaders } from "./header_filter.ts";
 import {
   ANSWER_HEADER,
+  type AnswerVerdict,
   decodeHop,
   encodeAnswer,
   HOP_HEADER,
@@ -43,20 +44,25 @@
   }
 
   headHeaders(head: AnswerHead): string[] {
-    return this.#encode("", "complete", head.serving);
+    const verdict = {
+      kind: "",
+      outcome: "complete",
+      recordedStatus: 0,
+    } as const;
+    return this.#encode(verdict, head.serving);
   }
 
   failureHeaders(failure: Failure): string[] {
-    return this.#encode(failure.kind, failure.outcome, failure.serving);
+    const { kind, outcome, recordedStatus = 0 } = failure;
+    return this.#encode({ kind, outcome, recordedStatus }, failure.serving);
   }
 
   #encode(
-    kind: string,
-    outcome: "complete" | Failure["outcome"],
+    verdict: Omit<AnswerVerdict, "requestId">,
     serving: ServingState | undefined,
   ): string[] {
     const value = encodeAnswer(
-      { requestId: this.#requestId, kind, outcome },
+      { requestId: this.#requestId, ...verdict },
       serving ?? this.#servingState(),
       this.#token,
     );
@@ -168,7 +174,7 @@
       attemptsLeftCount: fields.attemptsLeftCount,
       deadlineMs: this.#options.nowMs() + fields.remainingMs,
       idleTimeoutMs: fields.idleTimeoutMs,
-      idempotencyKey: typeof key === "string" ? key : undefined,
+      idempotencyKey: fields.keyed && typeof key === "string" ? key : undefined,
     };
   }
 
--- a/src/proxy/hop_header.ts
+++ b/src/proxy/hop_header.ts
@@ -16,7 +16,9 @@
 
 const SEPARATOR = ";";
 const HOP_FIELDS_COUNT = 15;
-const ANSWER_FIELDS_COUNT = 12;
+const IDEMPOTENT_FLAG = 1;
+const KEYED_FLAG = 2;
+const ANSWER_FIELDS_COUNT = 13;
 
 /** Schema of the fields of a hop request. */
 export const hopFieldsSchema = z.strictObject({
@@ -30,6 +32,8 @@
   importanceClass: importanceClassSchema,
   admissionKey: z.int().min(0).max(127),
   idempotent: z.boolean(),
+  /** Whether the `Idempotency-Key` of the request binds the daemons. */
+  keyed: z.boolean(),
   depthCount: z.int().min(0).max(64),
   attemptsLeftCount: z.int().min(0).max(5),
   remainingMs: z.int().min(0),
@@ -50,6 +54,8 @@
   inFlightCount: z.int().min(0),
   limitCount: z.int().min(0),
   queuedCount: z.int().min(0),
+  /** Status of an earlier answer for the same key; 0 without one. */
+  recordedStatus: z.int().min(0),
 });
 /** Fields of a hop answer. */
 export type AnswerFields = z.infer<typeof answerFieldsSchema>;
@@ -73,7 +79,7 @@
     fields.pool,
     IMPORTANCE_CLASSES.indexOf(fields.importanceClass),
     fields.admissionKey,
-    fields.idempotent ? 1 : 0,
+    (fields.idempotent ? IDEMPOTENT_FLAG : 0) + (fields.keyed ? KEYED_FLAG : 0),
     fields.depthCount,
     fields.attemptsLeftCount,
     `${fields.remainingMs},${fields.idleTimeoutMs}`,
@@ -105,7 +111,8 @@
     pool: parts[7],
     importanceClass: IMPORTANCE_CLASSES[Number(parts[8])],
     admissionKey: Number(parts[9]),
-    idempotent: parts[10] === "1",
+    idempotent: (Number(parts[10]) & IDEMPOTENT_FLAG) !== 0,
+    keyed: (Number(parts[10]) & KEYED_FLAG) !== 0,
     depthCount: Number(parts[11]),
     attemptsLeftCount: Number(parts[12]),
     remainingMs: Number(remainingMs),
@@ -119,13 +126,14 @@
 /** Outcome and error kind of an answer between daemons. */
 export type AnswerVerdict = Pick<
   AnswerFields,
-  "requestId" | "kind" | "outcome"
+  "requestId" | "kind" | "outcome" | "recordedStatus"
 >;
 
 /**
  * Encodes the answer header.
  *
- * @param verdict Request id, error kind (empty for an answer) and outcome.
+ * @param verdict Request id, error kind (empty for an answer), outcome and
+ * status of an earlier answer.
  * @param serving State of the serving daemon.
  * @param token Token of the serving daemon.
  * @returns Header value.
@@ -148,6 +156,7 @@
     load.inFlightCount,
     load.limitCount,
     load.queuedCount,
+    verdict.recordedStatus,
     token,
   ].join(SEPARATOR);
 }
@@ -176,9 +185,10 @@
     inFlightCount: Number(parts[8]),
     limitCount: Number(parts[9]),
     queuedCount: Number(parts[10]),
+    recordedStatus: Number(parts[11]),
   });
   return result.success
-    ? { fields: result.data, token: parts[11] as string }
+    ? { fields: result.data, token: parts[12] as string }
     : undefined;
 }
 
--- a/src/proxy/hop_transport.ts
+++ b/src/proxy/hop_transport.ts
@@ -32,6 +32,10 @@
   connectionsMaxCount: number;
 };
 
+// A connection attempt that gets no answer is proved not-run and may be sent
+// elsewhere, so it must end well before the request's deadline.
+const CONNECT_TIMEOUT_MS = 1_000;
+
 const MISMATCH = {
   failure: { kind: "peer_failed", outcome: "unknown" },
   closeConnection: true,
@@ -91,6 +95,7 @@
     const pool = new Pool(origin, {
       connections: this.#options.connectionsMaxCount,
       pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -116,6 +121,7 @@
       importanceClass: context.importanceClass,
       admissionKey: context.admissionKey,
       idempotent: context.idempotent,
+      keyed: context.idempotencyKey !== undefined,
       depthCount: context.depthCount,
       attemptsLeftCount: context.attemptsLeftCount,
       remainingMs: Math.max(0, Math.round(context.deadlineMs - nowMs())),
@@ -146,7 +152,8 @@
       const serving = servingStateOf(fields);
       if (isErrorKind(fields.kind) && fields.outcome !== "complete") {
         const { kind, outcome } = fields;
-        return { failure: { kind, outcome, serving } };
+        const recordedStatus = fields.recordedStatus || undefined;
+        return { failure: { kind, outcome, serving, recordedStatus } };
       }
       return {
         head: {
--- a/src/proxy/inbound_exchange.ts
+++ b/src/proxy/inbound_exchange.ts
@@ -12,6 +12,7 @@
   ServingState,
 } from "./answer_receiver.ts";
 import type { ChainEntry } from "./chain_registry.ts";
+import type { KeyedExchange } from "./keyed_exchange.ts";
 
 /** What an inbound exchange needs of its service. */
 export interface InboundHost {
@@ -38,6 +39,8 @@
   /** Monotonic time at which the upstream got the request, in ms. */
   startedMs = 0;
   chainEntry: ChainEntry | undefined;
+  /** Stage that records the outcome of a keyed request. */
+  keyed: KeyedExchange | undefined;
   readonly #host: InboundHost;
   readonly #receiver: AnswerReceiver;
   readonly #machine: StateMachine;
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -13,6 +13,7 @@
 } from "./answer_receiver.ts";
 import type { ChainRegistry } from "./chain_registry.ts";
 import { InboundExchange, type InboundHost } from "./inbound_exchange.ts";
+import type { KeyedGate } from "./keyed_gate.ts";
 import type { UpstreamClient } from "./upstream_client.ts";
 
 /** Options of {@link InboundService}. */
@@ -21,6 +22,8 @@
   /** Reads the monotonic clock, in ms. */
   nowMs: () => number;
   observer: RequestObserver;
+  /** Gate of keyed requests. */
+  keyed: KeyedGate;
   /** Weight of a tenant under overload. */
   tenantWeight: (tenant: string) => number;
 };
@@ -35,6 +38,12 @@
 // Queued requests are looked at this often when no slot becomes free.
 const QUEUE_POLL_INTERVAL_MS = 10;
 
+/** Source of an answer that was given at once. */
+const ENDED_SOURCE: AnswerSource = {
+  cancel() {},
+  resume() {},
+};
+
 const NO_LOAD = {
   levelRank: 0,
   inFlightCount: 0,
@@ -93,30 +102,38 @@
    * @returns Control of the answer.
    */
   serve(request: ForwardRequest, receiver: AnswerReceiver): AnswerSource {
-    const exchange = new InboundExchange(request, receiver, {
-      host: this,
-      ticket: this.#nextTicket++,
-    });
     const served = this.#served;
-    if (this.#draining) {
-      exchange.refuse("draining");
+    const refusal = this.#draining
+      ? "draining"
+      : served?.pool !== request.context.pool
+      ? "no_upstream"
+      : undefined;
+    if (served === undefined || refusal !== undefined) {
+      const exchange = this.#createExchange(request, receiver);
+      exchange.refuse(refusal ?? "no_upstream");
       return exchange;
     }
-    if (served === undefined || served.pool !== request.context.pool) {
-      exchange.refuse("no_upstream");
-      return exchange;
+    if (request.context.idempotencyKey !== undefined) {
+      return this.#serveKeyed(request, receiver, { served });
     }
+    const exchange = this.#createExchange(request, receiver);
     this.#offer(exchange, served);
     return exchange;
   }
 
   /** @inheritdoc */
   forward(exchange: InboundExchange): AnswerSource {
-    exchange.chainEntry = this.#chain.add(exchange.request.context);
-    return (this.#served as ServedUpstream).client.send(
-      exchange.request,
-      exchange,
-    );
+    const { keyed, request } = exchange;
+    if (keyed !== undefined) {
+      const refusal = this.#options.keyed.recheck(request);
+      if (refusal !== undefined) {
+        exchange.onFailure({ kind: refusal, outcome: "not-run" });
+        return ENDED_SOURCE;
+      }
+      keyed.start();
+    }
+    exchange.chainEntry = this.#chain.add(request.context);
+    return (this.#served as ServedUpstream).client.send(request, exchange);
   }
 
   /** @inheritdoc */
@@ -151,6 +168,32 @@
     return this.#options.nowMs();
   }
 
+  #serveKeyed(
+    request: ForwardRequest,
+    receiver: AnswerReceiver,
+    { served }: { served: ServedUpstream },
+  ): AnswerSource {
+    const keyed = this.#options.keyed.open(request, receiver, {
+      serving: this.servingState(false),
+    });
+    if (keyed === undefined) {
+      return ENDED_SOURCE;
+    }
+    const exchange = this.#createExchange(request, keyed);
+    exchange.keyed = keyed;
+    keyed.connect(exchange);
+    this.#offer(exchange, served);
+    return keyed;
+  }
+
+  #createExchange(
+    request: ForwardRequest,
+    receiver: AnswerReceiver,
+  ): InboundExchange {
+    const ticket = this.#nextTicket++;
+    return new InboundExchange(request, receiver, { host: this, ticket });
+  }
+
   #offer(exchange: InboundExchange, served: ServedUpstream): void {
     const { context } = exchange.request;
     const decision = served.admission.offer({
--- /dev/null
+++ b/src/proxy/keyed_gate.ts
@@ -0,0 +1,162 @@
+/** Takes keyed requests through the ledger of the own instance. */
+import { createHash } from "node:crypto";
+import type { ConfigSource } from "../decisions/config_source.ts";
+import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
+import type {
+  KeyClock,
+  KeyedAdmission,
+  KeyedDecision,
+  KeyedRequest,
+  KeyedSituation,
+} from "../decisions/keyed_admission.ts";
+import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import type {
+  AnswerReceiver,
+  ForwardRequest,
+  ServingState,
+} from "./answer_receiver.ts";
+import { KeyedExchange } from "./keyed_exchange.ts";
+
+/** Parts of {@link KeyedGate}. */
+export type KeyedGateParts = {
+  admission: KeyedAdmission;
+  ledger: IdempotencyLedger;
+  clock: KeyClock;
+  config: ConfigSource;
+  directory: UpstreamDirectory;
+};
+
+/** Options of {@link KeyedGate}. */
+export type KeyedGateOptions = {
+  /** Reads the monotonic clock, in ms. */
+  nowMs: () => number;
+};
+
+// The fence must see a freeze even when no keyed request arrives.
+const LOOK_INTERVAL_MS = 500;
+const DIGEST_BYTES = 16;
+const UNKNOWN_LENGTH = "chunked";
+
+function bodyLengthOf({ body, headers }: ForwardRequest): string {
+  if (body === null || Buffer.isBuffer(body)) {
+    return String(body?.length ?? 0);
+  }
+  const index = headers.findIndex((name, position) =>
+    position % 2 === 0 && name.toLowerCase() === "content-length"
+  );
+  return headers[index + 1] ?? UNKNOWN_LENGTH;
+}
+
+function describe(request: ForwardRequest): KeyedRequest {
+  const { pool, tenant, method, path, idempotencyKey } = request.context;
+  const requestDigest = createHash("sha256")
+    .update(`${method} ${path} ${bodyLengthOf(request)}`)
+    .digest()
+    .subarray(0, DIGEST_BYTES)
+    .toString("base64url");
+  return { pool, tenant, key: idempotencyKey as string, requestDigest };
+}
+
+/** Checks keyed requests before they are admitted and before they run. */
+export class KeyedGate {
+  readonly #parts: KeyedGateParts;
+  readonly #options: KeyedGateOptions;
+  #timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param parts Decision, ledger, clock, configuration and directory.
+   * @param options Monotonic clock.
+   */
+  constructor(parts: KeyedGateParts, options: KeyedGateOptions) {
+    this.#parts = parts;
+    this.#options = options;
+  }
+
+  /** Starts to look regularly at the standing among the peers. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      const { admission, directory } = this.#parts;
+      admission.look(directory.standing(), this.#options.nowMs());
+    }, LOOK_INTERVAL_MS);
+    this.#timer.unref();
+  }
+
+  /** Stops looking. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /**
+   * Decides on a request and answers it when it does not run.
+   *
+   * @param request Keyed request.
+   * @param receiver Stage that receives the answer.
+   * @param options State of this daemon for an answer.
+   * @returns Stage that records the outcome; undefined when it was answered.
+   */
+  open(
+    request: ForwardRequest,
+    receiver: AnswerReceiver,
+    { serving }: { serving: ServingState },
+  ): KeyedExchange | undefined {
+    const { admission, ledger } = this.#parts;
+    const decision = admission.begin(
+      describe(request),
+      this.#situation(request),
+    );
+    if (decision.kind === "run") {
+      const { reservation } = decision;
+      return new KeyedExchange(receiver, ledger, { reservation });
+    }
+    answer(decision, receiver, { serving });
+    return undefined;
+  }
+
+  /**
+   * Repeats the checks directly before a request is forwarded.
+   *
+   * @param request Keyed request that was opened.
+   * @returns Error kind of a refusal; undefined when the request may run.
+   */
+  recheck(request: ForwardRequest): ErrorKind | undefined {
+    return this.#parts.admission.recheck(
+      describe(request),
+      this.#situation(request),
+    );
+  }
+
+  #situation({ context }: ForwardRequest): KeyedSituation {
+    const { clock, config, directory } = this.#parts;
+    const tables = config.current()?.tables;
+    return {
+      rules: {
+        // Without a configuration no key is young enough to run.
+        keyRetentionMs: tables?.pools.pools[context.pool]?.keyRetentionMs ?? 0,
+        clockSkewMaxMs: tables?.routes.rules.clockSkewMaxMs ?? 0,
+      },
+      standing: directory.standing(),
+      nowMs: this.#options.nowMs(),
+      nowEpochMs: clock.nowEpochMs(),
+    };
+  }
+}
+
+function answer(
+  decision: Exclude<KeyedDecision, { kind: "run" }>,
+  receiver: AnswerReceiver,
+  { serving }: { serving: ServingState },
+): void {
+  if (decision.kind === "refuse") {
+    const { error, recordedStatus } = decision;
+    const { outcome } = errorAnswer(error);
+    receiver.onFailure({ kind: error, outcome, serving, recordedStatus });
+    return;
+  }
+  const { status, headers, body } = decision.answer;
+  receiver.onHead({ status, headers, serving });
+  if (body.length > 0) {
+    receiver.onData(Buffer.from(body));
+  }
+  receiver.onEnd();
+}
--- a/src/proxy/outbound_exchange.ts
+++ b/src/proxy/outbound_exchange.ts
@@ -76,6 +76,9 @@
   #source: AnswerSource | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #headStatus = 0;
+  #lastFailure: Failure | undefined;
+  /** Whether an attempt ended without proof that it did not run. */
+  #mayHaveRun = false;
 
   /**
    * @param request Request with its context.
@@ -138,6 +141,8 @@
 
   /** @inheritdoc */
   onFailure(failure: Failure): void {
+    this.#lastFailure = failure;
+    this.#mayHaveRun ||= failure.outcome !== "not-run";
     this.#endAttempt(isOverloadRefusal(failure) ? "overloaded" : "failed", {
       serving: failure.serving,
     });
@@ -151,7 +156,9 @@
       this.#send("chosen", selection.endpoint);
       return;
     }
-    this.#send("none", { kind: selection.error, outcome: "not-run" });
+    // Without another endpoint, the failed attempt says more than its absence.
+    const none: Failure = { kind: selection.error, outcome: "not-run" };
+    this.#send("none", this.#lastFailure ?? none);
   }
 
   /** Action: sends an attempt to the chosen endpoint. */
@@ -192,8 +199,9 @@
 
   /** Action: answers with the failure of the last attempt. */
   answerFailure(failure: Failure): void {
-    this.#receiver.onFailure(failure);
-    this.#host.finish(this, failure.kind, failure);
+    const described = this.#describe(failure);
+    this.#receiver.onFailure(described);
+    this.#host.finish(this, described.kind, described);
   }
 
   /** Action: answers that the deadline passed. */
@@ -216,6 +224,17 @@
     this.#source?.cancel();
   }
 
+  /** The outcome speaks of all attempts, not only of the last one. */
+  #describe(failure: Failure): Failure {
+    if (this.#mayHaveRun) {
+      return { ...failure, outcome: "unknown" };
+    }
+    const keyed = this.request.context.idempotencyKey !== undefined;
+    return keyed && failure.kind === "no_upstream"
+      ? { ...failure, kind: "key_home_unreachable" }
+      : failure;
+  }
+
   #endAttempt(
     result: AttemptResult["result"],
     { serving }: { serving?: ServingState } = {},
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -1,6 +1,9 @@
 /** Sends requests to upstreams of any pool. */
 import { admissionRank } from "../decisions/importance.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
+import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
+import { chooseOwner, type OwnerHistory } from "../decisions/key_owner.ts";
+import type { KeyClock } from "../decisions/keyed_admission.ts";
 import type { RetryPolicy } from "../decisions/retry_policy.ts";
 import type {
   Endpoint,
@@ -11,6 +14,7 @@
   Selection,
   UpstreamSelector,
 } from "../decisions/upstream_selector.ts";
+import type { Pool } from "../schemas/tables_schema.ts";
 import type {
   RequestObserver,
   RequestRecord,
@@ -23,6 +27,7 @@
 } from "./answer_receiver.ts";
 import type { AttemptTransport } from "./attempt_transport.ts";
 import type { ChainRegistry } from "./chain_registry.ts";
+import type { RequestContext } from "./request_context.ts";
 import {
   isOverloadRefusal,
   OutboundExchange,
@@ -38,6 +43,8 @@
   transport: AttemptTransport;
   chain: ChainRegistry;
   observer: RequestObserver;
+  owners: OwnerHistory;
+  keyClock: KeyClock;
 };
 
 /** Options of {@link OutboundService}. */
@@ -112,6 +119,9 @@
       return { kind: "refuse", error: "no_upstream" };
     }
     const endpoints = this.#parts.directory.endpoints(context.pool);
+    if (context.idempotencyKey !== undefined) {
+      return this.#chooseOwner(context, rules, { endpoints });
+    }
     return this.#parts.selector.choose(
       { name: context.pool, rules, endpoints },
       {
@@ -133,7 +143,8 @@
   mayRetry(exchange: OutboundExchange, failure: Failure): boolean {
     const { context, body } = exchange.request;
     const replayable = body === null || Buffer.isBuffer(body);
-    if (!replayable) {
+    // Only its owner may run a key, so there is no other place to repeat it.
+    if (!replayable || context.idempotencyKey !== undefined) {
       return false;
     }
     const nowMs = this.nowMs();
@@ -179,6 +190,24 @@
     return this.#options.nowMs();
   }
 
+  /** A key is sent to its owner only. */
+  #chooseOwner(
+    context: RequestContext,
+    { dataCentres }: Pool,
+    { endpoints }: { endpoints: readonly Endpoint[] },
+  ): Selection {
+    const key = parseIdempotencyKey(context.idempotencyKey as string);
+    if (key === undefined) {
+      return { kind: "refuse", error: "key_invalid" };
+    }
+    const { owners, keyClock } = this.#parts;
+    const { pool } = context;
+    return chooseOwner(key, { pool, dataCentres, endpoints }, {
+      history: owners,
+      nowEpochMs: keyClock.nowEpochMs(),
+    });
+  }
+
   #noteParent(exchange: OutboundExchange, failure: Failure | undefined): void {
     const parentId = this.#parentIds.get(exchange);
     if (parentId === undefined) {
--- a/src/proxy/public_answer.ts
+++ b/src/proxy/public_answer.ts
@@ -23,12 +23,16 @@
 
   /** @inheritdoc */
   failureHeaders(failure: Failure): string[] {
+    const recorded = failure.recordedStatus === undefined
+      ? []
+      : ["goldcrest-recorded-status", String(failure.recordedStatus)];
     return [
       ...this.#identity(),
       "goldcrest-outcome",
       failure.outcome,
       "goldcrest-error",
       failure.kind,
+      ...recorded,
     ];
   }
 
--- a/src/testing/fixed_parts.ts
+++ b/src/testing/fixed_parts.ts
@@ -1,5 +1,6 @@
 /** Fixed configuration and directory for tests of the data path. */
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
 import { RouteMatcher } from "../decisions/route_matcher.ts";
 import type {
   Endpoint,
@@ -38,9 +39,14 @@
   }
 }
 
-/** Directory whose endpoints a test sets. */
+/** Directory whose endpoints and standing a test sets. */
 export class FixedDirectory implements UpstreamDirectory {
-  readonly #endpoints: Endpoint[] = [];
+  #endpoints: Endpoint[] = [];
+  #standing: PeerStanding = {
+    knownPeersCount: 0,
+    lastAckMs: 0,
+    acceptedSinceMs: 0,
+  };
 
   /**
    * Adds an endpoint.
@@ -51,6 +57,24 @@
     this.#endpoints.push(endpoint);
   }
 
+  /**
+   * Replaces all endpoints.
+   *
+   * @param endpoints Endpoints to list.
+   */
+  replace(endpoints: readonly Endpoint[]): void {
+    this.#endpoints = [...endpoints];
+  }
+
+  /**
+   * Sets the standing of the daemon among its peers.
+   *
+   * @param standing Standing to state.
+   */
+  setStanding(standing: PeerStanding): void {
+    this.#standing = standing;
+  }
+
   /** @inheritdoc */
   endpoints(pool: string): readonly Endpoint[] {
     return this.#endpoints.filter((endpoint) => endpoint.pool === pool);
@@ -63,6 +87,34 @@
 
   /** @inheritdoc */
   standing(): PeerStanding {
-    return { knownPeersCount: 0, lastAckMs: 0, acceptedSinceMs: 0 };
+    return this.#standing;
+  }
+}
+
+/** History of owners that a test sets. */
+export class FixedOwners implements OwnerHistory {
+  readonly #lists = new Map<string, OwnerList[]>();
+
+  /**
+   * Starts a period.
+   *
+   * @param pool Pool of the owners.
+   * @param dataCentre Data centre of the owners.
+   * @param list Owners from a time on.
+   */
+  add(pool: string, dataCentre: string, list: OwnerList): void {
+    const name = `${pool} ${dataCentre}`;
+    this.#lists.set(name, [...(this.#lists.get(name) ?? []), list]);
+  }
+
+  /** @inheritdoc */
+  lists(
+    pool: string,
+    dataCentre: string,
+    fromEpochMs: number,
+  ): readonly OwnerList[] {
+    const all = this.#lists.get(`${pool} ${dataCentre}`) ?? [];
+    const first = all.findLastIndex((list) => list.sinceEpochMs <= fromEpochMs);
+    return first < 0 ? [] : all.slice(first);
   }
 }
