--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -5,6 +5,9 @@
 import { SeededRandom } from "../core/random.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import { FixedAdmission } from "../decisions/fixed_admission.ts";
+import type { OwnerHistory } from "../decisions/key_owner.ts";
+import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
+import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import { PerHopRetries } from "../decisions/per_hop_retries.ts";
 import { RandomSelector } from "../decisions/random_selector.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
@@ -15,6 +18,7 @@
 import { HopTokens } from "../proxy/hop_token.ts";
 import { HopTransport } from "../proxy/hop_transport.ts";
 import { InboundService } from "../proxy/inbound_service.ts";
+import { KeyedGate } from "../proxy/keyed_gate.ts";
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
 import { HttpUpstreamClient } from "../proxy/upstream_client.ts";
@@ -32,7 +36,7 @@
 import { Housekeeping } from "./housekeeping.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 import { type ControlStatus, OperatorView } from "./operator_view.ts";
-import { EmptyDirectory, PendingConfig } from "./pending_parts.ts";
+import { EmptyDirectory, EmptyOwners, PendingConfig } from "./pending_parts.ts";
 import { reloadKeys } from "./reload_keys.ts";
 import { UpstreamAttachment } from "./upstream_attachment.ts";
 import { WorkGate } from "./work_gate.ts";
@@ -41,6 +45,7 @@
 export type WireParts = {
   config?: ConfigSource;
   directory?: UpstreamDirectory;
+  owners?: OwnerHistory;
   log?: Logger;
   /** Signals of the process. */
   signals?: Stream<LifeEvent>;
@@ -70,6 +75,34 @@
 
 const HOP_CONNECTIONS_MAX_COUNT = 64;
 const CUT_LOG_MAX_COUNT = 100;
+const LEDGER_LIMITS = {
+  entriesMaxCount: 200_000,
+  answersMaxBytes: 16_777_216,
+};
+
+function wireKeyedGate(
+  settings: Settings,
+  parts: {
+    config: ConfigSource;
+    directory: UpstreamDirectory;
+    owners: OwnerHistory;
+    clock: KeyClock;
+    nowMs: () => number;
+    incarnationEpochMs: number;
+  },
+): KeyedGate {
+  const { config, directory, clock, nowMs } = parts;
+  const ledger = new MemoryLedger(LEDGER_LIMITS);
+  const admission = new KeyedAdmission(parts.owners, ledger, {
+    instanceId: settings.instance.id,
+    dataCentre: settings.instance.dataCentre,
+    startedEpochMs: parts.incarnationEpochMs,
+    startedMs: nowMs(),
+  });
+  return new KeyedGate({ admission, ledger, clock, config, directory }, {
+    nowMs,
+  });
+}
 
 /**
  * Constructs a daemon.
@@ -83,6 +116,7 @@
   const parts = {
     config: given.config ?? new PendingConfig(),
     directory: given.directory ?? new EmptyDirectory(),
+    owners: given.owners ?? new EmptyOwners(),
   };
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
@@ -94,10 +128,18 @@
   const observer = metrics.requests;
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
+  const keyClock = new KeyClock(() => clock.wallMs());
+  const keyed = wireKeyedGate(settings, {
+    ...parts,
+    clock: keyClock,
+    nowMs,
+    incarnationEpochMs,
+  });
   const inbound = new InboundService(chain, {
     instanceId,
     nowMs,
     observer,
+    keyed,
     tenantWeight: (tenant) =>
       parts.config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
   });
@@ -113,6 +155,7 @@
     transport: new LocalTransport(inbound, hopTransport, { instanceId }),
     chain,
     observer,
+    keyClock,
   }, { nowMs });
   const entry = new EntryHandler({ config: parts.config, outbound }, { nowMs });
   const ownCalls = new EntryHandler(
@@ -273,6 +316,7 @@
       operator: await operator.listen(addresses.operator),
     };
     loop.start();
+    keyed.start();
     if (settings.upstream !== undefined) {
       attachment.announce(settings.upstream);
     }
@@ -280,6 +324,7 @@
   }
 
   async function destroy(): Promise<void> {
+    keyed.stop();
     for (const listener of Object.values(listeners)) {
       listener.destroy();
     }
