Run the adaptive policy in the daemons

Cause: the decision modules were not reached by the data path; retries made nearer the caller, calls further down and routes were not passed on to them. Ruled out: rebuilding the admission when rules change, which would admit twice the slots until the earlier requests end. Change: policy sets chosen by the setting 'policy', rules applied at run time, the flags 'repeated' and 'called further' on hop headers, time spent on calls further down.

--- a/src/decisions/admission_level.ts
+++ b/src/decisions/admission_level.ts
@@ -30,7 +30,7 @@
  * of free slots otherwise.
  */
 export class AdmissionLevel {
-  readonly #tuning: OverloadTuning;
+  #tuning: OverloadTuning;
   readonly #histogram = new RankHistogram();
   #levelRank = RANKS_COUNT;
 
@@ -46,6 +46,15 @@
     return this.#levelRank;
   }
 
+  /**
+   * Replaces the tuning.
+   *
+   * @param tuning Figures that the preference scales.
+   */
+  retune(tuning: OverloadTuning): void {
+    this.#tuning = tuning;
+  }
+
   /**
    * Counts an offered request, admitted or not.
    *
--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -1,5 +1,6 @@
 /** Interface of the admission decision of one upstream. */
 import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { CentralRules, Pool } from "../schemas/tables_schema.ts";
 
 /** What the admission decision knows of a request. */
 export type AdmissionRequest = {
@@ -50,6 +51,12 @@
   readonly queuedCount: number;
 };
 
+/** Rules of the pool and of the centre that an admission policy follows. */
+export type AdmissionRules = Pick<
+  Pool,
+  "limit" | "queueMaxCount" | "queueAgeMaxMs"
+> & Pick<CentralRules, "overloadPreference">;
+
 /** Decides which requests run on one upstream, wait or are refused. */
 export interface AdmissionPolicy {
   /** Decides on a new request at monotonic time `nowMs`. */
@@ -65,6 +72,8 @@
   poll(nowMs: number): QueueDecision[];
   /** States the load for answers and metrics. */
   load(): LoadState;
+  /** Applies changed rules to requests that run, wait and come. */
+  configure(rules: AdmissionRules): void;
   /** Applies the announced slots of the upstream. */
   resize(slotsCount: number): void;
   /** Takes the upstream's own load report as a hint, never as the truth. */
--- a/src/decisions/aimd_limiter.ts
+++ b/src/decisions/aimd_limiter.ts
@@ -14,6 +14,7 @@
 
 /** Lowers the limit on slow or refused requests and raises it on others. */
 export class AimdLimiter implements ConcurrencyLimiter {
+  readonly kind = "aimd";
   #slotsCount: number;
   #limitCount: number;
   #usualMs = 0;
--- a/src/decisions/fixed_admission.ts
+++ b/src/decisions/fixed_admission.ts
@@ -3,6 +3,7 @@
   AdmissionDecision,
   AdmissionPolicy,
   AdmissionRequest,
+  AdmissionRules,
   FinishedRequest,
   LoadState,
   QueueDecision,
@@ -23,7 +24,7 @@
 
 /** First come, first served up to a fixed limit and queue length. */
 export class FixedAdmission implements AdmissionPolicy {
-  readonly #options: FixedAdmissionOptions;
+  #options: FixedAdmissionOptions;
   readonly #queue: Waiting[] = [];
   #limitCount: number;
   #inFlightCount = 0;
@@ -99,6 +100,11 @@
     };
   }
 
+  /** @inheritdoc */
+  configure({ queueMaxCount, queueAgeMaxMs }: AdmissionRules): void {
+    this.#options = { ...this.#options, queueMaxCount, queueAgeMaxMs };
+  }
+
   /** @inheritdoc */
   resize(slotsCount: number): void {
     this.#limitCount = slotsCount;
--- a/src/decisions/fixed_limiter.ts
+++ b/src/decisions/fixed_limiter.ts
@@ -6,6 +6,7 @@
 
 /** Limit equal to the slots. */
 export class FixedLimiter implements ConcurrencyLimiter {
+  readonly kind = "fixed";
   #slotsCount: number;
 
   /**
--- a/src/decisions/gradient_limiter.ts
+++ b/src/decisions/gradient_limiter.ts
@@ -24,6 +24,7 @@
  * limiter.record({ latencyMs: 20, inFlightCount: 90, overloaded: false }, nowMs);
  */
 export class GradientLimiter implements ConcurrencyLimiter {
+  readonly kind = "gradient";
   #slotsCount: number;
   #limitCount: number;
   #usualMs = 0;
--- a/src/decisions/no_admission.ts
+++ b/src/decisions/no_admission.ts
@@ -3,6 +3,7 @@
   AdmissionDecision,
   AdmissionPolicy,
   AdmissionRequest,
+  AdmissionRules,
   FinishedRequest,
   LoadState,
   QueueDecision,
@@ -52,6 +53,11 @@
     };
   }
 
+  /** @inheritdoc */
+  configure(_rules: AdmissionRules): void {
+    // The baseline has no rules.
+  }
+
   /** @inheritdoc */
   resize(slotsCount: number): void {
     this.#slotsCount = slotsCount;
--- /dev/null
+++ b/src/decisions/policy_set.ts
@@ -0,0 +1,106 @@
+/** The overload policies that a daemon can run, as sets of decisions. */
+import type { RandomSource } from "../core/random.ts";
+import type { Settings } from "../schemas/settings_schema.ts";
+import type { CentralRules } from "../schemas/tables_schema.ts";
+import type { AdmissionPolicy, AdmissionRules } from "./admission_policy.ts";
+import { createLimiter } from "./create_limiter.ts";
+import { FixedAdmission } from "./fixed_admission.ts";
+import { NoAdmission } from "./no_admission.ts";
+import { PerHopRetries } from "./per_hop_retries.ts";
+import { RandomSelector } from "./random_selector.ts";
+import { RankAdmission } from "./rank_admission.ts";
+import type { RetryPolicy } from "./retry_policy.ts";
+import { SlidingRatioRetries } from "./sliding_ratio_retries.ts";
+import { TwoChoiceSelector } from "./two_choice_selector.ts";
+import type { UpstreamSelector } from "./upstream_selector.ts";
+
+/** Decisions of one overload policy. */
+export interface PolicySet {
+  readonly selector: UpstreamSelector;
+  readonly retries: RetryPolicy;
+  /** Creates the admission of an upstream with its announced slots. */
+  createAdmission(slotsCount: number, rules: AdmissionRules): AdmissionPolicy;
+  /** Applies changed central rules. */
+  configure(rules: CentralRules): void;
+}
+
+/** Options of {@link createPolicySet}. */
+export type PolicySetOptions = {
+  random: RandomSource;
+  /** Identity of the daemon. */
+  instance: Settings["instance"];
+};
+
+const RETRY_RATIO = 0.1;
+
+/** The product's policy: ranks, adaptive limits, bounded retries, two choices. */
+class AdaptivePolicySet implements PolicySet {
+  readonly selector: UpstreamSelector;
+  readonly retries = new SlidingRatioRetries({ retryRatio: RETRY_RATIO });
+
+  constructor({ random, instance }: PolicySetOptions) {
+    this.selector = new TwoChoiceSelector(random, {
+      callerId: instance.id,
+      dataCentre: instance.dataCentre,
+    });
+  }
+
+  createAdmission(slotsCount: number, rules: AdmissionRules): AdmissionPolicy {
+    return new RankAdmission({
+      ...rules,
+      limiter: createLimiter(rules.limit, slotsCount),
+    });
+  }
+
+  configure({ retryRatio }: CentralRules): void {
+    this.retries.setRetryRatio(retryRatio);
+  }
+}
+
+/** Baseline: a fixed limit without classes, random choice, tries at each hop. */
+class FixedPolicySet implements PolicySet {
+  readonly selector: UpstreamSelector;
+  readonly retries: RetryPolicy = new PerHopRetries();
+
+  constructor({ random }: PolicySetOptions) {
+    this.selector = new RandomSelector(random);
+  }
+
+  createAdmission(slotsCount: number, rules: AdmissionRules): AdmissionPolicy {
+    return new FixedAdmission({ slotsCount, ...rules });
+  }
+
+  configure(_rules: CentralRules): void {
+    // The baseline has no central rules.
+  }
+}
+
+/** Baseline: no limit, random choice, tries at each hop. */
+class UnlimitedPolicySet extends FixedPolicySet {
+  override createAdmission(slotsCount: number): AdmissionPolicy {
+    return new NoAdmission(slotsCount);
+  }
+}
+
+const POLICY_SETS = {
+  adaptive: AdaptivePolicySet,
+  fixed: FixedPolicySet,
+  unlimited: UnlimitedPolicySet,
+} as const;
+
+/**
+ * Creates the decisions of a policy.
+ *
+ * @param policy Value of the setting `policy`.
+ * @param options Random numbers and identity.
+ * @returns Decisions of the policy.
+ *
+ * @example
+ * createPolicySet("adaptive", { random, instance: settings.instance });
+ */
+export function createPolicySet(
+  policy: Settings["policy"],
+  options: PolicySetOptions,
+): PolicySet {
+  return new POLICY_SETS[policy](options);
+}
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -4,11 +4,13 @@
   AdmissionDecision,
   AdmissionPolicy,
   AdmissionRequest,
+  AdmissionRules,
   FinishedRequest,
   LoadState,
   QueueDecision,
 } from "./admission_policy.ts";
 import type { ConcurrencyLimiter } from "./concurrency_limiter.ts";
+import { createLimiter } from "./create_limiter.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import { ADMISSION_KEYS_COUNT, effectiveRank } from "./importance.ts";
 import { IntervalMeter } from "./interval_meter.ts";
@@ -52,8 +54,10 @@
  * admission.offer(request, nowMs);
  */
 export class RankAdmission implements AdmissionPolicy {
-  readonly #options: RankAdmissionOptions;
-  readonly #tuning: OverloadTuning;
+  #limiter: ConcurrencyLimiter;
+  #slotsCount: number;
+  #queueMaxCount: number;
+  #tuning: OverloadTuning;
   readonly #level: AdmissionLevel;
   readonly #queue = new RankQueue();
   readonly #shares = new TenantShares();
@@ -70,7 +74,9 @@
    * @param options Limit, queue and preference.
    */
   constructor(options: RankAdmissionOptions) {
-    this.#options = options;
+    this.#limiter = options.limiter;
+    this.#slotsCount = options.limiter.limit();
+    this.#queueMaxCount = options.queueMaxCount;
     this.#tuning = tuneOverload(
       options.overloadPreference,
       options.queueAgeMaxMs,
@@ -144,10 +150,23 @@
     };
   }
 
+  /** @inheritdoc */
+  configure(rules: AdmissionRules): void {
+    const { limit, queueMaxCount, queueAgeMaxMs, overloadPreference } = rules;
+    if (limit !== this.#limiter.kind) {
+      this.#limiter = createLimiter(limit, this.#slotsCount);
+      this.#limitCount = this.#limiter.limit();
+    }
+    this.#queueMaxCount = queueMaxCount;
+    this.#tuning = tuneOverload(overloadPreference, queueAgeMaxMs);
+    this.#level.retune(this.#tuning);
+  }
+
   /** @inheritdoc */
   resize(slotsCount: number): void {
-    this.#options.limiter.resize(slotsCount);
-    this.#limitCount = this.#options.limiter.limit();
+    this.#slotsCount = slotsCount;
+    this.#limiter.resize(slotsCount);
+    this.#limitCount = this.#limiter.limit();
   }
 
   /** @inheritdoc */
@@ -160,7 +179,7 @@
   }
 
   #wait(entry: QueueEntry, nowMs: number): AdmissionDecision {
-    if (this.#queue.size >= this.#options.queueMaxCount) {
+    if (this.#queue.size >= this.#queueMaxCount) {
       const worst = this.#queue.leastImportant();
       if (worst === undefined || worst.rank <= entry.rank) {
         return { kind: "refuse", error: "queue_full" };
@@ -238,7 +257,7 @@
     if (result === "cancelled") {
       return;
     }
-    this.#options.limiter.record({
+    this.#limiter.record({
       latencyMs: latencyMs - (finished.nestedMs ?? 0),
       inFlightCount: this.#inFlightCount,
       overloaded: result === "overloaded",
@@ -255,7 +274,7 @@
 
   #applyLimit(nowMs: number): void {
     this.#limitCount = this.#reports.bound(
-      this.#options.limiter.limit(),
+      this.#limiter.limit(),
       nowMs,
     );
   }
--- a/src/decisions/sliding_ratio_retries.ts
+++ b/src/decisions/sliding_ratio_retries.ts
@@ -32,7 +32,7 @@
  * retries.mayRetry(failed, nowMs); // false until ten originals were seen
  */
 export class SlidingRatioRetries implements RetryPolicy {
-  readonly #retryRatio: number;
+  #retryRatio: number;
   readonly #budgets = new Map<string, Budget>();
 
   /**
@@ -42,6 +42,15 @@
     this.#retryRatio = options.retryRatio;
   }
 
+  /**
+   * Applies a changed ratio.
+   *
+   * @param retryRatio Retries per original request over 10 s.
+   */
+  setRetryRatio(retryRatio: number): void {
+    this.#retryRatio = retryRatio;
+  }
+
   /** @inheritdoc */
   recordOriginal(pool: string, nowMs: number): void {
     this.#budgetOf(pool).originals.add(1, nowMs);
--- a/src/proxy/answer_receiver.ts
+++ b/src/proxy/answer_receiver.ts
@@ -11,6 +11,8 @@
   readonly draining: boolean;
   /** Whether retries below this hop are used up. */
   readonly exhausted: boolean;
+  /** Whether the upstream made calls for the request. */
+  readonly calledFurther: boolean;
 };
 
 /** Head of an answer. */
--- a/src/proxy/chain_registry.ts
+++ b/src/proxy/chain_registry.ts
@@ -6,6 +6,14 @@
   readonly context: RequestContext;
   /** Whether a call that the upstream made for it failed for good. */
   downstreamFailed: boolean;
+  /** Calls that the upstream made for it and that have not ended. */
+  openCallsCount: number;
+  /** Monotonic start of the time with open calls, in ms. */
+  nestedSinceMs: number;
+  /** Time spent with open calls so far, in ms. */
+  nestedMs: number;
+  /** Whether the upstream made a call for it. */
+  calledFurther: boolean;
 };
 
 /**
@@ -22,7 +30,14 @@
    * @returns The entry, for {@link ChainRegistry.remove}.
    */
   add(context: RequestContext): ChainEntry {
-    const entry = { context, downstreamFailed: false };
+    const entry = {
+      context,
+      downstreamFailed: false,
+      openCallsCount: 0,
+      nestedSinceMs: 0,
+      nestedMs: 0,
+      calledFurther: false,
+    };
     this.#entries.set(context.requestId, entry);
     return entry;
   }
@@ -37,6 +52,33 @@
     return this.#entries.get(requestId);
   }
 
+  /**
+   * Records that the upstream made a call for a request.
+   *
+   * @param entry Running request.
+   * @param nowMs Monotonic time, in ms.
+   */
+  startCall(entry: ChainEntry, nowMs: number): void {
+    entry.calledFurther = true;
+    if (entry.openCallsCount === 0) {
+      entry.nestedSinceMs = nowMs;
+    }
+    entry.openCallsCount++;
+  }
+
+  /**
+   * Records that a call for a request ended.
+   *
+   * @param entry Running request.
+   * @param nowMs Monotonic time, in ms.
+   */
+  endCall(entry: ChainEntry, nowMs: number): void {
+    entry.openCallsCount--;
+    if (entry.openCallsCount === 0) {
+      entry.nestedMs += nowMs - entry.nestedSinceMs;
+    }
+  }
+
   /**
    * Removes a request that has ended.
    *
@@ -49,3 +91,21 @@
     }
   }
 }
+
+/**
+ * Sums up the time that a request has spent on calls further down.
+ *
+ * @param entry Running request; undefined counts as none.
+ * @param nowMs Monotonic time, in ms.
+ * @returns Time with at least one open call, in ms.
+ */
+export function nestedTimeMs(
+  entry: ChainEntry | undefined,
+  nowMs: number,
+): number {
+  if (entry === undefined) {
+    return 0;
+  }
+  const openMs = entry.openCallsCount > 0 ? nowMs - entry.nestedSinceMs : 0;
+  return entry.nestedMs + openMs;
+}
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -133,7 +133,7 @@
       const source = this.#parts.outbound.send(
         { context, headers, body },
         receiver,
-        { parentRequestId: parent?.context.requestId },
+        { parent },
       );
       receiver.connect(source);
     } catch (error) {
@@ -213,6 +213,7 @@
         admissionKey(idempotencyKey ?? requestId),
       idempotent: rules.route.idempotent,
       depthCount: (parent?.context.depthCount ?? 0) + 1,
+      repeated: parent?.context.repeated ?? false,
       attemptsLeftCount: Math.min(
         rules.route.attemptsMax,
         parent?.context.attemptsLeftCount ?? rules.route.attemptsMax,
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -170,6 +170,7 @@
       importanceClass: fields.importanceClass,
       admissionKey: fields.admissionKey,
       idempotent: fields.idempotent,
+      repeated: fields.repeated,
       depthCount: fields.depthCount,
       attemptsLeftCount: fields.attemptsLeftCount,
       deadlineMs: this.#options.nowMs() + fields.remainingMs,
@@ -187,7 +188,7 @@
     return new HopAnswer(
       requestId,
       token,
-      () => this.#inbound.servingState(false),
+      () => this.#inbound.servingState(),
     );
   }
 
--- a/src/proxy/hop_header.ts
+++ b/src/proxy/hop_header.ts
@@ -18,6 +18,9 @@
 const HOP_FIELDS_COUNT = 15;
 const IDEMPOTENT_FLAG = 1;
 const KEYED_FLAG = 2;
+const REPEATED_FLAG = 4;
+const EXHAUSTED_FLAG = 1;
+const CALLED_FURTHER_FLAG = 2;
 const ANSWER_FIELDS_COUNT = 13;
 
 /** Schema of the fields of a hop request. */
@@ -34,6 +37,8 @@
   idempotent: z.boolean(),
   /** Whether the `Idempotency-Key` of the request binds the daemons. */
   keyed: z.boolean(),
+  /** Whether a hop nearer the caller repeats the request. */
+  repeated: z.boolean(),
   depthCount: z.int().min(0).max(64),
   attemptsLeftCount: z.int().min(0).max(5),
   remainingMs: z.int().min(0),
@@ -49,6 +54,7 @@
   kind: z.string(),
   outcome: z.enum(["complete", "not-run", "unknown"]),
   exhausted: z.boolean(),
+  calledFurther: z.boolean(),
   draining: z.boolean(),
   levelRank: z.int().min(0),
   inFlightCount: z.int().min(0),
@@ -79,7 +85,9 @@
     fields.pool,
     IMPORTANCE_CLASSES.indexOf(fields.importanceClass),
     fields.admissionKey,
-    (fields.idempotent ? IDEMPOTENT_FLAG : 0) + (fields.keyed ? KEYED_FLAG : 0),
+    (fields.idempotent ? IDEMPOTENT_FLAG : 0) +
+    (fields.keyed ? KEYED_FLAG : 0) +
+    (fields.repeated ? REPEATED_FLAG : 0),
     fields.depthCount,
     fields.attemptsLeftCount,
     `${fields.remainingMs},${fields.idleTimeoutMs}`,
@@ -113,6 +121,7 @@
     admissionKey: Number(parts[9]),
     idempotent: (Number(parts[10]) & IDEMPOTENT_FLAG) !== 0,
     keyed: (Number(parts[10]) & KEYED_FLAG) !== 0,
+    repeated: (Number(parts[10]) & REPEATED_FLAG) !== 0,
     depthCount: Number(parts[11]),
     attemptsLeftCount: Number(parts[12]),
     remainingMs: Number(remainingMs),
@@ -150,7 +159,8 @@
     serving.instanceId,
     verdict.kind,
     verdict.outcome,
-    serving.exhausted ? 1 : 0,
+    (serving.exhausted ? EXHAUSTED_FLAG : 0) +
+    (serving.calledFurther ? CALLED_FURTHER_FLAG : 0),
     serving.draining ? 1 : 0,
     load.levelRank,
     load.inFlightCount,
@@ -179,7 +189,8 @@
     instanceId: parts[2],
     kind: parts[3],
     outcome: parts[4],
-    exhausted: parts[5] === "1",
+    exhausted: (Number(parts[5]) & EXHAUSTED_FLAG) !== 0,
+    calledFurther: (Number(parts[5]) & CALLED_FURTHER_FLAG) !== 0,
     draining: parts[6] === "1",
     levelRank: Number(parts[7]),
     inFlightCount: Number(parts[8]),
@@ -203,6 +214,7 @@
     instanceId: fields.instanceId,
     draining: fields.draining,
     exhausted: fields.exhausted,
+    calledFurther: fields.calledFurther,
     load: {
       levelRank: fields.levelRank,
       inFlightCount: fields.inFlightCount,
--- a/src/proxy/hop_transport.ts
+++ b/src/proxy/hop_transport.ts
@@ -122,6 +122,7 @@
       admissionKey: context.admissionKey,
       idempotent: context.idempotent,
       keyed: context.idempotencyKey !== undefined,
+      repeated: context.repeated,
       depthCount: context.depthCount,
       attemptsLeftCount: context.attemptsLeftCount,
       remainingMs: Math.max(0, Math.round(context.deadlineMs - nowMs())),
--- a/src/proxy/inbound_exchange.ts
+++ b/src/proxy/inbound_exchange.ts
@@ -11,7 +11,7 @@
   ForwardRequest,
   ServingState,
 } from "./answer_receiver.ts";
-import type { ChainEntry } from "./chain_registry.ts";
+import { type ChainEntry, nestedTimeMs } from "./chain_registry.ts";
 import type { KeyedExchange } from "./keyed_exchange.ts";
 
 /** What an inbound exchange needs of its service. */
@@ -23,7 +23,7 @@
   /** Removes the request from the queue. */
   leaveQueue(exchange: InboundExchange): void;
   /** States load and drain state for answers. */
-  servingState(exhausted: boolean): ServingState;
+  servingState(chainEntry?: ChainEntry): ServingState;
   /** Reads the monotonic clock, in ms. */
   nowMs(): number;
 }
@@ -144,11 +144,9 @@
       : head.status >= SERVER_ERROR_STATUS
       ? "failed"
       : "succeeded";
-    const exhausted = head.status >= SERVER_ERROR_STATUS &&
-      this.chainEntry?.downstreamFailed === true;
     this.#receiver.onHead({
       ...head,
-      serving: this.#host.servingState(exhausted),
+      serving: this.#host.servingState(this.chainEntry),
     });
   }
 
@@ -159,9 +157,12 @@
 
   /** Action: frees the slot. */
   releaseSlot(): void {
+    const nowMs = this.#host.nowMs();
     this.#host.release(this, {
-      latencyMs: this.#host.nowMs() - this.startedMs,
+      latencyMs: nowMs - this.startedMs,
       result: this.#finishedAs,
+      route: this.request.context.routeName,
+      nestedMs: nestedTimeMs(this.chainEntry, nowMs),
     });
   }
 
@@ -202,10 +203,9 @@
   }
 
   #answer(failure: Failure): void {
-    const exhausted = this.chainEntry?.downstreamFailed === true;
     this.#receiver.onFailure({
       ...failure,
-      serving: this.#host.servingState(exhausted),
+      serving: this.#host.servingState(this.chainEntry),
     });
   }
 
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -11,7 +11,7 @@
   ForwardRequest,
   ServingState,
 } from "./answer_receiver.ts";
-import type { ChainRegistry } from "./chain_registry.ts";
+import type { ChainEntry, ChainRegistry } from "./chain_registry.ts";
 import { InboundExchange, type InboundHost } from "./inbound_exchange.ts";
 import type { KeyedGate } from "./keyed_gate.ts";
 import type { UpstreamClient } from "./upstream_client.ts";
@@ -154,12 +154,13 @@
   }
 
   /** @inheritdoc */
-  servingState(exhausted: boolean): ServingState {
+  servingState(chainEntry?: ChainEntry): ServingState {
     return {
       instanceId: this.#options.instanceId,
       load: this.#served?.admission.load() ?? NO_LOAD,
       draining: this.#draining,
-      exhausted,
+      exhausted: chainEntry?.downstreamFailed === true,
+      calledFurther: chainEntry?.calledFurther === true,
     };
   }
 
@@ -174,7 +175,7 @@
     { served }: { served: ServedUpstream },
   ): AnswerSource {
     const keyed = this.#options.keyed.open(request, receiver, {
-      serving: this.servingState(false),
+      serving: this.servingState(),
     });
     if (keyed === undefined) {
       return ENDED_SOURCE;
@@ -203,6 +204,7 @@
       tenantWeight: this.#options.tenantWeight(context.tenant),
       depthCount: context.depthCount,
       deadlineMs: context.deadlineMs,
+      route: context.routeName,
     }, this.nowMs());
     if (decision.kind === "refuse") {
       exchange.refuse(decision.error);
@@ -215,6 +217,7 @@
       return;
     }
     exchange.wait();
+    this.#poll();
     this.#schedulePoll();
   }
 
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -26,7 +26,7 @@
   ForwardRequest,
 } from "./answer_receiver.ts";
 import type { AttemptTransport } from "./attempt_transport.ts";
-import type { ChainRegistry } from "./chain_registry.ts";
+import type { ChainEntry, ChainRegistry } from "./chain_registry.ts";
 import type { RequestContext } from "./request_context.ts";
 import {
   isOverloadRefusal,
@@ -63,14 +63,17 @@
   }
   const { context } = request;
   const attemptsLeftCount = context.attemptsLeftCount - attemptsCount + 1;
-  return { ...request, context: { ...context, attemptsLeftCount } };
+  return {
+    ...request,
+    context: { ...context, attemptsLeftCount, repeated: true },
+  };
 }
 
 /** Chooses upstreams, sends attempts and bounds retries. */
 export class OutboundService implements OutboundHost {
   readonly #parts: OutboundServiceParts;
   readonly #options: OutboundServiceOptions;
-  readonly #parentIds = new WeakMap<OutboundExchange, string>();
+  readonly #parents = new WeakMap<OutboundExchange, ChainEntry>();
   #activeCount = 0;
 
   /**
@@ -92,20 +95,18 @@
    *
    * @param request Request with its context.
    * @param receiver Stage that receives the answer.
-   * @param options Request id of the running request that made the call.
+   * @param options Running request that the call was made for.
    * @returns Control of the answer.
    */
   send(
     request: ForwardRequest,
     receiver: AnswerReceiver,
-    options: { parentRequestId?: string } = {},
+    options: { parent?: ChainEntry } = {},
   ): AnswerSource {
     const exchange = new OutboundExchange(request, receiver, this);
     this.#activeCount++;
-    if (options.parentRequestId !== undefined) {
-      this.#parentIds.set(exchange, options.parentRequestId);
-    }
-    this.#parts.retries.recordOriginal(request.context.pool, this.nowMs());
+    this.#startCall(exchange, options.parent);
+    this.#recordSend(request.context);
     exchange.start();
     return exchange;
   }
@@ -126,6 +127,7 @@
       { name: context.pool, rules, endpoints },
       {
         rank: admissionRank(context.importanceClass, context.admissionKey),
+        depthCount: context.depthCount,
         excludedIds: exchange.excludedIds,
       },
       this.nowMs(),
@@ -155,6 +157,7 @@
       idempotent: context.idempotent,
       exhausted: failure.serving?.exhausted === true,
       overloaded: isOverloadRefusal(failure),
+      calledFurther: failure.serving?.calledFurther,
       remainingMs: context.deadlineMs - nowMs,
     }, nowMs);
   }
@@ -171,7 +174,7 @@
     failure?: Failure,
   ): void {
     this.#activeCount--;
-    this.#noteParent(exchange, failure);
+    this.#endCall(exchange, failure);
     const { context } = exchange.request;
     this.#parts.observer.record({
       side: "outbound",
@@ -208,15 +211,29 @@
     });
   }
 
-  #noteParent(exchange: OutboundExchange, failure: Failure | undefined): void {
-    const parentId = this.#parentIds.get(exchange);
-    if (parentId === undefined) {
+  #recordSend({ pool, repeated }: RequestContext): void {
+    const { retries } = this.#parts;
+    if (repeated) {
+      retries.recordRepeated(pool, this.nowMs());
+      return;
+    }
+    retries.recordOriginal(pool, this.nowMs());
+  }
+
+  #startCall(exchange: OutboundExchange, parent: ChainEntry | undefined): void {
+    if (parent === undefined) {
       return;
     }
-    this.#parentIds.delete(exchange);
-    const entry = this.#parts.chain.find(parentId);
-    if (failure !== undefined && entry !== undefined) {
-      entry.downstreamFailed = true;
+    this.#parents.set(exchange, parent);
+    this.#parts.chain.startCall(parent, this.nowMs());
+  }
+
+  #endCall(exchange: OutboundExchange, failure: Failure | undefined): void {
+    const parent = this.#parents.get(exchange);
+    if (parent === undefined) {
+      return;
     }
+    this.#parts.chain.endCall(parent, this.nowMs());
+    parent.downstreamFailed ||= failure !== undefined;
   }
 }
--- a/src/proxy/request_context.ts
+++ b/src/proxy/request_context.ts
@@ -18,6 +18,8 @@
   readonly depthCount: number;
   /** Attempts left along the whole chain, this one included. */
   readonly attemptsLeftCount: number;
+  /** Whether a hop nearer the caller repeats the request. */
+  readonly repeated: boolean;
   /** Monotonic time by which the answer's head must be there, in ms. */
   readonly deadlineMs: number;
   /** Longest pause within the answer's body, in ms. */
--- a/src/schemas/settings_schema.ts
+++ b/src/schemas/settings_schema.ts
@@ -51,6 +51,8 @@
     keys: z.array(peerKeySchema).min(1)
       .describe("Shared keys; the first signs, all verify"),
   }),
+  policy: z.enum(["adaptive", "fixed", "unlimited"]).default("adaptive")
+    .describe("Overload policy; all but adaptive are baselines to compare"),
   drainLimitMs: durationMsSchema.default(600_000)
     .describe("Longest time that a graceful stop waits for requests"),
   log: z.strictObject({
