Generate the operators' lists of fields, errors, metrics and life cycles

Cause: hand-written lists of fields and defaults go stale. Fields without a description have one now. Ruled out: generating whole pages, since most of their text is advice that is better written in Markdown.

--- a/src/daemon/check_charts.ts
+++ b/src/daemon/check_charts.ts
@@ -15,6 +15,11 @@
   "lease",
 ]);
 
+/** Charts of the parts that are there. */
+export const CHECKED_CHARTS: readonly ChartName[] = CHART_NAMES.filter(
+  (name) => !PENDING.has(name),
+);
+
 /**
  * Checks the structure of every chart file. Unknown guards and actions are
  * found when the module of the class that runs the chart is loaded.
@@ -22,7 +27,7 @@
  * @throws {InputError} With the mistakes of the first faulty file.
  */
 export function checkCharts(): void {
-  for (const name of CHART_NAMES.filter((one) => !PENDING.has(one))) {
+  for (const name of CHECKED_CHARTS) {
     compileChart(readChart(name), { source: `charts/${name}.jsonc` });
   }
 }
--- /dev/null
+++ b/src/reference_pages/sections.ts
@@ -0,0 +1,98 @@
+/** Sections of the pages that are generated from schemas, tables and charts. */
+import type { z } from "zod";
+import { readChart } from "../charts/load_chart.ts";
+import { CHECKED_CHARTS } from "../daemon/check_charts.ts";
+import {
+  ERROR_ANSWERS,
+  errorAnswer,
+  type ErrorKind,
+  type RetryAdvice,
+} from "../errors/error_kinds.ts";
+import {
+  announcementSchema,
+  settingsSchema,
+} from "../schemas/settings_schema.ts";
+import {
+  poolsTableSchema,
+  routesTableSchema,
+} from "../schemas/tables_schema.ts";
+import { type MetricName, METRICS } from "../telemetry/metric_names.ts";
+import { chartDiagram } from "./chart_diagram.ts";
+import { ERROR_ADVICE } from "./error_advice.ts";
+import { formatTable } from "./markdown_table.ts";
+import { listFields } from "./schema_fields.ts";
+
+const RETRY_TEXTS: Readonly<Record<RetryAdvice, string>> = {
+  never: "no",
+  always: "yes",
+  "if-repeatable": "keyed or idempotent only",
+  "same-key": "yes, same key",
+};
+
+function fieldsSection(schema: z.ZodType): string {
+  return formatTable(
+    ["field", "meaning", "unit", "default", "bounds"],
+    listFields(schema).map((field) => [
+      `\`${field.path}\``,
+      field.meaning,
+      field.unit,
+      field.presence,
+      field.bounds,
+    ]),
+  );
+}
+
+function errorsSection(): string {
+  const kinds = Object.keys(ERROR_ANSWERS) as ErrorKind[];
+  return formatTable(
+    [
+      "kind",
+      "HTTP",
+      "outcome",
+      "caller may retry",
+      "after",
+      "meaning",
+      "what to do",
+    ],
+    kinds.map((kind) => {
+      const answer = errorAnswer(kind);
+      return [
+        `\`${kind}\``,
+        String(answer.status),
+        answer.outcome,
+        RETRY_TEXTS[answer.retry],
+        answer.retryAfterS === undefined ? "" : `${answer.retryAfterS} s`,
+        answer.message,
+        ERROR_ADVICE[kind],
+      ];
+    }),
+  );
+}
+
+function metricsSection(): string {
+  return formatTable(
+    ["metric", "kind", "labels", "meaning", "what to do"],
+    (Object.keys(METRICS) as MetricName[]).map((name) => {
+      const { kind, labels, help, advice } = METRICS[name];
+      return [`\`${name}\``, kind, labels.join(", "), help, advice];
+    }),
+  );
+}
+
+function chartsSection(): string {
+  return CHECKED_CHARTS.map((name) => {
+    const chart = readChart(name);
+    return `## ${name}\n\n${chart.description}.\n\n${chartDiagram(chart)}`;
+  }).join("\n\n");
+}
+
+/** Generators by the name that the markers in the pages state. */
+export const SECTIONS: Readonly<Record<string, () => string>> = {
+  routes: () => fieldsSection(routesTableSchema),
+  pools: () => fieldsSection(poolsTableSchema),
+  settings: () => fieldsSection(settingsSchema),
+  announcement: () => fieldsSection(announcementSchema),
+  errors: errorsSection,
+  metrics: metricsSection,
+  charts: chartsSection,
+};
--- a/src/schemas/common_schema.ts
+++ b/src/schemas/common_schema.ts
@@ -23,10 +23,11 @@
 /** Schema of an IP address. */
 export const hostSchema = z.union([z.ipv4(), z.ipv6()], {
   error: "Must be an IP address",
-});
+}).describe("IP address");
 
 /** Schema of a TCP port; 0 lets the system choose. */
-export const portSchema = z.int().min(0).max(65535);
+export const portSchema = z.int().min(0).max(65535)
+  .describe("TCP port; 0 lets the system choose");
 
 /** Schema of a listening or contact address. */
 export const addressSchema = z.strictObject({
--- a/src/schemas/settings_schema.ts
+++ b/src/schemas/settings_schema.ts
@@ -16,7 +16,7 @@
 export const announcementSchema = z.strictObject({
   pool: nameSchema.describe("Pool that the upstream serves"),
   host: addressSchema.shape.host,
-  port: z.int().min(1).max(65535),
+  port: z.int().min(1).max(65535).describe("TCP port of the upstream"),
   slotsCount: countSchema.describe("Requests that the upstream runs at once"),
   connectionsMaxCount: countSchema
     .describe("Connections that the upstream accepts"),
@@ -41,7 +41,8 @@
     .describe("Upstream, when it does not announce itself"),
   platform: z.strictObject({
     url: z.url().describe("Base URL of the platform's object API"),
-    timeoutMs: durationMsSchema.default(2_000),
+    timeoutMs: durationMsSchema.default(2_000)
+      .describe("Longest wait for an answer of the platform"),
     callsPerSMax: countSchema.default(5)
       .describe("Platform calls that this daemon makes at most"),
   }),
@@ -54,7 +55,8 @@
   drainLimitMs: durationMsSchema.default(600_000)
     .describe("Longest time that a graceful stop waits for requests"),
   log: z.strictObject({
-    level: z.enum(["trace", "debug", "info", "warn", "error", "silent"]),
+    level: z.enum(["trace", "debug", "info", "warn", "error", "silent"])
+      .describe("Least important level that is written"),
   }).default({ level: "info" }),
 });
 /** Settings of a daemon. */
--- a/src/schemas/tables_schema.ts
+++ b/src/schemas/tables_schema.ts
@@ -29,8 +29,10 @@
 /** Schema of one entry of the table of routes. */
 export const routeSchema = z.strictObject({
   match: z.strictObject({
-    method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
-    pathPrefix: z.string().startsWith("/").max(1024),
+    method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])
+      .describe("Method of the calls"),
+    pathPrefix: z.string().startsWith("/").max(1024)
+      .describe("Start of the calls' paths; the longest match counts"),
   }),
   pool: nameSchema.describe("Pool that serves the calls"),
   class: importanceClassSchema.describe("Importance under overload"),
@@ -61,8 +63,10 @@
   routes: z.record(
     nameSchema,
     z.strictObject({
-      class: importanceClassSchema.optional(),
-      timeoutMs: durationMsSchema.optional(),
+      class: importanceClassSchema.optional()
+        .describe("Class for the branch, within the route's bounds"),
+      timeoutMs: durationMsSchema.optional()
+        .describe("Timeout for the branch, within the route's bounds"),
     }),
   ).default({}),
 });
