--- a/src/daemon/pending_parts.ts
+++ b/src/daemon/pending_parts.ts
@@ -1,5 +1,6 @@
 /** Configuration and directory of a daemon that has received neither. */
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
 import type {
   Endpoint,
   PeerStanding,
@@ -31,3 +32,15 @@
     return { knownPeersCount: 0, lastAckMs: 0, acceptedSinceMs: 0 };
   }
 }
+
+/** History without owners; keyed requests are refused. */
+export class EmptyOwners implements OwnerHistory {
+  /** @inheritdoc */
+  lists(
+    _pool: string,
+    _dataCentre: string,
+    _fromEpochMs: number,
+  ): readonly OwnerList[] {
+    return [];
+  }
+}
