Prove at most one effect for a key under kills, freezes and cuts

Ruled out: perfect views after a freeze, since a daemon that wakes still sees the members of before; callers with such views send it keys.

--- /dev/null
+++ b/src/testing/keyed_simulation_test.ts
@@ -0,0 +1,34 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type KeyedRules, KeyedSimulation } from "./keyed_simulation.ts";
+
+const ALL_RULES = { ownership: true, fence: true, recheck: true };
+const KEYS_COUNT = 12_000;
+
+function run(seed: number, rules: Partial<KeyedRules> = {}) {
+  const result = new KeyedSimulation({
+    seed,
+    keysCount: KEYS_COUNT,
+    rules: { ...ALL_RULES, ...rules },
+  }).run();
+  console.log(JSON.stringify({ seed, ...rules, ...result }));
+  return result;
+}
+
+// Guards against a second effect of a key whose owner was killed, replaced,
+// frozen or cut off while the key was repeated.
+for (const seed of [1, 2, 3]) {
+  test(`no key of ${KEYS_COUNT} has two effects under kills, freezes and cuts, seed ${seed}`, () => {
+    const result = run(seed);
+    assert.equal(result.repeatedCount, 0);
+    assert.ok(result.onceCount > KEYS_COUNT / 2);
+  });
+}
+
+// The same runs show the failure when a rule is left out, so that the test
+// above cannot pass for lack of failures.
+for (const rule of ["ownership", "fence"] as const) {
+  test(`keys have two effects without the rule "${rule}"`, () => {
+    assert.ok(run(1, { [rule]: false }).repeatedCount > 0);
+  });
+}
