Wire configuration and policy sets into the daemon

Cause: the daemon served from fixed parts only. Change: a control plane interface with one real and one fixed implementation, leases, readers, acceptor and distributor registered in the control loop, rules applied to the admission when another configuration comes into force.

--- a/src/daemon/check_charts.ts
+++ b/src/daemon/check_charts.ts
@@ -11,8 +11,6 @@
 const PENDING: ReadonlySet<ChartName> = new Set([
   "upstream",
   "member",
-  "configuration",
-  "lease",
 ]);
 
 /** Charts of the parts that are there. */
--- a/src/daemon/operator_view.ts
+++ b/src/daemon/operator_view.ts
@@ -28,7 +28,8 @@
 /** Options of {@link OperatorView}. */
 export type OperatorViewOptions = {
   instance: Settings["instance"];
-  incarnationEpochMs: number;
+  /** Own identity; the incarnation may be raised at run time. */
+  identity: { readonly incarnationEpochMs: number };
 };
 
 const NO_LOAD = {
@@ -66,10 +67,10 @@
 
   /** @inheritdoc */
   status(): Status {
-    const { instance, incarnationEpochMs } = this.#options;
+    const { instance, identity } = this.#options;
     return {
       instanceId: instance.id,
-      incarnationEpochMs,
+      incarnationEpochMs: identity.incarnationEpochMs,
       dataCentre: instance.dataCentre,
       state: this.#state(),
       ...this.#parts.controlStatus(),
--- a/src/daemon/run_daemon.ts
+++ b/src/daemon/run_daemon.ts
@@ -5,7 +5,8 @@
 import { JsonLogger } from "../telemetry/logger.ts";
 import { readSettings } from "./read_settings.ts";
 import { SignalSource } from "./signal_source.ts";
-import { type Daemon, wireDaemon } from "./wire.ts";
+import type { Daemon } from "./daemon_parts.ts";
+import { wireDaemon } from "./wire.ts";
 
 /** Exit code on bad input at the start. */
 export const EXIT_BAD_INPUT = 2;
--- /dev/null
+++ b/src/daemon/upstream_serving.ts
@@ -0,0 +1,109 @@
+/** Serves requests on the announced upstream by the rules in force. */
+import type {
+  AdmissionPolicy,
+  AdmissionRules,
+  LoadState,
+} from "../decisions/admission_policy.ts";
+import type { ConfigSource } from "../decisions/config_source.ts";
+import type { PolicySet } from "../decisions/policy_set.ts";
+import type { InboundService } from "../proxy/inbound_service.ts";
+import { HttpUpstreamClient } from "../proxy/upstream_client.ts";
+import type { Announcement } from "../schemas/settings_schema.ts";
+import type { CentralRules, Pool } from "../schemas/tables_schema.ts";
+
+/** Parts of {@link UpstreamServing}. */
+export type UpstreamServingParts = {
+  config: ConfigSource;
+  policies: PolicySet;
+  inbound: InboundService;
+  /** Reads the monotonic clock, in ms. */
+  nowMs: () => number;
+};
+
+// In force until a configuration names the pool.
+const RULES_WITHOUT_CONFIG: AdmissionRules = {
+  limit: "gradient",
+  queueMaxCount: 200,
+  queueAgeMaxMs: 500,
+  overloadPreference: 0.5,
+};
+
+function admissionRules(
+  pool: Pool | undefined,
+  central: CentralRules | undefined,
+): AdmissionRules {
+  if (pool === undefined || central === undefined) {
+    return RULES_WITHOUT_CONFIG;
+  }
+  const { limit, queueMaxCount, queueAgeMaxMs } = pool;
+  const { overloadPreference } = central;
+  return { limit, queueMaxCount, queueAgeMaxMs, overloadPreference };
+}
+
+/** Connects the own upstream and keeps its admission at the rules in force. */
+export class UpstreamServing {
+  readonly #parts: UpstreamServingParts;
+  #announcement: Announcement | undefined;
+  #admission: AdmissionPolicy | undefined;
+  #client: HttpUpstreamClient | undefined;
+
+  /**
+   * @param parts Configuration, policies and the inbound service.
+   */
+  constructor(parts: UpstreamServingParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Forwards requests to another upstream from now on. The former one finishes
+   * what it runs.
+   *
+   * @param announcement Checked announcement.
+   */
+  connect(announcement: Announcement): void {
+    const { inbound, nowMs, policies } = this.#parts;
+    const { pool, slotsCount } = announcement;
+    void this.#client?.close();
+    this.#announcement = announcement;
+    this.#client = new HttpUpstreamClient(announcement, {
+      nowMs,
+      refusalsNotRun: (name) => this.#pool(name)?.refusalsNotRun === true,
+    });
+    this.#admission = policies.createAdmission(slotsCount, this.#rules(pool));
+    inbound.attach({ pool, client: this.#client, admission: this.#admission });
+  }
+
+  /**
+   * Changes the number of slots.
+   *
+   * @param slotsCount Requests that the upstream runs at once.
+   */
+  resize(slotsCount: number): void {
+    this.#admission?.resize(slotsCount);
+  }
+
+  /** Applies the configuration in force. */
+  configure(): void {
+    const central = this.#parts.config.current()?.tables.routes.rules;
+    if (central !== undefined) {
+      this.#parts.policies.configure(central);
+    }
+    if (this.#announcement !== undefined) {
+      this.#admission?.configure(this.#rules(this.#announcement.pool));
+    }
+  }
+
+  /** Load of the upstream; undefined when none is attached. */
+  load(): LoadState | undefined {
+    return this.#admission?.load();
+  }
+
+  #pool(name: string): Pool | undefined {
+    return this.#parts.config.current()?.tables.pools.pools[name];
+  }
+
+  #rules(pool: string): AdmissionRules {
+    const central = this.#parts.config.current()?.tables.routes.rules;
+    return admissionRules(this.#pool(pool), central);
+  }
+}
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -1,16 +1,24 @@
 /** The one module that constructs the parts of a daemon and connects them. */
-import { never, type Stream } from "most";
-import { SystemClock } from "../core/clock.ts";
+import { never } from "most";
+import { ConfigAcceptor } from "../config/config_acceptor.ts";
+import { ConfigDistributor } from "../config/config_distributor.ts";
+import { ConfigReader } from "../config/config_reader.ts";
+import { ConfigStore } from "../config/config_store.ts";
+import { type Clock, SystemClock } from "../core/clock.ts";
 import { EventLoop } from "../core/event_loop.ts";
-import { SeededRandom } from "../core/random.ts";
+import { hash32 } from "../core/hash.ts";
+import { type RandomSource, SeededRandom } from "../core/random.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import { FixedAdmission } from "../decisions/fixed_admission.ts";
 import type { OwnerHistory } from "../decisions/key_owner.ts";
 import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
 import { MemoryLedger } from "../decisions/memory_ledger.ts";
-import { PerHopRetries } from "../decisions/per_hop_retries.ts";
-import { RandomSelector } from "../decisions/random_selector.ts";
+import { createPolicySet } from "../decisions/policy_set.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import { OperatorServer } from "../operator/operator_server.ts";
+import { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
+import { KeyRing } from "../peer/key_ring.ts";
+import { HttpPlatformClient } from "../platform/http_platform_client.ts";
+import { LeaseHolder } from "../platform/lease_holder.ts";
 import { LocalTransport } from "../proxy/attempt_transport.ts";
 import { ChainRegistry } from "../proxy/chain_registry.ts";
 import { EntryHandler } from "../proxy/entry_handler.ts";
@@ -21,60 +29,32 @@
 import { KeyedGate } from "../proxy/keyed_gate.ts";
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
-import { HttpUpstreamClient } from "../proxy/upstream_client.ts";
-import type { Address } from "../schemas/common_schema.ts";
-import type {
-  Announcement,
-  PeerKey,
-  Settings,
-} from "../schemas/settings_schema.ts";
-import { OperatorServer } from "../operator/operator_server.ts";
+import type { Announcement, Settings } from "../schemas/settings_schema.ts";
 import { errorFields, type Logger, NullLogger } from "../telemetry/logger.ts";
 import { type GaugeValues, Metrics } from "../telemetry/metrics.ts";
-import { DaemonLife, type LifeEvent } from "./daemon_life.ts";
+import { DaemonLife } from "./daemon_life.ts";
+import type {
+  AnyControlPart,
+  BoundAddresses,
+  ControlPlane,
+  Daemon,
+  WireParts,
+} from "./daemon_parts.ts";
+import { DirectoryHandle } from "./directory_handle.ts";
 import { DrainController } from "./drain_controller.ts";
+import { EmptyOwners, FixedControlPlane } from "./fixed_control_plane.ts";
 import { Housekeeping } from "./housekeeping.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
-import { type ControlStatus, OperatorView } from "./operator_view.ts";
-import { EmptyDirectory, EmptyOwners, PendingConfig } from "./pending_parts.ts";
+import { OperatorView } from "./operator_view.ts";
 import { reloadKeys } from "./reload_keys.ts";
 import { UpstreamAttachment } from "./upstream_attachment.ts";
+import { UpstreamServing } from "./upstream_serving.ts";
 import { WorkGate } from "./work_gate.ts";
 
-/** Parts that are given from outside. */
-export type WireParts = {
-  config?: ConfigSource;
-  directory?: UpstreamDirectory;
-  owners?: OwnerHistory;
-  log?: Logger;
-  /** Signals of the process. */
-  signals?: Stream<LifeEvent>;
-  /** Re-reads the peer keys of the settings file. */
-  readKeys?: () => readonly PeerKey[];
-};
-
-/** Bound addresses of a daemon's listeners. */
-export type BoundAddresses = Record<
-  "callers" | "hop" | "outbound" | "operator",
-  Address
->;
-
-/** A daemon whose parts are connected. */
-export type Daemon = {
-  readonly instanceId: string;
-  readonly incarnationEpochMs: number;
-  /** Resolves with the exit code when the daemon was told to end. */
-  readonly ended: Promise<number>;
-  /** Sets the upstream beside the daemon. */
-  attachUpstream(announcement: Announcement): void;
-  /** Binds all listeners and starts the control loop. */
-  listen(): Promise<BoundAddresses>;
-  /** Closes all listeners at once. */
-  destroy(): Promise<void>;
-};
-
 const HOP_CONNECTIONS_MAX_COUNT = 64;
 const CUT_LOG_MAX_COUNT = 100;
+/** Each data centre has this many readers of the platform. */
+const READER_NUMBERS = [0, 1];
 const LEDGER_LIMITS = {
   entriesMaxCount: 200_000,
   answersMaxBytes: 16_777_216,
@@ -88,7 +68,7 @@
     owners: OwnerHistory;
     clock: KeyClock;
     nowMs: () => number;
-    incarnationEpochMs: number;
+    startedEpochMs: number;
   },
 ): KeyedGate {
   const { config, directory, clock, nowMs } = parts;
@@ -96,7 +76,7 @@
   const admission = new KeyedAdmission(parts.owners, ledger, {
     instanceId: settings.instance.id,
     dataCentre: settings.instance.dataCentre,
-    startedEpochMs: parts.incarnationEpochMs,
+    startedEpochMs: parts.startedEpochMs,
     startedMs: nowMs(),
   });
   return new KeyedGate({ admission, ledger, clock, config, directory }, {
@@ -104,6 +84,94 @@
   });
 }
 
+/** Different daemons and different starts draw different random numbers. */
+function seedOf(settings: Settings, wallMs: number): number {
+  return hash32(`${settings.instance.id} ${wallMs}`);
+}
+
+function wireControlPlane(
+  settings: Settings,
+  parts: { clock: Clock; random: RandomSource; log: Logger },
+): ControlPlane {
+  const { clock, random } = parts;
+  const { instance } = settings;
+  const incarnationEpochMs = clock.wallMs();
+  const holder = { instanceId: instance.id, incarnationEpochMs };
+  const handle = new DirectoryHandle();
+  const keys = new KeyRing(settings.peers.keys);
+  const platform = new HttpPlatformClient({
+    ...settings.platform,
+    clock,
+    random,
+  });
+  const transport = new GrpcPeerTransport({
+    identity: () => ({ ...holder, dataCentre: instance.dataCentre }),
+    keys,
+    clock,
+  });
+  const store = new ConfigStore(clock);
+  const createLease = (leaseName: string) =>
+    new LeaseHolder({ leaseName, holder, platform, clock, random });
+  const readerLeases = READER_NUMBERS.map((number) =>
+    createLease(`${instance.dataCentre}-reader-${number}`)
+  );
+  const acceptorLease = createLease("config-acceptor");
+  const leases = [...readerLeases, acceptorLease];
+  const distributor = new ConfigDistributor({
+    store,
+    transport,
+    neighbours: handle,
+    contacts: settings.peers.contacts,
+    platform,
+    clock,
+    random,
+  });
+
+  function join(loop: EventLoop, _bound: BoundAddresses): void {
+    const acceptor = new ConfigAcceptor({
+      ...holder,
+      platform,
+      lease: acceptorLease,
+      store,
+      clock,
+    });
+    const readers = readerLeases.map((lease) =>
+      new ConfigReader({ platform, lease, store })
+    );
+    const all: AnyControlPart[] = [
+      distributor,
+      acceptor,
+      ...readers,
+      ...leases,
+    ];
+    for (const part of all) {
+      loop.register(part);
+    }
+  }
+
+  return {
+    config: store,
+    directory: handle,
+    owners: new EmptyOwners(),
+    configChanges: store.changes,
+    keyHolders: [{ replaceKeys: (changed) => keys.replace(changed) }],
+    incarnationEpochMs,
+    listen: (address) => transport.listen(address),
+    join,
+    publish: () => {},
+    setLeaving: () => {},
+    status: () => ({
+      config: store.status(),
+      members: [],
+      leases: leases.map((lease) => lease.status()),
+    }),
+    async close() {
+      await transport.close();
+      await platform.close();
+    },
+  };
+}
+
 /**
  * Constructs a daemon.
  *
@@ -113,15 +181,25 @@
  */
 export function wireDaemon(settings: Settings, given: WireParts): Daemon {
   const log = given.log ?? new NullLogger();
-  const parts = {
-    config: given.config ?? new PendingConfig(),
-    directory: given.directory ?? new EmptyDirectory(),
-    owners: given.owners ?? new EmptyOwners(),
-  };
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
-  const incarnationEpochMs = clock.wallMs();
+  const random = new SeededRandom(seedOf(settings, clock.wallMs()));
+  const control = given.config === undefined || given.directory === undefined
+    ? wireControlPlane(settings, { clock, random, log })
+    : new FixedControlPlane({
+      config: given.config,
+      directory: given.directory,
+      owners: given.owners,
+      incarnationEpochMs: clock.wallMs(),
+    });
+  const { config, directory, owners } = control;
   const { id: instanceId } = settings.instance;
+  const identity = {
+    instanceId,
+    get incarnationEpochMs() {
+      return control.incarnationEpochMs;
+    },
+  };
   const open = new OpenExchanges(nowMs);
   const gate = new WorkGate();
   const metrics = new Metrics(readGauges);
@@ -130,10 +208,16 @@
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
   const keyClock = new KeyClock(() => clock.wallMs());
   const keyed = wireKeyedGate(settings, {
-    ...parts,
+    config,
+    directory,
+    owners,
     clock: keyClock,
     nowMs,
-    incarnationEpochMs,
+    startedEpochMs: clock.wallMs(),
+  });
+  const policies = createPolicySet(settings.policy, {
+    random,
+    instance: settings.instance,
   });
   const inbound = new InboundService(chain, {
     instanceId,
@@ -141,7 +225,7 @@
     observer,
     keyed,
     tenantWeight: (tenant) =>
-      parts.config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
+      config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
   });
   const hopTransport = new HopTransport(tokens, {
     instanceId,
@@ -149,24 +233,22 @@
     connectionsMaxCount: HOP_CONNECTIONS_MAX_COUNT,
   });
   const outbound = new OutboundService({
-    ...parts,
-    selector: new RandomSelector(new SeededRandom(incarnationEpochMs)),
-    retries: new PerHopRetries(),
+    config,
+    directory,
+    owners,
+    selector: policies.selector,
+    retries: policies.retries,
     transport: new LocalTransport(inbound, hopTransport, { instanceId }),
     chain,
     observer,
     keyClock,
   }, { nowMs });
-  const entry = new EntryHandler({ config: parts.config, outbound }, { nowMs });
+  const entry = new EntryHandler({ config, outbound }, { nowMs });
   const ownCalls = new EntryHandler(
-    { config: parts.config, outbound, chain },
+    { config, outbound, chain },
     { nowMs },
   );
-  const hops = new HopHandler(inbound, tokens, {
-    instanceId,
-    incarnationEpochMs,
-    nowMs,
-  });
+  const hops = new HopHandler(inbound, tokens, { identity, nowMs });
   const listeners = {
     callers: new Listener(open.track(
       "callers",
@@ -187,9 +269,10 @@
     )),
   };
 
+  const serving = new UpstreamServing({ config, policies, inbound, nowMs });
   const attachment = new UpstreamAttachment({
-    connect: connectUpstream,
-    resize: (slotsCount) => admission?.resize(slotsCount),
+    connect: (announcement) => serving.connect(announcement),
+    resize: (slotsCount) => serving.resize(slotsCount),
     publish: publishUpstream,
   });
   const drain = new DrainController({
@@ -201,8 +284,14 @@
       gate.reopen();
       publishUpstream(attachment.current);
     },
-    notifyLeaving: () => log.info("Leaving: new work is refused"),
-    notifyServing: () => log.info("Serving again"),
+    notifyLeaving: () => {
+      log.info("Leaving: new work is refused");
+      control.setLeaving(true);
+    },
+    notifyServing: () => {
+      log.info("Serving again");
+      control.setLeaving(false);
+    },
     notifyDrained: () => life.notify("drained"),
     openCount: () => open.count,
     nowMs,
@@ -212,7 +301,7 @@
     reloadKeys: () =>
       reloadKeys({
         readKeys: given.readKeys ?? (() => settings.peers.keys),
-        holders: [tokens],
+        holders: [tokens, ...control.keyHolders],
         log,
       }),
     listOpen: () => ({
@@ -227,18 +316,18 @@
   });
   const operator = new OperatorServer(
     new OperatorView({
-      config: parts.config,
+      config,
       life,
       drain,
       attachment,
       metrics,
-      load: () => admission?.load(),
-      controlStatus: readControlStatus,
-    }, { instance: settings.instance, incarnationEpochMs }),
+      load: () => serving.load(),
+      controlStatus: () => control.status(),
+    }, { instance: settings.instance, identity }),
     { log },
   );
   const housekeeping = new Housekeeping({
-    isConfigured: () => parts.config.current() !== undefined,
+    isConfigured: () => config.current() !== undefined,
     notifyConfigured: () => life.notify("configured"),
     rotateLatencies: () => metrics.requests.rotate(),
     nowMs,
@@ -249,60 +338,31 @@
   loop.register(life);
   loop.register(drain);
   loop.register(housekeeping);
-
-  let admission: FixedAdmission | undefined;
-  let client: HttpUpstreamClient | undefined;
-
-  function connectUpstream(announcement: Announcement): void {
-    const rules = parts.config.current()?.tables.pools
-      .pools[announcement.pool];
-    // The former upstream finishes what it runs.
-    void client?.close();
-    client = new HttpUpstreamClient(announcement, {
-      nowMs,
-      refusalsNotRun: (pool) =>
-        parts.config.current()?.tables.pools.pools[pool]
-          ?.refusalsNotRun === true,
-    });
-    admission = new FixedAdmission({
-      slotsCount: announcement.slotsCount,
-      queueMaxCount: rules?.queueMaxCount ?? 0,
-      queueAgeMaxMs: rules?.queueAgeMaxMs ?? 0,
-    });
-    inbound.attach({ pool: announcement.pool, client, admission });
-  }
+  loop.register({
+    name: "rules in force",
+    inputs: control.configChanges,
+    handle: () => serving.configure(),
+  });
 
   function publishUpstream(announcement: Announcement | undefined): void {
     if (announcement === undefined || !drain.isServing) {
       inbound.drain();
+      control.publish(undefined);
       return;
     }
     inbound.undrain();
-  }
-
-  function readControlStatus(): ControlStatus {
-    const config = parts.config.current();
-    return {
-      config: {
-        generation: config?.generation ?? 0,
-        digest: config?.digest ?? "",
-        confirmedAgeMs: 0,
-        applied: [],
-      },
-      members: [],
-      leases: [],
-    };
+    control.publish(announcement);
   }
 
   function readGauges(): GaugeValues {
-    const load = admission?.load();
+    const load = serving.load();
     return {
       goldcrest_in_flight: load?.inFlightCount ?? 0,
       goldcrest_limit: load?.limitCount ?? 0,
       goldcrest_queue_length: load?.queuedCount ?? 0,
       goldcrest_admission_level: load?.levelRank ?? 0,
       goldcrest_open_exchanges: open.count,
-      goldcrest_config_generation: parts.config.current()?.generation ?? 0,
+      goldcrest_config_generation: config.current()?.generation ?? 0,
       goldcrest_draining: drain.isServing ? 0 : 1,
     };
   }
@@ -313,8 +373,10 @@
       callers: await listeners.callers.listen(addresses.callers),
       hop: await listeners.hop.listen(addresses.hop),
       outbound: await listeners.outbound.listen(addresses.outbound),
+      peer: await control.listen(addresses.peer),
       operator: await operator.listen(addresses.operator),
     };
+    control.join(loop, bound);
     loop.start();
     keyed.start();
     if (settings.upstream !== undefined) {
@@ -330,13 +392,16 @@
     }
     operator.destroy();
     drain.close();
+    await control.close();
     await loop.stop();
     await hopTransport.close();
   }
 
   return {
     instanceId,
-    incarnationEpochMs,
+    get incarnationEpochMs() {
+      return control.incarnationEpochMs;
+    },
     ended: life.ended,
     attachUpstream: (announcement) => attachment.announce(announcement),
     listen,
--- a/src/daemon/wire_test.ts
+++ b/src/daemon/wire_test.ts
@@ -9,7 +9,8 @@
   FixedDirectory,
   FixedOwners,
 } from "../testing/fixed_parts.ts";
-import { type Daemon, wireDaemon } from "./wire.ts";
+import type { Daemon } from "./daemon_parts.ts";
+import { wireDaemon } from "./wire.ts";
 
 const LOOPBACK = "127.0.0.1";
 const ANY_PORT = { host: LOOPBACK, port: 0 };
--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -52,10 +52,12 @@
 };
 
 /** Rules of the pool and of the centre that an admission policy follows. */
-export type AdmissionRules = Pick<
-  Pool,
-  "limit" | "queueMaxCount" | "queueAgeMaxMs"
-> & Pick<CentralRules, "overloadPreference">;
+export type AdmissionRules =
+  & Pick<
+    Pool,
+    "limit" | "queueMaxCount" | "queueAgeMaxMs"
+  >
+  & Pick<CentralRules, "overloadPreference">;
 
 /** Decides which requests run on one upstream, wait or are refused. */
 export interface AdmissionPolicy {
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -18,8 +18,11 @@
 
 /** Options of {@link HopHandler}. */
 export type HopHandlerOptions = {
-  instanceId: string;
-  incarnationEpochMs: number;
+  /** Own identity; the incarnation may be raised at run time. */
+  identity: {
+    readonly instanceId: string;
+    readonly incarnationEpochMs: number;
+  };
   /** Reads the monotonic clock, in ms. */
   nowMs: () => number;
 };
@@ -145,14 +148,14 @@
     const authentic = this.#tokens.check(token, {
       direction: "request",
       fromInstanceId: fields.fromInstanceId,
-      toInstanceId: this.#options.instanceId,
+      toInstanceId: this.#options.identity.instanceId,
     });
     return authentic ? fields : undefined;
   }
 
   #isForThisIncarnation(fields: HopFields): boolean {
-    return fields.toInstanceId === this.#options.instanceId &&
-      fields.toIncarnationEpochMs === this.#options.incarnationEpochMs;
+    return fields.toInstanceId === this.#options.identity.instanceId &&
+      fields.toIncarnationEpochMs === this.#options.identity.incarnationEpochMs;
   }
 
   #createContext(
@@ -182,7 +185,7 @@
   #decorator(requestId: string, toInstanceId: string): HopAnswer {
     const token = this.#tokens.make({
       direction: "answer",
-      fromInstanceId: this.#options.instanceId,
+      fromInstanceId: this.#options.identity.instanceId,
       toInstanceId,
     });
     return new HopAnswer(
