--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -1,5 +1,6 @@
 /** Interface of the admission decision of one upstream. */
 import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { CentralRules, Pool } from "../schemas/tables_schema.ts";
 
 /** What the admission decision knows of a request. */
 export type AdmissionRequest = {
@@ -10,10 +11,12 @@
   readonly tenant: string;
   /** Share of the tenant under overload relative to others. */
   readonly tenantWeight: number;
-  /** Hops that the request has passed. */
+  /** Hops of the request, 1 at the entry of the call graph. */
   readonly depthCount: number;
   /** Monotonic time by which the answer must be there, in ms. */
   readonly deadlineMs: number;
+  /** Route, for its typical service time; absent uses that of all routes. */
+  readonly route?: string;
 };
 
 /** Decision on one request. */
@@ -33,6 +36,10 @@
   /** Time from the start of the upstream's work to its end, in ms. */
   readonly latencyMs: number;
   readonly result: "succeeded" | "failed" | "overloaded" | "cancelled";
+  /** Route of the request; absent counts for all routes only. */
+  readonly route?: string;
+  /** Part of the latency spent on calls further down, in ms; absent is 0. */
+  readonly nestedMs?: number;
 };
 
 /** Load of one upstream as its daemon states it on answers. */
@@ -44,6 +51,14 @@
   readonly queuedCount: number;
 };
 
+/** Rules of the pool and of the centre that an admission policy follows. */
+export type AdmissionRules =
+  & Pick<
+    Pool,
+    "limit" | "queueMaxCount" | "queueAgeMaxMs"
+  >
+  & Pick<CentralRules, "overloadPreference">;
+
 /** Decides which requests run on one upstream, wait or are refused. */
 export interface AdmissionPolicy {
   /** Decides on a new request at monotonic time `nowMs`. */
@@ -52,10 +67,15 @@
   finish(finished: FinishedRequest, nowMs: number): void;
   /** Removes a waiting request whose caller has gone. */
   cancel(ticket: number): void;
-  /** Returns the waiting requests that run or are refused now. */
+  /**
+   * Returns the waiting requests that run or are refused now. Called after each
+   * offer that waits, after each finish, and by a timer while requests wait.
+   */
   poll(nowMs: number): QueueDecision[];
   /** States the load for answers and metrics. */
   load(): LoadState;
+  /** Applies changed rules to requests that run, wait and come. */
+  configure(rules: AdmissionRules): void;
   /** Applies the announced slots of the upstream. */
   resize(slotsCount: number): void;
   /** Takes the upstream's own load report as a hint, never as the truth. */
--- a/src/proxy/answer_receiver.ts
+++ b/src/proxy/answer_receiver.ts
@@ -11,6 +11,8 @@
   readonly draining: boolean;
   /** Whether retries below this hop are used up. */
   readonly exhausted: boolean;
+  /** Whether the upstream made calls for the request. */
+  readonly calledFurther: boolean;
 };
 
 /** Head of an answer. */
@@ -28,6 +30,8 @@
   readonly outcome: Outcome;
   /** State of the serving daemon, when it refused the request itself. */
   readonly serving?: ServingState;
+  /** Status of an earlier answer for the same key that is not recorded. */
+  readonly recordedStatus?: number;
 };
 
 /** Receives one answer in order: a head, data and an end, or a failure. */
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -1,6 +1,9 @@
 /** Sends requests to upstreams of any pool. */
 import { admissionRank } from "../decisions/importance.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
+import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
+import { chooseOwner, type OwnerHistory } from "../decisions/key_owner.ts";
+import type { KeyClock } from "../decisions/keyed_admission.ts";
 import type { RetryPolicy } from "../decisions/retry_policy.ts";
 import type {
   Endpoint,
@@ -11,6 +14,7 @@
   Selection,
   UpstreamSelector,
 } from "../decisions/upstream_selector.ts";
+import type { Pool } from "../schemas/tables_schema.ts";
 import type {
   RequestObserver,
   RequestRecord,
@@ -22,7 +26,8 @@
   ForwardRequest,
 } from "./answer_receiver.ts";
 import type { AttemptTransport } from "./attempt_transport.ts";
-import type { ChainRegistry } from "./chain_registry.ts";
+import type { ChainEntry, ChainRegistry } from "./chain_registry.ts";
+import type { RequestContext } from "./request_context.ts";
 import {
   isOverloadRefusal,
   OutboundExchange,
@@ -38,6 +43,8 @@
   transport: AttemptTransport;
   chain: ChainRegistry;
   observer: RequestObserver;
+  owners: OwnerHistory;
+  keyClock: KeyClock;
 };
 
 /** Options of {@link OutboundService}. */
@@ -56,14 +63,17 @@
   }
   const { context } = request;
   const attemptsLeftCount = context.attemptsLeftCount - attemptsCount + 1;
-  return { ...request, context: { ...context, attemptsLeftCount } };
+  return {
+    ...request,
+    context: { ...context, attemptsLeftCount, repeated: true },
+  };
 }
 
 /** Chooses upstreams, sends attempts and bounds retries. */
 export class OutboundService implements OutboundHost {
   readonly #parts: OutboundServiceParts;
   readonly #options: OutboundServiceOptions;
-  readonly #parentIds = new WeakMap<OutboundExchange, string>();
+  readonly #parents = new WeakMap<OutboundExchange, ChainEntry>();
   #activeCount = 0;
 
   /**
@@ -85,20 +95,18 @@
    *
    * @param request Request with its context.
    * @param receiver Stage that receives the answer.
-   * @param options Request id of the running request that made the call.
+   * @param options Running request that the call was made for.
    * @returns Control of the answer.
    */
   send(
     request: ForwardRequest,
     receiver: AnswerReceiver,
-    options: { parentRequestId?: string } = {},
+    options: { parent?: ChainEntry } = {},
   ): AnswerSource {
     const exchange = new OutboundExchange(request, receiver, this);
     this.#activeCount++;
-    if (options.parentRequestId !== undefined) {
-      this.#parentIds.set(exchange, options.parentRequestId);
-    }
-    this.#parts.retries.recordOriginal(request.context.pool, this.nowMs());
+    this.#startCall(exchange, options.parent);
+    this.#recordSend(request.context);
     exchange.start();
     return exchange;
   }
@@ -112,10 +120,14 @@
       return { kind: "refuse", error: "no_upstream" };
     }
     const endpoints = this.#parts.directory.endpoints(context.pool);
+    if (context.idempotencyKey !== undefined) {
+      return this.#chooseOwner(context, rules, { endpoints });
+    }
     return this.#parts.selector.choose(
       { name: context.pool, rules, endpoints },
       {
         rank: admissionRank(context.importanceClass, context.admissionKey),
+        depthCount: context.depthCount,
         excludedIds: exchange.excludedIds,
       },
       this.nowMs(),
@@ -133,7 +145,8 @@
   mayRetry(exchange: OutboundExchange, failure: Failure): boolean {
     const { context, body } = exchange.request;
     const replayable = body === null || Buffer.isBuffer(body);
-    if (!replayable) {
+    // Only its owner may run a key, so there is no other place to repeat it.
+    if (!replayable || context.idempotencyKey !== undefined) {
       return false;
     }
     const nowMs = this.nowMs();
@@ -144,6 +157,7 @@
       idempotent: context.idempotent,
       exhausted: failure.serving?.exhausted === true,
       overloaded: isOverloadRefusal(failure),
+      calledFurther: failure.serving?.calledFurther,
       remainingMs: context.deadlineMs - nowMs,
     }, nowMs);
   }
@@ -160,7 +174,7 @@
     failure?: Failure,
   ): void {
     this.#activeCount--;
-    this.#noteParent(exchange, failure);
+    this.#endCall(exchange, failure);
     const { context } = exchange.request;
     this.#parts.observer.record({
       side: "outbound",
@@ -179,15 +193,47 @@
     return this.#options.nowMs();
   }
 
-  #noteParent(exchange: OutboundExchange, failure: Failure | undefined): void {
-    const parentId = this.#parentIds.get(exchange);
-    if (parentId === undefined) {
+  /** A key is sent to its owner only. */
+  #chooseOwner(
+    context: RequestContext,
+    { dataCentres }: Pool,
+    { endpoints }: { endpoints: readonly Endpoint[] },
+  ): Selection {
+    const key = parseIdempotencyKey(context.idempotencyKey as string);
+    if (key === undefined) {
+      return { kind: "refuse", error: "key_invalid" };
+    }
+    const { owners, keyClock } = this.#parts;
+    const { pool } = context;
+    return chooseOwner(key, { pool, dataCentres, endpoints }, {
+      history: owners,
+      nowEpochMs: keyClock.nowEpochMs(),
+    });
+  }
+
+  #recordSend({ pool, repeated }: RequestContext): void {
+    const { retries } = this.#parts;
+    if (repeated) {
+      retries.recordRepeated(pool, this.nowMs());
       return;
     }
-    this.#parentIds.delete(exchange);
-    const entry = this.#parts.chain.find(parentId);
-    if (failure !== undefined && entry !== undefined) {
-      entry.downstreamFailed = true;
+    retries.recordOriginal(pool, this.nowMs());
+  }
+
+  #startCall(exchange: OutboundExchange, parent: ChainEntry | undefined): void {
+    if (parent === undefined) {
+      return;
+    }
+    this.#parents.set(exchange, parent);
+    this.#parts.chain.startCall(parent, this.nowMs());
+  }
+
+  #endCall(exchange: OutboundExchange, failure: Failure | undefined): void {
+    const parent = this.#parents.get(exchange);
+    if (parent === undefined) {
+      return;
     }
+    this.#parts.chain.endCall(parent, this.nowMs());
+    parent.downstreamFailed ||= failure !== undefined;
   }
 }
