Add candidacy for leases

Cause: without it every daemon of the fleet reads each lease record every 5 s, and one daemon may win both reader leases and the acceptor's. Ruled out: gossip of lease holders (too slow on a ring for leases of 15 s). Change: isReaderCandidate (ranked members only, not both leases), isAcceptorCandidate (readers only), LeaseHolder.isCompeting(). Figures (computed): four candidates per lease and data centre that do not hold it read once in 5 s on average, 30 data centres with 2 leases about 48 reads/s; 26,000 daemons would make 5,200 reads/s per lease name set, over the limit.

--- a/src/platform/lease_holder.ts
+++ b/src/platform/lease_holder.ts
@@ -28,7 +28,10 @@
   clock: Clock;
   /** Source of the jitter between attempts. */
   random: RandomSource;
-  /** Whether this daemon should compete now; default always. */
+  /**
+   * Whether this daemon should compete now; default always. See
+   * `lease_candidacy.ts`.
+   */
   isCandidate?: () => boolean;
   /** Ticks; default one each second. */
   ticks?: Stream<unknown>;
@@ -90,6 +93,11 @@
     return usable && this.#options.clock.monotonicMs() < this.#expiresMs;
   }
 
+  /** Whether this daemon holds the lease or waits for an answer about it. */
+  isCompeting(): boolean {
+    return this.#machine.is("acquiring") || this.isHeld();
+  }
+
   /** State and last known holder for `/status`. */
   status(): LeaseStatus {
     const holder = this.#store.lastHolder();
--- a/src/platform/lease_holder_test.ts
+++ b/src/platform/lease_holder_test.ts
@@ -7,11 +7,16 @@
 import { SeededRandom } from "../core/random.ts";
 import { MemoryPlatformClient } from "../../stand_ins/platform_memory_client.ts";
 import { PlatformStore } from "../../stand_ins/platform_store.ts";
+import { isAcceptorCandidate, isReaderCandidate } from "./lease_candidacy.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 
 const LEASE = "config-acceptor";
 
-function startCandidate(instanceId: string, store: PlatformStore) {
+function startCandidate(
+  instanceId: string,
+  store: PlatformStore,
+  isCandidate: () => boolean = () => true,
+) {
   const platform = new MemoryPlatformClient(store);
   const clock = new ManualClock();
   const ticks = new EventSource<true>();
@@ -22,6 +27,7 @@
     clock,
     random: new SeededRandom(7),
     ticks: ticks.stream,
+    isCandidate,
   });
   const changes: boolean[] = [];
   lease.changes.observe((held) => changes.push(held));
@@ -119,3 +125,22 @@
   await first.tick(30_000);
   assert.equal(first.lease.isHeld(), false);
 });
+
+test("only ranked daemons that do not read already make calls", async () => {
+  const rankedIds = ["a", "b"];
+  const known = { rankedIds, competesElsewhere: false };
+  assert.equal(isReaderCandidate({ ...known, instanceId: "a" }), true);
+  assert.equal(isReaderCandidate({ ...known, instanceId: "c" }), false);
+  const alone = { rankedIds: [], instanceId: "c" };
+  assert.equal(isReaderCandidate({ ...alone, competesElsewhere: false }), true);
+  assert.equal(isReaderCandidate({ ...alone, competesElsewhere: true }), false);
+  const reader = startCandidate("a", new PlatformStore());
+  assert.equal(isAcceptorCandidate([reader.lease]), false);
+  const other = startCandidate("c", new PlatformStore(), () => false);
+  await other.tick(60_000);
+  assert.deepEqual(other.platform.calls, { get: 0, list: 0, put: 0, watch: 0 });
+  const tick = reader.tick();
+  assert.equal(reader.lease.isCompeting(), true, "before the answer");
+  await tick;
+  assert.equal(isAcceptorCandidate([reader.lease]), true);
+});
