--- /dev/null
+++ b/bench/overload/bed.ts
@@ -0,0 +1,239 @@
+/** Starts a deployment as processes: platform, daemons and upstreams. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { z } from "zod";
+import { addressSchema } from "../../src/schemas/common_schema.ts";
+import type { Settings } from "../../src/schemas/settings_schema.ts";
+import { statusSchema } from "../../src/schemas/status_schema.ts";
+import {
+  ProgramGroup,
+  type StartedProgram,
+} from "../../stand_ins/program_group.ts";
+import {
+  type Effect,
+  effectSchema,
+  type UpstreamBehaviour,
+} from "../../stand_ins/upstream_settings.ts";
+import { type Deployment, type PoolPlan, SERVICE_MS } from "./deployments.ts";
+
+const LOOPBACK = "127.0.0.1";
+const ANY_PORT = { host: LOOPBACK, port: 0 };
+const POLL_INTERVAL_MS = 200;
+const READY_LIMIT_MS = 60_000;
+const SPREAD_RATIO = 0.3;
+
+const daemonLineSchema = z.object({
+  listeners: z.record(z.string(), addressSchema),
+});
+const platformLineSchema = z.object({ url: z.url() });
+const upstreamLineSchema = z.object({ port: z.int(), controlPort: z.int() });
+
+/** One instance of the deployment. */
+export type BedInstance = {
+  readonly pool: string;
+  readonly daemon: StartedProgram;
+  readonly upstream: StartedProgram;
+  /** Callers listener. */
+  readonly entryUrl: string;
+  readonly operatorUrl: string;
+  readonly controlUrl: string;
+};
+
+function urlOf({ host, port }: { host: string; port: number }): string {
+  return `http://${host}:${port}`;
+}
+
+/** Running deployment. */
+export class Bed {
+  readonly instances: BedInstance[] = [];
+  readonly #deployment: Deployment;
+  readonly #policy: Settings["policy"];
+  readonly #programs = new ProgramGroup();
+  readonly #folder = mkdtempSync(join(tmpdir(), "goldcrestrelay-bed-"));
+  #platformUrl = "";
+
+  /**
+   * @param deployment Deployment to start.
+   * @param policy Overload policy of its daemons.
+   */
+  constructor(deployment: Deployment, policy: Settings["policy"]) {
+    this.#deployment = deployment;
+    this.#policy = policy;
+  }
+
+  /** Starts all processes, applies the tables and waits until all are ready. */
+  async start(): Promise<void> {
+    const platform = await this.#programs.start("stand_ins/platform.js", []);
+    this.#platformUrl = platformLineSchema.parse(platform.ready).url;
+    for (const pool of this.#deployment.pools) {
+      for (let number = 1; number <= pool.endpointsCount; number++) {
+        this.instances.push(await this.#startInstance(pool, number));
+      }
+    }
+    await this.#applyTables();
+    await this.#waitUntilReady();
+  }
+
+  /** Stops all processes. */
+  async stop(): Promise<void> {
+    await this.#programs.stop();
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  /**
+   * Changes the behaviour of all upstreams of a pool.
+   *
+   * @param pool Pool name.
+   * @param change Fields to change.
+   */
+  async changeBehaviour(
+    pool: string,
+    change: Partial<UpstreamBehaviour>,
+  ): Promise<void> {
+    const members = this.instances.filter((member) => member.pool === pool);
+    await Promise.all(members.map(async ({ controlUrl }) => {
+      const answer = await request(`${controlUrl}/behaviour`, {
+        method: "POST",
+        body: JSON.stringify(change),
+      });
+      await answer.body.dump();
+    }));
+  }
+
+  /** Reads the records of all upstreams, by instance in order. */
+  async readEffects(): Promise<Effect[][]> {
+    return await Promise.all(this.instances.map(async ({ controlUrl }) => {
+      const answer = await request(`${controlUrl}/effects`);
+      return z.array(effectSchema).parse(await answer.body.json());
+    }));
+  }
+
+  async #startInstance(pool: PoolPlan, number: number): Promise<BedInstance> {
+    const id = `${pool.name}-${number}`;
+    const { dataCentres } = this.#deployment;
+    const dataCentre = dataCentres[(number - 1) % dataCentres.length] as string;
+    const settingsFile = this.#write(`${id}.jsonc`, {
+      instance: { id, dataCentre },
+      listeners: {
+        callers: ANY_PORT,
+        hop: ANY_PORT,
+        outbound: ANY_PORT,
+        peer: ANY_PORT,
+        operator: ANY_PORT,
+      },
+      platform: { url: this.#platformUrl },
+      peers: {
+        contacts: [],
+        keys: [{ id: "bench", secret: "bench-secret-0123456789" }],
+      },
+      policy: this.#policy,
+      log: { level: "error" },
+    });
+    const daemon = await this.#programs.start("src/daemon/main.js", [
+      settingsFile,
+    ]);
+    const { listeners } = daemonLineSchema.parse(daemon.ready);
+    const address = (name: string) =>
+      urlOf(addressSchema.parse(listeners[name]));
+    const upstream = await this.#startUpstream(pool, number, {
+      operatorUrl: address("operator"),
+      outboundUrl: address("outbound"),
+    });
+    const { controlPort } = upstreamLineSchema.parse(upstream.ready);
+    return {
+      pool: pool.name,
+      daemon,
+      upstream,
+      entryUrl: address("callers"),
+      operatorUrl: address("operator"),
+      controlUrl: urlOf({ host: LOOPBACK, port: controlPort }),
+    };
+  }
+
+  async #startUpstream(
+    pool: PoolPlan,
+    number: number,
+    urls: { operatorUrl: string; outboundUrl: string },
+  ): Promise<StartedProgram> {
+    const { name, slotsCount, connectionsMaxCount, nextPath } = pool;
+    const settings = {
+      pool: name,
+      connectionsMaxCount,
+      seed: number,
+      announceUrl: urls.operatorUrl,
+      behaviour: {
+        slotsCount,
+        serviceMs: SERVICE_MS,
+        spreadRatio: SPREAD_RATIO,
+        ...(nextPath && { next: { url: urls.outboundUrl, path: nextPath } }),
+      },
+    };
+    return await this.#programs.start("stand_ins/upstream.js", [
+      JSON.stringify(settings),
+    ]);
+  }
+
+  async #applyTables(): Promise<void> {
+    const { pools, dataCentres, routes, overloadPreference } = this.#deployment;
+    const poolEntries = pools.map(({ name, nextPath: _, ...pool }) => [name, {
+      ...pool,
+      dataCentres: dataCentres.slice(0, pool.endpointsCount),
+      queueMaxCount: pool.slotsCount * 10,
+      coldStartMs: 0,
+    }]);
+    const tables = {
+      routes: this.#write("routes.jsonc", {
+        rules: { overloadPreference },
+        routes,
+      }),
+      pools: this.#write("pools.jsonc", {
+        pools: Object.fromEntries(poolEntries),
+      }),
+    };
+    const tool = await this.#programs.run("src/cli/main.js", [
+      "apply",
+      "--platform",
+      this.#platformUrl,
+      "--routes",
+      tables.routes,
+      "--pools",
+      tables.pools,
+    ]);
+    if (tool !== 0) {
+      throw new Error(`The tool ended with exit code ${tool}`);
+    }
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    const limitMs = performance.now() + READY_LIMIT_MS;
+    while (!(await this.#isReady())) {
+      if (performance.now() > limitMs) {
+        throw new Error("The deployment did not become ready");
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
+  }
+
+  async #isReady(): Promise<boolean> {
+    const statuses = await Promise.all(
+      this.instances.map(async ({ operatorUrl }) => {
+        const answer = await request(`${operatorUrl}/status`);
+        return statusSchema.parse(await answer.body.json());
+      }),
+    );
+    return statuses.every((status) =>
+      status.state === "ready" &&
+      status.members.filter((member) => member.state === "alive").length ===
+        this.instances.length
+    );
+  }
+
+  #write(name: string, value: unknown): string {
+    const file = join(this.#folder, name);
+    writeFileSync(file, JSON.stringify(value));
+    return file;
+  }
+}
--- a/bench/overload/call_stream.ts
+++ b/bench/overload/call_stream.ts
@@ -1,8 +1,10 @@
 /** Offers one stream of calls in an open loop and sums up the results. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { build, type Histogram } from "hdr-histogram-js";
-import { Agent, request } from "undici";
+import { Agent } from "undici";
 import { v7 as timeOrderedUuid } from "uuid";
 import type { RandomSource } from "../../src/core/random.ts";
+import { sendCall } from "../../stand_ins/send_call.ts";
 import type {
   LoadBucket,
   LoadPlan,
@@ -10,20 +12,21 @@
   StreamResult,
 } from "./load_plan.ts";
 
-/** Checks the body of a successful answer. */
-export type BodyCheck = (path: string, body: Buffer) => boolean;
-
 const CONNECTIONS_MAX_COUNT = 2_000;
 const LATENCY_MAX_MS = 600_000;
 
-type Call = { intendedMs: number; key: string | undefined; triesCount: number };
+type PendingCall = {
+  readonly token: string;
+  readonly intendedMs: number;
+  readonly key: string | undefined;
+  triesCount: number;
+};
 
 /** One stream of calls with its own connections. */
 export class CallStream {
   readonly #stream: LoadStream;
   readonly #plan: LoadPlan;
   readonly #random: RandomSource;
-  readonly #isWhole: BodyCheck;
   readonly #agent = new Agent({
     connections: CONNECTIONS_MAX_COUNT,
     pipelining: 1,
@@ -35,24 +38,25 @@
     numberOfSignificantValueDigits: 3,
   });
   readonly #body: Buffer | undefined;
+  readonly #succeededTokens: string[] = [];
   #nextMs = 0;
+  #startedCount = 0;
   #wrongAnswersCount = 0;
   #activeCount = 0;
 
   /**
    * @param stream Stream to offer.
    * @param plan Plan that the stream belongs to.
-   * @param options Random numbers and the check of bodies.
+   * @param random Source of random numbers.
    */
   constructor(
     stream: LoadStream,
     plan: LoadPlan,
-    options: { random: RandomSource; isWhole: BodyCheck },
+    random: RandomSource,
   ) {
     this.#stream = stream;
     this.#plan = plan;
-    this.#random = options.random;
-    this.#isWhole = options.isWhole;
+    this.#random = random;
     this.#body = stream.bodyBytes > 0
       ? Buffer.alloc(stream.bodyBytes, "x")
       : undefined;
@@ -72,6 +76,8 @@
   startDue(nowMs: number): void {
     while (this.#nextMs <= nowMs) {
       void this.#run({
+        token: `${this.#stream.name}-${this.#plan.seed}-${this
+          .#startedCount++}`,
         intendedMs: this.#nextMs,
         key: this.#stream.keyed ? timeOrderedUuid() : undefined,
         triesCount: 0,
@@ -94,6 +100,7 @@
       },
       wrongAnswersCount: this.#wrongAnswersCount,
       failures: this.#failures,
+      succeededTokens: this.#succeededTokens,
     };
   }
 
@@ -116,7 +123,7 @@
     return Infinity;
   }
 
-  async #run(call: Call): Promise<void> {
+  async #run(call: PendingCall): Promise<void> {
     this.#activeCount++;
     const bucket = this.#bucket(call.intendedMs);
     bucket.offeredCount++;
@@ -130,48 +137,47 @@
         this.#succeed(call, bucket);
         break;
       }
-      await pause(this.#stream.retryDelayMs);
+      await sleep(this.#stream.retryDelayMs);
     }
     this.#activeCount--;
   }
 
-  async #try(call: Call, deadlineMs: number): Promise<boolean> {
-    const { method, path } = this.#stream;
+  async #try(call: PendingCall, deadlineMs: number): Promise<boolean> {
+    const { method, path, answerBytes } = this.#stream;
     const remainingMs = Math.max(1, Math.round(deadlineMs - this.#nowMs()));
     const { entries } = this.#plan;
-    const entry = entries[this.#random.nextInt(entries.length)] as string;
-    try {
-      const answer = await request(`${entry}${path}`, {
-        method,
-        dispatcher: this.#agent,
-        body: this.#body,
-        signal: AbortSignal.timeout(remainingMs),
-        headers: {
-          "goldcrest-deadline-ms": String(remainingMs),
-          ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
-        },
-      });
-      const body = Buffer.from(await answer.body.arrayBuffer());
-      if (answer.statusCode !== 200) {
-        const kind = answer.headers["goldcrest-error"] ?? answer.statusCode;
-        this.#countFailure(String(kind));
-        return false;
-      }
-      if (!this.#isWhole(path, body)) {
-        this.#wrongAnswersCount++;
-        return false;
-      }
-      return true;
-    } catch (error) {
-      this.#countFailure((error as Error).name);
+    const record = await sendCall({
+      url: entries[this.#random.nextInt(entries.length)] as string,
+      method,
+      path,
+      token: call.token,
+      key: call.key,
+      answerBytesCount: answerBytes,
+      body: this.#body,
+      headers: { "goldcrest-deadline-ms": String(remainingMs) },
+    }, {
+      dispatcher: this.#agent,
+      signal: AbortSignal.timeout(remainingMs),
+    });
+    if (record.status !== 200) {
+      this.#countFailure(record.errorKind || String(record.status));
       return false;
     }
+    if (!record.bodyMatches) {
+      this.#wrongAnswersCount++;
+    }
+    if (!record.whole || !record.bodyMatches) {
+      this.#countFailure("broken");
+      return false;
+    }
+    return true;
   }
 
-  #succeed(call: Call, bucket: LoadBucket): void {
+  #succeed(call: PendingCall, bucket: LoadBucket): void {
     const endMs = this.#nowMs();
     bucket.succeededCount++;
     this.#bucket(endMs).goodputCount++;
+    this.#succeededTokens.push(call.token);
     this.#latencies.recordValue(Math.max(0, endMs - call.intendedMs));
   }
 
@@ -198,7 +204,3 @@
     return Date.now() - this.#plan.startWallMs;
   }
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/bench/overload/load_plan.ts
+++ b/bench/overload/load_plan.ts
@@ -20,6 +20,8 @@
   keyed: z.boolean(),
   /** Body of each request. */
   bodyBytes: z.int().min(0),
+  /** Body of each answer, which is checked byte by byte. */
+  answerBytes: z.int().min(0),
   /** Time after which the caller gives a call up with all its tries. */
   deadlineMs: z.int().min(1),
   /** Tries of one call, the first one included. */
@@ -67,6 +69,8 @@
   readonly latencyMs: { p50: number; p99: number; max: number };
   /** Answers whose body was not the expected one. */
   readonly wrongAnswersCount: number;
-  /** Failures by error kind or network error. */
+  /** Failed tries by error kind; `broken` for a failed transfer. */
   readonly failures: Record<string, number>;
+  /** Tokens of the calls that succeeded. */
+  readonly succeededTokens: string[];
 };
--- a/bench/overload/load_source.ts
+++ b/bench/overload/load_source.ts
@@ -17,10 +17,7 @@
   ),
 );
 const streams = plan.streams.map((stream, index) =>
-  new CallStream(stream, plan, {
-    random: new SeededRandom(plan.seed + index),
-    isWhole: (_path, body) => body.length > 0,
-  })
+  new CallStream(stream, plan, new SeededRandom(plan.seed + index))
 );
 
 const timer = setInterval(() => {
--- /dev/null
+++ b/bench/overload/main.ts
@@ -0,0 +1,82 @@
+/** Benchmark of the overload policies with real processes. */
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { Cli, Command, Option } from "clipanion";
+import { settingsSchema } from "../../src/schemas/settings_schema.ts";
+import { ASSOCIATION, REGIE, SLOTS_SCALE } from "./deployments.ts";
+import { runExperiment } from "./experiment.ts";
+import { type RunSummary, summarise } from "./summary.ts";
+
+const DEPLOYMENTS = [ASSOCIATION, REGIE];
+const policySchema = settingsSchema.shape.policy.unwrap();
+
+function percent(ratio: number): string {
+  return `${(ratio * 100).toFixed(1)}%`;
+}
+
+function listRatios(ratios: Readonly<Record<string, number>>): string {
+  return Object.entries(ratios)
+    .map(([name, ratio]) => `${name} ${percent(ratio)}`)
+    .join(", ");
+}
+
+function printSummary(summary: RunSummary): void {
+  const failures = Object.entries(summary.failures)
+    .map(([kind, count]) => `${kind} ${count}`).join(", ");
+  process.stdout.write(`
+${summary.deployment}, policy ${summary.policy}, seed ${summary.seed}
+  succeeded under pressure  ${listRatios(summary.successRatio)}
+  slots used for successes  ${listRatios(summary.usefulRatio)}
+  slot time wasted          ${percent(summary.wastedRatio)}
+  attempts per call         ${summary.attemptsRatio.toFixed(3)}
+  recovery                  ${summary.recoveryMs} ms
+  wrong answers             ${summary.wrongAnswersCount}
+  failed tries              ${failures}
+`);
+}
+
+/** Runs each policy on each deployment with the same seeds. */
+class OverloadCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: "Compares the overload policies under the same load",
+    details: `
+      Starts each deployment at 1/${SLOTS_SCALE} of its slots as processes on
+      this machine, offers calm load, three times the capacity with a slow deep
+      service, and calm load again.
+    `,
+  });
+
+  deployments = Option.Array("--deployment", ["association", "regie"]);
+  policies = Option.Array("--policy", ["unlimited", "fixed", "adaptive"]);
+  seeds = Option.Array("--seed", ["1"]);
+  json = Option.String("--json", { description: "Writes all figures to FILE" });
+
+  async execute(): Promise<number> {
+    const summaries: RunSummary[] = [];
+    for (const deployment of DEPLOYMENTS) {
+      if (!this.deployments.includes(deployment.name)) {
+        continue;
+      }
+      for (const seed of this.seeds.map(Number)) {
+        for (
+          const policy of this.policies.map((it) => policySchema.parse(it))
+        ) {
+          const run = await runExperiment(deployment, { policy, seed });
+          const summary = summarise(run);
+          printSummary(summary);
+          summaries.push(summary);
+        }
+      }
+    }
+    if (this.json !== undefined) {
+      writeFileSync(this.json, `${JSON.stringify(summaries, null, 1)}\n`);
+    }
+    return 0;
+  }
+}
+
+process.exit(
+  await Cli.from([OverloadCommand], { binaryName: "bench:overload" })
+    .run(process.argv.slice(2), Cli.defaultContext),
+);
--- /dev/null
+++ b/bench/overload/summary.ts
@@ -0,0 +1,215 @@
+/** Figures of one run against the targets of the overload policy. */
+import type { ImportanceClass } from "../../src/schemas/common_schema.ts";
+import type { Effect } from "../../stand_ins/upstream_settings.ts";
+import { type PoolPlan, SERVICE_MS, SLOW_SERVICE_MS } from "./deployments.ts";
+import {
+  BUCKET_MS,
+  CALM_END_MS,
+  PRESSURE_END_MS,
+  type RunResult,
+} from "./experiment.ts";
+import type { LoadBucket, StreamResult } from "./load_plan.ts";
+
+const RECOVERED_RATIO = 0.95;
+const SMOOTHING_BUCKETS_COUNT = 2;
+const MS_PER_S = 1_000;
+
+/** Sums of all load sources over one interval. */
+export type ClassPoint = {
+  readonly fromMs: number;
+  readonly offeredCount: number;
+  readonly succeededCount: number;
+  readonly goodputPerS: number;
+};
+
+/** Figures of one run. */
+export type RunSummary = {
+  readonly deployment: string;
+  readonly policy: string;
+  readonly seed: number;
+  /** Share of the calls offered during the pressure that succeeded, by stream. */
+  readonly successRatio: Readonly<Record<string, number>>;
+  /** Time in slots for calls that succeeded, over the time of the slots, by pool. */
+  readonly usefulRatio: Readonly<Record<string, number>>;
+  /** Time in slots for calls that did not succeed, over all time in slots. */
+  readonly wastedRatio: number;
+  /** Requests that reached upstreams over calls that their streams offered, at most. */
+  readonly attemptsRatio: number;
+  /** Time until the share of successes is back for good; Infinity if never. */
+  readonly recoveryMs: number;
+  readonly wrongAnswersCount: number;
+  readonly latencyP99Ms: Readonly<Record<string, number>>;
+  readonly failures: Readonly<Record<string, number>>;
+  readonly goodput: Readonly<
+    Partial<Record<ImportanceClass, readonly ClassPoint[]>>
+  >;
+};
+
+type Window = { fromMs: number; toMs: number };
+
+function inWindow(bucket: LoadBucket, { fromMs, toMs }: Window): boolean {
+  return bucket.fromMs >= fromMs && bucket.fromMs < toMs;
+}
+
+function sumRatio(streams: StreamResult[], window: Window): number {
+  const buckets = streams.flatMap(({ buckets }) =>
+    buckets.filter((bucket) => inWindow(bucket, window))
+  );
+  const offered = buckets.reduce((sum, one) => sum + one.offeredCount, 0);
+  const succeeded = buckets.reduce((sum, one) => sum + one.succeededCount, 0);
+  return offered === 0 ? 1 : succeeded / offered;
+}
+
+function findRecoveryMs(streams: StreamResult[], endMs: number): number {
+  const before = sumRatio(streams, { fromMs: 0, toMs: CALM_END_MS });
+  let recoveredMs = Infinity;
+  const widthMs = SMOOTHING_BUCKETS_COUNT * BUCKET_MS;
+  for (let fromMs = endMs - widthMs; fromMs >= PRESSURE_END_MS;) {
+    const ratio = sumRatio(streams, { fromMs, toMs: fromMs + widthMs });
+    if (ratio < before * RECOVERED_RATIO) {
+      break;
+    }
+    recoveredMs = fromMs - PRESSURE_END_MS;
+    fromMs -= BUCKET_MS;
+  }
+  return recoveredMs;
+}
+
+function usefulRatios(
+  run: RunResult,
+  succeeded: ReadonlySet<string>,
+): Record<string, number> {
+  const durationMs = PRESSURE_END_MS - CALM_END_MS;
+  const entries = run.deployment.pools.map((pool) => {
+    const effects = run.pressureEffects[pool.name] ?? [];
+    const usefulMs = sumWork(
+      effects.filter(({ token }) => succeeded.has(token)),
+    );
+    const slotsMs = pool.slotsCount * pool.endpointsCount * durationMs;
+    return [pool.name, usefulMs / slotsMs] as const;
+  });
+  return Object.fromEntries(entries);
+}
+
+function sumWork(effects: readonly Effect[]): number {
+  return effects.reduce((sum, effect) => sum + effect.workMs, 0);
+}
+
+function wastedRatio(
+  run: RunResult,
+  succeeded: ReadonlySet<string>,
+): number {
+  const effects = Object.values(run.pressureEffects).flat();
+  const wasted = effects.filter(({ token }) => !succeeded.has(token));
+  return sumWork(wasted) / Math.max(1, sumWork(effects));
+}
+
+/** Highest ratio over the pools of attempts to calls that reached the pool. */
+function attemptsRatio(run: RunResult): number {
+  const ratios = Object.values(run.pressureEffects).map((effects) => {
+    const calls = new Set(effects.map(({ token }) => token));
+    return effects.length / Math.max(1, calls.size);
+  });
+  return Math.max(...ratios);
+}
+
+function goodputPoints(streams: StreamResult[]): ClassPoint[] {
+  const points = new Map<number, ClassPoint>();
+  for (const bucket of streams.flatMap(({ buckets }) => buckets)) {
+    const known = points.get(bucket.fromMs);
+    points.set(bucket.fromMs, {
+      fromMs: bucket.fromMs,
+      offeredCount: (known?.offeredCount ?? 0) + bucket.offeredCount,
+      succeededCount: (known?.succeededCount ?? 0) + bucket.succeededCount,
+      goodputPerS: (known?.goodputPerS ?? 0) +
+        bucket.goodputCount * MS_PER_S / BUCKET_MS,
+    });
+  }
+  return [...points.values()].sort((a, b) => a.fromMs - b.fromMs);
+}
+
+function groupBy<T>(
+  items: readonly T[],
+  keyOf: (item: T) => string,
+): Record<string, T[]> {
+  const groups: Record<string, T[]> = {};
+  for (const item of items) {
+    (groups[keyOf(item)] ??= []).push(item);
+  }
+  return groups;
+}
+
+function mapValues<A, B>(
+  record: Record<string, A>,
+  change: (value: A) => B,
+): Record<string, B> {
+  return Object.fromEntries(
+    Object.entries(record).map(([key, value]) => [key, change(value)]),
+  );
+}
+
+function sumFailures(streams: StreamResult[]): Record<string, number> {
+  const sums: Record<string, number> = {};
+  for (const { failures } of streams) {
+    for (const [kind, count] of Object.entries(failures)) {
+      sums[kind] = (sums[kind] ?? 0) + count;
+    }
+  }
+  return sums;
+}
+
+/**
+ * Work that a pool's slots can serve during the pressure.
+ *
+ * @param pool Pool.
+ * @param isDeep Whether its service is slow.
+ * @returns Requests per second.
+ */
+export function capacityPerS(pool: PoolPlan, isDeep: boolean): number {
+  const serviceMs = isDeep ? SLOW_SERVICE_MS : SERVICE_MS;
+  return pool.slotsCount * pool.endpointsCount * MS_PER_S / serviceMs;
+}
+
+/**
+ * Sums a run up.
+ *
+ * @param run Results of a run.
+ * @returns Figures against the targets.
+ */
+export function summarise(run: RunResult): RunSummary {
+  const streams = run.sources.flat();
+  const byName = groupBy(streams, ({ name }) => name);
+  const pressure = { fromMs: CALM_END_MS, toMs: PRESSURE_END_MS };
+  const succeeded = new Set(
+    streams.flatMap(({ succeededTokens }) => succeededTokens),
+  );
+  const endMs = Math.max(
+    ...streams.flatMap(({ buckets }) =>
+      buckets.filter(({ offeredCount }) => offeredCount > 0)
+        .map(({ fromMs }) => fromMs)
+    ),
+  );
+  return {
+    deployment: run.deployment.name,
+    policy: run.policy,
+    seed: run.seed,
+    successRatio: mapValues(byName, (some) => sumRatio(some, pressure)),
+    usefulRatio: usefulRatios(run, succeeded),
+    wastedRatio: wastedRatio(run, succeeded),
+    attemptsRatio: attemptsRatio(run),
+    recoveryMs: findRecoveryMs(streams, endMs),
+    wrongAnswersCount: streams.reduce(
+      (sum, { wrongAnswersCount }) => sum + wrongAnswersCount,
+      0,
+    ),
+    latencyP99Ms: mapValues(
+      byName,
+      (some) => Math.max(...some.map(({ latencyMs }) => latencyMs.p99)),
+    ),
+    failures: sumFailures(streams),
+    goodput: mapValues(
+      groupBy(streams, ({ importanceClass }) => importanceClass),
+      goodputPoints,
+    ),
+  };
+}
