--- a/src/decisions/gradient_limiter.ts
+++ b/src/decisions/gradient_limiter.ts
@@ -33,6 +33,7 @@
  * limiter.record({ latencyMs: 20, inFlightCount: 90, overloaded: false }, nowMs);
  */
 export class GradientLimiter implements ConcurrencyLimiter {
+  readonly kind = "gradient";
   #slotsCount: number;
   #limitCount: number;
   #usualMs = 0;
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -4,6 +4,7 @@
 import { filterHeaders } from "./header_filter.ts";
 import {
   ANSWER_HEADER,
+  type AnswerVerdict,
   decodeHop,
   encodeAnswer,
   HOP_HEADER,
@@ -17,8 +18,11 @@
 
 /** Options of {@link HopHandler}. */
 export type HopHandlerOptions = {
-  instanceId: string;
-  incarnationEpochMs: number;
+  /** Own identity; the incarnation may be raised at run time. */
+  identity: {
+    readonly instanceId: string;
+    readonly incarnationEpochMs: number;
+  };
   /** Reads the monotonic clock, in ms. */
   nowMs: () => number;
 };
@@ -43,20 +47,25 @@
   }
 
   headHeaders(head: AnswerHead): string[] {
-    return this.#encode("", "complete", head.serving);
+    const verdict = {
+      kind: "",
+      outcome: "complete",
+      recordedStatus: 0,
+    } as const;
+    return this.#encode(verdict, head.serving);
   }
 
   failureHeaders(failure: Failure): string[] {
-    return this.#encode(failure.kind, failure.outcome, failure.serving);
+    const { kind, outcome, recordedStatus = 0 } = failure;
+    return this.#encode({ kind, outcome, recordedStatus }, failure.serving);
   }
 
   #encode(
-    kind: string,
-    outcome: "complete" | Failure["outcome"],
+    verdict: Omit<AnswerVerdict, "requestId">,
     serving: ServingState | undefined,
   ): string[] {
     const value = encodeAnswer(
-      { requestId: this.#requestId, kind, outcome },
+      { requestId: this.#requestId, ...verdict },
       serving ?? this.#servingState(),
       this.#token,
     );
@@ -139,14 +148,14 @@
     const authentic = this.#tokens.check(token, {
       direction: "request",
       fromInstanceId: fields.fromInstanceId,
-      toInstanceId: this.#options.instanceId,
+      toInstanceId: this.#options.identity.instanceId,
     });
     return authentic ? fields : undefined;
   }
 
   #isForThisIncarnation(fields: HopFields): boolean {
-    return fields.toInstanceId === this.#options.instanceId &&
-      fields.toIncarnationEpochMs === this.#options.incarnationEpochMs;
+    return fields.toInstanceId === this.#options.identity.instanceId &&
+      fields.toIncarnationEpochMs === this.#options.identity.incarnationEpochMs;
   }
 
   #createContext(
@@ -164,24 +173,25 @@
       importanceClass: fields.importanceClass,
       admissionKey: fields.admissionKey,
       idempotent: fields.idempotent,
+      repeated: fields.repeated,
       depthCount: fields.depthCount,
       attemptsLeftCount: fields.attemptsLeftCount,
       deadlineMs: this.#options.nowMs() + fields.remainingMs,
       idleTimeoutMs: fields.idleTimeoutMs,
-      idempotencyKey: typeof key === "string" ? key : undefined,
+      idempotencyKey: fields.keyed && typeof key === "string" ? key : undefined,
     };
   }
 
   #decorator(requestId: string, toInstanceId: string): HopAnswer {
     const token = this.#tokens.make({
       direction: "answer",
-      fromInstanceId: this.#options.instanceId,
+      fromInstanceId: this.#options.identity.instanceId,
       toInstanceId,
     });
     return new HopAnswer(
       requestId,
       token,
-      () => this.#inbound.servingState(false),
+      () => this.#inbound.servingState(),
     );
   }
 
--- a/src/proxy/hop_header.ts
+++ b/src/proxy/hop_header.ts
@@ -16,7 +16,12 @@
 
 const SEPARATOR = ";";
 const HOP_FIELDS_COUNT = 15;
-const ANSWER_FIELDS_COUNT = 12;
+const IDEMPOTENT_FLAG = 1;
+const KEYED_FLAG = 2;
+const REPEATED_FLAG = 4;
+const EXHAUSTED_FLAG = 1;
+const CALLED_FURTHER_FLAG = 2;
+const ANSWER_FIELDS_COUNT = 13;
 
 /** Schema of the fields of a hop request. */
 export const hopFieldsSchema = z.strictObject({
@@ -30,6 +35,10 @@
   importanceClass: importanceClassSchema,
   admissionKey: z.int().min(0).max(127),
   idempotent: z.boolean(),
+  /** Whether the `Idempotency-Key` of the request binds the daemons. */
+  keyed: z.boolean(),
+  /** Whether a hop nearer the caller repeats the request. */
+  repeated: z.boolean(),
   depthCount: z.int().min(0).max(64),
   attemptsLeftCount: z.int().min(0).max(5),
   remainingMs: z.int().min(0),
@@ -45,11 +54,14 @@
   kind: z.string(),
   outcome: z.enum(["complete", "not-run", "unknown"]),
   exhausted: z.boolean(),
+  calledFurther: z.boolean(),
   draining: z.boolean(),
   levelRank: z.int().min(0),
   inFlightCount: z.int().min(0),
   limitCount: z.int().min(0),
   queuedCount: z.int().min(0),
+  /** Status of an earlier answer for the same key; 0 without one. */
+  recordedStatus: z.int().min(0),
 });
 /** Fields of a hop answer. */
 export type AnswerFields = z.infer<typeof answerFieldsSchema>;
@@ -73,7 +85,9 @@
     fields.pool,
     IMPORTANCE_CLASSES.indexOf(fields.importanceClass),
     fields.admissionKey,
-    fields.idempotent ? 1 : 0,
+    (fields.idempotent ? IDEMPOTENT_FLAG : 0) +
+    (fields.keyed ? KEYED_FLAG : 0) +
+    (fields.repeated ? REPEATED_FLAG : 0),
     fields.depthCount,
     fields.attemptsLeftCount,
     `${fields.remainingMs},${fields.idleTimeoutMs}`,
@@ -105,7 +119,9 @@
     pool: parts[7],
     importanceClass: IMPORTANCE_CLASSES[Number(parts[8])],
     admissionKey: Number(parts[9]),
-    idempotent: parts[10] === "1",
+    idempotent: (Number(parts[10]) & IDEMPOTENT_FLAG) !== 0,
+    keyed: (Number(parts[10]) & KEYED_FLAG) !== 0,
+    repeated: (Number(parts[10]) & REPEATED_FLAG) !== 0,
     depthCount: Number(parts[11]),
     attemptsLeftCount: Number(parts[12]),
     remainingMs: Number(remainingMs),
@@ -119,13 +135,14 @@
 /** Outcome and error kind of an answer between daemons. */
 export type AnswerVerdict = Pick<
   AnswerFields,
-  "requestId" | "kind" | "outcome"
+  "requestId" | "kind" | "outcome" | "recordedStatus"
 >;
 
 /**
  * Encodes the answer header.
  *
- * @param verdict Request id, error kind (empty for an answer) and outcome.
+ * @param verdict Request id, error kind (empty for an answer), outcome and
+ * status of an earlier answer.
  * @param serving State of the serving daemon.
  * @param token Token of the serving daemon.
  * @returns Header value.
@@ -142,12 +159,14 @@
     serving.instanceId,
     verdict.kind,
     verdict.outcome,
-    serving.exhausted ? 1 : 0,
+    (serving.exhausted ? EXHAUSTED_FLAG : 0) +
+    (serving.calledFurther ? CALLED_FURTHER_FLAG : 0),
     serving.draining ? 1 : 0,
     load.levelRank,
     load.inFlightCount,
     load.limitCount,
     load.queuedCount,
+    verdict.recordedStatus,
     token,
   ].join(SEPARATOR);
 }
@@ -170,15 +189,17 @@
     instanceId: parts[2],
     kind: parts[3],
     outcome: parts[4],
-    exhausted: parts[5] === "1",
+    exhausted: (Number(parts[5]) & EXHAUSTED_FLAG) !== 0,
+    calledFurther: (Number(parts[5]) & CALLED_FURTHER_FLAG) !== 0,
     draining: parts[6] === "1",
     levelRank: Number(parts[7]),
     inFlightCount: Number(parts[8]),
     limitCount: Number(parts[9]),
     queuedCount: Number(parts[10]),
+    recordedStatus: Number(parts[11]),
   });
   return result.success
-    ? { fields: result.data, token: parts[11] as string }
+    ? { fields: result.data, token: parts[12] as string }
     : undefined;
 }
 
@@ -193,6 +214,7 @@
     instanceId: fields.instanceId,
     draining: fields.draining,
     exhausted: fields.exhausted,
+    calledFurther: fields.calledFurther,
     load: {
       levelRank: fields.levelRank,
       inFlightCount: fields.inFlightCount,
