Keep a level per route for refusals further down

Cause: a trace of the Régie shows approvals (critical) refused at the entry of proofs. Proof views (standard) are refused by pressfiles; each interval in which more than 5% of the ended requests failed that way lowered the level of proofs by a share, down into the critical class. Change: DownstreamLevels finds per route the rank at which refusals further down begin, and admits only lower ranks; the level of the upstream itself follows its own queue only. FinishedRequest.rank and depthCount are new and optional; without a rank nothing is learned. Ruled out: lowering the common level to the lowest refused rank; one refused critical request would close the upstream, and routes that make no calls would be shed too.

--- a/bench/policy/upstream_model.ts
+++ b/bench/policy/upstream_model.ts
@@ -94,6 +94,8 @@
       latencyMs: nowMs - visit.admittedMs,
       nestedMs: visit.nestedMs,
       route: visit.route,
+      rank: visit.rank,
+      depthCount: visit.depthCount,
       result,
     }, nowMs);
     this.#startBacklog();
--- a/src/decisions/admission_level.ts
+++ b/src/decisions/admission_level.ts
@@ -20,8 +20,6 @@
   readonly servedCount: number;
   /** Average share of the limit that was free. */
   readonly freeRatio: number;
-  /** Share of the ended requests that failed by overload further down. */
-  readonly refusedBelowRatio: number;
 };
 
 /**
@@ -75,20 +73,11 @@
       this.#lower(this.#drainingCount(seen));
       return;
     }
-    if (this.#isRefusedBelow(seen)) {
-      const admitted = this.#histogram.admittedBelow(this.#levelRank);
-      this.#lower(admitted * (1 - seen.refusedBelowRatio / 2));
-      return;
-    }
     if (seen.freeRatio > FREE_MIN_RATIO && seen.standingCount === 0) {
       this.#raise(seen.freeRatio);
     }
   }
 
-  #isRefusedBelow(seen: LevelObservation): boolean {
-    return seen.refusedBelowRatio > 0.05;
-  }
-
   /** Requests to admit so that the excess queue drains. */
   #drainingCount(seen: LevelObservation): number {
     const allowedRatio = this.#tuning.delayTargetMs / seen.standingDelayMs;
--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission_policy.ts
@@ -38,6 +38,10 @@
   readonly result: "succeeded" | "failed" | "overloaded" | "cancelled";
   /** Route of the request; absent counts for all routes only. */
   readonly route?: string;
+  /** Rank that was offered; without it refusals further down teach nothing. */
+  readonly rank?: number;
+  /** Hops of the request, 1 at the entry of the call graph; absent is 1. */
+  readonly depthCount?: number;
   /** Part of the latency spent on calls further down, in ms; absent is 0. */
   readonly nestedMs?: number;
 };
--- a/src/decisions/interval_meter.ts
+++ b/src/decisions/interval_meter.ts
@@ -1,7 +1,5 @@
 /** Counts of one upstream over a control interval. */
 
-const REFUSED_NEWEST_SHARE = 0.2;
-
 /** State of the upstream at one time. */
 export type MeterState = {
   readonly inFlightCount: number;
@@ -14,20 +12,15 @@
   readonly standingCount: number;
   /** Mean number of running requests. */
   readonly inFlightMean: number;
-  /** Smoothed share of ended requests that failed by overload further down. */
-  readonly refusedBelowRatio: number;
 };
 
-/** Measures the queue, the running requests and refusals further down. */
+/** Measures the queue and the running requests. */
 export class IntervalMeter {
   #state: MeterState = { inFlightCount: 0, queuedCount: 0 };
   #measuredMs: number | undefined;
   #inFlightMs = 0;
   #elapsedMs = 0;
   #standingCount = 0;
-  #endedCount = 0;
-  #refusedCount = 0;
-  #refusedRatio = 0;
 
   /**
    * Records a change of the state.
@@ -41,16 +34,6 @@
     this.#standingCount = Math.min(this.#standingCount, state.queuedCount);
   }
 
-  /**
-   * Counts an ended request.
-   *
-   * @param refusedBelow Whether it failed by overload further down.
-   */
-  recordEnd(refusedBelow: boolean): void {
-    this.#endedCount++;
-    this.#refusedCount += refusedBelow ? 1 : 0;
-  }
-
   /**
    * Ends the interval.
    *
@@ -59,16 +42,11 @@
    */
   endInterval(nowMs: number): IntervalCounts {
     this.#accumulate(nowMs);
-    const refused = this.#endedCount === 0
-      ? 0
-      : this.#refusedCount / this.#endedCount;
-    this.#refusedRatio += REFUSED_NEWEST_SHARE * (refused - this.#refusedRatio);
     const counts = {
       standingCount: this.#standingCount,
       inFlightMean: this.#elapsedMs === 0
         ? this.#state.inFlightCount
         : this.#inFlightMs / this.#elapsedMs,
-      refusedBelowRatio: this.#refusedRatio,
     };
     this.#reset();
     return counts;
@@ -85,7 +63,5 @@
     this.#inFlightMs = 0;
     this.#elapsedMs = 0;
     this.#standingCount = this.#state.queuedCount;
-    this.#endedCount = 0;
-    this.#refusedCount = 0;
   }
 }
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -12,6 +12,7 @@
 import type { ConcurrencyLimiter } from "./concurrency_limiter.ts";
 import { createLimiter } from "./create_limiter.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
+import { DownstreamLevels } from "./downstream_levels.ts";
 import { ADMISSION_KEYS_COUNT, effectiveRank } from "./importance.ts";
 import { IntervalMeter } from "./interval_meter.ts";
 import { LoadReportBound } from "./load_report_bound.ts";
@@ -63,6 +64,7 @@
   readonly #shares = new TenantShares();
   readonly #estimates = new ServiceEstimates();
   readonly #meter = new IntervalMeter();
+  readonly #downstream = new DownstreamLevels();
   readonly #reports = new LoadReportBound();
   #decided: QueueDecision[] = [];
   #inFlightCount = 0;
@@ -93,7 +95,12 @@
       request.depthCount,
     );
     this.#level.observe(rank);
-    if (rank >= this.#level.levelRank) {
+    if (
+      rank >= this.#level.levelRank || !this.#downstream.admits(
+        request.route ?? ALL_ROUTES,
+        effectiveRank(request.rank, request.depthCount),
+      )
+    ) {
       return { kind: "refuse", error: "shed" };
     }
     if (!this.#canMeetDeadline(request, this.#expectedWaitMs(rank), nowMs)) {
@@ -110,7 +117,7 @@
   finish(finished: FinishedRequest, nowMs: number): void {
     this.#advance(nowMs);
     this.#estimates.recordEnd();
-    this.#meter.recordEnd(finished.result === "overloaded");
+    this.#recordDownstream(finished);
     this.#recordLatency(finished, nowMs);
     this.#inFlightCount--;
     this.#measure(nowMs);
@@ -272,6 +279,17 @@
     }
   }
 
+  #recordDownstream(finished: FinishedRequest): void {
+    const { rank, depthCount = 1, route = ALL_ROUTES, result } = finished;
+    if (rank === undefined || result === "cancelled") {
+      return;
+    }
+    this.#downstream.record(route, {
+      rank: effectiveRank(rank, depthCount),
+      refused: result === "overloaded",
+    });
+  }
+
   #applyLimit(nowMs: number): void {
     this.#limitCount = this.#reports.bound(
       this.#limiter.limit(),
@@ -309,6 +327,7 @@
   #endInterval(nowMs: number): void {
     this.#estimates.endInterval(CONTROL_INTERVAL_MS);
     this.#shares.endInterval();
+    this.#downstream.endInterval();
     const seen = this.#meter.endInterval(nowMs);
     const ratePerMs = this.#serviceRatePerMs();
     const standingDelayMs = seen.standingCount === 0
@@ -320,7 +339,6 @@
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
-      refusedBelowRatio: seen.refusedBelowRatio,
     });
   }
 }
