--- /dev/null
+++ b/src/testing/mesh.ts
@@ -0,0 +1,208 @@
+/** Daemons and upstream stand-ins of several services in one process. */
+import type { TestContext } from "node:test";
+import {
+  type BoundAddresses,
+  type Daemon,
+  wireDaemon,
+} from "../daemon/wire.ts";
+import type { Endpoint } from "../decisions/upstream_directory.ts";
+import { settingsSchema } from "../schemas/settings_schema.ts";
+import { UpstreamServer } from "../../stand_ins/upstream_server.ts";
+import {
+  type Effect,
+  type UpstreamBehaviour,
+  upstreamSettingsSchema,
+} from "../../stand_ins/upstream_settings.ts";
+import { FixedConfig, FixedDirectory, FixedOwners } from "./fixed_parts.ts";
+import { TcpRelay } from "./tcp_relay.ts";
+
+const LOOPBACK = "127.0.0.1";
+const ANY_PORT = { host: LOOPBACK, port: 0 };
+/** Data centre of instances that name none. */
+export const DEFAULT_DATA_CENTRE = "dc-a";
+
+/** One instance to start. */
+export type InstanceOptions = {
+  pool: string;
+  dataCentre?: string;
+  behaviour?: Partial<UpstreamBehaviour>;
+  slotsCount?: number;
+};
+
+/** One instance of the mesh: an upstream with the daemon beside it. */
+export type MeshInstance = {
+  readonly endpoint: Endpoint;
+  readonly daemon: Daemon;
+  readonly upstream: UpstreamServer;
+  /** URL of the listener for callers. */
+  readonly callersUrl: string;
+  /** URL of the listener for calls of the instance. */
+  readonly outboundUrl: string;
+  readonly bound: Pick<BoundAddresses, "callers" | "hop" | "outbound">;
+  /** Relay between the peers and the hop listener. */
+  readonly hopRelay: TcpRelay;
+  /** Relay between the daemon and its upstream. */
+  readonly upstreamRelay: TcpRelay;
+};
+
+/** Route with the fields that a test sets; the schema fills in the rest. */
+export type MeshTables = {
+  routes: Record<string, Record<string, unknown>>;
+  pools: Record<string, Record<string, unknown>>;
+  tenants?: Record<string, unknown>;
+  rules?: Record<string, unknown>;
+};
+
+const POOL_DEFAULTS = {
+  dataCentres: [DEFAULT_DATA_CENTRE],
+  slotsCount: 50,
+  connectionsMaxCount: 200,
+  endpointsCount: 1,
+};
+
+/**
+ * Starts instances that share one directory and one configuration.
+ *
+ * @example
+ * const mesh = new Mesh(t, { routes, pools });
+ * const { callersUrl } = await mesh.start({ pool: "plates" });
+ */
+export class Mesh {
+  readonly directory = new FixedDirectory();
+  readonly owners = new FixedOwners();
+  readonly instances: MeshInstance[] = [];
+  readonly #config: FixedConfig;
+
+  /**
+   * @param t Test that owns the instances.
+   * @param tables Tables with the fields that matter to the test.
+   */
+  constructor(t: TestContext, tables: MeshTables) {
+    const { pools, ...routes } = tables;
+    this.#config = new FixedConfig({
+      routes,
+      pools: {
+        pools: Object.fromEntries(
+          Object.entries(pools).map((
+            [name, pool],
+          ) => [name, { ...POOL_DEFAULTS, ...pool }]),
+        ),
+      },
+    });
+    t.after(() => this.#stop());
+  }
+
+  /**
+   * Starts an upstream and the daemon beside it.
+   *
+   * @param options Pool, data centre and behaviour.
+   * @returns The instance, listed in the directory.
+   */
+  async start(options: InstanceOptions): Promise<MeshInstance> {
+    const { pool, dataCentre = DEFAULT_DATA_CENTRE, slotsCount = 50 } = options;
+    const id = `${pool}-${this.instances.length}`;
+    const upstream = new UpstreamServer(upstreamSettingsSchema.parse({
+      pool,
+      behaviour: { slotsCount, ...options.behaviour },
+    }));
+    const { port } = await upstream.start();
+    const upstreamRelay = new TcpRelay(port);
+    const daemon = this.#wire(id, dataCentre);
+    const bound = await daemon.listen();
+    const hopRelay = new TcpRelay(bound.hop.port);
+    daemon.attachUpstream({
+      pool,
+      host: LOOPBACK,
+      port: await upstreamRelay.listen(),
+      slotsCount,
+      connectionsMaxCount: 200,
+    });
+    const endpoint: Endpoint = {
+      instanceId: id,
+      incarnationEpochMs: daemon.incarnationEpochMs,
+      dataCentre,
+      pool,
+      hopHost: LOOPBACK,
+      hopPort: await hopRelay.listen(),
+      slotsCount,
+      connectionsMaxCount: 200,
+      state: "alive",
+      learnedMs: 0,
+    };
+    this.directory.add(endpoint);
+    const instance = {
+      endpoint,
+      daemon,
+      upstream,
+      callersUrl: `http://${LOOPBACK}:${bound.callers.port}`,
+      outboundUrl: `http://${LOOPBACK}:${bound.outbound.port}`,
+      bound,
+      hopRelay,
+      upstreamRelay,
+    };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /**
+   * Makes the instances of a pool in a data centre owners of keys from the
+   * beginning of time.
+   *
+   * @param pool Pool of the owners.
+   * @param dataCentres Data centres that the pool lists.
+   */
+  setOwners(
+    pool: string,
+    dataCentres: readonly string[] = [DEFAULT_DATA_CENTRE],
+  ): void {
+    for (const dataCentre of dataCentres) {
+      const instanceIds = this.instances
+        .map(({ endpoint }) => endpoint)
+        .filter((one) => one.pool === pool && one.dataCentre === dataCentre)
+        .map((one) => one.instanceId);
+      const list = { sinceEpochMs: 0, dataCentres, instanceIds };
+      this.owners.add(pool, dataCentre, list);
+    }
+  }
+
+  /**
+   * Collects the records of all upstreams.
+   *
+   * @returns Records by pool.
+   */
+  effects(): Record<string, Effect[]> {
+    const byPool: Record<string, Effect[]> = {};
+    for (const { endpoint, upstream } of this.instances) {
+      (byPool[endpoint.pool] ??= []).push(...upstream.effects);
+    }
+    return byPool;
+  }
+
+  #wire(id: string, dataCentre: string): Daemon {
+    const settings = settingsSchema.parse({
+      instance: { id, dataCentre },
+      listeners: {
+        callers: ANY_PORT,
+        hop: ANY_PORT,
+        outbound: ANY_PORT,
+        peer: ANY_PORT,
+        operator: ANY_PORT,
+      },
+      platform: { url: "http://127.0.0.1:1" },
+      peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
+    });
+    const { directory, owners } = this;
+    return wireDaemon(settings, { config: this.#config, directory, owners });
+  }
+
+  async #stop(): Promise<void> {
+    for (
+      const { daemon, upstream, hopRelay, upstreamRelay } of this.instances
+    ) {
+      upstream.stop();
+      hopRelay.close();
+      upstreamRelay.close();
+      await daemon.destroy();
+    }
+  }
+}
