Add the hop benchmark

Change: npm run bench:hop compares direct calls, two bare hops (http and undici's dispatch, used as the daemon uses them) and two daemons in one run, interleaved in rounds of changing order, at rising rates until saturation. Load comes from two separate processes in an open loop with Poisson arrivals; latency counts from the intended send time. Processor time is read from the kernel's schedstat of each process.

Ruled out: process.cpuUsage by messages, since bare hops would then run more than a pass-through; /proc/PID/stat, whose steps of 10 ms are too coarse.

--- /dev/null
+++ b/bench/hop/bench_daemon.ts
@@ -0,0 +1,92 @@
+/**
+ * A daemon of the hop benchmark: the real daemon with a fixed configuration and
+ * directory. The argument is its settings as JSON; the ready line names its
+ * addresses.
+ */
+import process from "node:process";
+import { z } from "zod";
+import { wireDaemon } from "../../src/daemon/wire.ts";
+import { settingsSchema } from "../../src/schemas/settings_schema.ts";
+import { JsonLogger } from "../../src/telemetry/logger.ts";
+import { FixedConfig, FixedDirectory } from "../../src/testing/fixed_parts.ts";
+
+const SLOTS = { slotsCount: 1_000, connectionsMaxCount: 64 };
+const DATA_CENTRE = "dakar-plateau";
+const POOL = "logbook";
+
+const benchSettingsSchema = z.strictObject({
+  instanceId: z.string(),
+  /** Upstream beside this daemon. */
+  upstreamPort: z.int().optional(),
+  /** Daemon that requests go to. */
+  target: z.strictObject({
+    instanceId: z.string(),
+    incarnationEpochMs: z.number(),
+    hopPort: z.int(),
+  }).optional(),
+});
+
+const given = benchSettingsSchema.parse(JSON.parse(process.argv[2] ?? ""));
+const anyPort = { host: "127.0.0.1", port: 0 };
+const settings = settingsSchema.parse({
+  instance: { id: given.instanceId, dataCentre: DATA_CENTRE },
+  listeners: {
+    callers: anyPort,
+    hop: anyPort,
+    outbound: anyPort,
+    peer: anyPort,
+    operator: anyPort,
+  },
+  platform: { url: "http://127.0.0.1:9" },
+  peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
+});
+const route = { pool: POOL, class: "standard", idempotent: true };
+const config = new FixedConfig({
+  routes: {
+    routes: {
+      read: { match: { method: "GET", pathPrefix: "/logs" }, ...route },
+      write: { match: { method: "POST", pathPrefix: "/logs" }, ...route },
+    },
+  },
+  pools: {
+    pools: {
+      [POOL]: { dataCentres: [DATA_CENTRE], endpointsCount: 1, ...SLOTS },
+    },
+  },
+});
+const directory = new FixedDirectory();
+const daemon = wireDaemon(settings, {
+  config,
+  directory,
+  log: new JsonLogger({ level: "warn" }),
+});
+const bound = await daemon.listen();
+if (given.upstreamPort !== undefined) {
+  daemon.attachUpstream({
+    pool: POOL,
+    host: "127.0.0.1",
+    port: given.upstreamPort,
+    ...SLOTS,
+  });
+}
+if (given.target !== undefined) {
+  directory.add({
+    ...given.target,
+    dataCentre: DATA_CENTRE,
+    pool: POOL,
+    hopHost: "127.0.0.1",
+    ...SLOTS,
+    state: "alive",
+    learnedMs: 0,
+  });
+}
+const { incarnationEpochMs } = daemon;
+process.stdout.write(
+  `${
+    JSON.stringify({
+      incarnationEpochMs,
+      callersPort: bound.callers.port,
+      hopPort: bound.hop.port,
+    })
+  }\n`,
+);
