Name line and column of mistakes in state charts

Change: loadChart passes a locator to the compiler, and the start check of the daemon uses loadChart.

--- a/src/charts/compile_chart.ts
+++ b/src/charts/compile_chart.ts
@@ -35,6 +35,8 @@
   source: string;
   /** Prototype of the class that implements guards and actions. */
   methods?: ChartMethods;
+  /** Finds the line and column of a path such as `states.open.on.close`. */
+  locate?: (path: string) => { line: number; column: number };
 };
 
 function listTransitions(state: ChartState, event: string): ChartTransition[] {
@@ -176,7 +178,12 @@
 ): CompiledChart {
   const mistakes = checkChart(chart, options);
   if (mistakes.length > 0) {
-    throw new InputError(mistakes);
+    throw new InputError(
+      mistakes.map((mistake) => ({
+        ...mistake,
+        ...options.locate?.(mistake.path),
+      })),
+    );
   }
   const stateNames = Object.keys(chart.states);
   const table = stateNames.flatMap((stateName) =>
--- a/src/charts/compile_chart_test.ts
+++ b/src/charts/compile_chart_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { InputError } from "../errors/input_error.ts";
 import { type Chart, chartSchema } from "../schemas/chart_schema.ts";
+import { locateJsonc } from "../schemas/locate_jsonc.ts";
 import { compileChart } from "./compile_chart.ts";
 import { StateMachine } from "./state_machine.ts";
 
@@ -84,3 +85,18 @@
     },
   );
 });
+
+test("a mistake names its line and column in the file", () => {
+  const { name } = doorChart();
+  const text = `{\n  "states": {\n    "closed": {}\n  }\n}`;
+  const chart = doorChart();
+  chart.states.closed?.ignore.pop();
+  assert.throws(
+    () =>
+      compileChart(chart, {
+        ...OPTIONS,
+        locate: (path) => locateJsonc(text, path.split(".")),
+      }),
+    new RegExp(`${name}.jsonc:3:15: states.closed: `),
+  );
+});
--- a/src/charts/load_chart.ts
+++ b/src/charts/load_chart.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { chartSchema } from "../schemas/chart_schema.ts";
+import { locateJsonc } from "../schemas/locate_jsonc.ts";
 import { parseJsonc } from "../schemas/parse_jsonc.ts";
 import {
   type ChartMethods,
@@ -72,8 +73,11 @@
   name: ChartName,
   methods?: object,
 ): CompiledChart {
-  return compileChart(readChart(name), {
-    source: `charts/${name}.jsonc`,
+  const text = readChartText(name);
+  const source = `charts/${name}.jsonc`;
+  return compileChart(parseJsonc(text, chartSchema, { source }), {
+    source,
     methods: methods as ChartMethods | undefined,
+    locate: (path) => locateJsonc(text, path.split(".")),
   });
 }
--- a/src/daemon/check_charts.ts
+++ b/src/daemon/check_charts.ts
@@ -1,9 +1,8 @@
 /** Check of all state charts at the start of the daemon. */
-import { compileChart } from "../charts/compile_chart.ts";
 import {
   CHART_NAMES,
   type ChartName,
-  readChart,
+  loadChart,
 } from "../charts/load_chart.ts";
 import { InputError } from "../errors/input_error.ts";
 
@@ -25,7 +24,7 @@
  */
 export function checkCharts(): void {
   for (const name of CHECKED_CHARTS) {
-    compileChart(readChart(name), { source: `charts/${name}.jsonc` });
+    loadChart(name);
   }
 }
 
