--- a/src/testing/mesh.ts
+++ b/src/testing/mesh.ts
@@ -1,10 +1,7 @@
 /** Daemons and upstream stand-ins of several services in one process. */
 import type { TestContext } from "node:test";
-import {
-  type BoundAddresses,
-  type Daemon,
-  wireDaemon,
-} from "../daemon/wire.ts";
+import type { BoundAddresses, Daemon } from "../daemon/daemon_parts.ts";
+import { wireDaemon } from "../daemon/wire.ts";
 import type { Endpoint } from "../decisions/upstream_directory.ts";
 import { settingsSchema } from "../schemas/settings_schema.ts";
 import { UpstreamServer } from "../../stand_ins/upstream_server.ts";
