Add gauges of configuration, members and leases, and process metrics

Change: four gauges from the control status; run_daemon asks for the metrics of the process, daemons in tests do not.

--- a/src/daemon/daemon_parts.ts
+++ b/src/daemon/daemon_parts.ts
@@ -30,6 +30,8 @@
   signals?: Stream<LifeEvent>;
   /** Re-reads the peer keys of the settings file. */
   readKeys?: () => readonly PeerKey[];
+  /** Adds the metrics of the Node.js process, which observe it. */
+  processMetrics?: boolean;
 };
 
 /** Bound addresses of a daemon's listeners. */
--- a/src/daemon/run_daemon.ts
+++ b/src/daemon/run_daemon.ts
@@ -54,6 +54,7 @@
   const daemon = wireDaemon(settings, {
     log,
     signals: signals.stream,
+    processMetrics: true,
     readKeys: () => readSettings(settingsFile).peers.keys,
   });
   try {
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -43,6 +43,7 @@
 import { DirectoryHandle } from "./directory_handle.ts";
 import { DrainController } from "./drain_controller.ts";
 import { EmptyOwners, FixedControlPlane } from "./fixed_control_plane.ts";
+import { controlGauges } from "./control_gauges.ts";
 import { Housekeeping } from "./housekeeping.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 import { OperatorView } from "./operator_view.ts";
@@ -203,6 +204,9 @@
   const open = new OpenExchanges(nowMs);
   const gate = new WorkGate();
   const metrics = new Metrics(readGauges);
+  if (given.processMetrics === true) {
+    metrics.collectProcess();
+  }
   const observer = metrics.requests;
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
@@ -362,7 +366,7 @@
       goldcrest_queue_length: load?.queuedCount ?? 0,
       goldcrest_admission_level: load?.levelRank ?? 0,
       goldcrest_open_exchanges: open.count,
-      goldcrest_config_generation: config.current()?.generation ?? 0,
+      ...controlGauges(control.status()),
       goldcrest_draining: drain.isServing ? 0 : 1,
     };
   }
--- a/src/telemetry/metric_names.ts
+++ b/src/telemetry/metric_names.ts
@@ -81,6 +81,32 @@
     advice: "Differs between daemons for over 5 s: look at the platform and " +
       "at the peers of the daemon that is behind",
   },
+  goldcrest_config_confirmed_age_ms: {
+    kind: "gauge",
+    labels: [],
+    help: "Time since a peer or the platform last confirmed the configuration",
+    advice: "Grows during an outage of the platform; see platform_outage.md",
+  },
+  goldcrest_members_alive: {
+    kind: "gauge",
+    labels: [],
+    help: "Instances that this daemon holds alive, itself not counted",
+    advice: "Compare with the instances that you run; a difference between " +
+      "daemons is a partition",
+  },
+  goldcrest_members_suspect: {
+    kind: "gauge",
+    labels: [],
+    help: "Instances that miss probes",
+    advice: "Many at once: a network fault or too little processor time",
+  },
+  goldcrest_leases_held: {
+    kind: "gauge",
+    labels: [],
+    help: "Leases that this daemon holds",
+    advice: "The sum over all daemons is 2 per data centre for the readers " +
+      "and 1 for the acceptor",
+  },
   goldcrest_draining: {
     kind: "gauge",
     labels: [],
