Watch for the configuration by its changes instead of ten times a second

Cause: the housekeeping woke an idle daemon every 100 ms, and the default monitor of the event loop every 10 ms. Change: the housekeeping listens to the changes of the configuration; the event loop is sampled every 200 ms.

--- a/src/daemon/housekeeping.ts
+++ b/src/daemon/housekeeping.ts
@@ -1,46 +1,51 @@
-/** Periodic work of the daemon's own parts. */
-import { periodic, type Stream } from "most";
+/** Work of the daemon's own parts besides requests. */
+import { mergeArray, of, periodic, type Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
 
 /** What the housekeeping looks after. */
 export interface HousekeepingHost {
+  /** Emits after another configuration came into force. */
+  readonly configChanges: Stream<unknown>;
   /** Whether a configuration is in force. */
   isConfigured(): boolean;
-  /** Called at each tick while a configuration is in force. */
+  /** Called when a configuration is in force at the start or after a change. */
   notifyConfigured(): void;
   /** Starts a new interval of the latency quantiles. */
   rotateLatencies(): void;
-  /** Reads the monotonic clock, in ms. */
-  nowMs(): number;
 }
 
-const TICK_INTERVAL_MS = 100;
+/** Event of the housekeeping. */
+export type HousekeepingEvent = "config" | "interval";
+
 const LATENCY_INTERVAL_MS = 30_000;
 
 /** Watches for the first configuration and rotates histograms. */
-export class Housekeeping implements ControlPart<unknown> {
+export class Housekeeping implements ControlPart<HousekeepingEvent> {
   readonly name = "housekeeping";
-  readonly inputs: Stream<unknown> = periodic(TICK_INTERVAL_MS);
+  readonly inputs: Stream<HousekeepingEvent>;
   readonly #host: HousekeepingHost;
-  #rotatedMs: number;
 
   /**
    * @param host Parts that are looked after.
    */
   constructor(host: HousekeepingHost) {
     this.#host = host;
-    this.#rotatedMs = host.nowMs();
+    this.inputs = mergeArray<HousekeepingEvent>([
+      of("config"),
+      host.configChanges.constant("config"),
+      // The first event of a periodic stream comes at once.
+      periodic(LATENCY_INTERVAL_MS).skip(1).constant("interval"),
+    ]);
   }
 
   /** @inheritdoc */
-  handle(): void {
+  handle(event: HousekeepingEvent): void {
+    if (event === "interval") {
+      this.#host.rotateLatencies();
+      return;
+    }
     if (this.#host.isConfigured()) {
       this.#host.notifyConfigured();
     }
-    const nowMs = this.#host.nowMs();
-    if (nowMs - this.#rotatedMs >= LATENCY_INTERVAL_MS) {
-      this.#rotatedMs = nowMs;
-      this.#host.rotateLatencies();
-    }
   }
 }
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -331,10 +331,10 @@
     { log },
   );
   const housekeeping = new Housekeeping({
+    configChanges: control.configChanges,
     isConfigured: () => config.current() !== undefined,
     notifyConfigured: () => life.notify("configured"),
     rotateLatencies: () => metrics.requests.rotate(),
-    nowMs,
   });
   const loop = new EventLoop((part, error) =>
     log.error("Control event failed", { part, ...errorFields(error) })
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -12,6 +12,9 @@
   [N in MetricName]: typeof METRICS[N]["kind"] extends "gauge" ? N : never;
 }[MetricName];
 
+// The default of 10 ms wakes an idle daemon a hundred times a second.
+const LOOP_SAMPLE_INTERVAL_MS = 200;
+
 function isGauge(name: MetricName): name is GaugeName {
   return METRICS[name].kind === "gauge";
 }
@@ -45,7 +48,10 @@
    * process, so that tests leave them out.
    */
   collectProcess(): void {
-    collectDefaultMetrics({ register: this.#registry });
+    collectDefaultMetrics({
+      register: this.#registry,
+      eventLoopMonitoringPrecision: LOOP_SAMPLE_INTERVAL_MS,
+    });
   }
 
   /**
