Count a queue of up to three requests as no overload

Cause: on an upstream with few slots the delay of one or two waiting requests exceeds the target, although they are the least that keeps all slots busy. Change: up to three standing requests mean no delay.

--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -27,6 +27,11 @@
 
 /** Missed intervals that are made up for at most after a pause. */
 const INTERVALS_MAX_COUNT = 64;
+/**
+ * A queue this short is no overload: on an upstream with few slots it is the
+ * least that keeps all of them busy, although its delay exceeds the target.
+ */
+const STANDING_ALLOWED_COUNT = 3;
 const ALL_ROUTES = "";
 
 /** Options of {@link RankAdmission}. */
@@ -330,7 +335,7 @@
     this.#downstream.endInterval();
     const seen = this.#meter.endInterval(nowMs);
     const ratePerMs = this.#serviceRatePerMs();
-    const standingDelayMs = seen.standingCount === 0
+    const standingDelayMs = seen.standingCount <= STANDING_ALLOWED_COUNT
       ? 0
       : seen.standingCount / Math.max(ratePerMs, 0.001);
     this.#overloaded = standingDelayMs > this.#tuning.delayTargetMs;
