Repair daemons without neighbours and hand leases over faster

Ruled out: treating the platform as the only source for such daemons; a contact is asked first, the platform only without any peer. Change: comparisons fall back to contacts and then to the platform; a first configuration is announced to neighbours whatever its origin; a refused candidate tries again when the present holder's lease would lapse; release() resolves when its write is answered, for the drain.

--- /dev/null
+++ b/src/cli/in_force_test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigAcceptor } from "../config/config_acceptor.ts";
+import { ConfigReader } from "../config/config_reader.ts";
+import { ConfigStore } from "../config/config_store.ts";
+import { SystemClock } from "../core/clock.ts";
+import { EventLoop } from "../core/event_loop.ts";
+import { SeededRandom } from "../core/random.ts";
+import { HttpPlatformClient } from "../platform/http_platform_client.ts";
+import { LeaseHolder } from "../platform/lease_holder.ts";
+import {
+  routesText,
+  sampleStatus,
+  serveStatus,
+  startToolBed,
+} from "../testing/cli_bed.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+
+const TICKS_MS = 20;
+
+test("an edit is in force after lease, acceptor and reader over HTTP", async (t) => {
+  const { url, apply } = await startToolBed(t);
+  const clock = new SystemClock();
+  const random = new SeededRandom(1);
+  const platform = new HttpPlatformClient({
+    url,
+    timeoutMs: 2_000,
+    callsPerSMax: 100,
+    clock,
+    random,
+  });
+  const store = new ConfigStore(clock);
+  const holder = { instanceId: "i-1", incarnationEpochMs: 1 };
+  const shared = { platform, clock, random, store };
+  const [accepting, reading] = ["config-acceptor", "dc-1-reader-0"].map(
+    (leaseName) => new LeaseHolder({ leaseName, holder, ...shared }),
+  ) as [LeaseHolder, LeaseHolder];
+  const loop = new EventLoop((_name, error) => assert.fail(String(error)));
+  loop.register(new ConfigAcceptor({ ...holder, ...shared, lease: accepting }));
+  loop.register(new ConfigReader({ ...shared, lease: reading }));
+  loop.register(accepting);
+  loop.register(reading);
+  loop.start();
+  const status = sampleStatus("i-1", 0);
+  const refresh = setInterval(() => status.config = store.status(), TICKS_MS);
+  t.after(async () => {
+    clearInterval(refresh);
+    await Promise.all([accepting.release(), reading.release()]);
+    await loop.stop();
+    await platform.close();
+  });
+  const daemon = ["--daemon", await serveStatus(t, status)];
+  const first = await apply(routesText(3), "--wait", ...daemon);
+  assert.equal(first.code, EXIT_CODES.applied, first.err);
+  assert.match(first.out, /Generation \d is in force in 1 daemons/);
+  const second = await apply(routesText(4), "--wait", "--json", ...daemon);
+  assert.equal(second.code, EXIT_CODES.applied);
+  const { inForce } = JSON.parse(second.out);
+  assert.equal(inForce.head.digest, store.head()?.digest);
+  assert.equal(store.current()?.matcher.match("GET", "/r3", "")?.name, "r3");
+});
--- a/src/config/config_distributor.ts
+++ b/src/config/config_distributor.ts
@@ -5,11 +5,7 @@
 import type { Clock } from "../core/clock.ts";
 import type { ControlPart } from "../core/event_loop.ts";
 import { EventSource } from "../core/event_source.ts";
-import type {
-  NeighbourSource,
-  Peer,
-  PeerTransport,
-} from "../core/peer_transport.ts";
+import type { NeighbourSource, PeerTransport } from "../core/peer_transport.ts";
 import type { PlatformClient } from "../core/platform_client.ts";
 import type { RandomSource } from "../core/random.ts";
 import type { Address } from "../schemas/common_schema.ts";
@@ -205,15 +201,23 @@
     });
   }
 
-  /** Action: compares heads with one neighbour and one remote reader. */
+  /**
+   * Action: compares heads with one neighbour and one remote reader. A daemon
+   * without neighbours asks a contact, and without any peer the platform.
+   */
   comparePeers(): void {
     this.#compareDueMs = this.#nowMs() + COMPARE_INTERVAL_MS;
-    const { neighbours } = this.#options;
+    const { neighbours, contacts } = this.#options;
+    const near = neighbours.neighbours().map(({ address }) => address);
+    const remote = neighbours.remoteReaders().map(({ address }) => address);
     const chosen = [
-      this.#choose(neighbours.neighbours()),
-      this.#choose(neighbours.remoteReaders()),
-    ];
-    chosen.forEach((peer) => peer && this.#compare(peer.address));
+      this.#choose(near.length > 0 ? near : contacts),
+      this.#choose(remote),
+    ].filter((address) => address !== undefined);
+    if (chosen.length === 0) {
+      this.askPlatform();
+    }
+    chosen.forEach((address) => this.#compare(address));
   }
 
   #registerHandlers(): void {
@@ -249,9 +253,6 @@
   }
 
   #flood({ step, origin }: AppliedChange): void {
-    if (step === undefined && origin.source !== "platform") {
-      return;
-    }
     const receivers = this.#options.neighbours.neighbours()
       .filter(({ identity }) => identity.instanceId !== origin.instanceId);
     for (const { address } of receivers) {
@@ -286,10 +287,10 @@
     return this.#nowMs() >= (this.#askedMs ?? Infinity) + ASK_WINDOW_MS;
   }
 
-  #choose(peers: readonly Peer[]): Peer | undefined {
-    return peers.length === 0
+  #choose(addresses: readonly Address[]): Address | undefined {
+    return addresses.length === 0
       ? undefined
-      : peers[this.#options.random.nextInt(peers.length)];
+      : addresses[this.#options.random.nextInt(addresses.length)];
   }
 
   #knownAddresses(): Address[] {
--- a/src/config/config_distributor_test.ts
+++ b/src/config/config_distributor_test.ts
@@ -142,3 +142,18 @@
   );
   assert.notEqual(c.store.head()?.digest, head.digest);
 });
+
+test("a daemon without neighbours follows its contacts, or else the platform", async () => {
+  const bed = new ConfigBed();
+  const source = bed.addDaemon("a");
+  const withContact = bed.addDaemon("b", [1]);
+  const alone = bed.addDaemon("c");
+  bed.writeTables(sampleTables());
+  source.readerLease.set(true);
+  source.acceptorLease.set(true);
+  await bed.advance(3_000);
+  bed.writeTable("routes", sampleTables(3).routes);
+  withContact.platform.faults.down = true;
+  await bed.advance(3_000);
+  assert.deepEqual(generations([withContact, alone]), [2, 2]);
+});
--- a/src/config/config_reader.ts
+++ b/src/config/config_reader.ts
@@ -33,8 +33,10 @@
  * @param accepted Object `config/accepted`.
  * @param store Copy of this daemon.
  * @param platform Object API.
- * @returns True when the store has this configuration or a later one.
+ * @returns True when the store has this configuration or a later one; false
+ * when the snapshot does not match its digest.
  * @throws {PlatformError} When the snapshot cannot be read.
+ * @throws {Error} When the store has another content of the generation.
  */
 export async function applyAccepted(
   accepted: Accepted,
@@ -46,8 +48,14 @@
   if (relation === "same") {
     store.confirm();
   }
+  if (relation === "conflicting") {
+    const { generation } = head;
+    throw new Error(
+      `The platform has another content of generation ${generation}`,
+    );
+  }
   if (relation !== "newer") {
-    return relation !== "conflicting";
+    return true;
   }
   const origin = { source: "platform" } as const;
   if (step !== undefined && store.applyStep(step, origin)) {
--- a/src/platform/lease_decision.ts
+++ b/src/platform/lease_decision.ts
@@ -53,6 +53,16 @@
     : { ...seen, firstSeenMs: nowMs };
 }
 
+/**
+ * Computes when a lease lapses for a candidate unless it is renewed.
+ *
+ * @param observed Record with the time of its first sight.
+ * @returns Monotonic time in ms.
+ */
+export function lapseTimeMs(observed: ObservedLease): number {
+  return observed.firstSeenMs + observed.record.lengthMs + LAPSE_MARGIN_MS;
+}
+
 /**
  * Decides whether a candidate may write the lease. No wall clock is compared:
  * a lease has lapsed when its version has not changed for its whole length
@@ -72,8 +82,7 @@
     return "create";
   }
   const { record } = observed;
-  const lapsedMs = observed.firstSeenMs + record.lengthMs + LAPSE_MARGIN_MS;
   const free = record.released || isSameHolder(record.token, own) ||
-    nowMs >= lapsedMs;
+    nowMs >= lapseTimeMs(observed);
   return free ? "take" : "wait";
 }
--- a/src/platform/lease_holder.ts
+++ b/src/platform/lease_holder.ts
@@ -68,6 +68,7 @@
   #nextAttemptMs = -Infinity;
   #renewalDueMs = 0;
   #expiresMs = -Infinity;
+  #released: Promise<void> = Promise.resolve();
 
   /**
    * @param options Name, identity, platform, clock and candidacy.
@@ -109,9 +110,15 @@
     };
   }
 
-  /** Gives the lease up for good; another candidate may take it at once. */
-  release(): void {
+  /**
+   * Gives the lease up for good; another candidate may take it at once. Call it
+   * while the event loop runs, before the platform client is closed.
+   *
+   * @returns Resolves when the write was answered or has failed.
+   */
+  async release(): Promise<void> {
     this.#events.emit({ kind: "release" });
+    await this.#released;
   }
 
   /** @inheritdoc */
@@ -151,6 +158,13 @@
     this.#run(() => this.#store.acquire());
   }
 
+  /** Action: tries again soon after the present holder's lease would lapse. */
+  scheduleAttempt(): void {
+    const spreadMs = this.#options.random.nextFloat() * TICK_MS;
+    const lapseMs = this.#store.lapseMs() + spreadMs;
+    this.#nextAttemptMs = Math.min(this.#nextAttemptMs, lapseMs);
+  }
+
   /** Action: writes the record again. */
   startRenewal(): void {
     this.#run(() => this.#store.renew());
@@ -158,7 +172,7 @@
 
   /** Action: writes the record as released; a failure leaves it to lapse. */
   startRelease(): void {
-    this.#store.release().catch(() => {});
+    this.#released = this.#store.release().catch(() => {});
   }
 
   /** Action: counts expiry and renewal from before the write was sent. */
--- a/src/platform/lease_holder_test.ts
+++ b/src/platform/lease_holder_test.ts
@@ -55,7 +55,8 @@
     await second.tick(1_000);
   }
   assert.equal(second.lease.isHeld(), false);
-  for (let elapsedMs = 0; elapsedMs < 9_000; elapsedMs += 1_000) {
+  // The lease lapses after 15.5 s, and the next attempt follows within 2 s.
+  for (let elapsedMs = 0; elapsedMs < 4_000; elapsedMs += 1_000) {
     await second.tick(1_000);
   }
   assert.equal(second.lease.isHeld(), true);
@@ -118,8 +119,7 @@
   const first = startCandidate("a", store);
   const second = startCandidate("b", store);
   await first.tick();
-  first.lease.release();
-  await first.tick();
+  await first.lease.release();
   await second.tick();
   assert.equal(second.lease.isHeld(), true);
   await first.tick(30_000);
--- a/src/platform/lease_store.ts
+++ b/src/platform/lease_store.ts
@@ -13,6 +13,7 @@
 import {
   decideAcquire,
   isSameToken,
+  lapseTimeMs,
   LEASE_LENGTH_MS,
   type ObservedLease,
   observeLease,
@@ -57,6 +58,13 @@
     return record?.released === false ? record.token.instanceId : undefined;
   }
 
+  /** Time at which the observed lease lapses unless renewed, in ms. */
+  lapseMs(): number {
+    return this.#observed === undefined
+      ? Infinity
+      : lapseTimeMs(this.#observed);
+  }
+
   /**
    * Reads the record and writes it when it is free.
    *
