--- a/src/config/config_reader.ts
+++ b/src/config/config_reader.ts
@@ -54,8 +54,12 @@
     return true;
   }
   const entries = await new SnapshotStore(platform).read(accepted);
-  return entries !== undefined &&
-    store.applyFull({ head, entries, acceptedEpochMs }, origin);
+  if (entries === undefined) {
+    return false;
+  }
+  // The other reader or a peer may have applied it while it was read.
+  return store.applyFull({ head, entries, acceptedEpochMs }, origin) ||
+    compareHeads(store.head(), head) !== "newer";
 }
 
 /**
