--- /dev/null
+++ b/bench/scale/fleet.ts
@@ -0,0 +1,208 @@
+/** A fleet of daemons without traffic, as processes. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { z } from "zod";
+import {
+  type Address,
+  addressSchema,
+} from "../../src/schemas/common_schema.ts";
+import { type Status, statusSchema } from "../../src/schemas/status_schema.ts";
+import {
+  ProgramGroup,
+  type StartedProgram,
+} from "../../stand_ins/program_group.ts";
+
+const LOOPBACK = "127.0.0.1";
+const ANY_PORT = { host: LOOPBACK, port: 0 };
+const DATA_CENTRES_COUNT = 3;
+const ENDPOINTS_PER_POOL = 5;
+const START_BATCH_COUNT = 10;
+const READY_LIMIT_MS = 120_000;
+const POLL_INTERVAL_MS = 250;
+
+const daemonLineSchema = z.object({
+  listeners: z.record(z.string(), addressSchema),
+});
+const platformLineSchema = z.object({ url: z.url() });
+
+/** One daemon of the fleet. */
+export type FleetDaemon = {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly program: StartedProgram;
+  readonly operatorUrl: string;
+};
+
+function operatorUrlOf(ready: unknown): string {
+  const { listeners } = daemonLineSchema.parse(ready);
+  const { host, port } = listeners.operator as Address;
+  return `http://${host}:${port}`;
+}
+
+/** Starts daemons, applies tables and reads their states. */
+export class Fleet {
+  readonly daemons: FleetDaemon[] = [];
+  readonly #programs = new ProgramGroup();
+  readonly #folder = mkdtempSync(join(tmpdir(), "goldcrestrelay-fleet-"));
+  readonly #daemonsCount: number;
+  platformUrl = "";
+
+  /**
+   * @param daemonsCount Daemons to start.
+   */
+  constructor(daemonsCount: number) {
+    this.#daemonsCount = daemonsCount;
+  }
+
+  /** Starts the platform and all daemons, and applies the first tables. */
+  async start(): Promise<void> {
+    const platform = await this.#programs.start("stand_ins/platform.js", []);
+    this.platformUrl = platformLineSchema.parse(platform.ready).url;
+    while (this.daemons.length < this.#daemonsCount) {
+      const from = this.daemons.length;
+      const to = Math.min(this.#daemonsCount, from + START_BATCH_COUNT);
+      const numbers = Array.from({ length: to - from }, (_, i) => from + i);
+      this.daemons.push(
+        ...await Promise.all(numbers.map((number) => this.#startOne(number))),
+      );
+    }
+    await this.applyTables(1);
+    await this.waitFor((status) =>
+      status.state === "ready" &&
+      countAlive(status) === this.#daemonsCount
+    );
+  }
+
+  /** Stops all processes by force; the fleet has no work to drain. */
+  async stop(): Promise<void> {
+    for (const { program } of this.daemons) {
+      program.signal("SIGKILL");
+    }
+    await this.#programs.stop();
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  /**
+   * Applies tables that differ from the former ones in one entry.
+   *
+   * @param change Number of the change.
+   */
+  async applyTables(change: number): Promise<void> {
+    const poolsCount = Math.ceil(this.#daemonsCount / ENDPOINTS_PER_POOL);
+    const names = Array.from({ length: poolsCount }, (_, i) => `pool-${i}`);
+    const routes = names.map((pool, index) => [`route-${index}`, {
+      match: { method: "GET", pathPrefix: `/${pool}` },
+      pool,
+      class: "standard",
+      idempotent: true,
+      timeoutMs: index === 0 ? 10_000 + change : 10_000,
+    }]);
+    const pools = names.map((pool) => [pool, {
+      dataCentres: this.#dataCentres(),
+      slotsCount: 10,
+      connectionsMaxCount: 1_000,
+      endpointsCount: ENDPOINTS_PER_POOL,
+    }]);
+    const code = await this.#programs.run("src/cli/main.js", [
+      "apply",
+      "--platform",
+      this.platformUrl,
+      "--routes",
+      this.#write("routes.jsonc", { routes: Object.fromEntries(routes) }),
+      "--pools",
+      this.#write("pools.jsonc", { pools: Object.fromEntries(pools) }),
+    ]);
+    if (code !== 0) {
+      throw new Error(`The tool ended with exit code ${code}`);
+    }
+  }
+
+  /**
+   * Reads the status of a daemon.
+   *
+   * @param daemon Daemon of the fleet.
+   * @returns Its status.
+   */
+  async readStatus({ operatorUrl }: FleetDaemon): Promise<Status> {
+    const answer = await request(`${operatorUrl}/status`);
+    return statusSchema.parse(await answer.body.json());
+  }
+
+  /**
+   * Waits until a condition holds at every daemon.
+   *
+   * @param isReached Condition on a status.
+   * @param daemons Daemons to look at; all by default.
+   * @throws {Error} When it does not hold in time.
+   */
+  async waitFor(
+    isReached: (status: Status) => boolean,
+    daemons: readonly FleetDaemon[] = this.daemons,
+  ): Promise<void> {
+    const limitMs = performance.now() + READY_LIMIT_MS;
+    let pending = [...daemons];
+    while (pending.length > 0) {
+      const reached = await Promise.all(
+        pending.map(async (daemon) => isReached(await this.readStatus(daemon))),
+      );
+      pending = pending.filter((_, index) => reached[index] !== true);
+      if (performance.now() > limitMs) {
+        throw new Error(`${pending.length} daemons did not follow in time`);
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
+  }
+
+  #dataCentres(): string[] {
+    return Array.from({ length: DATA_CENTRES_COUNT }, (_, i) => `dc-${i}`);
+  }
+
+  async #startOne(number: number): Promise<FleetDaemon> {
+    const id = `instance-${number}`;
+    const dataCentre = `dc-${number % DATA_CENTRES_COUNT}`;
+    const settingsFile = this.#write(`${id}.jsonc`, {
+      instance: { id, dataCentre },
+      listeners: {
+        callers: ANY_PORT,
+        hop: ANY_PORT,
+        outbound: ANY_PORT,
+        peer: ANY_PORT,
+        operator: ANY_PORT,
+      },
+      upstream: {
+        pool: `pool-${Math.floor(number / ENDPOINTS_PER_POOL)}`,
+        host: LOOPBACK,
+        port: 9,
+        slotsCount: 10,
+        connectionsMaxCount: 1_000,
+      },
+      platform: { url: this.platformUrl },
+      peers: { keys: [{ id: "bench", secret: "bench-secret-0123456789" }] },
+      log: { level: "error" },
+    });
+    const program = await this.#programs.start("src/daemon/main.js", [
+      settingsFile,
+    ]);
+    const operatorUrl = operatorUrlOf(program.ready);
+    return { id, dataCentre, program, operatorUrl };
+  }
+
+  #write(name: string, value: unknown): string {
+    const file = join(this.#folder, name);
+    writeFileSync(file, JSON.stringify(value));
+    return file;
+  }
+}
+
+/**
+ * Counts the members that a daemon holds alive.
+ *
+ * @param status Status of the daemon.
+ * @returns Number of members, itself included.
+ */
+export function countAlive(status: Status): number {
+  return status.members.filter(({ state }) => state === "alive").length;
+}
