Add owners of keys by the history of members and placements

Cause: keyed requests need, per pool and data centre, which members were eligible as owners since a key's first send.

--- /dev/null
+++ b/src/membership/member_owners.ts
@@ -0,0 +1,64 @@
+/** Owners of keys by the history of members and of pools. */
+import type { EligibleOwners } from "../decisions/eligible_owners.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
+import type { PlacementHistory } from "./placement_history.ts";
+
+/** Parts of {@link MemberOwners}. */
+export type MemberOwnersParts = {
+  /** History of the eligible members of a pool in a data centre. */
+  eligibleOwners: (
+    pool: string,
+    dataCentre: string,
+  ) => EligibleOwners | undefined;
+  placements: PlacementHistory;
+  /** Reads the monotonic clock, in ms. */
+  nowMs: () => number;
+  /** Reads the key clock, in ms since the epoch. */
+  nowEpochMs: () => number;
+};
+
+/** Merges the two histories into periods on the key clock. */
+export class MemberOwners implements OwnerHistory {
+  readonly #parts: MemberOwnersParts;
+
+  /**
+   * @param parts Histories and clocks.
+   */
+  constructor(parts: MemberOwnersParts) {
+    this.#parts = parts;
+  }
+
+  /** @inheritdoc */
+  lists(
+    pool: string,
+    dataCentre: string,
+    fromEpochMs: number,
+  ): readonly OwnerList[] {
+    const { eligibleOwners, placements } = this.#parts;
+    const nowMs = this.#parts.nowMs();
+    const epochOffsetMs = this.#parts.nowEpochMs() - nowMs;
+    const sinceMs = fromEpochMs - epochOffsetMs;
+    const owners = eligibleOwners(pool, dataCentre)
+      ?.history(nowMs, { sinceMs }) ?? [];
+    const places = placements.history(pool, { sinceMs });
+    const [first] = owners;
+    if (first === undefined || first.fromMs > sinceMs || places.length === 0) {
+      return [];
+    }
+    const starts = new Set(
+      [...owners, ...places].map(({ fromMs }) => Math.max(fromMs, sinceMs)),
+    );
+    return [...starts].sort((a, b) => a - b).map((startMs) => ({
+      sinceEpochMs: startMs + epochOffsetMs,
+      dataCentres: lastAt(places, startMs)?.dataCentres ?? [],
+      instanceIds: lastAt(owners, startMs)?.instanceIds ?? [],
+    }));
+  }
+}
+
+function lastAt<T extends { readonly fromMs: number }>(
+  periods: readonly T[],
+  timeMs: number,
+): T | undefined {
+  return periods.findLast(({ fromMs }) => fromMs <= timeMs);
+}
