--- /dev/null
+++ b/src/decisions/eligible_owners.ts
@@ -0,0 +1,197 @@
+/** History of the members that may own keys of a pool in a data centre. */
+
+/** Time after a join, or after an unconfirmed death, in which keys move, in ms. */
+export const HANDOVER_MS = 10_000;
+/** Time over which the history is kept, in ms; keys are kept as long. */
+export const KEY_RETENTION_MS = 600_000;
+
+/** A change of the members of the pool. */
+export type OwnerEvent = {
+  /** `dead` without confirmation; `gone` with confirmation. */
+  readonly kind: "joined" | "dead" | "gone";
+  readonly instanceId: string;
+  /** Monotonic time, in ms; never before that of an earlier event. */
+  readonly atMs: number;
+};
+
+/** Members that were eligible during one period. */
+export type EligibleList = {
+  /** Start of the period, in ms; the end is the start of the next list. */
+  readonly fromMs: number;
+  /** Instance ids, sorted; empty while there was no member. */
+  readonly instanceIds: readonly string[];
+};
+
+/** Options of {@link EligibleOwners}. */
+export type EligibleOwnersOptions = {
+  handoverMs?: number;
+  retentionMs?: number;
+};
+
+/** Life of a member in the pool, from its join to its loss. */
+type Membership = {
+  readonly instanceId: string;
+  readonly joinedMs: number;
+  /** Time of the death or of its confirmation; infinite while it lives. */
+  lostMs: number;
+  /** End of the eligibility after an unconfirmed death. */
+  eligibleUntilMs: number;
+};
+
+function isSameList(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((id, index) => id === b[index]);
+}
+
+/**
+ * Keeps which members were eligible as owners at each time of the retention:
+ * members that joined at least the hand-over time ago, and members that died
+ * without confirmation less than the hand-over time ago. When no live member
+ * joined that long ago, all live members are eligible.
+ *
+ * @example
+ * owners.record({ kind: "joined", instanceId: "plates-1", atMs: 0 });
+ * owners.history(5_000, { sinceMs: 1_000 }); // every list in force since 1 s
+ */
+export class EligibleOwners {
+  readonly #handoverMs: number;
+  readonly #retentionMs: number;
+  #memberships: Membership[] = [];
+  #lists: readonly EligibleList[] = [];
+  /** Time at which the computed lists change without an event. */
+  #validUntilMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * @param options Hand-over time and retention.
+   */
+  constructor(options: EligibleOwnersOptions = {}) {
+    this.#handoverMs = options.handoverMs ?? HANDOVER_MS;
+    this.#retentionMs = options.retentionMs ?? KEY_RETENTION_MS;
+  }
+
+  /**
+   * Records a change of the members.
+   *
+   * @param event Change.
+   */
+  record(event: OwnerEvent): void {
+    const { kind, instanceId, atMs } = event;
+    this.#validUntilMs = Number.NEGATIVE_INFINITY;
+    if (kind === "joined") {
+      this.#close(instanceId, { atMs, eligibleUntilMs: undefined });
+      this.#memberships.push({
+        instanceId,
+        joinedMs: atMs,
+        lostMs: Number.POSITIVE_INFINITY,
+        eligibleUntilMs: Number.POSITIVE_INFINITY,
+      });
+      return;
+    }
+    const isConfirmed = kind === "gone";
+    const eligibleUntilMs = isConfirmed ? atMs : atMs + this.#handoverMs;
+    this.#close(instanceId, { atMs, eligibleUntilMs });
+  }
+
+  /**
+   * Lists the members that are eligible now.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Instance ids, sorted.
+   */
+  current(nowMs: number): readonly string[] {
+    this.#update(nowMs);
+    return this.#lists.at(-1)?.instanceIds ?? [];
+  }
+
+  /**
+   * Lists every list that was in force since a time.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param options Time since which lists are asked for.
+   * @returns Lists, oldest first; the first one was in force at `sinceMs`.
+   */
+  history(
+    nowMs: number,
+    options: { sinceMs: number },
+  ): readonly EligibleList[] {
+    this.#update(nowMs);
+    const startIndex = this.#lists.findLastIndex((list) =>
+      list.fromMs <= options.sinceMs
+    );
+    return this.#lists.slice(Math.max(startIndex, 0));
+  }
+
+  #close(
+    instanceId: string,
+    loss: { atMs: number; eligibleUntilMs: number | undefined },
+  ): void {
+    const open = this.#memberships.findLast((membership) =>
+      membership.instanceId === instanceId
+    );
+    if (open === undefined) {
+      return;
+    }
+    open.lostMs = Math.min(open.lostMs, loss.atMs);
+    // A confirmation ends the eligibility that a death had extended; a member
+    // that returns keeps it.
+    const untilMs = loss.eligibleUntilMs ?? open.eligibleUntilMs;
+    open.eligibleUntilMs = Math.min(open.eligibleUntilMs, untilMs);
+  }
+
+  #update(nowMs: number): void {
+    if (nowMs < this.#validUntilMs) {
+      return;
+    }
+    const oldestMs = nowMs - this.#retentionMs;
+    this.#memberships = this.#memberships.filter((membership) =>
+      Math.max(membership.lostMs, membership.eligibleUntilMs) >= oldestMs
+    );
+    const times = this.#listTimes();
+    this.#lists = this.#buildLists(times, { oldestMs, nowMs });
+    const nextMs = times.find((time) => time > nowMs);
+    this.#validUntilMs = nextMs ?? Number.POSITIVE_INFINITY;
+  }
+
+  /** Times at which the list may change, sorted. */
+  #listTimes(): number[] {
+    const times = this.#memberships.flatMap((membership) => [
+      membership.joinedMs,
+      membership.joinedMs + this.#handoverMs,
+      membership.lostMs,
+      membership.eligibleUntilMs,
+    ]);
+    return [...new Set(times)].filter(Number.isFinite).sort((a, b) => a - b);
+  }
+
+  #buildLists(
+    times: readonly number[],
+    period: { oldestMs: number; nowMs: number },
+  ): EligibleList[] {
+    const lists: EligibleList[] = [];
+    const { oldestMs, nowMs } = period;
+    for (const fromMs of times.filter((time) => time <= nowMs)) {
+      const instanceIds = this.#listEligible(fromMs);
+      if (fromMs <= oldestMs) {
+        lists.length = 0;
+      }
+      const last = lists.at(-1);
+      if (last === undefined || !isSameList(last.instanceIds, instanceIds)) {
+        lists.push({ fromMs, instanceIds });
+      }
+    }
+    return lists;
+  }
+
+  #listEligible(atMs: number): string[] {
+    const live = this.#memberships.filter(({ joinedMs, lostMs }) =>
+      joinedMs <= atMs && atMs < lostMs
+    );
+    const aged = live.filter(({ joinedMs }) =>
+      joinedMs + this.#handoverMs <= atMs
+    );
+    const dead = this.#memberships.filter(({ lostMs, eligibleUntilMs }) =>
+      lostMs <= atMs && atMs < eligibleUntilMs
+    );
+    const eligible = [...(aged.length > 0 ? aged : live), ...dead];
+    return [...new Set(eligible.map(({ instanceId }) => instanceId))].sort();
+  }
+}
--- /dev/null
+++ b/src/membership/compact_machine.ts
@@ -0,0 +1,55 @@
+/** Runs a chart for many records that store only the index of their state. */
+import type {
+  ChartMethods,
+  CompiledChart,
+  CompiledTransition,
+} from "../charts/compile_chart.ts";
+
+/** Event for {@link selectTransition}. */
+export type CompactEvent = {
+  /** Event of the chart. */
+  name: string;
+  /** Object whose methods are the guards. */
+  methods: object;
+  /** Argument of the guards. */
+  data: unknown;
+};
+
+/**
+ * Selects the first transition of an event whose guard holds. The caller
+ * stores the target and then calls {@link runActions}.
+ *
+ * @param chart Compiled chart.
+ * @param stateIndex Index of the record's present state.
+ * @param event Event, guards and their argument.
+ * @returns The transition, or undefined when none is taken.
+ */
+export function selectTransition(
+  chart: CompiledChart,
+  stateIndex: number,
+  event: CompactEvent,
+): CompiledTransition | undefined {
+  const eventIndex = chart.eventIndex.get(event.name) as number;
+  const cell = stateIndex * chart.eventNames.length + eventIndex;
+  const methods = event.methods as ChartMethods;
+  return chart.table[cell]?.find(({ guard }) =>
+    guard === undefined || methods[guard](event.data)
+  );
+}
+
+/**
+ * Calls the actions of a transition in order.
+ *
+ * @param transition Transition that was taken.
+ * @param methods Object whose methods are the actions.
+ * @param data Argument of the actions.
+ */
+export function runActions(
+  transition: CompiledTransition,
+  methods: object,
+  data: unknown,
+): void {
+  for (const action of transition.actions) {
+    (methods as ChartMethods)[action](data);
+  }
+}
--- /dev/null
+++ b/src/membership/failure_detector.ts
@@ -0,0 +1,167 @@
+/** Schedules probes and judges their results. */
+import type { PeerFailure } from "../core/peer_transport.ts";
+import type { MemberVersion } from "../schemas/member_schema.ts";
+
+/** Time between two probes of a member, in ms. */
+export const PROBE_INTERVAL_MS = 1_000;
+/** Longest wait for the answer to a probe, in ms. */
+export const PROBE_TIMEOUT_MS = 500;
+const MISSES_TO_SUSPECT_COUNT = 2;
+const REFUSALS_TO_CONFIRM_COUNT = 2;
+/**
+ * A member that refutes this observer's suspicions is reachable by others, as
+ * with a link that loses one direction. The misses that are needed double with
+ * each refutation, up to this bound, so that the floods stay few.
+ */
+const MISSES_TO_SUSPECT_MAX_COUNT = 32;
+
+/** What an observer concludes from a failed probe. */
+export type Verdict = "none" | "suspect" | "gone";
+
+type Target = {
+  nextMs: number;
+  isAwaited: boolean;
+  missesCount: number;
+  refusalsCount: number;
+  missesNeededCount: number;
+  /** Version that this observer suspected last. */
+  suspected: MemberVersion | undefined;
+};
+
+/** Failed probe as {@link FailureDetector.fail} judges it. */
+export type FailedProbe = {
+  failure: PeerFailure | "replaced";
+  /** Whether the own event loop was late while the probe was under way. */
+  isExcused: boolean;
+  /** Present version of the member. */
+  version: MemberVersion;
+};
+
+/**
+ * Probes the observed members in turn. Two misses in a row make a suspicion; two
+ * refused connections in a row, or answers of another instance, confirm that
+ * the process has ended.
+ */
+export class FailureDetector {
+  readonly #targets = new Map<string, Target>();
+
+  /** Number of members under observation. */
+  get targetsCount(): number {
+    return this.#targets.size;
+  }
+
+  /** Whether a member is under observation. */
+  observes(instanceId: string): boolean {
+    return this.#targets.has(instanceId);
+  }
+
+  /**
+   * Replaces the list of observed members. The first probes of new members are
+   * spread over one interval.
+   *
+   * @param instanceIds Members to observe.
+   * @param nowMs Monotonic time, in ms.
+   */
+  setTargets(instanceIds: readonly string[], nowMs: number): void {
+    for (const known of [...this.#targets.keys()]) {
+      if (!instanceIds.includes(known)) {
+        this.#targets.delete(known);
+      }
+    }
+    instanceIds.forEach((instanceId, index) => {
+      if (this.#targets.has(instanceId)) {
+        return;
+      }
+      this.#targets.set(instanceId, {
+        nextMs: nowMs + (index * PROBE_INTERVAL_MS) / instanceIds.length,
+        isAwaited: false,
+        missesCount: 0,
+        refusalsCount: 0,
+        missesNeededCount: MISSES_TO_SUSPECT_COUNT,
+        suspected: undefined,
+      });
+    });
+  }
+
+  /**
+   * Takes the members whose probe is due.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Members to probe now.
+   */
+  takeDue(nowMs: number): string[] {
+    const due: string[] = [];
+    for (const [instanceId, target] of this.#targets) {
+      if (target.isAwaited || target.nextMs > nowMs) {
+        continue;
+      }
+      target.isAwaited = true;
+      target.nextMs = Math.max(
+        target.nextMs + PROBE_INTERVAL_MS,
+        nowMs + PROBE_INTERVAL_MS / 2,
+      );
+      due.push(instanceId);
+    }
+    return due;
+  }
+
+  /** Records that a member answered. */
+  acknowledge(instanceId: string): void {
+    const target = this.#targets.get(instanceId);
+    if (target === undefined) {
+      return;
+    }
+    target.isAwaited = false;
+    target.missesCount = 0;
+    target.refusalsCount = 0;
+    target.missesNeededCount = MISSES_TO_SUSPECT_COUNT;
+    target.suspected = undefined;
+  }
+
+  /**
+   * Judges a probe that failed.
+   *
+   * @param instanceId Probed member.
+   * @param probe Failure and circumstances.
+   * @returns Conclusion; the caller applies it.
+   */
+  fail(instanceId: string, probe: FailedProbe): Verdict {
+    const target = this.#targets.get(instanceId);
+    if (target === undefined) {
+      return "none";
+    }
+    target.isAwaited = false;
+    const isRefused = probe.failure === "refused" ||
+      probe.failure === "replaced";
+    target.refusalsCount = isRefused ? target.refusalsCount + 1 : 0;
+    if (target.refusalsCount >= REFUSALS_TO_CONFIRM_COUNT) {
+      return "gone";
+    }
+    if (probe.isExcused) {
+      target.missesCount = 0;
+      return "none";
+    }
+    return this.#countMiss(target, probe.version);
+  }
+
+  #countMiss(target: Target, version: MemberVersion): Verdict {
+    target.missesCount++;
+    const { suspected } = target;
+    if (suspected !== undefined && suspected.sequence < version.sequence) {
+      target.suspected = undefined;
+      target.missesCount = 1;
+      target.missesNeededCount = Math.min(
+        target.missesNeededCount * 2,
+        MISSES_TO_SUSPECT_MAX_COUNT,
+      );
+    }
+    if (
+      target.missesCount < target.missesNeededCount ||
+      target.suspected !== undefined
+    ) {
+      return "none";
+    }
+    target.suspected = version;
+    return "suspect";
+  }
+}
--- /dev/null
+++ b/src/membership/member_registry.ts
@@ -0,0 +1,324 @@
+/** All members as one daemon holds them, run by the chart `member`. */
+import type { CompiledChart } from "../charts/compile_chart.ts";
+import { loadChart } from "../charts/load_chart.ts";
+import {
+  MEMBER_STATES,
+  type MemberState,
+  type MemberUpdate,
+  type MemberVersion,
+} from "../schemas/member_schema.ts";
+import { runActions, selectTransition } from "./compact_machine.ts";
+import { MemberDigests } from "./member_digests.ts";
+import { MemberTable } from "./member_table.ts";
+import { ObserverRings } from "./observer_rings.ts";
+
+/** A change that the directory of upstreams follows. */
+export type MemberChange = {
+  /**
+   * `joined` a pool; `dead` without confirmation; `gone` with confirmation,
+   * also when replaced by a newer incarnation; `updated` in another way.
+   */
+  readonly kind: "joined" | "dead" | "gone" | "updated";
+  readonly instanceId: string;
+  readonly incarnationEpochMs: number;
+  readonly dataCentre: string;
+  readonly pool: string;
+  /** Monotonic time at which this daemon learned of it, in ms. */
+  readonly atMs: number;
+};
+
+/** A suspicion that is neither refuted nor confirmed. */
+export type Suspicion = {
+  readonly version: MemberVersion;
+  /** Distinct observers that suspect the member; two are enough. */
+  readonly observers: string[];
+  /** Monotonic time of the first suspicion, in ms. */
+  sinceMs: number;
+  /** Whether another daemon already holds the member dead. */
+  claimedDead: boolean;
+};
+
+/** Options of {@link MemberRegistry.apply}. */
+export type ApplyOptions = {
+  nowMs: number;
+  /** Whether the suspicion stands for a death that another daemon declared. */
+  claimedDead?: boolean;
+};
+
+type Arrival = ApplyOptions & { row: number; update: MemberUpdate };
+
+const SUSPICION_OBSERVERS_COUNT = 2;
+const LIVE_STATES: readonly string[] = [
+  "alive",
+  "leaving",
+  "suspect",
+  "leavingSuspect",
+];
+
+/**
+ * Tells whether a member in a state may still run.
+ *
+ * @param state State of a member.
+ * @returns False for dead, gone and left.
+ */
+export function isLiveState(state: MemberState): boolean {
+  return LIVE_STATES.includes(state);
+}
+
+/**
+ * Compares two versions of a member by incarnation, sequence and state.
+ *
+ * @param a First version.
+ * @param b Second version.
+ * @returns Positive when the first is newer, 0 when they are equal.
+ */
+export function compareVersions(a: MemberVersion, b: MemberVersion): number {
+  return a.incarnationEpochMs - b.incarnationEpochMs ||
+    a.sequence - b.sequence ||
+    MEMBER_STATES.indexOf(a.state) - MEMBER_STATES.indexOf(b.state);
+}
+
+/**
+ * Applies updates in the order of their versions and keeps rings, digests and
+ * suspicions up to date.
+ *
+ * @example
+ * if (registry.apply(update, { nowMs })) flood(update);
+ */
+export class MemberRegistry {
+  readonly table = new MemberTable();
+  readonly rings = new ObserverRings();
+  readonly digests = new MemberDigests();
+  readonly suspicions = new Map<string, Suspicion>();
+  readonly #dataCentre: string;
+  readonly #chart: CompiledChart;
+  readonly #unknownIndex: number;
+  readonly #lostMs = new Map<string, number>();
+  #changes: MemberChange[] = [];
+  #lostPeersCount = 0;
+
+  /**
+   * @param dataCentre Own data centre, whose members form the rings.
+   */
+  constructor(dataCentre: string) {
+    this.#dataCentre = dataCentre;
+    this.#chart = MEMBER_CHART;
+    this.#unknownIndex = this.#chart.initialIndex;
+  }
+
+  /** Members of the own data centre that are dead without confirmation. */
+  get lostPeersCount(): number {
+    return this.#lostPeersCount;
+  }
+
+  /**
+   * Applies one update.
+   *
+   * @param update Statement about a member.
+   * @param options Time, and how the statement was learned.
+   * @returns True when it was news, so that it is to be flooded.
+   */
+  apply(update: MemberUpdate, options: ApplyOptions): boolean {
+    const known = this.table.rowOf(update.instanceId);
+    const row = known ?? this.table.add(update, this.#unknownIndex);
+    const arrival: Arrival = { ...options, row, update };
+    const transition = selectTransition(
+      this.#chart,
+      this.table.stateIndexOf(row),
+      { name: update.state, methods: this, data: arrival },
+    );
+    if (transition === undefined) {
+      return false;
+    }
+    const before = this.stateAt(row);
+    this.#toggleDigest(row, before);
+    this.table.setStateIndex(row, transition.targetIndex);
+    runActions(transition, this, arrival);
+    const after = this.stateAt(row);
+    this.#toggleDigest(row, after);
+    this.#countLost(update, { before, after });
+    return true;
+  }
+
+  /** State of a row; `unknown` only while its first update is applied. */
+  stateAt(row: number): MemberState {
+    return this.#chart.stateNames[this.table.stateIndexOf(row)] as MemberState;
+  }
+
+  /** Version of a member; undefined when it is not known. */
+  versionOf(instanceId: string): MemberVersion | undefined {
+    const row = this.table.rowOf(instanceId);
+    return row === undefined ? undefined : this.versionAt(row);
+  }
+
+  /** Version of a row. */
+  versionAt(row: number): MemberVersion {
+    return {
+      incarnationEpochMs: this.table.incarnationOf(row),
+      sequence: this.table.sequenceOf(row),
+      state: this.stateAt(row),
+    };
+  }
+
+  /** Full statement about a member; undefined when it is not known. */
+  updateOf(instanceId: string): MemberUpdate | undefined {
+    const row = this.table.rowOf(instanceId);
+    return row === undefined ? undefined : this.updateAt(row);
+  }
+
+  /** Full statement about a row. */
+  updateAt(row: number): MemberUpdate {
+    const update = { ...this.table.read(row), state: this.stateAt(row) };
+    const suspectedBy = this.suspicions.get(update.instanceId)?.observers[0];
+    return suspectedBy === undefined ? update : { ...update, suspectedBy };
+  }
+
+  /** Returns the changes since the last call. */
+  takeChanges(): MemberChange[] {
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
+  /**
+   * Removes members that were lost long ago.
+   *
+   * @param beforeMs Monotonic time; members lost before it are removed.
+   */
+  forgetLost(beforeMs: number): void {
+    for (const [instanceId, lostMs] of this.#lostMs) {
+      if (lostMs >= beforeMs) {
+        return;
+      }
+      const row = this.table.rowOf(instanceId) as number;
+      const state = this.stateAt(row);
+      const event = { name: "forget", methods: this, data: undefined };
+      if (selectTransition(this.#chart, this.table.stateIndexOf(row), event)) {
+        const { dataCentre } = this.table.read(row);
+        this.#countLost({ dataCentre }, { before: state, after: "gone" });
+        this.table.remove(row);
+      }
+      this.#lostMs.delete(instanceId);
+    }
+  }
+
+  // Guards and actions of the chart `member`.
+
+  /** Guard: the update's version is newer than the record's. */
+  isNewer({ row, update }: Arrival): boolean {
+    return compareVersions(update, this.versionAt(row)) > 0;
+  }
+
+  /** Guard: another observer suspects the same version. */
+  isNewObserver({ row, update }: Arrival): boolean {
+    const suspicion = this.suspicions.get(update.instanceId);
+    return suspicion !== undefined && update.suspectedBy !== undefined &&
+      compareVersions(update, this.versionAt(row)) === 0 &&
+      suspicion.observers.length < SUSPICION_OBSERVERS_COUNT &&
+      !suspicion.observers.includes(update.suspectedBy);
+  }
+
+  /** Action: the member is live and was not. */
+  join({ row, update, nowMs }: Arrival): void {
+    if (this.table.incarnationOf(row) < update.incarnationEpochMs) {
+      this.#report("gone", row, nowMs);
+    }
+    this.table.write(row, update);
+    this.table.setLearnedMs(row, nowMs);
+    this.#lostMs.delete(update.instanceId);
+    if (update.dataCentre === this.#dataCentre) {
+      this.rings.add(update.instanceId);
+    }
+    this.#report("joined", row, nowMs);
+  }
+
+  /** Action: a live member has a new version. */
+  update({ row, update, nowMs }: Arrival): void {
+    const isReplaced =
+      this.table.incarnationOf(row) !== update.incarnationEpochMs;
+    const isMoved = this.table.poolOf(row) !== update.pool;
+    if (isReplaced || isMoved) {
+      this.#report("gone", row, nowMs);
+    }
+    this.table.write(row, update);
+    if (isReplaced) {
+      this.table.setLearnedMs(row, nowMs);
+    }
+    this.#report(isReplaced || isMoved ? "joined" : "updated", row, nowMs);
+  }
+
+  /** Action: an observer suspects the member. */
+  suspect({ row, update, nowMs, claimedDead }: Arrival): void {
+    let suspicion = this.suspicions.get(update.instanceId);
+    if (suspicion === undefined) {
+      const version = this.versionAt(row);
+      suspicion = {
+        version,
+        observers: [],
+        sinceMs: nowMs,
+        claimedDead: false,
+      };
+      this.suspicions.set(update.instanceId, suspicion);
+    }
+    if (update.suspectedBy !== undefined) {
+      suspicion.observers.push(update.suspectedBy);
+    }
+    suspicion.claimedDead ||= claimedDead === true;
+  }
+
+  /** Action: the suspicion is refuted or confirmed. */
+  acquit({ update }: Arrival): void {
+    this.suspicions.delete(update.instanceId);
+  }
+
+  /** Action: a live member is declared dead without confirmation. */
+  lose({ row, update, nowMs }: Arrival): void {
+    this.bury({ row, update, nowMs });
+    this.#report("dead", row, nowMs);
+  }
+
+  /** Action: a member is known to have ended. */
+  confirmGone({ row, update, nowMs }: Arrival): void {
+    this.bury({ row, update, nowMs });
+    this.#report("gone", row, nowMs);
+  }
+
+  /** Action: stores the record of a member that does not run. */
+  bury({ row, update, nowMs }: Arrival): void {
+    this.table.write(row, update);
+    this.rings.remove(update.instanceId);
+    // Deleted first so that the map stays ordered by the time of the loss.
+    this.#lostMs.delete(update.instanceId);
+    this.#lostMs.set(update.instanceId, nowMs);
+  }
+
+  #report(kind: MemberChange["kind"], row: number, atMs: number): void {
+    this.#changes.push({
+      kind,
+      instanceId: this.table.idOf(row),
+      incarnationEpochMs: this.table.incarnationOf(row),
+      dataCentre: this.table.dataCentreOf(row),
+      pool: this.table.poolOf(row),
+      atMs,
+    });
+  }
+
+  #toggleDigest(row: number, state: MemberState): void {
+    if (isLiveState(state)) {
+      this.digests.toggle({ ...this.table.read(row), state });
+    }
+  }
+
+  #countLost(
+    member: { dataCentre: string },
+    states: { before: MemberState; after: MemberState },
+  ): void {
+    if (member.dataCentre !== this.#dataCentre) {
+      return;
+    }
+    this.#lostPeersCount += Number(states.after === "dead") -
+      Number(states.before === "dead");
+  }
+}
+
+const MEMBER_CHART = loadChart("member", MemberRegistry.prototype);
--- /dev/null
+++ b/src/membership/member_table.ts
@@ -0,0 +1,265 @@
+/** Compact store of all members of the fleet. */
+import type { MemberPlace, MemberUpdate } from "../schemas/member_schema.ts";
+import { bucketName, bucketOf, BUCKETS_COUNT } from "./member_digests.ts";
+
+const INITIAL_ROWS_COUNT = 64;
+const HOST_IN_OVERFLOW = 0xffffffff;
+
+/** A member's record without its state, which is the chart's. */
+export type MemberRecord = Omit<MemberUpdate, "state" | "suspectedBy">;
+
+function parseIpv4(host: string): number | undefined {
+  const parts = host.split(".");
+  if (parts.length !== 4) {
+    return undefined;
+  }
+  return parts.reduce((value, part) => value * 256 + Number(part), 0);
+}
+
+function formatIpv4(value: number): string {
+  return [24, 16, 8, 0].map((shift) => (value >>> shift) & 255).join(".");
+}
+
+/** Numbers short strings that many rows share. */
+class NameList {
+  readonly #names: string[] = [];
+  readonly #indices = new Map<string, number>();
+
+  indexOf(name: string): number {
+    const known = this.#indices.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    this.#names.push(name);
+    this.#indices.set(name, this.#names.length - 1);
+    return this.#names.length - 1;
+  }
+
+  nameAt(index: number): string {
+    return this.#names[index] as string;
+  }
+}
+
+class Columns {
+  readonly incarnations: Float64Array;
+  readonly learned: Float64Array;
+  readonly sequences: Uint32Array;
+  readonly hosts: Uint32Array;
+  readonly slots: Uint32Array;
+  readonly connections: Uint32Array;
+  readonly peerPorts: Uint16Array;
+  readonly hopPorts: Uint16Array;
+  readonly pools: Uint16Array;
+  readonly dataCentres: Uint16Array;
+  readonly states: Uint8Array;
+  readonly buckets: Uint8Array;
+
+  constructor(readonly capacity: number) {
+    this.incarnations = new Float64Array(capacity);
+    this.learned = new Float64Array(capacity);
+    this.sequences = new Uint32Array(capacity);
+    this.hosts = new Uint32Array(capacity);
+    this.slots = new Uint32Array(capacity);
+    this.connections = new Uint32Array(capacity);
+    this.peerPorts = new Uint16Array(capacity);
+    this.hopPorts = new Uint16Array(capacity);
+    this.pools = new Uint16Array(capacity);
+    this.dataCentres = new Uint16Array(capacity);
+    this.states = new Uint8Array(capacity);
+    this.buckets = new Uint8Array(capacity);
+  }
+
+  /** Copies all columns into larger ones. */
+  grow(): Columns {
+    const larger = new Columns(Math.ceil(this.capacity * 1.5));
+    larger.incarnations.set(this.incarnations);
+    larger.learned.set(this.learned);
+    larger.sequences.set(this.sequences);
+    larger.hosts.set(this.hosts);
+    larger.slots.set(this.slots);
+    larger.connections.set(this.connections);
+    larger.peerPorts.set(this.peerPorts);
+    larger.hopPorts.set(this.hopPorts);
+    larger.pools.set(this.pools);
+    larger.dataCentres.set(this.dataCentres);
+    larger.states.set(this.states);
+    larger.buckets.set(this.buckets);
+    return larger;
+  }
+}
+
+/**
+ * All members in typed columns: 42 bytes a row besides the instance id and its
+ * index. Full objects are built only when they are read.
+ */
+export class MemberTable {
+  #columns = new Columns(INITIAL_ROWS_COUNT);
+  readonly #ids: (string | undefined)[] = [];
+  readonly #rowsById = new Map<string, number>();
+  readonly #freeRows: number[] = [];
+  readonly #names = new NameList();
+  /** Hosts that are not one IPv4 address for both listeners. */
+  readonly #otherHosts = new Map<number, { peer: string; hop: string }>();
+
+  /** Number of members. */
+  get size(): number {
+    return this.#rowsById.size;
+  }
+
+  /** Row of a member; undefined when it is not known. */
+  rowOf(instanceId: string): number | undefined {
+    return this.#rowsById.get(instanceId);
+  }
+
+  /** Rows of all members, in no particular order. */
+  rows(): IterableIterator<number> {
+    return this.#rowsById.values();
+  }
+
+  /**
+   * Adds a member.
+   *
+   * @param record Record of a member that is not in the table.
+   * @param stateIndex Initial state of the chart.
+   * @returns Its row.
+   */
+  add(record: MemberRecord, stateIndex: number): number {
+    const row = this.#freeRows.pop() ?? this.#ids.length;
+    if (row >= this.#columns.capacity) {
+      this.#columns = this.#columns.grow();
+    }
+    this.#ids[row] = record.instanceId;
+    this.#rowsById.set(record.instanceId, row);
+    this.#columns.dataCentres[row] = this.#names.indexOf(record.dataCentre);
+    this.#columns.states[row] = stateIndex;
+    this.#columns.buckets[row] = bucketOf(record.instanceId);
+    this.write(row, record);
+    return row;
+  }
+
+  /** Removes a member; its row may be used again. */
+  remove(row: number): void {
+    this.#rowsById.delete(this.idOf(row));
+    this.#ids[row] = undefined;
+    this.#otherHosts.delete(row);
+    this.#freeRows.push(row);
+  }
+
+  /** Replaces version and place of a member. */
+  write(row: number, record: MemberRecord): void {
+    const columns = this.#columns;
+    columns.incarnations[row] = record.incarnationEpochMs;
+    columns.sequences[row] = record.sequence;
+    columns.slots[row] = record.slotsCount;
+    columns.connections[row] = record.connectionsMaxCount;
+    columns.peerPorts[row] = record.peerPort;
+    columns.hopPorts[row] = record.hopPort;
+    columns.pools[row] = this.#names.indexOf(record.pool);
+    this.#writeHosts(row, record);
+  }
+
+  /** Reads version and place of a member. */
+  read(row: number): MemberRecord {
+    const columns = this.#columns;
+    return {
+      instanceId: this.idOf(row),
+      dataCentre: this.dataCentreOf(row),
+      incarnationEpochMs: this.incarnationOf(row),
+      sequence: this.sequenceOf(row),
+      ...this.#readHosts(row),
+      peerPort: columns.peerPorts[row] as number,
+      hopPort: columns.hopPorts[row] as number,
+      pool: this.poolOf(row),
+      slotsCount: columns.slots[row] as number,
+      connectionsMaxCount: columns.connections[row] as number,
+    };
+  }
+
+  /** Instance id of a row. */
+  idOf(row: number): string {
+    return this.#ids[row] as string;
+  }
+
+  /** Data centre of a member. */
+  dataCentreOf(row: number): string {
+    return this.#names.nameAt(this.#columns.dataCentres[row] as number);
+  }
+
+  /** Pool of a member; empty when it has no upstream. */
+  poolOf(row: number): string {
+    return this.#names.nameAt(this.#columns.pools[row] as number);
+  }
+
+  /** Incarnation of a member. */
+  incarnationOf(row: number): number {
+    return this.#columns.incarnations[row] as number;
+  }
+
+  /** Sequence of a member. */
+  sequenceOf(row: number): number {
+    return this.#columns.sequences[row] as number;
+  }
+
+  /** State index of a member. */
+  stateIndexOf(row: number): number {
+    return this.#columns.states[row] as number;
+  }
+
+  /**
+   * Lists the rows of some buckets in one pass over the table.
+   *
+   * @param names Names of buckets.
+   * @returns Rows by bucket; every given name is present.
+   */
+  listBuckets(names: readonly string[]): Map<string, number[]> {
+    const wanted = new Map(names.map((name) => [name, [] as number[]]));
+    const rowsByKey = new Map<number, number[] | undefined>();
+    for (const row of this.rows()) {
+      const bucket = this.#columns.buckets[row] as number;
+      const key = (this.#columns.dataCentres[row] as number) * BUCKETS_COUNT +
+        bucket;
+      if (!rowsByKey.has(key)) {
+        const name = bucketName(this.dataCentreOf(row), bucket);
+        rowsByKey.set(key, wanted.get(name));
+      }
+      rowsByKey.get(key)?.push(row);
+    }
+    return wanted;
+  }
+
+  /** Stores the state index of a member. */
+  setStateIndex(row: number, stateIndex: number): void {
+    this.#columns.states[row] = stateIndex;
+  }
+
+  /** Monotonic time at which the present incarnation or the loss was learned. */
+  learnedMsOf(row: number): number {
+    return this.#columns.learned[row] as number;
+  }
+
+  /** Stores {@link learnedMsOf}. */
+  setLearnedMs(row: number, learnedMs: number): void {
+    this.#columns.learned[row] = learnedMs;
+  }
+
+  #writeHosts(row: number, place: MemberPlace): void {
+    const value = place.peerHost === place.hopHost
+      ? parseIpv4(place.peerHost)
+      : undefined;
+    if (value === undefined) {
+      this.#otherHosts.set(row, { peer: place.peerHost, hop: place.hopHost });
+    } else {
+      this.#otherHosts.delete(row);
+    }
+    this.#columns.hosts[row] = value ?? HOST_IN_OVERFLOW;
+  }
+
+  #readHosts(row: number): Pick<MemberPlace, "peerHost" | "hopHost"> {
+    const other = this.#otherHosts.get(row);
+    if (other !== undefined) {
+      return { peerHost: other.peer, hopHost: other.hop };
+    }
+    const host = formatIpv4(this.#columns.hosts[row] as number);
+    return { peerHost: host, hopHost: host };
+  }
+}
--- /dev/null
+++ b/src/membership/membership_directory.ts
@@ -0,0 +1,205 @@
+/** Upstreams and neighbours as other parts of the daemon read them. */
+import type { NeighbourSource, Peer } from "../core/peer_transport.ts";
+import { EligibleOwners } from "../decisions/eligible_owners.ts";
+import type {
+  Endpoint,
+  PeerStanding,
+  UpstreamDirectory,
+} from "../decisions/upstream_directory.ts";
+import type { MemberState } from "../schemas/member_schema.ts";
+import { isLiveState, type MemberChange } from "./member_registry.ts";
+import type { MembershipCore } from "./membership_core.ts";
+import { peerAddressOf } from "./membership_events.ts";
+
+const ENDPOINT_STATES: Partial<Record<MemberState, Endpoint["state"]>> = {
+  alive: "alive",
+  suspect: "suspect",
+  leaving: "draining",
+  leavingSuspect: "draining",
+};
+
+/** A pool that was asked for, with what is kept for it only. */
+type PoolEntry = {
+  readonly memberIds: Set<string>;
+  readonly changedMs: Map<string, number>;
+  readonly owners: Map<string, EligibleOwners>;
+  endpoints: readonly Endpoint[] | undefined;
+};
+
+function compareIds(a: Endpoint, b: Endpoint): number {
+  return a.instanceId < b.instanceId ? -1 : a.instanceId > b.instanceId ? 1 : 0;
+}
+
+/**
+ * Directory over the members. Details are built only for pools that were asked
+ * for; all other members remain compact records.
+ */
+export class MembershipDirectory implements UpstreamDirectory, NeighbourSource {
+  readonly #core: MembershipCore;
+  readonly #pools = new Map<string, PoolEntry>();
+
+  /**
+   * @param core Membership of this daemon.
+   */
+  constructor(core: MembershipCore) {
+    this.#core = core;
+  }
+
+  /** Number of pools that were asked for. */
+  get poolsCount(): number {
+    return this.#pools.size;
+  }
+
+  /** @inheritdoc */
+  endpoints(pool: string): readonly Endpoint[] {
+    const entry = this.#open(pool);
+    entry.endpoints ??= this.#build(entry);
+    return entry.endpoints;
+  }
+
+  /** @inheritdoc */
+  changedMs(pool: string, dataCentre: string): number {
+    return this.#open(pool).changedMs.get(dataCentre) ??
+      Number.NEGATIVE_INFINITY;
+  }
+
+  /** @inheritdoc */
+  standing(): PeerStanding {
+    return this.#core.standing;
+  }
+
+  /** @inheritdoc */
+  neighbours(): readonly Peer[] {
+    return this.#listPeers(this.#core.neighbourIds);
+  }
+
+  /** @inheritdoc */
+  remoteReaders(): readonly Peer[] {
+    return this.#listPeers(this.#core.remoteReaderIds);
+  }
+
+  /**
+   * Returns the history of the members that may own keys of a pool.
+   *
+   * @param pool Pool.
+   * @param dataCentre Home data centre of the keys.
+   * @returns History, kept from the first time that the pool was asked for.
+   */
+  eligibleOwners(pool: string, dataCentre: string): EligibleOwners {
+    const { owners } = this.#open(pool);
+    let history = owners.get(dataCentre);
+    if (history === undefined) {
+      history = new EligibleOwners();
+      owners.set(dataCentre, history);
+    }
+    return history;
+  }
+
+  /**
+   * Follows changes of the members.
+   *
+   * @param changes Changes in order.
+   */
+  applyChanges(changes: readonly MemberChange[]): void {
+    for (const change of changes) {
+      const entry = this.#pools.get(change.pool);
+      if (entry !== undefined) {
+        this.#applyChange(entry, change);
+      }
+    }
+  }
+
+  #applyChange(entry: PoolEntry, change: MemberChange): void {
+    const { kind, instanceId, dataCentre, atMs } = change;
+    entry.endpoints = undefined;
+    if (kind === "updated") {
+      return;
+    }
+    entry.changedMs.set(dataCentre, atMs);
+    this.eligibleOwners(change.pool, dataCentre)
+      .record({ kind, instanceId, atMs });
+    if (kind === "joined") {
+      entry.memberIds.add(instanceId);
+    } else {
+      entry.memberIds.delete(instanceId);
+    }
+  }
+
+  #open(pool: string): PoolEntry {
+    const known = this.#pools.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const entry: PoolEntry = {
+      memberIds: new Set(),
+      changedMs: new Map(),
+      owners: new Map(),
+      endpoints: undefined,
+    };
+    this.#pools.set(pool, entry);
+    this.#fill(pool, entry);
+    return entry;
+  }
+
+  #fill(pool: string, entry: PoolEntry): void {
+    const { registry } = this.#core;
+    const { table } = registry;
+    for (const row of table.rows()) {
+      if (table.poolOf(row) !== pool || !isLiveState(registry.stateAt(row))) {
+        continue;
+      }
+      this.#applyChange(entry, {
+        kind: "joined",
+        instanceId: table.idOf(row),
+        incarnationEpochMs: table.incarnationOf(row),
+        dataCentre: table.dataCentreOf(row),
+        pool,
+        atMs: table.learnedMsOf(row),
+      });
+    }
+  }
+
+  #build(entry: PoolEntry): Endpoint[] {
+    return [...entry.memberIds]
+      .map((instanceId) => this.#buildEndpoint(instanceId))
+      .filter((endpoint) => endpoint !== undefined)
+      .sort(compareIds);
+  }
+
+  #buildEndpoint(instanceId: string): Endpoint | undefined {
+    const { registry } = this.#core;
+    const row = registry.table.rowOf(instanceId);
+    const state = row === undefined
+      ? undefined
+      : ENDPOINT_STATES[registry.stateAt(row)];
+    if (row === undefined || state === undefined) {
+      return undefined;
+    }
+    const record = registry.table.read(row);
+    return {
+      instanceId,
+      incarnationEpochMs: record.incarnationEpochMs,
+      dataCentre: record.dataCentre,
+      pool: record.pool,
+      hopHost: record.hopHost,
+      hopPort: record.hopPort,
+      slotsCount: record.slotsCount,
+      connectionsMaxCount: record.connectionsMaxCount,
+      state,
+      learnedMs: registry.table.learnedMsOf(row),
+    };
+  }
+
+  #listPeers(instanceIds: readonly string[]): Peer[] {
+    const { registry } = this.#core;
+    return instanceIds.flatMap((instanceId) => {
+      const member = registry.updateOf(instanceId);
+      if (member === undefined || !isLiveState(member.state)) {
+        return [];
+      }
+      const { incarnationEpochMs, dataCentre } = member;
+      const identity = { instanceId, incarnationEpochMs, dataCentre };
+      return [{ identity, address: peerAddressOf(member) }];
+    });
+  }
+}
--- /dev/null
+++ b/src/membership/membership_part.ts
@@ -0,0 +1,321 @@
+/** Membership of a daemon as one control part. */
+import { mergeArray, periodic, type Stream } from "most";
+import type { Clock } from "../core/clock.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import {
+  PeerError,
+  type PeerFailure,
+  type PeerIdentity,
+  type PeerTransport,
+} from "../core/peer_transport.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type {
+  ProbeAnswer,
+  ProbeRequest,
+  SyncAnswer,
+  SyncRequest,
+} from "../schemas/member_schema.ts";
+import type { Announcement } from "../schemas/settings_schema.ts";
+import { PROBE_TIMEOUT_MS } from "./failure_detector.ts";
+import {
+  MembershipCore,
+  type MembershipCoreOptions,
+  TICK_MS,
+} from "./membership_core.ts";
+import { MembershipDirectory } from "./membership_directory.ts";
+import type {
+  MembershipAction,
+  MembershipEvent,
+  ProbeAction,
+  PushAction,
+  SyncAction,
+} from "./membership_events.ts";
+import { PROBE_METHOD, PUSH_METHOD, SYNC_METHOD } from "./peer_methods.ts";
+import { UpstreamLife } from "./upstream_life.ts";
+
+const PUSH_TIMEOUT_MS = 1_000;
+const SYNC_TIMEOUT_MS = 3_000;
+
+/** Options of {@link MembershipPart}. */
+export type MembershipPartOptions = MembershipCoreOptions & {
+  transport: PeerTransport;
+  clock: Clock;
+  /** Warm-up time of a pool's upstreams, in ms. */
+  coldStartMs: (pool: string) => number;
+  /** Upstream of the settings, when it does not announce itself. */
+  upstream?: Announcement;
+  /** Receives faults that are not failures of a peer, such as a wrong schema. */
+  onError?: (error: unknown) => void;
+};
+
+/** Something that the event loop delivers to the membership. */
+export type MembershipInput =
+  | MembershipEvent
+  | {
+    readonly kind: "probeRequest";
+    readonly request: ProbeRequest;
+    readonly from: PeerIdentity;
+    readonly reply: (answer: ProbeAnswer) => void;
+  }
+  | {
+    readonly kind: "syncRequest";
+    readonly request: SyncRequest;
+    readonly from: PeerIdentity;
+    readonly reply: (answer: SyncAnswer) => void;
+  }
+  | { readonly kind: "announce"; readonly announcement: Announcement }
+  | { readonly kind: "withdraw" | "drain" | "undrain" };
+
+/**
+ * Connects the membership's decisions with the peer transport and the loop.
+ *
+ * The wiring module constructs it after the transport, registers it at the
+ * event loop, and passes `directory` to the data path and to the configuration:
+ *
+ * @example
+ * const membership = new MembershipPart({
+ *   instanceId, dataCentre, incarnationEpochMs: clock.wallMs(),
+ *   place: { peerHost, peerPort, hopHost, hopPort, ...NO_UPSTREAM },
+ *   contacts: settings.peers.contacts, upstream: settings.upstream,
+ *   coldStartMs: (pool) => config.current()?.tables.pools... ?? 0,
+ *   transport, clock,
+ * });
+ * const announcements = new AnnouncementPart({ membership, platform, clock, holdsLease });
+ * loop.register(membership);
+ * loop.register(announcements);
+ * loop.start(); // only now are probes of peers answered
+ * operator.onAnnouncement((announcement) => membership.announce(announcement));
+ *
+ * // SIGTERM: `leaving` is flooded at once; after the last request ended, `left`
+ * // is flooded, and the daemon exits when its neighbours have it.
+ * membership.drain();
+ * await requestsEnded;
+ * await membership.leave();
+ * await loop.stop();
+ * await transport.close();
+ */
+export class MembershipPart implements ControlPart<MembershipInput> {
+  readonly name = "membership";
+  readonly inputs: Stream<MembershipInput>;
+  /** Endpoints, standing and neighbours for the other parts. */
+  readonly directory: MembershipDirectory;
+  /** Upstream beside this daemon. */
+  readonly upstream: UpstreamLife;
+  readonly #core: MembershipCore;
+  readonly #options: MembershipPartOptions;
+  readonly #events = new EventSource<MembershipInput>();
+  #pushesUnderWay = new Set<Promise<void>>();
+
+  /**
+   * @param options Identity, place, contacts, transport and clock.
+   */
+  constructor(options: MembershipPartOptions) {
+    this.#options = options;
+    const nowMs = options.clock.monotonicMs();
+    this.#core = new MembershipCore(options, nowMs);
+    this.directory = new MembershipDirectory(this.#core);
+    this.upstream = new UpstreamLife({
+      coldStartMs: options.coldStartMs,
+      publisher: {
+        place: (place) => this.#handleEvent({ kind: "placed", place }),
+        setLeaving: (isLeaving) =>
+          this.#handleEvent({ kind: isLeaving ? "leave" : "stay" }),
+      },
+    });
+    const tick: MembershipInput = { kind: "tick" };
+    const ticks = periodic(TICK_MS, tick);
+    this.inputs = mergeArray([ticks, this.#events.stream]);
+    this.#serve();
+    if (options.upstream !== undefined) {
+      this.upstream.announce(options.upstream, nowMs);
+    }
+  }
+
+  /** Own identity for the transport; its incarnation may be raised. */
+  get identity(): PeerIdentity {
+    return this.#core.identity;
+  }
+
+  /** Decisions and view, for the announcements and for metrics. */
+  get core(): MembershipCore {
+    return this.#core;
+  }
+
+  /** Handles an announcement of the upstream beside this daemon. */
+  announce(announcement: Announcement): void {
+    this.#events.emit({ kind: "announce", announcement });
+  }
+
+  /** Handles the end of the upstream beside this daemon. */
+  withdraw(): void {
+    this.#events.emit({ kind: "withdraw" });
+  }
+
+  /** Floods that this instance takes no new work. */
+  drain(): void {
+    this.#events.emit({ kind: "drain" });
+  }
+
+  /** Floods that this instance takes work again. */
+  undrain(): void {
+    this.#events.emit({ kind: "undrain" });
+  }
+
+  /** Adds addresses of peers, for example from the platform. */
+  addContacts(addresses: readonly Address[]): void {
+    this.#events.emit({ kind: "contactsFound", addresses });
+  }
+
+  /** Learns of an earlier incarnation of this instance. */
+  learnIncarnation(incarnationEpochMs: number): void {
+    this.#events.emit({ kind: "incarnationKnown", incarnationEpochMs });
+  }
+
+  /**
+   * Floods that this daemon has ended.
+   *
+   * @returns Resolves when the neighbours answered or timed out.
+   */
+  async leave(): Promise<void> {
+    this.#events.emit({ kind: "left" });
+    await Promise.all(this.#pushesUnderWay);
+  }
+
+  /** @inheritdoc */
+  handle(input: MembershipInput): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    switch (input.kind) {
+      case "probeRequest": {
+        const call = { from: input.from, nowMs };
+        const result = this.#core.answerProbe(input.request, call);
+        input.reply(result.answer);
+        return this.#perform(result.actions);
+      }
+      case "syncRequest": {
+        const call = { from: input.from, nowMs };
+        const result = this.#core.answerSync(input.request, call);
+        input.reply(result.answer);
+        return this.#perform(result.actions);
+      }
+      case "announce":
+        return this.upstream.announce(input.announcement, nowMs);
+      case "withdraw":
+        return this.upstream.withdraw();
+      case "drain":
+        return this.#drain();
+      case "undrain":
+        return this.#undrain(nowMs);
+      case "tick":
+        this.upstream.tick(nowMs);
+        return this.#handleEvent(input);
+      default:
+        return this.#handleEvent(input);
+    }
+  }
+
+  #drain(): void {
+    // A daemon without an upstream also leaves, as an observer and a reader.
+    this.upstream.drain();
+    if (this.#core.ownUpdate.state === "alive") {
+      this.#handleEvent({ kind: "leave" });
+    }
+  }
+
+  #undrain(nowMs: number): void {
+    this.upstream.undrain(nowMs);
+    if (this.#core.ownUpdate.state === "leaving") {
+      this.#handleEvent({ kind: "stay" });
+    }
+  }
+
+  #serve(): void {
+    const { transport } = this.#options;
+    transport.serve(
+      PROBE_METHOD,
+      (request, from) =>
+        new Promise<ProbeAnswer>((reply) =>
+          this.#events.emit({ kind: "probeRequest", request, from, reply })
+        ),
+    );
+    transport.serve(
+      SYNC_METHOD,
+      (request, from) =>
+        new Promise<SyncAnswer>((reply) =>
+          this.#events.emit({ kind: "syncRequest", request, from, reply })
+        ),
+    );
+    transport.serve(PUSH_METHOD, (request, from) => {
+      const fromId = from.instanceId;
+      this.#events.emit({ kind: "pushed", request, fromId });
+      return {};
+    });
+  }
+
+  #handleEvent(event: MembershipEvent): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#perform(this.#core.handle(event, nowMs));
+  }
+
+  #perform(actions: readonly MembershipAction[]): void {
+    this.directory.applyChanges(this.#core.takeChanges());
+    for (const action of actions) {
+      switch (action.kind) {
+        case "probe":
+          this.#sendProbe(action);
+          break;
+        case "push":
+          this.#sendPush(action);
+          break;
+        case "sync":
+          this.#sendSync(action);
+          break;
+      }
+    }
+  }
+
+  #sendProbe(probe: ProbeAction): void {
+    const sentMs = this.#options.clock.monotonicMs();
+    const call = { method: PROBE_METHOD, body: probe.request };
+    this.#options.transport
+      .request(probe.address, call, { timeoutMs: PROBE_TIMEOUT_MS })
+      .then((answer) =>
+        this.#events.emit({ kind: "probeAnswered", probe, answer })
+      )
+      .catch((error: unknown) => {
+        const failure = this.#classify(error);
+        this.#events.emit({ kind: "probeFailed", probe, failure, sentMs });
+      });
+  }
+
+  #sendPush({ address, request }: PushAction): void {
+    const call = { method: PUSH_METHOD, body: request };
+    const push = this.#options.transport
+      .request(address, call, { timeoutMs: PUSH_TIMEOUT_MS })
+      // A lost flood is repaired by the digests on probes.
+      .then(() => {}, (error: unknown) => void this.#classify(error))
+      .finally(() => this.#pushesUnderWay.delete(push));
+    this.#pushesUnderWay.add(push);
+  }
+
+  #sendSync({ address, request }: SyncAction): void {
+    const call = { method: SYNC_METHOD, body: request };
+    this.#options.transport
+      .request(address, call, { timeoutMs: SYNC_TIMEOUT_MS })
+      .then((answer) =>
+        this.#events.emit({ kind: "syncAnswered", address, answer })
+      )
+      .catch((error: unknown) => {
+        this.#classify(error);
+        this.#events.emit({ kind: "syncFailed", address });
+      });
+  }
+
+  #classify(error: unknown): PeerFailure {
+    if (error instanceof PeerError) {
+      return error.failure;
+    }
+    this.#options.onError?.(error);
+    return "broken";
+  }
+}
--- /dev/null
+++ b/src/membership/suspicion_judge.ts
@@ -0,0 +1,85 @@
+/** Decides when a suspicion becomes a death. */
+import type { MemberUpdate } from "../schemas/member_schema.ts";
+import type { MemberRegistry, Suspicion } from "./member_registry.ts";
+
+/** Time that a suspect has to refute, in ms. */
+export const SUSPICION_MS = 4_000;
+const CONFIRMING_OBSERVERS_COUNT = 2;
+
+/** Judges the suspicions that this daemon takes part in. */
+export class SuspicionJudge {
+  readonly #registry: MemberRegistry;
+  readonly #ownId: string;
+
+  /**
+   * @param registry All members.
+   * @param ownId Own instance id.
+   */
+  constructor(registry: MemberRegistry, ownId: string) {
+    this.#registry = registry;
+    this.#ownId = ownId;
+  }
+
+  /**
+   * States that this daemon suspects a member.
+   *
+   * @param member Present statement about the member.
+   * @returns Update to apply and flood.
+   */
+  suspectBySelf(member: MemberUpdate): MemberUpdate {
+    const isLeaving = member.state === "leaving" ||
+      member.state === "leavingSuspect";
+    const state = isLeaving ? "leavingSuspect" : "suspect";
+    return { ...member, state, suspectedBy: this.#ownId };
+  }
+
+  /**
+   * Extends all suspicions after a pause of the own loop, in which refutations
+   * could not be received.
+   *
+   * @param pauseMs Length of the pause, in ms.
+   */
+  postpone(pauseMs: number): void {
+    for (const suspicion of this.#registry.suspicions.values()) {
+      suspicion.sinceMs += pauseMs;
+    }
+  }
+
+  /**
+   * Lists the suspects that are to be declared dead.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Updates to apply and flood.
+   */
+  listExpired(nowMs: number): MemberUpdate[] {
+    const expired: MemberUpdate[] = [];
+    for (const [instanceId, suspicion] of this.#registry.suspicions) {
+      const isDue = nowMs - suspicion.sinceMs >= SUSPICION_MS;
+      const member = this.#registry.updateOf(instanceId);
+      if (isDue && member && this.#isConfirmed(instanceId, suspicion)) {
+        const { suspectedBy: _observer, ...rest } = member;
+        expired.push({ ...rest, state: "dead" });
+      }
+    }
+    return expired;
+  }
+
+  #isConfirmed(instanceId: string, suspicion: Suspicion): boolean {
+    if (suspicion.claimedDead) {
+      return true;
+    }
+    if (!suspicion.observers.includes(this.#ownId)) {
+      return false;
+    }
+    return suspicion.observers.length >= CONFIRMING_OBSERVERS_COUNT ||
+      !this.#hasOtherObserver(instanceId);
+  }
+
+  #hasOtherObserver(instanceId: string): boolean {
+    return this.#registry.rings.observersOf(instanceId).some((observer) => {
+      const state = this.#registry.versionOf(observer)?.state;
+      const isAlive = state === "alive" || state === "leaving";
+      return observer !== this.#ownId && isAlive;
+    });
+  }
+}
--- /dev/null
+++ b/src/schemas/member_schema.ts
@@ -0,0 +1,132 @@
+/** Schemas of the messages and platform objects of the membership. */
+import { z } from "zod";
+import { hostSchema, nameSchema } from "./common_schema.ts";
+
+/**
+ * States of a member on the wire. Their order decides between two updates of
+ * the same incarnation and sequence: the later state is the newer one.
+ */
+export const MEMBER_STATES = [
+  "alive",
+  "leaving",
+  "suspect",
+  "leavingSuspect",
+  "dead",
+  "gone",
+  "left",
+] as const;
+
+/** Schema of a member's state. */
+export const memberStateSchema = z.enum(MEMBER_STATES);
+/** State of a member. */
+export type MemberState = z.infer<typeof memberStateSchema>;
+
+/** Schema of a member's version: newer versions replace older ones. */
+export const memberVersionSchema = z.strictObject({
+  incarnationEpochMs: z.number().min(0),
+  /** Raised by the member itself to refute a suspicion or to change its place. */
+  sequence: z.int().min(0),
+  state: memberStateSchema,
+});
+/** Version of a member. */
+export type MemberVersion = z.infer<typeof memberVersionSchema>;
+
+/** Schema of the addresses of a member and of the upstream beside it. */
+export const memberPlaceSchema = z.strictObject({
+  peerHost: hostSchema,
+  peerPort: z.int().min(1).max(65535),
+  hopHost: hostSchema,
+  hopPort: z.int().min(1).max(65535),
+  /** Pool of the upstream; empty while no upstream is announced. */
+  pool: z.union([nameSchema, z.literal("")]),
+  slotsCount: z.int().min(0).max(1_000_000),
+  connectionsMaxCount: z.int().min(0).max(1_000_000),
+});
+/** Addresses of a member and of the upstream beside it. */
+export type MemberPlace = z.infer<typeof memberPlaceSchema>;
+
+/** Schema of one statement about a member. */
+export const memberUpdateSchema = z.strictObject({
+  instanceId: nameSchema,
+  dataCentre: nameSchema,
+  ...memberVersionSchema.shape,
+  ...memberPlaceSchema.shape,
+  /** Observer that suspects the member; only with a suspicion. */
+  suspectedBy: nameSchema.optional(),
+});
+/** One statement about a member. */
+export type MemberUpdate = z.infer<typeof memberUpdateSchema>;
+
+const uint32Schema = z.int().min(0).max(0xffffffff);
+
+/** Schema of a probe. The sender's identity travels in the envelope. */
+export const probeRequestSchema = z.strictObject({
+  /** How the sender holds the probed member. */
+  held: memberVersionSchema.optional(),
+  /** Digest of the sender's view. */
+  digest: uint32Schema,
+});
+/** A probe. */
+export type ProbeRequest = z.infer<typeof probeRequestSchema>;
+
+/** Schema of the answer to a probe. */
+export const probeAnswerSchema = z.strictObject({
+  /** Instance that answered; not always the one that was probed. */
+  instanceId: nameSchema,
+  /** How the probed member holds the sender; absent when it does not know it. */
+  held: memberVersionSchema.optional(),
+  digest: uint32Schema,
+});
+/** Answer to a probe. */
+export type ProbeAnswer = z.infer<typeof probeAnswerSchema>;
+
+/** Schema of a message that floods updates. */
+export const pushRequestSchema = z.strictObject({
+  updates: z.array(memberUpdateSchema).max(1_000),
+  /** Whether the updates repair a difference between two views. */
+  isRepair: z.boolean(),
+});
+/** Message that floods updates. */
+export type PushRequest = z.infer<typeof pushRequestSchema>;
+
+/** Schema of the empty answer to {@link pushRequestSchema}. */
+export const pushAnswerSchema = z.strictObject({});
+
+/** Schema of the digests of one data centre. */
+export const dataCentreDigestsSchema = z.strictObject({
+  dataCentre: nameSchema,
+  buckets: z.array(uint32Schema).max(256),
+});
+/** Digests of the members of one data centre, by bucket. */
+export type DataCentreDigests = z.infer<typeof dataCentreDigestsSchema>;
+
+/** Schema of a request for the records of the buckets that differ. */
+export const syncRequestSchema = z.strictObject({
+  sender: memberUpdateSchema,
+  digests: z.array(dataCentreDigestsSchema).max(1_000),
+  /** Last bucket of the previous page; empty for the first page. */
+  after: z.string().max(80),
+});
+/** Request for the records of the buckets that differ. */
+export type SyncRequest = z.infer<typeof syncRequestSchema>;
+
+/** Schema of the answer to {@link syncRequestSchema}. */
+export const syncAnswerSchema = z.strictObject({
+  self: memberUpdateSchema,
+  /** Buckets that differ; `updates` has all their records. */
+  buckets: z.array(z.string().max(80)),
+  updates: z.array(memberUpdateSchema),
+  /** Where the next page starts; empty on the last page. */
+  next: z.string().max(80),
+});
+/** Records of the buckets that differ. */
+export type SyncAnswer = z.infer<typeof syncAnswerSchema>;
+
+/** Schema of the platform object of a shard, kind `members`. */
+export const memberShardSchema = z.strictObject({
+  members: z.array(
+    memberUpdateSchema.omit({ state: true, sequence: true, suspectedBy: true }),
+  ),
+});
+/** Announcements of one shard of a data centre. */
+export type MemberShard = z.infer<typeof memberShardSchema>;
