Wire membership into the daemons

Cause: the daemons found no upstreams of other instances. Ruled out: constructing the membership before the listeners are bound, since it announces their ports.

--- /dev/null
+++ b/src/daemon/peer_control_plane.ts
@@ -0,0 +1,106 @@
+/** Control plane of a daemon among its peers and at the platform. */
+import type { Stream } from "most";
+import type { ConfigStore } from "../config/config_store.ts";
+import type { EventLoop } from "../core/event_loop.ts";
+import type { OwnerHistory } from "../decisions/key_owner.ts";
+import type { MembershipPart } from "../membership/membership_part.ts";
+import type { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
+import type { KeyRing } from "../peer/key_ring.ts";
+import type { HttpPlatformClient } from "../platform/http_platform_client.ts";
+import type { LeaseHolder } from "../platform/lease_holder.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { Announcement } from "../schemas/settings_schema.ts";
+import type {
+  AnyControlPart,
+  BoundAddresses,
+  ControlPlane,
+} from "./daemon_parts.ts";
+import type { MembershipHandle } from "./membership_handle.ts";
+import type { ControlStatus } from "./operator_view.ts";
+import type { KeyHolder } from "./reload_keys.ts";
+
+/** Parts of {@link PeerControlPlane}. */
+export type PeerControlPlaneParts = {
+  store: ConfigStore;
+  membership: MembershipHandle;
+  owners: OwnerHistory;
+  keys: KeyRing;
+  transport: GrpcPeerTransport;
+  platform: HttpPlatformClient;
+  leases: readonly LeaseHolder[];
+  /** Parts of the control loop besides the membership. */
+  controlParts: readonly AnyControlPart[];
+  /** Constructs the membership for the bound addresses. */
+  createMembership: (bound: BoundAddresses) => MembershipPart;
+};
+
+/** Connects membership, configuration and platform to the daemon. */
+export class PeerControlPlane implements ControlPlane {
+  readonly config: ConfigStore;
+  readonly directory: MembershipHandle;
+  readonly owners: OwnerHistory;
+  readonly configChanges: Stream<unknown>;
+  readonly keyHolders: readonly KeyHolder[];
+  readonly #parts: PeerControlPlaneParts;
+
+  /**
+   * @param parts Constructed parts.
+   */
+  constructor(parts: PeerControlPlaneParts) {
+    this.#parts = parts;
+    this.config = parts.store;
+    this.directory = parts.membership;
+    this.owners = parts.owners;
+    this.configChanges = parts.store.changes;
+    this.keyHolders = [{ replaceKeys: (keys) => parts.keys.replace(keys) }];
+  }
+
+  /** @inheritdoc */
+  get incarnationEpochMs(): number {
+    return this.directory.identity.incarnationEpochMs;
+  }
+
+  /** @inheritdoc */
+  listen(address: Address): Promise<Address> {
+    return this.#parts.transport.listen(address);
+  }
+
+  /** @inheritdoc */
+  join(loop: EventLoop, bound: BoundAddresses): void {
+    const membership = this.#parts.createMembership(bound);
+    this.directory.connect(membership);
+    for (const part of [membership, ...this.#parts.controlParts]) {
+      loop.register(part as AnyControlPart);
+    }
+  }
+
+  /** @inheritdoc */
+  publish(announcement: Announcement | undefined): void {
+    this.directory.publish(announcement);
+  }
+
+  /** @inheritdoc */
+  setLeaving(isLeaving: boolean): void {
+    this.directory.setLeaving(isLeaving);
+  }
+
+  /** @inheritdoc */
+  status(): ControlStatus {
+    return {
+      config: this.config.status(),
+      members: this.directory.listMembers(),
+      leases: this.#parts.leases.map((lease) => lease.status()),
+    };
+  }
+
+  /** @inheritdoc */
+  async close(): Promise<void> {
+    const { leases, transport, platform } = this.#parts;
+    await this.directory.leave();
+    for (const lease of leases) {
+      lease.release();
+    }
+    await transport.close();
+    await platform.close();
+  }
+}
