Raise the level over offered ranks only and shed no class that does not wait

Cause: traces of inscription show its level walking up through the important class, with which it is offered nothing, for a second, while slots were free; and levels in the critical class although only standard requests waited. Change: (1) the bound on the rise counts ranks that requests are offered with; (2) the level is not lowered below the most important class that waits, as the queue is ordered by class.

--- a/src/decisions/admission_level.ts
+++ b/src/decisions/admission_level.ts
@@ -18,6 +18,11 @@
   readonly standingCount: number;
   /** Requests that the upstream serves per interval with all slots in use. */
   readonly servedCount: number;
+  /**
+   * First rank of the most important class that waits. The queue is ordered by
+   * class, so that shedding a more important class would shorten no wait.
+   */
+  readonly waitingFromRank: number;
   /** Average share of the limit that was free. */
   readonly freeRatio: number;
 };
@@ -70,7 +75,7 @@
   adjust(seen: LevelObservation): void {
     this.#histogram.endInterval(this.#levelRank);
     if (seen.standingDelayMs > this.#tuning.delayTargetMs) {
-      this.#lower(this.#drainingCount(seen));
+      this.#lower(this.#drainingCount(seen), seen.waitingFromRank);
       return;
     }
     if (seen.freeRatio > FREE_MIN_RATIO && seen.standingCount === 0) {
@@ -88,16 +93,21 @@
     );
   }
 
-  #lower(wantedCount: number): void {
+  #lower(wantedCount: number, lowestRank: number): void {
     const wanted = this.#histogram.levelFor(Math.max(wantedCount, 0.01));
-    this.#levelRank = Math.max(1, Math.min(this.#levelRank - 1, wanted));
+    const lower = Math.min(this.#levelRank - 1, wanted);
+    const lowest = Math.min(this.#levelRank, Math.max(1, lowestRank));
+    this.#levelRank = Math.max(lowest, lower);
   }
 
   #raise(freeRatio: number): void {
     const admitted = this.#histogram.admittedBelow(this.#levelRank);
     const factor = Math.min(RISE_MAX_RATIO, 1 / (1 - freeRatio));
     const wanted = this.#histogram.levelFor(admitted * factor + 0.01);
-    const highest = this.#levelRank + this.#tuning.levelRiseMaxCount;
+    const highest = this.#histogram.riseFrom(
+      this.#levelRank,
+      this.#tuning.levelRiseMaxCount,
+    );
     this.#levelRank = Math.min(
       RANKS_COUNT,
       highest,
--- a/src/decisions/importance.ts
+++ b/src/decisions/importance.ts
@@ -14,6 +14,9 @@
 /** Ranks in all: a level of this value admits every request. */
 export const RANKS_COUNT = IMPORTANCE_CLASSES.length * ADMISSION_KEYS_COUNT;
 
+/** Importance classes in all. */
+export const CLASSES_COUNT = IMPORTANCE_CLASSES.length;
+
 /**
  * Derives the admission key, which stays the same along the chain and over
  * retries so that all hops shed the same requests.
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -13,7 +13,11 @@
 import { createLimiter } from "./create_limiter.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import { DownstreamLevels } from "./downstream_levels.ts";
-import { ADMISSION_KEYS_COUNT, effectiveRank } from "./importance.ts";
+import {
+  ADMISSION_KEYS_COUNT,
+  CLASSES_COUNT,
+  effectiveRank,
+} from "./importance.ts";
 import { IntervalMeter } from "./interval_meter.ts";
 import { LoadReportBound } from "./load_report_bound.ts";
 import {
@@ -343,7 +347,20 @@
       standingDelayMs,
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
+      waitingFromRank: this.#waitingFromRank(),
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
     });
   }
+
+  /** First rank of the most important class that waits. */
+  #waitingFromRank(): number {
+    let classIndex = 0;
+    while (
+      this.#queue.countAboveClass(classIndex + 1) <= STANDING_ALLOWED_COUNT &&
+      classIndex < CLASSES_COUNT - 1
+    ) {
+      classIndex++;
+    }
+    return classIndex * ADMISSION_KEYS_COUNT;
+  }
 }
--- a/src/decisions/rank_histogram.ts
+++ b/src/decisions/rank_histogram.ts
@@ -9,6 +9,9 @@
  */
 const UNSEEN_FADE_RATIO = 0.98;
 
+/** Density below which a rank counts as not offered. */
+const DENSITY_MIN = 1e-6;
+
 /** Offered requests per rank and control interval, smoothed. */
 export class RankHistogram {
   readonly #offered = new Uint32Array(RANKS_COUNT);
@@ -57,6 +60,25 @@
     return RANKS_COUNT;
   }
 
+  /**
+   * Moves a level up over a number of ranks that requests are offered with.
+   * Ranks without requests are passed over, as they admit nothing.
+   *
+   * @param levelRank Level to start from.
+   * @param ranksCount Offered ranks to pass.
+   * @returns Level, at most 512.
+   */
+  riseFrom(levelRank: number, ranksCount: number): number {
+    let left = ranksCount;
+    for (let rank = levelRank; rank < RANKS_COUNT; rank++) {
+      left -= (this.#density[rank] as number) > DENSITY_MIN ? 1 : 0;
+      if (left < 0) {
+        return rank;
+      }
+    }
+    return RANKS_COUNT;
+  }
+
   /**
    * Sums the requests that a level admits per interval.
    *
--- a/src/decisions/rank_queue.ts
+++ b/src/decisions/rank_queue.ts
@@ -1,8 +1,11 @@
 /** Bounded queue of waiting requests ordered by importance class. */
-import { ADMISSION_KEYS_COUNT, RANKS_COUNT } from "./importance.ts";
+import {
+  ADMISSION_KEYS_COUNT,
+  CLASSES_COUNT,
+  RANKS_COUNT,
+} from "./importance.ts";
 import type { AdmissionRequest } from "./admission_policy.ts";
 
-const CLASSES_COUNT = RANKS_COUNT / ADMISSION_KEYS_COUNT;
 const WORD_BITS = 32;
 
 /** A waiting request. */
--- a/src/decisions/tenant_shares.ts
+++ b/src/decisions/tenant_shares.ts
@@ -1,7 +1,6 @@
 /** Weighted shares of tenants under overload. */
-import { ADMISSION_KEYS_COUNT, RANKS_COUNT } from "./importance.ts";
+import { ADMISSION_KEYS_COUNT, CLASSES_COUNT } from "./importance.ts";
 
-const CLASSES_COUNT = RANKS_COUNT / ADMISSION_KEYS_COUNT;
 /** Offered counts fade by this factor per control interval, over about 1 s. */
 const FADE_RATIO = 0.9;
 const FORGET_COUNT = 0.05;
