Check connections by the subsets of the policy

Cause: the rule assumed one connection per caller and subsets of three; the policy keeps four connections per caller and endpoint (rendezvous_subset.ts). Ruled out: a field for the size of subsets, because the policy computes it.

--- a/src/config/config_reader.ts
+++ b/src/config/config_reader.ts
@@ -62,12 +62,12 @@
     return true;
   }
   const entries = await new SnapshotStore(platform).read(accepted);
-  if (entries === undefined) {
-    return false;
+  if (entries !== undefined) {
+    store.applyFull({ head, entries, acceptedEpochMs }, origin);
   }
-  // The other reader or a peer may have applied it while it was read.
-  return store.applyFull({ head, entries, acceptedEpochMs }, origin) ||
-    compareHeads(store.head(), head) !== "newer";
+  // The other reader or a peer may have applied it, or a later one whose
+  // snapshot took the slot, while it was read.
+  return compareHeads(store.head(), head) !== "newer";
 }
 
 /**
--- a/src/config/validate_tables.ts
+++ b/src/config/validate_tables.ts
@@ -1,4 +1,5 @@
 /** Rules that a pair of tables must satisfy together. */
+import { CONNECTIONS_PER_CALLER_COUNT } from "../decisions/rendezvous_subset.ts";
 import { IMPORTANCE_CLASSES } from "../schemas/common_schema.ts";
 import type { TableMistake } from "../schemas/config_schema.ts";
 import type {
@@ -9,9 +10,8 @@
   Tables,
 } from "../schemas/tables_schema.ts";
 
-// A calling daemon needs several endpoints, so that two random choices and
-// retries elsewhere stay possible when one endpoint is ejected.
-const SUBSET_MIN_COUNT = 3;
+// Two random choices and retries at another upstream need two endpoints.
+const SUBSET_MIN_COUNT = 2;
 
 type BranchRule = RoutesTable["branches"][string]["routes"][string];
 
@@ -138,22 +138,24 @@
   });
 }
 
+/** The smallest usable subset must fit under the limit for all callers. */
 function checkConnections(name: string, pool: Pool): TableMistake[] {
-  const subsetCount = Math.min(SUBSET_MIN_COUNT, pool.endpointsCount);
+  const { callersMaxCount, endpointsCount, connectionsMaxCount } = pool;
+  const subsetCount = Math.min(SUBSET_MIN_COUNT, endpointsCount);
   const neededCount = Math.ceil(
-    pool.callersMaxCount * subsetCount / pool.endpointsCount,
+    callersMaxCount * CONNECTIONS_PER_CALLER_COUNT * subsetCount /
+      endpointsCount,
   );
-  if (neededCount <= pool.connectionsMaxCount) {
+  if (neededCount <= connectionsMaxCount) {
     return [];
   }
   return [{
     table: "pools",
     entry: `pools.${name}`,
     field: "connectionsMaxCount",
-    reason:
-      `${pool.callersMaxCount} callers with subsets of ${subsetCount} of ` +
-      `${pool.endpointsCount} endpoints need ${neededCount} connections, ` +
-      `more than ${pool.connectionsMaxCount}`,
+    reason: `${callersMaxCount} callers with ${CONNECTIONS_PER_CALLER_COUNT} ` +
+      `connections to each of ${subsetCount} of ${endpointsCount} endpoints ` +
+      `need ${neededCount} connections, more than ${connectionsMaxCount}`,
   }];
 }
 
