--- a/src/cli/apply_command_test.ts
+++ b/src/cli/apply_command_test.ts
@@ -56,9 +56,10 @@
   assert.notEqual(storedText(), text);
 });
 
-test("an unknown option is bad input", async () => {
-  const { code } = await runTool("apply", "--unknown");
+test("an unknown option is bad input, in one line", async () => {
+  const { code, err } = await runTool("apply", "--unknown");
   assert.equal(code, EXIT_CODES.badInput);
+  assert.match(err, /^arguments: .*"--unknown".*\n$/);
 });
 
 test("waiting without an acceptor ends with a timeout", async (t) => {
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -32,6 +32,22 @@
 /** Streams of the tool. */
 export type CliStreams = { stdout: Writable; stderr: Writable };
 
+/** Prints a mistake in the arguments as one line. */
+function reportUsage(
+  { message }: Error,
+  args: string[],
+  { stdout, stderr }: CliStreams,
+): number {
+  const [reason = message] = message.split("\n");
+  const line = `arguments: ${reason} See goldcrestrelay --help`;
+  const exitCode = EXIT_CODES.badInput;
+  if (args.includes("--json")) {
+    stdout.write(`${JSON.stringify({ error: line, exitCode })}\n`);
+  }
+  stderr.write(`${line}\n`);
+  return exitCode;
+}
+
 /**
  * Runs the tool.
  *
@@ -57,8 +73,7 @@
   try {
     command = cli.process(args, context);
   } catch (error) {
-    streams.stderr.write(`${cli.error(error, { colored: false })}\n`);
-    return EXIT_CODES.badInput;
+    return reportUsage(error as Error, args, streams);
   }
   return await cli.run(command, context);
 }
--- a/src/config/config_distributor_test.ts
+++ b/src/config/config_distributor_test.ts
@@ -157,3 +157,32 @@
   await bed.advance(3_000);
   assert.deepEqual(generations([withContact, alone]), [2, 2]);
 });
+
+test("a change that is too large for one message travels by full copies", async () => {
+  const { bed, b, all } = await startThree();
+  bed.writeTable("routes", sampleTables(2_000).routes);
+  await bed.settle();
+  assert.equal(bed.accepted().step, undefined);
+  await bed.advance(3_000);
+  assert.deepEqual(generations(all), [2, 2, 2]);
+  assert.equal(b.store.status().applied.at(-1)?.source, "peer");
+  const largest = Math.max(
+    ...bed.network.sent.map(({ sizeBytes }) => sizeBytes),
+  );
+  assert.ok(largest < 262_144, `largest message ${largest} bytes`);
+});
+
+test("a data centre that is cut off from the platform follows a remote reader", async () => {
+  const { bed, a } = await startThree();
+  const [reader, other] = [bed.addDaemon("far-1"), bed.addDaemon("far-2")];
+  [reader, other].forEach(({ platform }) => platform.faults.down = true);
+  reader.peer.linked = [a.peer.peer];
+  other.peer.linked = [a.peer.peer];
+  await bed.advance(2_000);
+  reader.peer.linked = [other.peer.peer];
+  other.peer.linked = [reader.peer.peer];
+  reader.peer.remote = [a.peer.peer];
+  bed.writeTable("routes", sampleTables(3).routes);
+  await bed.advance(2_500);
+  assert.deepEqual(generations([reader, other]), [2, 2]);
+});
