--- a/src/charts/load_chart.ts
+++ b/src/charts/load_chart.ts
@@ -20,6 +20,7 @@
   "outbound_request",
   "keyed_request",
   "upstream",
+  "ejection",
   "member",
   "drain",
   "configuration",
--- a/src/decisions/endpoint_record.ts
+++ b/src/decisions/endpoint_record.ts
@@ -48,7 +48,7 @@
     this.incarnationEpochMs = endpoint.incarnationEpochMs;
     this.#learnedMs = endpoint.learnedMs;
     this.#slotsCount = endpoint.slotsCount;
-    this.#machine = new StateMachine(UPSTREAM_CHART, this);
+    this.#machine = new StateMachine(EJECTION_CHART, this);
   }
 
   /** Attempts that this daemon has running at the upstream. */
@@ -191,4 +191,4 @@
   }
 }
 
-const UPSTREAM_CHART = loadChart("upstream", EndpointRecord.prototype);
+const EJECTION_CHART = loadChart("ejection", EndpointRecord.prototype);
--- a/src/reference_pages/sections.ts
+++ b/src/reference_pages/sections.ts
@@ -1,7 +1,6 @@
 /** Sections of the pages that are generated from schemas, tables and charts. */
 import type { z } from "zod";
-import { readChart } from "../charts/load_chart.ts";
-import { CHECKED_CHARTS } from "../daemon/check_charts.ts";
+import { CHART_NAMES, readChart } from "../charts/load_chart.ts";
 import {
   ERROR_ANSWERS,
   errorAnswer,
@@ -80,7 +79,7 @@
 }
 
 function chartsSection(): string {
-  return CHECKED_CHARTS.map((name) => {
+  return CHART_NAMES.map((name) => {
     const chart = readChart(name);
     return `## ${name}\n\n${chart.description}.\n\n${chartDiagram(chart)}`;
   }).join("\n\n");
