--- a/bench/membership_fleet.ts
+++ b/bench/membership_fleet.ts
@@ -1,7 +1,8 @@
 /** Many memberships under a virtual clock with a simulated network. */
 import type { PeerFailure } from "../src/core/peer_transport.ts";
 import { SeededRandom } from "../src/core/random.ts";
-import { MembershipCore, TICK_MS } from "../src/membership/membership_core.ts";
+import { TICK_MS } from "../src/membership/member_prober.ts";
+import { MembershipCore } from "../src/membership/membership_core.ts";
 import type {
   AnswerWithActions,
   MembershipAction,
--- /dev/null
+++ b/src/membership/member_prober.ts
@@ -0,0 +1,210 @@
+/** Sends probes and draws conclusions from their results. */
+import type { Address } from "../schemas/common_schema.ts";
+import type { ProbeAnswer } from "../schemas/member_schema.ts";
+import {
+  type FailedProbe,
+  FailureDetector,
+  PROBE_TIMEOUT_MS,
+} from "./failure_detector.ts";
+import { LoopHealth } from "./loop_health.ts";
+import { LostAddresses } from "./lost_addresses.ts";
+import type { MemberChange } from "./member_registry.ts";
+import type { MemberView } from "./member_view.ts";
+import {
+  type MembershipEvent,
+  peerAddressOf,
+  type ProbeAction,
+} from "./membership_events.ts";
+import { RemoteExchange } from "./remote_exchange.ts";
+import { SuspicionJudge } from "./suspicion_judge.ts";
+
+/** Period of the event `tick`, in ms. */
+export const TICK_MS = 100;
+
+type FailedProbeEvent = MembershipEvent & { kind: "probeFailed" };
+
+/** Probes observed members, lost addresses and other data centres. */
+export class MemberProber {
+  readonly #view: MemberView;
+  readonly #detector = new FailureDetector();
+  readonly #health: LoopHealth;
+  readonly #judge: SuspicionJudge;
+  readonly #lost: LostAddresses;
+  readonly #exchange: RemoteExchange;
+  #ringsVersion = -1;
+  #neighbourIds: readonly string[] = [];
+
+  /**
+   * @param view Members.
+   * @param nowMs Monotonic time, in ms.
+   */
+  constructor(view: MemberView, nowMs: number) {
+    const { dataCentre } = view;
+    this.#view = view;
+    this.#health = new LoopHealth(nowMs, {
+      tickMs: TICK_MS,
+      toleranceMs: PROBE_TIMEOUT_MS,
+    });
+    this.#judge = new SuspicionJudge(view.registry, view.own.id);
+    this.#lost = new LostAddresses(nowMs);
+    this.#exchange = new RemoteExchange(view.readers, { dataCentre, nowMs });
+  }
+
+  /** Observers and observed members. */
+  get neighbourIds(): readonly string[] {
+    return this.#neighbourIds;
+  }
+
+  /** Live readers of the other data centres. */
+  listRemoteReaders(): string[] {
+    return this.#exchange.listDataCentres()
+      .flatMap((dataCentre) => this.#view.readers.listReaders(dataCentre));
+  }
+
+  /** Records that the loop runs; called before each event. */
+  observeLoop(nowMs: number): void {
+    const pauseMs = this.#health.observe(nowMs);
+    if (pauseMs > 0) {
+      this.#judge.postpone(pauseMs);
+    }
+  }
+
+  /**
+   * Judges suspicions and lists the probes that are due.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param options Whether this daemon compares with other data centres.
+   * @returns Probes to send.
+   */
+  tick(nowMs: number, options: { isReader: boolean }): ProbeAction[] {
+    for (const update of this.#judge.listExpired(nowMs)) {
+      this.#view.apply(update, { nowMs });
+    }
+    const probes = this.#detector.takeDue(nowMs)
+      .map((instanceId) => this.#build("observed", instanceId));
+    const lost = this.#lost.takeDue(nowMs);
+    if (lost !== undefined) {
+      probes.push(this.#build("lost", lost.instanceId, lost.address));
+    }
+    const remote = options.isReader ? this.#exchange.takeDue(nowMs) : undefined;
+    if (remote !== undefined) {
+      probes.push(this.#build("remote", remote));
+    }
+    return probes.filter((probe) => probe !== undefined);
+  }
+
+  /** Handles an answer of the probed member. */
+  acceptAnswer(probe: ProbeAction, answer: ProbeAnswer, nowMs: number): void {
+    const { held } = answer;
+    if (probe.purpose === "observed") {
+      this.#detector.acknowledge(probe.instanceId);
+      const isAccepted = held?.state === "alive" || held?.state === "leaving";
+      this.#view.own.acknowledge(isAccepted, nowMs);
+    }
+    if (probe.purpose === "remote") {
+      this.#exchange.succeed(this.#dataCentreOf(probe.instanceId));
+    }
+    if (held !== undefined) {
+      this.#view.learnHeld(held, nowMs);
+    }
+  }
+
+  /** Handles an answer of another instance at the address of a member. */
+  acceptReplacement(probe: ProbeAction, nowMs: number): void {
+    if (probe.purpose === "observed") {
+      const failure = { failure: "replaced", sentMs: nowMs } as const;
+      this.#judgeFailure(probe.instanceId, failure, nowMs);
+    }
+    if (probe.purpose === "lost") {
+      this.#lost.remove(probe.instanceId);
+    }
+  }
+
+  /** Handles a probe without an answer. */
+  acceptFailure(event: FailedProbeEvent, nowMs: number): void {
+    const { instanceId, purpose } = event.probe;
+    if (purpose === "remote") {
+      this.#exchange.fail(this.#dataCentreOf(instanceId));
+    }
+    if (purpose === "observed") {
+      this.#judgeFailure(instanceId, event, nowMs);
+    }
+  }
+
+  /** Follows changes of the members with observers and lost addresses. */
+  follow(changes: readonly MemberChange[], nowMs: number): void {
+    for (const { instanceId, kind } of changes) {
+      if (kind === "joined") {
+        this.#lost.remove(instanceId);
+      }
+      // The targets are those from before the loss.
+      if (this.#detector.observes(instanceId)) {
+        this.#rememberLost(instanceId, nowMs);
+      }
+    }
+    this.#followRings(nowMs);
+  }
+
+  #judgeFailure(
+    instanceId: string,
+    failed: { failure: FailedProbe["failure"]; sentMs: number },
+    nowMs: number,
+  ): void {
+    const member = this.#view.registry.updateOf(instanceId);
+    if (member === undefined) {
+      return;
+    }
+    const verdict = this.#detector.fail(instanceId, {
+      failure: failed.failure,
+      isExcused: this.#health.wasLateSince(failed.sentMs),
+      version: member,
+    });
+    if (verdict === "gone") {
+      const { suspectedBy: _observer, ...rest } = member;
+      this.#view.apply({ ...rest, state: "gone" }, { nowMs });
+    }
+    if (verdict === "suspect") {
+      this.#view.apply(this.#judge.suspectBySelf(member), { nowMs });
+    }
+  }
+
+  #rememberLost(instanceId: string, nowMs: number): void {
+    const member = this.#view.registry.updateOf(instanceId);
+    if (member?.state === "dead" || member?.state === "gone") {
+      this.#lost.add(instanceId, peerAddressOf(member), nowMs);
+    }
+  }
+
+  #followRings(nowMs: number): void {
+    const { rings } = this.#view.registry;
+    if (this.#ringsVersion === rings.version) {
+      return;
+    }
+    this.#ringsVersion = rings.version;
+    const observed = rings.observedBy(this.#view.own.id);
+    const observers = rings.observersOf(this.#view.own.id);
+    this.#detector.setTargets(observed, nowMs);
+    this.#neighbourIds = [...new Set([...observed, ...observers])];
+  }
+
+  #build(
+    purpose: ProbeAction["purpose"],
+    instanceId: string,
+    lostAddress?: Address,
+  ): ProbeAction | undefined {
+    const { registry } = this.#view;
+    const known = registry.updateOf(instanceId);
+    const address = lostAddress ?? (known && peerAddressOf(known));
+    if (address === undefined) {
+      return undefined;
+    }
+    const held = registry.versionOf(instanceId);
+    const digest = registry.digests.total;
+    const request = held === undefined ? { digest } : { held, digest };
+    return { kind: "probe", purpose, instanceId, address, request };
+  }
+
+  #dataCentreOf(instanceId: string): string {
+    return this.#view.registry.updateOf(instanceId)?.dataCentre ?? "";
+  }
+}
--- /dev/null
+++ b/src/membership/member_view.ts
@@ -0,0 +1,97 @@
+/** The members as this daemon holds them, with the statement about itself. */
+import type {
+  MemberPlace,
+  MemberUpdate,
+  MemberVersion,
+} from "../schemas/member_schema.ts";
+import { type MemberChange, MemberRegistry } from "./member_registry.ts";
+import { OwnMember, type OwnMemberOptions } from "./own_member.ts";
+import { ReaderRanks } from "./reader_ranks.ts";
+import { UpdateOutbox } from "./update_outbox.ts";
+
+/**
+ * Applies statements of peers and of this daemon, and collects what is to be
+ * flooded.
+ */
+export class MemberView {
+  readonly own: OwnMember;
+  readonly registry: MemberRegistry;
+  readonly readers: ReaderRanks;
+  readonly outbox: UpdateOutbox;
+  readonly dataCentre: string;
+  #changes: MemberChange[] = [];
+
+  /**
+   * @param options Identity and place.
+   * @param nowMs Monotonic time, in ms.
+   */
+  constructor(options: OwnMemberOptions, nowMs: number) {
+    this.dataCentre = options.dataCentre;
+    this.own = new OwnMember(options, nowMs);
+    this.registry = new MemberRegistry(this.dataCentre);
+    this.readers = new ReaderRanks(this.registry);
+    this.outbox = new UpdateOutbox(this.registry);
+    this.registry.apply(this.own.update, { nowMs });
+    this.#collectChanges();
+  }
+
+  /**
+   * Applies a statement; news is flooded.
+   *
+   * @param update Statement about a member.
+   * @param options Time, and whether a suspicion stands for a declared death.
+   */
+  apply(
+    update: MemberUpdate,
+    options: { nowMs: number; claimedDead?: boolean },
+  ): void {
+    if (update.instanceId === this.own.id) {
+      this.learnHeld(update, options.nowMs);
+      return;
+    }
+    if (this.registry.apply(update, options)) {
+      this.outbox.add(update);
+      this.#collectChanges();
+    }
+  }
+
+  /** Learns how a peer holds this daemon, and refutes where necessary. */
+  learnHeld(held: MemberVersion, nowMs: number): void {
+    if (held.state !== "alive" && held.state !== "leaving") {
+      this.own.rejectBy();
+    }
+    if (this.own.refute(held)) {
+      this.#publishOwn(nowMs);
+    }
+  }
+
+  /** Changes the state or the place of this daemon. */
+  changeOwn(
+    fields: Partial<MemberPlace> & Partial<MemberVersion>,
+    nowMs: number,
+  ): void {
+    this.own.change(fields);
+    this.#publishOwn(nowMs);
+  }
+
+  /** Returns the changes since the last call. */
+  takeChanges(): MemberChange[] {
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
+  #publishOwn(nowMs: number): void {
+    this.registry.apply(this.own.update, { nowMs });
+    this.outbox.add(this.own.update);
+    this.#collectChanges();
+  }
+
+  #collectChanges(): void {
+    const changes = this.registry.takeChanges();
+    this.#changes.push(...changes);
+    if (changes.some(({ kind }) => kind !== "updated")) {
+      this.readers.invalidate();
+    }
+  }
+}
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -18,10 +18,10 @@
 } from "../schemas/member_schema.ts";
 import type { Announcement } from "../schemas/settings_schema.ts";
 import { PROBE_TIMEOUT_MS } from "./failure_detector.ts";
+import { TICK_MS } from "./member_prober.ts";
 import {
   MembershipCore,
   type MembershipCoreOptions,
-  TICK_MS,
 } from "./membership_core.ts";
 import { MembershipDirectory } from "./membership_directory.ts";
 import type {
--- a/src/membership/update_outbox.ts
+++ b/src/membership/update_outbox.ts
@@ -49,9 +49,9 @@
     this.#registry = registry;
   }
 
-  /** Whether no update is to be flooded. */
+  /** Whether there is nothing to send. */
   get isEmpty(): boolean {
-    return this.#updates.length === 0;
+    return this.#updates.length === 0 && this.#repairs.length === 0;
   }
 
   /** Adds news. */
