Pace floods per neighbour and test the failures of the membership

Cause: the start of 200 members at once sent 137,789 flood messages, one for each update and neighbour. Ruled out: a delay before each flood (it would also delay a single update). Change: the first update to a neighbour is sent at once, the following ones within 100 ms travel together; what a neighbour sent itself is not sent back.

--- a/src/membership/membership_core.ts
+++ b/src/membership/membership_core.ts
@@ -208,6 +208,7 @@
       case "stay":
         return this.#view.changeOwn({ state: "alive" }, nowMs);
       case "left":
+        this.#view.outbox.isUrgent = true;
         return this.#view.changeOwn({ state: "left" }, nowMs);
     }
   }
@@ -256,6 +257,7 @@
       this.#synchroniser.repair(request.updates, { fromId, nowMs });
       return;
     }
+    this.#view.outbox.dropFor(fromId, request.updates);
     for (const update of request.updates) {
       this.#view.apply(update, { nowMs });
     }
@@ -281,6 +283,6 @@
       return [];
     }
     const { neighbourIds, remoteReaderIds: remoteIds } = this;
-    return outbox.take({ neighbourIds, remoteIds, fromId, dataCentre });
+    return outbox.take(nowMs, { neighbourIds, remoteIds, fromId, dataCentre });
   }
 }
--- /dev/null
+++ b/src/membership/membership_core_test.ts
@@ -0,0 +1,266 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type FleetMessage,
+  type FleetNode,
+  MembershipFleet,
+} from "../../bench/membership_fleet.ts";
+import { SeededRandom } from "../core/random.ts";
+
+/** Two refused probes, one interval apart, and the flood. */
+const CONFIRM_MAX_MS = 3_000;
+/** Two missed probes with their timeout, the suspicion, and the flood. */
+const DEATH_MAX_MS = 2_500 + 4_000 + 1_000;
+const NONE: FleetNode[] = [];
+
+function startFleet(
+  count: number,
+  options: { onMessage?: (message: FleetMessage) => void } = {},
+): MembershipFleet {
+  const fleet = new MembershipFleet({ seed: 7, ...options });
+  fleet.addNodes(count, { dataCentre: "dc-a", contactsCount: 2 });
+  fleet.run(10_000);
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+  drainChanges(fleet);
+  return fleet;
+}
+
+function nodeAt(fleet: MembershipFleet, index: number): FleetNode {
+  return fleet.nodes[index] as FleetNode;
+}
+
+function others(fleet: MembershipFleet, node: FleetNode): FleetNode[] {
+  return fleet.nodes.filter((other) => other !== node);
+}
+
+/** Ids of the members that any node held dead or gone since the last call. */
+function drainChanges(fleet: MembershipFleet): Set<string> {
+  const lost = fleet.nodes.flatMap((node) =>
+    node.core.takeChanges()
+      .filter(({ kind }) => kind === "dead" || kind === "gone")
+      .map(({ instanceId }) => instanceId)
+  );
+  return new Set(lost);
+}
+
+for (const count of [50, 200]) {
+  test(`a killed member is gone everywhere in time, ${count} members`, () => {
+    const fleet = startFleet(count);
+    const victim = nodeAt(fleet, 9);
+    fleet.kill(victim);
+    const rest = others(fleet, victim);
+    const elapsedMs = fleet.runUntil(
+      () => fleet.allHold(rest, [victim], ["gone"]),
+      60_000,
+    );
+    assert.ok(elapsedMs <= CONFIRM_MAX_MS, `${elapsedMs} ms`);
+    assert.deepEqual([...drainChanges(fleet)], [victim.id]);
+  });
+
+  test(`a frozen member is dead everywhere in time, ${count} members`, () => {
+    const fleet = startFleet(count);
+    const victim = nodeAt(fleet, 9);
+    const rest = others(fleet, victim);
+    fleet.freeze(victim);
+    const elapsedMs = fleet.runUntil(
+      () => fleet.allHold(rest, [victim], ["dead"]),
+      60_000,
+    );
+    assert.ok(elapsedMs <= DEATH_MAX_MS, `${elapsedMs} ms`);
+    assert.deepEqual([...drainChanges(fleet)], [victim.id]);
+  });
+}
+
+test("a member that wakes after its death returns and owns keys anew", () => {
+  const fleet = startFleet(20);
+  const victim = nodeAt(fleet, 3);
+  fleet.freeze(victim);
+  fleet.run(20_000);
+  drainChanges(fleet);
+  fleet.wake(victim);
+  const wokenMs = fleet.schedule.nowMs;
+  const lapsedMs = wokenMs - victim.core.standing.lastAckMs;
+  assert.ok(lapsedMs > 3_000, "lapse is not visible at the wake-up");
+  fleet.run(5_000);
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+  assert.ok(victim.core.standing.acceptedSinceMs >= wokenMs);
+  assert.deepEqual(drainChanges(fleet), new Set(), "made others look dead");
+});
+
+test("a short pause is refuted before the member is declared dead", () => {
+  const fleet = startFleet(20);
+  const victim = nodeAt(fleet, 3);
+  fleet.freeze(victim);
+  fleet.runUntil(
+    () => fleet.allHold(others(fleet, victim), [victim], ["suspect"]),
+    10_000,
+  );
+  fleet.wake(victim);
+  fleet.run(8_000);
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+  assert.deepEqual(drainChanges(fleet), new Set());
+});
+
+test("a daemon with a blocked loop does not make others look dead", () => {
+  const fleet = startFleet(20);
+  const slow = nodeAt(fleet, 3);
+  let suspectedCount = 0;
+  for (let round = 0; round < 30; round++) {
+    fleet.freeze(slow);
+    fleet.run(900);
+    fleet.wake(slow);
+    fleet.run(100);
+    suspectedCount += others(fleet, slow)
+      .filter((other) => fleet.view(slow, other) !== "alive").length;
+  }
+  assert.equal(suspectedCount, 0);
+  const lost = drainChanges(fleet);
+  lost.delete(slow.id);
+  assert.deepEqual(lost, new Set());
+});
+
+test("a link that loses one direction kills no member and floods little", () => {
+  const messages: FleetMessage[] = [];
+  const fleet = startFleet(20, {
+    onMessage: (message) => messages.push(message),
+  });
+  const a = nodeAt(fleet, 3);
+  const b = fleet.nodes.find((node) =>
+    a.core.neighbourIds.includes(node.id)
+  ) as FleetNode;
+  messages.length = 0;
+  fleet.isCut = (from, to) => from === a && to === b;
+  fleet.run(120_000);
+  assert.deepEqual(drainChanges(fleet), new Set());
+  const updates = messages.filter(({ kind }) => kind === "push").length;
+  // Without back-off, each side would suspect every 2 s: 120 floods of 140.
+  assert.ok(updates <= 30 * 140, `${updates} messages`);
+});
+
+test("both halves of a cut data centre drop each other and unite again", () => {
+  const fleet = startFleet(40);
+  const isLeft = (node: FleetNode) => fleet.nodes.indexOf(node) < 20;
+  const left = fleet.nodes.filter(isLeft);
+  const right = fleet.nodes.filter((node) => !isLeft(node));
+  fleet.isCut = (from, to) => isLeft(from) !== isLeft(to);
+  const lost = () =>
+    fleet.allHold(left, right, ["dead"]) &&
+    fleet.allHold(right, left, ["dead"]);
+  assert.ok(fleet.runUntil(lost, 60_000) < 60_000);
+  assert.ok(fleet.allHold(left, left, ["alive"]), "left half lost its own");
+  assert.ok(fleet.allHold(right, right, ["alive"]), "right half lost its own");
+  fleet.run(30_000);
+  drainChanges(fleet);
+  fleet.isCut = () => false;
+  const united = () => fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]);
+  assert.ok(fleet.runUntil(united, 60_000) < 60_000);
+  assert.deepEqual(drainChanges(fleet), new Set(), "healing killed members");
+});
+
+test("a restart at the same address is found while the platform is down", () => {
+  const fleet = startFleet(20);
+  const victim = nodeAt(fleet, 9);
+  const before = victim.core.identity.incarnationEpochMs;
+  fleet.kill(victim);
+  fleet.run(60_000);
+  fleet.restart(victim, NONE.map((node) => node.address));
+  const isBack = () => fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]);
+  assert.ok(fleet.runUntil(isBack, 30_000) < 30_000);
+  assert.ok(victim.core.identity.incarnationEpochMs > before);
+});
+
+test("a daemon whose clock went back raises its incarnation", () => {
+  const fleet = startFleet(5);
+  const victim = nodeAt(fleet, 4);
+  const future = victim.core.identity.incarnationEpochMs + 3_600_000;
+  fleet.send(victim, { kind: "incarnationKnown", incarnationEpochMs: future });
+  fleet.run(1_000);
+  fleet.kill(victim);
+  fleet.run(5_000);
+  fleet.restart(victim, [nodeAt(fleet, 0).address]);
+  fleet.run(5_000);
+  assert.ok(fleet.allHold(fleet.nodes, [victim], ["alive"]));
+  assert.ok(victim.core.identity.incarnationEpochMs > future);
+});
+
+test("a whole data centre restarts through contacts only", () => {
+  const fleet = startFleet(50);
+  fleet.nodes.forEach((node) => fleet.kill(node));
+  fleet.run(5_000);
+  const contacts = fleet.nodes.slice(0, 2).map((node) => node.address);
+  fleet.nodes.forEach((node) => fleet.restart(node, contacts));
+  const isBack = () => fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]);
+  assert.ok(fleet.runUntil(isBack, 30_000) < 30_000);
+});
+
+test("a leaving member is known everywhere within 3 s and then left", () => {
+  const fleet = startFleet(50);
+  const leaver = nodeAt(fleet, 9);
+  fleet.send(leaver, { kind: "leave" });
+  const rest = others(fleet, leaver);
+  const isKnown = () => fleet.allHold(rest, [leaver], ["leaving"]);
+  assert.ok(fleet.runUntil(isKnown, 10_000) <= 3_000);
+  fleet.send(leaver, { kind: "left" });
+  fleet.kill(leaver);
+  fleet.run(3_000);
+  assert.ok(fleet.allHold(rest, [leaver], ["left"]));
+});
+
+test("digests repair the floods that are lost", () => {
+  const fleet = startFleet(30);
+  const leaver = nodeAt(fleet, 9);
+  const deaf = nodeAt(fleet, 20);
+  fleet.isCut = (_from, to) => to === deaf;
+  fleet.send(leaver, { kind: "leave" });
+  fleet.run(300);
+  fleet.isCut = () => false;
+  assert.equal(fleet.view(deaf, leaver), "alive");
+  fleet.run(4_000);
+  assert.equal(fleet.view(deaf, leaver), "leaving");
+});
+
+test("lost messages at random kill no member and the views agree after", () => {
+  const fleet = startFleet(30);
+  const random = new SeededRandom(11);
+  fleet.isCut = () => random.nextFloat() < 0.02;
+  fleet.run(120_000);
+  assert.deepEqual(drainChanges(fleet), new Set());
+  fleet.isCut = () => false;
+  fleet.run(10_000);
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+});
+
+test("data centres follow each other and agree after a partition", () => {
+  const fleet = new MembershipFleet({ seed: 7 });
+  for (const dataCentre of ["dc-a", "dc-b", "dc-c"]) {
+    fleet.addNodes(10, { dataCentre, contactsCount: 1 });
+  }
+  const agree = () => fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]);
+  assert.ok(fleet.runUntil(agree, 30_000) < 30_000);
+  fleet.isCut = (from, to) => from.dataCentre !== to.dataCentre;
+  fleet.run(30_000);
+  assert.ok(agree(), "a partition between data centres lost members");
+  const victim = nodeAt(fleet, 15);
+  fleet.kill(victim);
+  fleet.run(10_000);
+  assert.equal(fleet.view(nodeAt(fleet, 0), victim), "alive");
+  fleet.isCut = () => false;
+  const isKnown = () =>
+    fleet.allHold(others(fleet, victim), [victim], ["gone"]);
+  assert.ok(fleet.runUntil(isKnown, 30_000) < 30_000);
+});
+
+test("an update costs each member at most one message per neighbour", () => {
+  const messages: FleetMessage[] = [];
+  const fleet = startFleet(100, {
+    onMessage: (message) => messages.push(message),
+  });
+  messages.length = 0;
+  fleet.send(nodeAt(fleet, 9), { kind: "leave" });
+  fleet.run(1_000);
+  const pushes = messages.filter(({ kind }) => kind === "push").length;
+  const edges = fleet.nodes
+    .map((node) => node.core.neighbourIds.length)
+    .reduce((sum, count) => sum + count, 0);
+  assert.ok(pushes <= edges, `${pushes} messages over ${edges} edges`);
+});
--- a/src/membership/update_outbox.ts
+++ b/src/membership/update_outbox.ts
@@ -1,10 +1,16 @@
-/** Collects the updates of one event and addresses them. */
+/** Collects updates and addresses them to neighbours at a bounded rate. */
 import type { Address } from "../schemas/common_schema.ts";
 import type { MemberUpdate } from "../schemas/member_schema.ts";
 import type { MemberRegistry } from "./member_registry.ts";
 import { peerAddressOf, type PushAction } from "./membership_events.ts";
 
 const PUSH_UPDATES_MAX_COUNT = 200;
+/**
+ * Shortest time between two floods to one neighbour, in ms. The first update is
+ * sent at once; those of a burst, such as the start of a whole data centre,
+ * travel together.
+ */
+const PUSH_INTERVAL_MS = 100;
 
 /** Receivers of {@link UpdateOutbox.take}. */
 export type OutboxReceivers = {
@@ -17,6 +23,16 @@
   dataCentre: string;
 };
 
+type Queue = {
+  lastSentMs: number;
+  /** Updates by member and suspecting observer. */
+  readonly pending: Map<string, MemberUpdate>;
+};
+
+function keyOf(update: MemberUpdate): string {
+  return `${update.instanceId}/${update.suspectedBy ?? ""}`;
+}
+
 function buildPushes(
   address: Address,
   updates: readonly MemberUpdate[],
@@ -25,22 +41,23 @@
   const pushes: PushAction[] = [];
   for (let start = 0; start < updates.length; start += PUSH_UPDATES_MAX_COUNT) {
     const page = updates.slice(start, start + PUSH_UPDATES_MAX_COUNT);
-    pushes.push({
-      kind: "push",
-      address,
-      request: { updates: page, isRepair },
-    });
+    const request = { updates: page, isRepair };
+    pushes.push({ kind: "push", address, request });
   }
   return pushes;
 }
 
-/** Updates that are to be flooded after the present event. */
+/** Updates that are to be flooded, by receiver. */
 export class UpdateOutbox {
   /** While true, news is not flooded: a newcomer learns what others know. */
   isQuiet = false;
+  /** While true, updates do not wait; for a daemon that ends. */
+  isUrgent = false;
   readonly #registry: MemberRegistry;
+  readonly #queues = new Map<string, Queue>();
   #updates: MemberUpdate[] = [];
   #repairs: PushAction[] = [];
+  #pendingCount = 0;
 
   /**
    * @param registry All members.
@@ -51,7 +68,8 @@
 
   /** Whether there is nothing to send. */
   get isEmpty(): boolean {
-    return this.#updates.length === 0 && this.#repairs.length === 0;
+    return this.#updates.length + this.#repairs.length + this.#pendingCount ===
+      0;
   }
 
   /** Adds news. */
@@ -66,43 +84,77 @@
     this.#repairs.push(...buildPushes(address, updates, true));
   }
 
+  /** Drops updates that wait for a neighbour which sent them itself. */
+  dropFor(neighbourId: string, updates: readonly MemberUpdate[]): void {
+    const pending = this.#queues.get(neighbourId)?.pending;
+    updates.forEach((update) => pending?.delete(keyOf(update)));
+  }
+
   /**
-   * Takes all messages.
+   * Takes the messages that are due.
    *
+   * @param nowMs Monotonic time, in ms.
    * @param receivers Neighbours, remote readers and the origin.
    * @returns Messages to send.
    */
-  take(receivers: OutboxReceivers): PushAction[] {
-    const pushes = this.#repairs;
-    const updates = this.#updates;
-    this.#repairs = [];
-    this.#updates = [];
-    if (updates.length === 0) {
-      return pushes;
-    }
+  take(nowMs: number, receivers: OutboxReceivers): PushAction[] {
     const { neighbourIds, remoteIds, fromId, dataCentre } = receivers;
+    const updates = this.#updates;
     const own = updates.filter((update) => update.dataCentre === dataCentre);
-    return [
-      ...pushes,
-      ...this.#address(neighbourIds, updates, fromId),
-      ...this.#address(remoteIds, own, fromId),
-    ];
+    const repairs = this.#repairs;
+    this.#updates = [];
+    this.#repairs = [];
+    this.#dropQueuesExcept([...neighbourIds, ...remoteIds]);
+    this.#enqueue(neighbourIds, updates, fromId);
+    this.#enqueue(remoteIds, own, fromId);
+    return [...repairs, ...this.#takeDue(nowMs)];
   }
 
-  #address(
+  #enqueue(
     ids: readonly string[],
     updates: readonly MemberUpdate[],
     fromId: string | undefined,
-  ): PushAction[] {
-    return ids
-      .filter((id) => id !== fromId)
-      .flatMap((id) => {
-        const row = this.#registry.table.rowOf(id);
-        return row === undefined ? [] : buildPushes(
-          peerAddressOf(this.#registry.table.read(row)),
-          updates,
-          false,
-        );
-      });
+  ): void {
+    for (const id of ids) {
+      const queue = this.#queues.get(id) ??
+        { lastSentMs: Number.NEGATIVE_INFINITY, pending: new Map() };
+      this.#queues.set(id, queue);
+      if (id !== fromId) {
+        updates.forEach((update) => queue.pending.set(keyOf(update), update));
+      }
+    }
+  }
+
+  #dropQueuesExcept(ids: readonly string[]): void {
+    for (const id of this.#queues.keys()) {
+      if (!ids.includes(id)) {
+        this.#queues.delete(id);
+      }
+    }
+  }
+
+  #takeDue(nowMs: number): PushAction[] {
+    const pushes: PushAction[] = [];
+    this.#pendingCount = 0;
+    for (const [id, queue] of this.#queues) {
+      const isDue = this.isUrgent ||
+        nowMs - queue.lastSentMs >= PUSH_INTERVAL_MS;
+      if (isDue && queue.pending.size > 0) {
+        pushes.push(...this.#address(id, [...queue.pending.values()]));
+        queue.pending.clear();
+        queue.lastSentMs = nowMs;
+      }
+      this.#pendingCount += queue.pending.size;
+    }
+    return pushes;
+  }
+
+  #address(id: string, updates: readonly MemberUpdate[]): PushAction[] {
+    const row = this.#registry.table.rowOf(id);
+    return row === undefined ? [] : buildPushes(
+      peerAddressOf(this.#registry.table.read(row)),
+      updates,
+      false,
+    );
   }
 }
