--- a/src/membership/membership_core.ts
+++ b/src/membership/membership_core.ts
@@ -20,6 +20,7 @@
   ProbeAction,
 } from "./membership_events.ts";
 import type { OwnMemberOptions } from "./own_member.ts";
+import type { ReaderRanks } from "./reader_ranks.ts";
 import { ViewSynchroniser } from "./view_synchroniser.ts";
 
 const FORGET_INTERVAL_MS = 10_000;
@@ -58,6 +59,11 @@
     this.#lastForgetMs = nowMs;
   }
 
+  /** Readers and lease candidates of each data centre. */
+  get readers(): ReaderRanks {
+    return this.#view.readers;
+  }
+
   /** All members. */
   get registry(): MemberRegistry {
     return this.#view.registry;
