--- a/src/daemon/check_charts.ts
+++ b/src/daemon/check_charts.ts
@@ -1,21 +1,7 @@
 /** Check of all state charts at the start of the daemon. */
-import {
-  CHART_NAMES,
-  type ChartName,
-  loadChart,
-} from "../charts/load_chart.ts";
+import { CHART_NAMES, loadChart } from "../charts/load_chart.ts";
 import { InputError } from "../errors/input_error.ts";
 
-// Charts of parts that have not landed yet.
-const PENDING: ReadonlySet<ChartName> = new Set([
-  "member",
-]);
-
-/** Charts of the parts that are there. */
-export const CHECKED_CHARTS: readonly ChartName[] = CHART_NAMES.filter(
-  (name) => !PENDING.has(name),
-);
-
 /**
  * Checks the structure of every chart file. Unknown guards and actions are
  * found when the module of the class that runs the chart is loaded.
@@ -23,7 +9,7 @@
  * @throws {InputError} With the mistakes of the first faulty file.
  */
 export function checkCharts(): void {
-  for (const name of CHECKED_CHARTS) {
+  for (const name of CHART_NAMES) {
     loadChart(name);
   }
 }
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -14,6 +14,10 @@
 import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import { createPolicySet } from "../decisions/policy_set.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import { MemberOwners } from "../membership/member_owners.ts";
+import { MembershipPart } from "../membership/membership_part.ts";
+import { PlacementHistory } from "../membership/placement_history.ts";
+import { NO_UPSTREAM } from "../membership/upstream_life.ts";
 import { OperatorServer } from "../operator/operator_server.ts";
 import { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
 import { KeyRing } from "../peer/key_ring.ts";
@@ -30,7 +34,7 @@
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
-import { errorFields, type Logger, NullLogger } from "../telemetry/logger.ts";
+import { errorFields, NullLogger } from "../telemetry/logger.ts";
 import { type GaugeValues, Metrics } from "../telemetry/metrics.ts";
 import { DaemonLife } from "./daemon_life.ts";
 import type {
@@ -40,13 +44,14 @@
   Daemon,
   WireParts,
 } from "./daemon_parts.ts";
-import { DirectoryHandle } from "./directory_handle.ts";
 import { DrainController } from "./drain_controller.ts";
-import { EmptyOwners, FixedControlPlane } from "./fixed_control_plane.ts";
 import { controlGauges } from "./control_gauges.ts";
+import { FixedControlPlane } from "./fixed_control_plane.ts";
 import { Housekeeping } from "./housekeeping.ts";
+import { MembershipHandle } from "./membership_handle.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 import { OperatorView } from "./operator_view.ts";
+import { PeerControlPlane } from "./peer_control_plane.ts";
 import { reloadKeys } from "./reload_keys.ts";
 import { UpstreamAttachment } from "./upstream_attachment.ts";
 import { UpstreamServing } from "./upstream_serving.ts";
@@ -56,6 +61,8 @@
 const CUT_LOG_MAX_COUNT = 100;
 /** Each data centre has this many readers of the platform. */
 const READER_NUMBERS = [0, 1];
+/** Longest `keyRetentionMs` that the table of pools allows. */
+const KEY_RETENTION_MAX_MS = 86_400_000;
 const LEDGER_LIMITS = {
   entriesMaxCount: 200_000,
   answersMaxBytes: 16_777_216,
@@ -92,13 +99,13 @@
 
 function wireControlPlane(
   settings: Settings,
-  parts: { clock: Clock; random: RandomSource; log: Logger },
+  parts: { clock: Clock; keyClock: KeyClock; random: RandomSource },
 ): ControlPlane {
   const { clock, random } = parts;
-  const { instance } = settings;
-  const incarnationEpochMs = clock.wallMs();
-  const holder = { instanceId: instance.id, incarnationEpochMs };
-  const handle = new DirectoryHandle();
+  const nowMs = () => clock.monotonicMs();
+  const { id: instanceId, dataCentre } = settings.instance;
+  const holder = { instanceId, incarnationEpochMs: clock.wallMs() };
+  const membership = new MembershipHandle({ ...holder, dataCentre });
   const keys = new KeyRing(settings.peers.keys);
   const platform = new HttpPlatformClient({
     ...settings.platform,
@@ -106,71 +113,78 @@
     random,
   });
   const transport = new GrpcPeerTransport({
-    identity: () => ({ ...holder, dataCentre: instance.dataCentre }),
+    identity: () => membership.identity,
     keys,
     clock,
   });
   const store = new ConfigStore(clock);
-  const createLease = (leaseName: string) =>
-    new LeaseHolder({ leaseName, holder, platform, clock, random });
+  const leaseParts = { holder, platform, clock, random };
   const readerLeases = READER_NUMBERS.map((number) =>
-    createLease(`${instance.dataCentre}-reader-${number}`)
+    new LeaseHolder({
+      ...leaseParts,
+      leaseName: `${dataCentre}-reader-${number}`,
+      isCandidate: () => membership.isReaderCandidate(),
+    })
   );
-  const acceptorLease = createLease("config-acceptor");
+  const acceptorLease = new LeaseHolder({
+    ...leaseParts,
+    leaseName: "config-acceptor",
+    isCandidate: () => readerLeases[0]?.isHeld() ?? false,
+  });
   const leases = [...readerLeases, acceptorLease];
-  const distributor = new ConfigDistributor({
+  const placements = new PlacementHistory(KEY_RETENTION_MAX_MS);
+  const configParts = { ...holder, store, platform, clock };
+  const controlParts: AnyControlPart[] = [
+    new ConfigDistributor({
+      ...configParts,
+      transport,
+      neighbours: membership,
+      contacts: settings.peers.contacts,
+      random,
+    }),
+    new ConfigAcceptor({ ...configParts, lease: acceptorLease }),
+    ...readerLeases.map((lease) => new ConfigReader({ ...configParts, lease })),
+    ...leases,
+    {
+      name: "placements of pools",
+      inputs: store.changes,
+      handle: () =>
+        placements.record(store.current()?.tables.pools.pools ?? {}, nowMs()),
+    },
+  ];
+  return new PeerControlPlane({
     store,
+    membership,
+    owners: new MemberOwners({
+      eligibleOwners: (pool, home) => membership.eligibleOwners(pool, home),
+      placements,
+      nowMs,
+      nowEpochMs: () => parts.keyClock.nowEpochMs(),
+    }),
+    keys,
     transport,
-    neighbours: handle,
-    contacts: settings.peers.contacts,
     platform,
-    clock,
-    random,
+    leases,
+    controlParts,
+    createMembership: ({ peer, hop }) =>
+      new MembershipPart({
+        ...holder,
+        dataCentre,
+        place: {
+          peerHost: peer.host,
+          peerPort: peer.port,
+          hopHost: hop.host,
+          hopPort: hop.port,
+          ...NO_UPSTREAM,
+        },
+        contacts: settings.peers.contacts,
+        transport,
+        clock,
+        coldStartMs: (pool) =>
+          store.current()?.tables.pools.pools[pool]?.coldStartMs ?? 0,
+        holdsReaderLease: () => readerLeases.some((lease) => lease.isHeld()),
+      }),
   });
-
-  function join(loop: EventLoop, _bound: BoundAddresses): void {
-    const acceptor = new ConfigAcceptor({
-      ...holder,
-      platform,
-      lease: acceptorLease,
-      store,
-      clock,
-    });
-    const readers = readerLeases.map((lease) =>
-      new ConfigReader({ platform, lease, store })
-    );
-    const all: AnyControlPart[] = [
-      distributor,
-      acceptor,
-      ...readers,
-      ...leases,
-    ];
-    for (const part of all) {
-      loop.register(part);
-    }
-  }
-
-  return {
-    config: store,
-    directory: handle,
-    owners: new EmptyOwners(),
-    configChanges: store.changes,
-    keyHolders: [{ replaceKeys: (changed) => keys.replace(changed) }],
-    incarnationEpochMs,
-    listen: (address) => transport.listen(address),
-    join,
-    publish: () => {},
-    setLeaving: () => {},
-    status: () => ({
-      config: store.status(),
-      members: [],
-      leases: leases.map((lease) => lease.status()),
-    }),
-    async close() {
-      await transport.close();
-      await platform.close();
-    },
-  };
 }
 
 /**
@@ -185,8 +199,10 @@
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
   const random = new SeededRandom(seedOf(settings, clock.wallMs()));
+  const metrics = new Metrics(readGauges);
+  const keyClock = new KeyClock(() => clock.wallMs());
   const control = given.config === undefined || given.directory === undefined
-    ? wireControlPlane(settings, { clock, random, log })
+    ? wireControlPlane(settings, { clock, keyClock, random })
     : new FixedControlPlane({
       config: given.config,
       directory: given.directory,
@@ -203,14 +219,12 @@
   };
   const open = new OpenExchanges(nowMs);
   const gate = new WorkGate();
-  const metrics = new Metrics(readGauges);
   if (given.processMetrics === true) {
     metrics.collectProcess();
   }
   const observer = metrics.requests;
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
-  const keyClock = new KeyClock(() => clock.wallMs());
   const keyed = wireKeyedGate(settings, {
     config,
     directory,
@@ -349,13 +363,15 @@
   });
 
   function publishUpstream(announcement: Announcement | undefined): void {
-    if (announcement === undefined || !drain.isServing) {
+    if (announcement === undefined) {
       inbound.drain();
       control.publish(undefined);
       return;
     }
-    inbound.undrain();
     control.publish(announcement);
+    if (drain.isServing) {
+      inbound.undrain();
+    }
   }
 
   function readGauges(): GaugeValues {
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -13,7 +13,11 @@
 import { createLimiter } from "./create_limiter.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import { DownstreamLevels } from "./downstream_levels.ts";
-import { ADMISSION_KEYS_COUNT, effectiveRank } from "./importance.ts";
+import {
+  ADMISSION_KEYS_COUNT,
+  CLASSES_COUNT,
+  effectiveRank,
+} from "./importance.ts";
 import { IntervalMeter } from "./interval_meter.ts";
 import { LoadReportBound } from "./load_report_bound.ts";
 import {
@@ -27,6 +31,11 @@
 
 /** Missed intervals that are made up for at most after a pause. */
 const INTERVALS_MAX_COUNT = 64;
+/**
+ * A queue this short is no overload: on an upstream with few slots it is the
+ * least that keeps all of them busy, although its delay exceeds the target.
+ */
+const STANDING_ALLOWED_COUNT = 3;
 const ALL_ROUTES = "";
 
 /** Options of {@link RankAdmission}. */
@@ -330,7 +339,7 @@
     this.#downstream.endInterval();
     const seen = this.#meter.endInterval(nowMs);
     const ratePerMs = this.#serviceRatePerMs();
-    const standingDelayMs = seen.standingCount === 0
+    const standingDelayMs = seen.standingCount <= STANDING_ALLOWED_COUNT
       ? 0
       : seen.standingCount / Math.max(ratePerMs, 0.001);
     this.#overloaded = standingDelayMs > this.#tuning.delayTargetMs;
@@ -338,7 +347,20 @@
       standingDelayMs,
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
+      waitingFromRank: this.#waitingFromRank(),
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
     });
   }
+
+  /** First rank of the most important class that waits. */
+  #waitingFromRank(): number {
+    let classIndex = 0;
+    while (
+      this.#queue.countAboveClass(classIndex + 1) <= STANDING_ALLOWED_COUNT &&
+      classIndex < CLASSES_COUNT - 1
+    ) {
+      classIndex++;
+    }
+    return classIndex * ADMISSION_KEYS_COUNT;
+  }
 }
--- /dev/null
+++ b/src/membership/membership_core.ts
@@ -0,0 +1,294 @@
+/** Decision part of the membership: events and times in, messages out. */
+import type { PeerIdentity } from "../core/peer_transport.ts";
+import type { PeerStanding } from "../decisions/upstream_directory.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type {
+  MemberUpdate,
+  ProbeAnswer,
+  ProbeRequest,
+  SyncAnswer,
+  SyncRequest,
+} from "../schemas/member_schema.ts";
+import { LOST_RETENTION_MS } from "./lost_addresses.ts";
+import { MemberProber } from "./member_prober.ts";
+import type { MemberChange, MemberRegistry } from "./member_registry.ts";
+import { MemberView } from "./member_view.ts";
+import type {
+  AnswerWithActions,
+  MembershipAction,
+  MembershipEvent,
+  ProbeAction,
+} from "./membership_events.ts";
+import type { OwnMemberOptions } from "./own_member.ts";
+import type { ReaderRanks } from "./reader_ranks.ts";
+import { ViewSynchroniser } from "./view_synchroniser.ts";
+
+const FORGET_INTERVAL_MS = 10_000;
+
+/** Options of {@link MembershipCore}. */
+export type MembershipCoreOptions = OwnMemberOptions & {
+  contacts: readonly Address[];
+  /** Whether this daemon holds a reader's lease, besides the readers by rank. */
+  holdsReaderLease?: () => boolean;
+};
+
+/**
+ * Membership of one daemon without any input or output of its own.
+ *
+ * @example
+ * const core = new MembershipCore(options, clock.monotonicMs());
+ * for (const action of core.handle({ kind: "tick" }, clock.monotonicMs())) send(action);
+ */
+export class MembershipCore {
+  readonly #view: MemberView;
+  readonly #prober: MemberProber;
+  readonly #synchroniser: ViewSynchroniser;
+  readonly #holdsReaderLease: () => boolean;
+  #changes: MemberChange[] = [];
+  #lastForgetMs: number;
+
+  /**
+   * @param options Identity, place and contacts.
+   * @param nowMs Monotonic time, in ms.
+   */
+  constructor(options: MembershipCoreOptions, nowMs: number) {
+    this.#view = new MemberView(options, nowMs);
+    this.#prober = new MemberProber(this.#view, nowMs);
+    this.#synchroniser = new ViewSynchroniser(this.#view, options.contacts);
+    this.#holdsReaderLease = options.holdsReaderLease ?? (() => false);
+    this.#lastForgetMs = nowMs;
+  }
+
+  /** Readers and lease candidates of each data centre. */
+  get readers(): ReaderRanks {
+    return this.#view.readers;
+  }
+
+  /** All members. */
+  get registry(): MemberRegistry {
+    return this.#view.registry;
+  }
+
+  /** Own identity; its incarnation may have been raised. */
+  get identity(): PeerIdentity {
+    const { instanceId, incarnationEpochMs, dataCentre } = this.ownUpdate;
+    return { instanceId, incarnationEpochMs, dataCentre };
+  }
+
+  /** Statement about this daemon. */
+  get ownUpdate(): MemberUpdate {
+    return this.#view.own.update;
+  }
+
+  /** Whether this daemon exchanges with other data centres. */
+  get isReader(): boolean {
+    const { readers, dataCentre, own } = this.#view;
+    return this.#holdsReaderLease() ||
+      readers.listReaders(dataCentre).includes(own.id);
+  }
+
+  /** Whether the view was compared with a peer since the start. */
+  get isJoined(): boolean {
+    return this.#synchroniser.isJoined;
+  }
+
+  /** Observers and observed members. */
+  get neighbourIds(): readonly string[] {
+    return this.#prober.neighbourIds;
+  }
+
+  /** Live readers of other data centres; empty unless this is a reader. */
+  get remoteReaderIds(): readonly string[] {
+    return this.isReader ? this.#prober.listRemoteReaders() : [];
+  }
+
+  /** Standing of this daemon among its peers. */
+  get standing(): PeerStanding {
+    const { registry, own } = this.#view;
+    const knownPeersCount = registry.rings.size - 1 + registry.lostPeersCount;
+    return { knownPeersCount, ...own.standing };
+  }
+
+  /** Returns the changes of members since the last call. */
+  takeChanges(): MemberChange[] {
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
+  /**
+   * Handles one event.
+   *
+   * @param event What happened.
+   * @param nowMs Monotonic time, in ms.
+   * @returns Messages to send.
+   */
+  handle(event: MembershipEvent, nowMs: number): MembershipAction[] {
+    this.#prober.observeLoop(nowMs);
+    const actions = this.#dispatch(event, nowMs);
+    const pushes = this.#finish(nowMs, this.#originOf(event));
+    return [...pushes, ...actions];
+  }
+
+  /**
+   * Answers a probe.
+   *
+   * @param request Probe of a peer.
+   * @param call Authenticated sender and monotonic time, in ms.
+   * @returns Answer, and messages to send.
+   */
+  answerProbe(
+    request: ProbeRequest,
+    call: { from: PeerIdentity; nowMs: number },
+  ): AnswerWithActions<ProbeAnswer> {
+    const { nowMs } = call;
+    this.#prober.observeLoop(nowMs);
+    if (request.held !== undefined) {
+      this.#view.learnHeld(request.held, nowMs);
+    }
+    const actions = this.#finish(nowMs);
+    const held = this.registry.versionOf(call.from.instanceId);
+    const instanceId = this.#view.own.id;
+    const digest = this.registry.digests.total;
+    const answer = held === undefined
+      ? { instanceId, digest }
+      : { instanceId, held, digest };
+    return { answer, actions };
+  }
+
+  /**
+   * Answers a request for the records that differ.
+   *
+   * @param request Request of a peer.
+   * @param call Authenticated sender and monotonic time, in ms.
+   * @returns Answer, and messages to send.
+   */
+  answerSync(
+    request: SyncRequest,
+    call: { from: PeerIdentity; nowMs: number },
+  ): AnswerWithActions<SyncAnswer> {
+    this.#prober.observeLoop(call.nowMs);
+    const answer = this.#synchroniser.answer(request, call);
+    const actions = this.#finish(call.nowMs, call.from.instanceId);
+    return { answer, actions };
+  }
+
+  #dispatch(event: MembershipEvent, nowMs: number): MembershipAction[] {
+    switch (event.kind) {
+      case "tick":
+        return this.#tick(nowMs);
+      case "probeAnswered":
+        return this.#acceptProbeAnswer(event, nowMs);
+      case "syncAnswered": {
+        const { address, answer } = event;
+        return this.#synchroniser.acceptAnswer(address, answer, nowMs);
+      }
+      default:
+        this.#follow(event, nowMs);
+        return [];
+    }
+  }
+
+  /** Handles the events that cause no messages besides floods. */
+  #follow(event: MembershipEvent, nowMs: number): void {
+    switch (event.kind) {
+      case "probeFailed":
+        return this.#prober.acceptFailure(event, nowMs);
+      case "pushed":
+        return this.#acceptPush(event, nowMs);
+      case "contactsFound":
+        return this.#synchroniser.addContacts(event.addresses);
+      case "incarnationKnown": {
+        const { incarnationEpochMs } = event;
+        const ended = {
+          incarnationEpochMs,
+          sequence: 0,
+          state: "left",
+        } as const;
+        return this.#view.learnHeld(ended, nowMs);
+      }
+      case "placed":
+        return this.#view.changeOwn(event.place, nowMs);
+      case "leave":
+        return this.#view.changeOwn({ state: "leaving" }, nowMs);
+      case "stay":
+        return this.#view.changeOwn({ state: "alive" }, nowMs);
+      case "left":
+        this.#view.outbox.isUrgent = true;
+        return this.#view.changeOwn({ state: "left" }, nowMs);
+    }
+  }
+
+  #tick(nowMs: number): MembershipAction[] {
+    if (this.standing.knownPeersCount === 0) {
+      this.#view.own.beAlone(nowMs);
+    }
+    if (nowMs - this.#lastForgetMs >= FORGET_INTERVAL_MS) {
+      this.#lastForgetMs = nowMs;
+      this.registry.forgetLost(nowMs - LOST_RETENTION_MS);
+    }
+    const { isReader } = this;
+    return [
+      ...this.#prober.tick(nowMs, { isReader }),
+      ...this.#synchroniser.tick(nowMs),
+    ];
+  }
+
+  #acceptProbeAnswer(
+    event: MembershipEvent & { kind: "probeAnswered" },
+    nowMs: number,
+  ): MembershipAction[] {
+    const { probe, answer } = event;
+    if (answer.instanceId === probe.instanceId) {
+      this.#prober.acceptAnswer(probe, answer, nowMs);
+      return this.#synchroniser.compare(probe, answer.digest, nowMs);
+    }
+    this.#prober.acceptReplacement(probe, nowMs);
+    return this.#startWithReplacement(probe, nowMs);
+  }
+
+  /** The instance that now answers at a lost address may be unknown. */
+  #startWithReplacement(probe: ProbeAction, nowMs: number): MembershipAction[] {
+    return probe.purpose === "lost"
+      ? [this.#synchroniser.start(probe.address, nowMs)]
+      : [];
+  }
+
+  #acceptPush(
+    event: MembershipEvent & { kind: "pushed" },
+    nowMs: number,
+  ): void {
+    const { request, fromId } = event;
+    if (request.isRepair) {
+      this.#synchroniser.repair(request.updates, { fromId, nowMs });
+      return;
+    }
+    this.#view.outbox.dropFor(fromId, request.updates);
+    for (const update of request.updates) {
+      this.#view.apply(update, { nowMs });
+    }
+  }
+
+  #originOf(event: MembershipEvent): string | undefined {
+    switch (event.kind) {
+      case "pushed":
+        return event.fromId;
+      case "syncAnswered":
+        return event.answer.self.instanceId;
+      default:
+        return undefined;
+    }
+  }
+
+  #finish(nowMs: number, fromId?: string): MembershipAction[] {
+    const changes = this.#view.takeChanges();
+    this.#changes.push(...changes);
+    this.#prober.follow(changes, nowMs);
+    const { outbox, dataCentre } = this.#view;
+    if (outbox.isEmpty) {
+      return [];
+    }
+    const { neighbourIds, remoteReaderIds: remoteIds } = this;
+    return outbox.take(nowMs, { neighbourIds, remoteIds, fromId, dataCentre });
+  }
+}
