--- a/bench/overload/bed.ts
+++ b/bench/overload/bed.ts
@@ -5,7 +5,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { z } from "zod";
-import { addressSchema } from "../../src/schemas/common_schema.ts";
+import {
+  type Address,
+  addressSchema,
+} from "../../src/schemas/common_schema.ts";
 import type { Settings } from "../../src/schemas/settings_schema.ts";
 import { statusSchema } from "../../src/schemas/status_schema.ts";
 import {
@@ -36,6 +39,7 @@
   readonly pool: string;
   readonly daemon: StartedProgram;
   readonly upstream: StartedProgram;
+  readonly peer: Address;
   /** Callers listener. */
   readonly entryUrl: string;
   readonly operatorUrl: string;
@@ -126,7 +130,7 @@
       },
       platform: { url: this.#platformUrl },
       peers: {
-        contacts: [],
+        contacts: this.#contacts(),
         keys: [{ id: "bench", secret: "bench-secret-0123456789" }],
       },
       policy: this.#policy,
@@ -147,6 +151,7 @@
       pool: pool.name,
       daemon,
       upstream,
+      peer: addressSchema.parse(listeners.peer),
       entryUrl: address("callers"),
       operatorUrl: address("operator"),
       controlUrl: urlOf({ host: LOOPBACK, port: controlPort }),
@@ -231,6 +236,12 @@
     );
   }
 
+  /** The first daemon tells the others of its peers. */
+  #contacts(): Address[] {
+    const [first] = this.instances;
+    return first === undefined ? [] : [first.peer];
+  }
+
   #write(name: string, value: unknown): string {
     const file = join(this.#folder, name);
     writeFileSync(file, JSON.stringify(value));
