Fade refusals further down over 0.25 s

Cause: a trace of the Régie shows pressfiles open 1 s after the pressure, and the levels per route of proofs and plates 1 s later: the refusals of the last probe outweigh 5% of the few critical requests until they have faded. Change: the counts fade by 0.6 instead of 0.8 per control interval.

--- a/src/decisions/downstream_levels.ts
+++ b/src/decisions/downstream_levels.ts
@@ -3,8 +3,8 @@
 
 /** Share of refused requests that a route may have below its level. */
 const REFUSED_MAX_RATIO = 0.05;
-/** Counts fade by this factor per control interval, over about 0.5 s. */
-const FADE_RATIO = 0.8;
+/** Counts fade by this factor per control interval, over about 0.25 s. */
+const FADE_RATIO = 0.6;
 const ENDED_MIN_COUNT = 5;
 const RISE_FIRST_COUNT = 2;
 const RISE_MAX_COUNT = 64;
