--- a/bench/policy/clients.ts
+++ b/bench/policy/clients.ts
@@ -5,9 +5,12 @@
   admissionRank,
 } from "../../src/decisions/importance.ts";
 import { type Answer, type CallGraph, refusal } from "./call_graph.ts";
+import { CoarseTimeouts } from "./event_queue.ts";
 import { ClientTry } from "./metrics.ts";
 import type { CallPlan, RouteLoad } from "./scenario.ts";
 
+const DEADLINE_STEP_MS = 10;
+
 type ClientRequest = {
   readonly route: string;
   readonly load: RouteLoad;
@@ -22,6 +25,7 @@
   readonly #graph: CallGraph;
   readonly #arrivals: SeededRandom;
   readonly #random: SeededRandom;
+  readonly #deadlines: CoarseTimeouts;
 
   /**
    * @param graph Call graph that serves the requests.
@@ -31,6 +35,7 @@
     this.#graph = graph;
     this.#arrivals = new SeededRandom(options.seed);
     this.#random = new SeededRandom(options.seed + 2);
+    this.#deadlines = new CoarseTimeouts(graph.events, DEADLINE_STEP_MS);
   }
 
   /** Starts the arrivals of all routes. */
@@ -95,8 +100,8 @@
       client.onAbort.forEach((abort) => abort());
       this.#repeat(request, answer, index + 1);
     };
-    events.after(
-      Math.max(0, deadlineMs - events.nowMs),
+    this.#deadlines.at(
+      deadlineMs,
       () => finish({ ...refusal("deadline_exceeded"), outcome: "unknown" }),
     );
     const context = {
--- a/bench/policy/event_queue.ts
+++ b/bench/policy/event_queue.ts
@@ -74,3 +74,40 @@
     return first;
   }
 }
+
+/** Timeouts in steps, for the many that end before they are due. */
+export class CoarseTimeouts {
+  readonly #events: EventQueue;
+  readonly #stepMs: number;
+  readonly #due = new Map<number, (() => void)[]>();
+
+  /**
+   * @param events Virtual time.
+   * @param stepMs Precision, in ms.
+   */
+  constructor(events: EventQueue, stepMs: number) {
+    this.#events = events;
+    this.#stepMs = stepMs;
+  }
+
+  /**
+   * Schedules a timeout.
+   *
+   * @param atMs Virtual time; rounded up to the next step.
+   * @param run Called at that time.
+   */
+  at(atMs: number, run: () => void): void {
+    const step = Math.ceil(atMs / this.#stepMs);
+    const list = this.#due.get(step);
+    if (list !== undefined) {
+      list.push(run);
+      return;
+    }
+    this.#due.set(step, [run]);
+    this.#events.after(step * this.#stepMs - this.#events.nowMs, () => {
+      const due = this.#due.get(step) ?? [];
+      this.#due.delete(step);
+      due.forEach((timeout) => timeout());
+    });
+  }
+}
