Make the tests of slow, paused and lone daemons able to fail

Cause: with the local health, the extension of suspicions or the second observer taken out, the tests of the membership still passed. Ruled out: longer runs of the same scenario (answers arrived before the pause). Change: a simulated process that wakes runs its timers before its messages, as Node.js does; the blocked loop runs for less than a round trip; new tests for an observer that paused and for a daemon that is cut off alone.

--- a/bench/membership_fleet.ts
+++ b/bench/membership_fleet.ts
@@ -28,9 +28,12 @@
   condition: "up" | "killed" | "frozen";
   /** Counts the starts, so that events of an earlier process are dropped. */
   startsCount: number;
-  backlog: (() => void)[];
+  backlog: Waiting[];
 };
 
+/** Something that a frozen process handles when it wakes. */
+type Waiting = { readonly isTimer: boolean; readonly run: () => void };
+
 /** One message on the simulated network. */
 export type FleetMessage = {
   readonly kind: MembershipAction["kind"];
@@ -145,12 +148,17 @@
     node.condition = "frozen";
   }
 
-  /** Continues a frozen process, which handles what has waited. */
+  /**
+   * Continues a frozen process, which handles what has waited: first its
+   * timers, as the loop of Node.js does, then the messages.
+   */
   wake(node: FleetNode): void {
     node.condition = "up";
     const backlog = node.backlog;
     node.backlog = [];
-    backlog.forEach((run) => run());
+    const timers = backlog.filter(({ isTimer }) => isTimer);
+    const messages = backlog.filter(({ isTimer }) => !isTimer);
+    [...timers, ...messages].forEach(({ run }) => run());
   }
 
   /** Starts a new process at the address of a node. */
@@ -165,7 +173,8 @@
 
   /** Gives a node an event as its own process would. */
   send(node: FleetNode, event: MembershipEvent): void {
-    this.#enter(node, () => this.#handle(node, event));
+    const run = () => this.#handle(node, event);
+    this.#enter(node, { isTimer: false, run });
   }
 
   /** State in which one node holds another. */
@@ -215,27 +224,36 @@
   #startTicks(node: FleetNode): void {
     const tick = () => {
       this.#handle(node, { kind: "tick" });
-      this.#later(node, TICK_MS, tick);
+      this.#setTimer(node, TICK_MS, tick);
     };
-    this.#later(node, this.#random.nextFloat() * TICK_MS, tick);
+    this.#setTimer(node, this.#random.nextFloat() * TICK_MS, tick);
   }
 
   /** Runs a callback in a node's process after a time. */
-  #later(node: FleetNode, delayMs: number, run: () => void): void {
+  #setTimer(node: FleetNode, delayMs: number, run: () => void): void {
+    this.#later(node, delayMs, { isTimer: true, run });
+  }
+
+  /** Delivers a message to a node's process after the latency. */
+  #deliver(node: FleetNode, run: () => void): void {
+    this.#later(node, this.#latencyMs(), { isTimer: false, run });
+  }
+
+  #later(node: FleetNode, delayMs: number, waiting: Waiting): void {
     const { startsCount } = node;
     this.schedule.at(this.schedule.nowMs + delayMs, () => {
       if (node.startsCount === startsCount) {
-        this.#enter(node, run);
+        this.#enter(node, waiting);
       }
     });
   }
 
-  #enter(node: FleetNode, run: () => void): void {
+  #enter(node: FleetNode, waiting: Waiting): void {
     if (node.condition === "frozen") {
-      node.backlog.push(run);
+      node.backlog.push(waiting);
       return;
     }
-    run();
+    waiting.run();
   }
 
   #handle(node: FleetNode, event: MembershipEvent): void {
@@ -264,18 +282,19 @@
     };
     const fail = (failure: PeerFailure) =>
       end(this.#describeFailure(action, failure, sentMs));
-    this.#later(from, TIMEOUTS_MS[action.kind], () => fail("timeout"));
+    this.#setTimer(from, TIMEOUTS_MS[action.kind], () => fail("timeout"));
     if (to === undefined || this.isCut(from, to)) {
       return;
     }
     this.schedule.at(sentMs + this.#latencyMs(), () => {
       if (to.condition === "killed") {
         if (!this.isCut(to, from)) {
-          this.#later(from, this.#latencyMs(), () => fail("refused"));
+          this.#deliver(from, () => fail("refused"));
         }
         return;
       }
-      this.#enter(to, () => this.#answer({ from, to }, action, end));
+      const run = () => this.#answer({ from, to }, action, end);
+      this.#enter(to, { isTimer: false, run });
     });
   }
 
@@ -297,7 +316,7 @@
     if (this.isCut(to, from)) {
       return;
     }
-    this.#later(from, this.#latencyMs(), () => {
+    this.#deliver(from, () => {
       const event = { kind: `${action.kind}Answered`, answer };
       end(
         action.kind === "push" ? undefined : {
--- a/src/membership/membership_core_test.ts
+++ b/src/membership/membership_core_test.ts
@@ -109,7 +109,8 @@
     fleet.freeze(slow);
     fleet.run(900);
     fleet.wake(slow);
-    fleet.run(100);
+    // Shorter than a round trip: all answers arrive while the loop is blocked.
+    fleet.run(0.5);
     suspectedCount += others(fleet, slow)
       .filter((other) => fleet.view(slow, other) !== "alive").length;
   }
@@ -119,6 +120,40 @@
   assert.deepEqual(lost, new Set());
 });
 
+test("an observer that paused does not confirm a suspicion that was refuted", () => {
+  const fleet = startFleet(20);
+  const victim = nodeAt(fleet, 3);
+  const isConfirming = (node: FleetNode) => {
+    const suspicion = node.core.registry.suspicions.get(victim.id);
+    return suspicion?.observers.length === 2 &&
+      suspicion.observers.includes(node.id);
+  };
+  fleet.freeze(victim);
+  fleet.runUntil(() => fleet.nodes.some(isConfirming), 10_000);
+  const observer = fleet.nodes.find(isConfirming) as FleetNode;
+  fleet.freeze(observer);
+  fleet.wake(victim);
+  fleet.run(5_000);
+  fleet.wake(observer);
+  fleet.run(10_000);
+  assert.deepEqual(drainChanges(fleet), new Set());
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+});
+
+test("a daemon that is cut off alone declares no other member dead", () => {
+  const fleet = startFleet(20);
+  const alone = nodeAt(fleet, 3);
+  const rest = others(fleet, alone);
+  fleet.isCut = (from, to) => from === alone || to === alone;
+  const isLost = () => fleet.allHold(rest, [alone], ["dead"]);
+  assert.ok(fleet.runUntil(isLost, 60_000) < 60_000);
+  fleet.run(30_000);
+  assert.deepEqual(drainChanges(fleet), new Set([alone.id]));
+  fleet.isCut = () => false;
+  fleet.run(10_000);
+  assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
+});
+
 test("a link that loses one direction kills no member and floods little", () => {
   const messages: FleetMessage[] = [];
   const fleet = startFleet(20, {
