--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -1,11 +1,28 @@
 /** The one module that constructs the parts of a daemon and connects them. */
-import { SystemClock } from "../core/clock.ts";
-import { SeededRandom } from "../core/random.ts";
+import { never } from "most";
+import { ConfigAcceptor } from "../config/config_acceptor.ts";
+import { ConfigDistributor } from "../config/config_distributor.ts";
+import { ConfigReader } from "../config/config_reader.ts";
+import { ConfigStore } from "../config/config_store.ts";
+import { type Clock, SystemClock } from "../core/clock.ts";
+import { EventLoop } from "../core/event_loop.ts";
+import { hash32 } from "../core/hash.ts";
+import { type RandomSource, SeededRandom } from "../core/random.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import { FixedAdmission } from "../decisions/fixed_admission.ts";
-import { PerHopRetries } from "../decisions/per_hop_retries.ts";
-import { RandomSelector } from "../decisions/random_selector.ts";
+import type { OwnerHistory } from "../decisions/key_owner.ts";
+import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
+import { MemoryLedger } from "../decisions/memory_ledger.ts";
+import { createPolicySet } from "../decisions/policy_set.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import { MemberOwners } from "../membership/member_owners.ts";
+import { MembershipPart } from "../membership/membership_part.ts";
+import { PlacementHistory } from "../membership/placement_history.ts";
+import { NO_UPSTREAM } from "../membership/upstream_life.ts";
+import { OperatorServer } from "../operator/operator_server.ts";
+import { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
+import { KeyRing } from "../peer/key_ring.ts";
+import { HttpPlatformClient } from "../platform/http_platform_client.ts";
+import { LeaseHolder } from "../platform/lease_holder.ts";
 import { LocalTransport } from "../proxy/attempt_transport.ts";
 import { ChainRegistry } from "../proxy/chain_registry.ts";
 import { EntryHandler } from "../proxy/entry_handler.ts";
@@ -13,56 +30,220 @@
 import { HopTokens } from "../proxy/hop_token.ts";
 import { HopTransport } from "../proxy/hop_transport.ts";
 import { InboundService } from "../proxy/inbound_service.ts";
+import { KeyedGate } from "../proxy/keyed_gate.ts";
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
-import { HttpUpstreamClient } from "../proxy/upstream_client.ts";
-import type { Address } from "../schemas/common_schema.ts";
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
-import { NullRequestObserver } from "../telemetry/request_observer.ts";
+import { errorFields, NullLogger } from "../telemetry/logger.ts";
+import { type GaugeValues, Metrics } from "../telemetry/metrics.ts";
+import { DaemonLife } from "./daemon_life.ts";
+import type {
+  AnyControlPart,
+  BoundAddresses,
+  ControlPlane,
+  Daemon,
+  WireParts,
+} from "./daemon_parts.ts";
+import { DrainController } from "./drain_controller.ts";
+import { controlGauges } from "./control_gauges.ts";
+import { FixedControlPlane } from "./fixed_control_plane.ts";
+import { Housekeeping } from "./housekeeping.ts";
+import { MembershipHandle } from "./membership_handle.ts";
+import { OpenExchanges } from "./open_exchanges.ts";
+import { OperatorView } from "./operator_view.ts";
+import { PeerControlPlane } from "./peer_control_plane.ts";
+import { reloadKeys } from "./reload_keys.ts";
+import { UpstreamAttachment } from "./upstream_attachment.ts";
+import { UpstreamServing } from "./upstream_serving.ts";
+import { WorkGate } from "./work_gate.ts";
 
-/** Parts that are given from outside. */
-export type WireParts = {
-  config: ConfigSource;
-  directory: UpstreamDirectory;
+const HOP_CONNECTIONS_MAX_COUNT = 64;
+const CUT_LOG_MAX_COUNT = 100;
+/** Each data centre has this many readers of the platform. */
+const READER_NUMBERS = [0, 1];
+/** Longest `keyRetentionMs` that the table of pools allows. */
+const KEY_RETENTION_MAX_MS = 86_400_000;
+const LEDGER_LIMITS = {
+  entriesMaxCount: 200_000,
+  answersMaxBytes: 16_777_216,
 };
 
-/** Bound addresses of a daemon's listeners. */
-export type BoundAddresses = Record<keyof Settings["listeners"], Address>;
+function wireKeyedGate(
+  settings: Settings,
+  parts: {
+    config: ConfigSource;
+    directory: UpstreamDirectory;
+    owners: OwnerHistory;
+    clock: KeyClock;
+    nowMs: () => number;
+    startedEpochMs: number;
+  },
+): KeyedGate {
+  const { config, directory, clock, nowMs } = parts;
+  const ledger = new MemoryLedger(LEDGER_LIMITS);
+  const admission = new KeyedAdmission(parts.owners, ledger, {
+    instanceId: settings.instance.id,
+    dataCentre: settings.instance.dataCentre,
+    startedEpochMs: parts.startedEpochMs,
+    startedMs: nowMs(),
+  });
+  return new KeyedGate({ admission, ledger, clock, config, directory }, {
+    nowMs,
+  });
+}
 
-/** A daemon whose parts are connected. */
-export type Daemon = {
-  readonly incarnationEpochMs: number;
-  /** Sets the upstream beside the daemon. */
-  attachUpstream(announcement: Announcement): void;
-  /** Binds all listeners. */
-  listen(): Promise<Pick<BoundAddresses, "callers" | "hop" | "outbound">>;
-  /** Closes all listeners at once. */
-  destroy(): Promise<void>;
-};
+/** Different daemons and different starts draw different random numbers. */
+function seedOf(settings: Settings, wallMs: number): number {
+  return hash32(`${settings.instance.id} ${wallMs}`);
+}
 
-const HOP_CONNECTIONS_MAX_COUNT = 64;
+function wireControlPlane(
+  settings: Settings,
+  parts: { clock: Clock; keyClock: KeyClock; random: RandomSource },
+): ControlPlane {
+  const { clock, random } = parts;
+  const nowMs = () => clock.monotonicMs();
+  const { id: instanceId, dataCentre } = settings.instance;
+  const holder = { instanceId, incarnationEpochMs: clock.wallMs() };
+  const membership = new MembershipHandle({ ...holder, dataCentre });
+  const keys = new KeyRing(settings.peers.keys);
+  const platform = new HttpPlatformClient({
+    ...settings.platform,
+    clock,
+    random,
+  });
+  const transport = new GrpcPeerTransport({
+    identity: () => membership.identity,
+    keys,
+    clock,
+  });
+  const store = new ConfigStore(clock);
+  const leaseParts = { holder, platform, clock, random };
+  const readerLeases = READER_NUMBERS.map((number) =>
+    new LeaseHolder({
+      ...leaseParts,
+      leaseName: `${dataCentre}-reader-${number}`,
+      isCandidate: () => membership.isReaderCandidate(),
+    })
+  );
+  const acceptorLease = new LeaseHolder({
+    ...leaseParts,
+    leaseName: "config-acceptor",
+    isCandidate: () => readerLeases[0]?.isHeld() ?? false,
+  });
+  const leases = [...readerLeases, acceptorLease];
+  const placements = new PlacementHistory(KEY_RETENTION_MAX_MS);
+  const configParts = { ...holder, store, platform, clock };
+  const controlParts: AnyControlPart[] = [
+    new ConfigDistributor({
+      ...configParts,
+      transport,
+      neighbours: membership,
+      contacts: settings.peers.contacts,
+      random,
+    }),
+    new ConfigAcceptor({ ...configParts, lease: acceptorLease }),
+    ...readerLeases.map((lease) => new ConfigReader({ ...configParts, lease })),
+    ...leases,
+    {
+      name: "placements of pools",
+      inputs: store.changes,
+      handle: () =>
+        placements.record(store.current()?.tables.pools.pools ?? {}, nowMs()),
+    },
+  ];
+  return new PeerControlPlane({
+    store,
+    membership,
+    owners: new MemberOwners({
+      eligibleOwners: (pool, home) => membership.eligibleOwners(pool, home),
+      placements,
+      nowMs,
+      nowEpochMs: () => parts.keyClock.nowEpochMs(),
+    }),
+    keys,
+    transport,
+    platform,
+    leases,
+    controlParts,
+    createMembership: ({ peer, hop }) =>
+      new MembershipPart({
+        ...holder,
+        dataCentre,
+        place: {
+          peerHost: peer.host,
+          peerPort: peer.port,
+          hopHost: hop.host,
+          hopPort: hop.port,
+          ...NO_UPSTREAM,
+        },
+        contacts: settings.peers.contacts,
+        transport,
+        clock,
+        coldStartMs: (pool) =>
+          store.current()?.tables.pools.pools[pool]?.coldStartMs ?? 0,
+        holdsReaderLease: () => readerLeases.some((lease) => lease.isHeld()),
+      }),
+  });
+}
 
 /**
  * Constructs a daemon.
  *
  * @param settings Checked settings.
- * @param parts Configuration and directory.
+ * @param given Configuration, directory, log and signals; each has a default.
  * @returns The daemon, not yet listening.
  */
-export function wireDaemon(settings: Settings, parts: WireParts): Daemon {
+export function wireDaemon(settings: Settings, given: WireParts): Daemon {
+  const log = given.log ?? new NullLogger();
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
-  const incarnationEpochMs = clock.wallMs();
+  const random = new SeededRandom(seedOf(settings, clock.wallMs()));
+  const metrics = new Metrics(readGauges);
+  const keyClock = new KeyClock(() => clock.wallMs());
+  const control = given.config === undefined || given.directory === undefined
+    ? wireControlPlane(settings, { clock, keyClock, random })
+    : new FixedControlPlane({
+      config: given.config,
+      directory: given.directory,
+      owners: given.owners,
+      incarnationEpochMs: clock.wallMs(),
+    });
+  const { config, directory, owners } = control;
   const { id: instanceId } = settings.instance;
-  const observer = new NullRequestObserver();
+  const identity = {
+    instanceId,
+    get incarnationEpochMs() {
+      return control.incarnationEpochMs;
+    },
+  };
+  const open = new OpenExchanges(nowMs);
+  const gate = new WorkGate();
+  if (given.processMetrics === true) {
+    metrics.collectProcess();
+  }
+  const observer = metrics.requests;
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
+  const keyed = wireKeyedGate(settings, {
+    config,
+    directory,
+    owners,
+    clock: keyClock,
+    nowMs,
+    startedEpochMs: clock.wallMs(),
+  });
+  const policies = createPolicySet(settings.policy, {
+    random,
+    instance: settings.instance,
+  });
   const inbound = new InboundService(chain, {
     instanceId,
     nowMs,
     observer,
+    keyed,
     tenantWeight: (tenant) =>
-      parts.config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
+      config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
   });
   const hopTransport = new HopTransport(tokens, {
     instanceId,
@@ -70,66 +251,180 @@
     connectionsMaxCount: HOP_CONNECTIONS_MAX_COUNT,
   });
   const outbound = new OutboundService({
-    ...parts,
-    selector: new RandomSelector(new SeededRandom(incarnationEpochMs)),
-    retries: new PerHopRetries(),
+    config,
+    directory,
+    owners,
+    selector: policies.selector,
+    retries: policies.retries,
     transport: new LocalTransport(inbound, hopTransport, { instanceId }),
     chain,
     observer,
+    keyClock,
   }, { nowMs });
-  const entry = new EntryHandler({ config: parts.config, outbound }, { nowMs });
+  const entry = new EntryHandler({ config, outbound }, { nowMs });
   const ownCalls = new EntryHandler(
-    { config: parts.config, outbound, chain },
+    { config, outbound, chain },
     { nowMs },
   );
-  const hops = new HopHandler(inbound, tokens, {
-    instanceId,
-    incarnationEpochMs,
-    nowMs,
-  });
+  const hops = new HopHandler(inbound, tokens, { identity, nowMs });
   const listeners = {
-    callers: new Listener((request, response) =>
-      entry.handle(request, response)
-    ),
-    hop: new Listener((request, response) => hops.handle(request, response)),
-    outbound: new Listener((request, response) =>
-      ownCalls.handle(request, response)
-    ),
+    callers: new Listener(open.track(
+      "callers",
+      gate.guard((request, response) => entry.handle(request, response)),
+    )),
+    hop: new Listener(open.track(
+      "hop",
+      (request, response) => hops.handle(request, response),
+    )),
+    outbound: new Listener(open.track(
+      "outbound",
+      gate.guard(
+        (request, response) => ownCalls.handle(request, response),
+        (request) =>
+          chain.find(String(request.headers["goldcrest-request-id"])) !==
+            undefined,
+      ),
+    )),
   };
 
-  function attachUpstream(announcement: Announcement): void {
-    const rules = parts.config.current()?.tables.pools
-      .pools[announcement.pool];
-    inbound.attach({
-      pool: announcement.pool,
-      client: new HttpUpstreamClient(announcement, {
-        nowMs,
-        refusalsNotRun: (pool) =>
-          parts.config.current()?.tables.pools.pools[pool]
-            ?.refusalsNotRun === true,
-      }),
-      admission: new FixedAdmission({
-        slotsCount: announcement.slotsCount,
-        queueMaxCount: rules?.queueMaxCount ?? 0,
-        queueAgeMaxMs: rules?.queueAgeMaxMs ?? 0,
+  const serving = new UpstreamServing({ config, policies, inbound, nowMs });
+  const attachment = new UpstreamAttachment({
+    connect: (announcement) => serving.connect(announcement),
+    resize: (slotsCount) => serving.resize(slotsCount),
+    publish: publishUpstream,
+  });
+  const drain = new DrainController({
+    refuseNewWork: () => {
+      gate.close();
+      inbound.drain();
+    },
+    acceptNewWork: () => {
+      gate.reopen();
+      publishUpstream(attachment.current);
+    },
+    notifyLeaving: () => {
+      log.info("Leaving: new work is refused");
+      control.setLeaving(true);
+    },
+    notifyServing: () => {
+      log.info("Serving again");
+      control.setLeaving(false);
+    },
+    notifyDrained: () => life.notify("drained"),
+    openCount: () => open.count,
+    nowMs,
+  });
+  const life = new DaemonLife({
+    startDrain: () => drain.start(),
+    reloadKeys: () =>
+      reloadKeys({
+        readKeys: given.readKeys ?? (() => settings.peers.keys),
+        holders: [tokens, ...control.keyHolders],
+        log,
       }),
-    });
+    listOpen: () => ({
+      count: open.count,
+      first: open.list(CUT_LOG_MAX_COUNT),
+    }),
+    nowMs,
+  }, {
+    log,
+    drainLimitMs: settings.drainLimitMs,
+    signals: given.signals ?? never(),
+  });
+  const operator = new OperatorServer(
+    new OperatorView({
+      config,
+      life,
+      drain,
+      attachment,
+      metrics,
+      load: () => serving.load(),
+      controlStatus: () => control.status(),
+    }, { instance: settings.instance, identity }),
+    { log },
+  );
+  const housekeeping = new Housekeeping({
+    configChanges: control.configChanges,
+    isConfigured: () => config.current() !== undefined,
+    notifyConfigured: () => life.notify("configured"),
+    rotateLatencies: () => metrics.requests.rotate(),
+  });
+  const loop = new EventLoop((part, error) =>
+    log.error("Control event failed", { part, ...errorFields(error) })
+  );
+  loop.register(life);
+  loop.register(drain);
+  loop.register(housekeeping);
+  loop.register({
+    name: "rules in force",
+    inputs: control.configChanges,
+    handle: () => serving.configure(),
+  });
+
+  function publishUpstream(announcement: Announcement | undefined): void {
+    if (announcement === undefined) {
+      inbound.drain();
+      control.publish(undefined);
+      return;
+    }
+    control.publish(announcement);
+    if (drain.isServing) {
+      inbound.undrain();
+    }
   }
 
-  async function listen() {
+  function readGauges(): GaugeValues {
+    const load = serving.load();
     return {
-      callers: await listeners.callers.listen(settings.listeners.callers),
-      hop: await listeners.hop.listen(settings.listeners.hop),
-      outbound: await listeners.outbound.listen(settings.listeners.outbound),
+      goldcrest_in_flight: load?.inFlightCount ?? 0,
+      goldcrest_limit: load?.limitCount ?? 0,
+      goldcrest_queue_length: load?.queuedCount ?? 0,
+      goldcrest_admission_level: load?.levelRank ?? 0,
+      goldcrest_open_exchanges: open.count,
+      ...controlGauges(control.status()),
+      goldcrest_draining: drain.isServing ? 0 : 1,
     };
   }
 
+  async function listen(): Promise<BoundAddresses> {
+    const { listeners: addresses } = settings;
+    const bound = {
+      callers: await listeners.callers.listen(addresses.callers),
+      hop: await listeners.hop.listen(addresses.hop),
+      outbound: await listeners.outbound.listen(addresses.outbound),
+      peer: await control.listen(addresses.peer),
+      operator: await operator.listen(addresses.operator),
+    };
+    control.join(loop, bound);
+    loop.start();
+    keyed.start();
+    if (settings.upstream !== undefined) {
+      attachment.announce(settings.upstream);
+    }
+    return bound;
+  }
+
   async function destroy(): Promise<void> {
+    keyed.stop();
     for (const listener of Object.values(listeners)) {
       listener.destroy();
     }
+    operator.destroy();
+    drain.close();
+    await control.close();
+    await loop.stop();
     await hopTransport.close();
   }
 
-  return { incarnationEpochMs, attachUpstream, listen, destroy };
+  return {
+    instanceId,
+    get incarnationEpochMs() {
+      return control.incarnationEpochMs;
+    },
+    ended: life.ended,
+    attachUpstream: (announcement) => attachment.announce(announcement),
+    listen,
+    destroy,
+  };
 }
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -11,11 +11,13 @@
 } from "../core/peer_transport.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
+  MemberState,
   ProbeAnswer,
   ProbeRequest,
   SyncAnswer,
   SyncRequest,
 } from "../schemas/member_schema.ts";
+import type { MemberStatus } from "../schemas/status_schema.ts";
 import type { Announcement } from "../schemas/settings_schema.ts";
 import { PROBE_TIMEOUT_MS } from "./failure_detector.ts";
 import { TICK_MS } from "./member_prober.ts";
@@ -34,6 +36,17 @@
 import { PROBE_METHOD, PUSH_METHOD, SYNC_METHOD } from "./peer_methods.ts";
 import { UpstreamLife } from "./upstream_life.ts";
 
+// One more than the readers, so that a lost reader is replaced at once.
+const LEASE_CANDIDATES_COUNT = 3;
+const STATUS_STATES = {
+  alive: "alive",
+  leaving: "draining",
+  suspect: "suspect",
+  leavingSuspect: "suspect",
+  dead: "dead",
+  gone: "dead",
+  left: "left",
+} as const satisfies Record<MemberState, MemberStatus["state"]>;
 const PUSH_TIMEOUT_MS = 1_000;
 const SYNC_TIMEOUT_MS = 3_000;
 
@@ -142,6 +155,29 @@
     return this.#core;
   }
 
+  /** Whether this daemon should compete for a reader's lease. */
+  isReaderCandidate(): boolean {
+    const { instanceId, dataCentre } = this.identity;
+    return this.#core.readers.listCandidates(dataCentre)
+      .slice(0, LEASE_CANDIDATES_COUNT)
+      .includes(instanceId);
+  }
+
+  /** Lists all members for `/status`. */
+  listMembers(): MemberStatus[] {
+    const { registry } = this.#core;
+    return [...registry.table.rows()].map((row) => {
+      const pool = registry.table.poolOf(row);
+      return {
+        instanceId: registry.table.idOf(row),
+        incarnationEpochMs: registry.table.incarnationOf(row),
+        dataCentre: registry.table.dataCentreOf(row),
+        state: STATUS_STATES[registry.stateAt(row)],
+        ...(pool !== "" && { pool }),
+      };
+    });
+  }
+
   /** Handles an announcement of the upstream beside this daemon. */
   announce(announcement: Announcement): void {
     this.#events.emit({ kind: "announce", announcement });
--- a/src/membership/upstream_life.ts
+++ b/src/membership/upstream_life.ts
@@ -27,7 +27,8 @@
 
 type Announced = { announcement: Announcement; nowMs: number };
 
-const NO_UPSTREAM: UpstreamPlace = {
+/** Place of an instance without an upstream. */
+export const NO_UPSTREAM: UpstreamPlace = {
   pool: "",
   slotsCount: 0,
   connectionsMaxCount: 0,
