--- a/src/decisions/eligible_owners.ts
+++ b/src/decisions/eligible_owners.ts
@@ -130,11 +130,13 @@
     if (open === undefined) {
       return;
     }
-    open.lostMs = Math.min(open.lostMs, loss.atMs);
     // A confirmation ends the eligibility that a death had extended; a member
-    // that returns keeps it.
-    const untilMs = loss.eligibleUntilMs ?? open.eligibleUntilMs;
+    // that returns after its death keeps it.
+    const isLive = open.lostMs === Number.POSITIVE_INFINITY;
+    const keptMs = isLive ? loss.atMs : open.eligibleUntilMs;
+    const untilMs = loss.eligibleUntilMs ?? keptMs;
     open.eligibleUntilMs = Math.min(open.eligibleUntilMs, untilMs);
+    open.lostMs = Math.min(open.lostMs, loss.atMs);
   }
 
   #update(nowMs: number): void {
