Take the owners' times from the pool's table and keep recent losses

Cause: the history used the fixed 10 s and 600 s although the table of pools sets handoverMs and keyRetentionMs; a pool opened shortly after a death did not have the dead owner, so that the next owner could have run its key too soon; a move to another pool kept the time of the first join. Ruled out: a history for every pool from the start (memory for 1,700 pools). Change: EligibleOwners reads its rules; the directory fills a pool with lost members too; the own pool is opened when it is announced; isJoined is false until a view was compared, so that contacts found later are tried at 500 ms. Conclusion: wire.ts has to pass ownerRules; without it the defaults hold.

--- a/src/decisions/eligible_owners.ts
+++ b/src/decisions/eligible_owners.ts
@@ -22,20 +22,28 @@
   readonly instanceIds: readonly string[];
 };
 
-/** Options of {@link EligibleOwners}. */
-export type EligibleOwnersOptions = {
-  handoverMs?: number;
-  retentionMs?: number;
+/** Times of a pool, which its table may change. */
+export type OwnerRules = {
+  /** Time after a join or an unconfirmed death in which keys move, in ms. */
+  readonly handoverMs: number;
+  /** Time over which the history is kept, in ms. */
+  readonly retentionMs: number;
+};
+
+/** Rules of a pool whose table states none. */
+export const DEFAULT_OWNER_RULES: OwnerRules = {
+  handoverMs: HANDOVER_MS,
+  retentionMs: KEY_RETENTION_MS,
 };
 
 /** Life of a member in the pool, from its join to its loss. */
 type Membership = {
   readonly instanceId: string;
   readonly joinedMs: number;
-  /** Time of the death or of its confirmation; infinite while it lives. */
+  /** Time of the death or the confirmation; infinite while it lives. */
   lostMs: number;
-  /** End of the eligibility after an unconfirmed death. */
-  eligibleUntilMs: number;
+  /** Time of the confirmation; infinite without one. */
+  confirmedMs: number;
 };
 
 function isSameList(a: readonly string[], b: readonly string[]): boolean {
@@ -53,19 +61,19 @@
  * owners.history(5_000, { sinceMs: 1_000 }); // every list in force since 1 s
  */
 export class EligibleOwners {
-  readonly #handoverMs: number;
-  readonly #retentionMs: number;
+  readonly #readRules: () => OwnerRules;
+  #rules: OwnerRules;
   #memberships: Membership[] = [];
   #lists: readonly EligibleList[] = [];
   /** Time at which the computed lists change without an event. */
   #validUntilMs = Number.NEGATIVE_INFINITY;
 
   /**
-   * @param options Hand-over time and retention.
+   * @param readRules Reads the rules of the pool; they may change.
    */
-  constructor(options: EligibleOwnersOptions = {}) {
-    this.#handoverMs = options.handoverMs ?? HANDOVER_MS;
-    this.#retentionMs = options.retentionMs ?? KEY_RETENTION_MS;
+  constructor(readRules: () => OwnerRules = () => DEFAULT_OWNER_RULES) {
+    this.#readRules = readRules;
+    this.#rules = readRules();
   }
 
   /**
@@ -76,19 +84,27 @@
   record(event: OwnerEvent): void {
     const { kind, instanceId, atMs } = event;
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
+    const last = this.#memberships.findLast((membership) =>
+      membership.instanceId === instanceId
+    );
+    const isLive = last?.lostMs === Number.POSITIVE_INFINITY;
     if (kind === "joined") {
-      this.#close(instanceId, { atMs, eligibleUntilMs: undefined });
-      this.#memberships.push({
+      if (last !== undefined && isLive) {
+        this.#end(last, { atMs, isConfirmed: true });
+      }
+      const lostMs = Number.POSITIVE_INFINITY;
+      const joined = {
         instanceId,
         joinedMs: atMs,
-        lostMs: Number.POSITIVE_INFINITY,
-        eligibleUntilMs: Number.POSITIVE_INFINITY,
-      });
+        lostMs,
+        confirmedMs: lostMs,
+      };
+      this.#memberships.push(joined);
       return;
     }
-    const isConfirmed = kind === "gone";
-    const eligibleUntilMs = isConfirmed ? atMs : atMs + this.#handoverMs;
-    this.#close(instanceId, { atMs, eligibleUntilMs });
+    if (last !== undefined) {
+      this.#end(last, { atMs, isConfirmed: kind === "gone" });
+    }
   }
 
   /**
@@ -120,32 +136,32 @@
     return this.#lists.slice(Math.max(startIndex, 0));
   }
 
-  #close(
-    instanceId: string,
-    loss: { atMs: number; eligibleUntilMs: number | undefined },
+  #end(
+    membership: Membership,
+    loss: { atMs: number; isConfirmed: boolean },
   ): void {
-    const open = this.#memberships.findLast((membership) =>
-      membership.instanceId === instanceId
-    );
-    if (open === undefined) {
-      return;
+    membership.lostMs = Math.min(membership.lostMs, loss.atMs);
+    if (loss.isConfirmed) {
+      membership.confirmedMs = Math.min(membership.confirmedMs, loss.atMs);
     }
-    // A confirmation ends the eligibility that a death had extended; a member
-    // that returns after its death keeps it.
-    const isLive = open.lostMs === Number.POSITIVE_INFINITY;
-    const keptMs = isLive ? loss.atMs : open.eligibleUntilMs;
-    const untilMs = loss.eligibleUntilMs ?? keptMs;
-    open.eligibleUntilMs = Math.min(open.eligibleUntilMs, untilMs);
-    open.lostMs = Math.min(open.lostMs, loss.atMs);
+  }
+
+  /** End of the eligibility after a loss; infinite while the member lives. */
+  #eligibleUntilMs({ lostMs, confirmedMs }: Membership): number {
+    return Math.min(lostMs + this.#rules.handoverMs, confirmedMs);
   }
 
   #update(nowMs: number): void {
-    if (nowMs < this.#validUntilMs) {
+    const rules = this.#readRules();
+    const isChanged = rules.handoverMs !== this.#rules.handoverMs ||
+      rules.retentionMs !== this.#rules.retentionMs;
+    if (!isChanged && nowMs < this.#validUntilMs) {
       return;
     }
-    const oldestMs = nowMs - this.#retentionMs;
+    this.#rules = rules;
+    const oldestMs = nowMs - rules.retentionMs;
     this.#memberships = this.#memberships.filter((membership) =>
-      Math.max(membership.lostMs, membership.eligibleUntilMs) >= oldestMs
+      this.#eligibleUntilMs(membership) >= oldestMs
     );
     const times = this.#listTimes();
     this.#lists = this.#buildLists(times, { oldestMs, nowMs });
@@ -157,9 +173,9 @@
   #listTimes(): number[] {
     const times = this.#memberships.flatMap((membership) => [
       membership.joinedMs,
-      membership.joinedMs + this.#handoverMs,
+      membership.joinedMs + this.#rules.handoverMs,
       membership.lostMs,
-      membership.eligibleUntilMs,
+      this.#eligibleUntilMs(membership),
     ]);
     return [...new Set(times)].filter(Number.isFinite).sort((a, b) => a - b);
   }
@@ -188,10 +204,10 @@
       joinedMs <= atMs && atMs < lostMs
     );
     const aged = live.filter(({ joinedMs }) =>
-      joinedMs + this.#handoverMs <= atMs
+      joinedMs + this.#rules.handoverMs <= atMs
     );
-    const dead = this.#memberships.filter(({ lostMs, eligibleUntilMs }) =>
-      lostMs <= atMs && atMs < eligibleUntilMs
+    const dead = this.#memberships.filter((membership) =>
+      membership.lostMs <= atMs && atMs < this.#eligibleUntilMs(membership)
     );
     const eligible = [...(aged.length > 0 ? aged : live), ...dead];
     return [...new Set(eligible.map(({ instanceId }) => instanceId))].sort();
--- a/src/membership/member_registry.ts
+++ b/src/membership/member_registry.ts
@@ -120,7 +120,7 @@
    */
   apply(update: MemberUpdate, options: ApplyOptions): boolean {
     const known = this.table.rowOf(update.instanceId);
-    const row = known ?? this.table.add(update, this.#unknownIndex);
+    const row = known ?? this.#add(update, options.nowMs);
     const arrival: Arrival = { ...options, row, update };
     const transition = selectTransition(
       this.#chart,
@@ -140,6 +140,11 @@
     return true;
   }
 
+  /** Monotonic time of a member's loss; undefined while it is live. */
+  lostMsOf(instanceId: string): number | undefined {
+    return this.#lostMs.get(instanceId);
+  }
+
   /** State of a row; `unknown` only while its first update is applied. */
   stateAt(row: number): MemberState {
     return this.#chart.stateNames[this.table.stateIndexOf(row)] as MemberState;
@@ -241,7 +246,7 @@
       this.#report("gone", row, nowMs);
     }
     this.table.write(row, update);
-    if (isReplaced) {
+    if (isReplaced || isMoved) {
       this.table.setLearnedMs(row, nowMs);
     }
     this.#report(isReplaced || isMoved ? "joined" : "updated", row, nowMs);
@@ -292,6 +297,12 @@
     this.#lostMs.set(update.instanceId, nowMs);
   }
 
+  #add(update: MemberUpdate, nowMs: number): number {
+    const row = this.table.add(update, this.#unknownIndex);
+    this.table.setLearnedMs(row, nowMs);
+    return row;
+  }
+
   #report(kind: MemberChange["kind"], row: number, atMs: number): void {
     this.#changes.push({
       kind,
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -232,7 +232,7 @@
     this.#columns.states[row] = stateIndex;
   }
 
-  /** Monotonic time at which the present incarnation or the loss was learned. */
+  /** Monotonic time at which the member's place in its pool was learned. */
   learnedMsOf(row: number): number {
     return this.#columns.learned[row] as number;
   }
--- a/src/membership/membership_directory.ts
+++ b/src/membership/membership_directory.ts
@@ -1,6 +1,10 @@
 /** Upstreams and neighbours as other parts of the daemon read them. */
 import type { NeighbourSource, Peer } from "../core/peer_transport.ts";
-import { EligibleOwners } from "../decisions/eligible_owners.ts";
+import {
+  DEFAULT_OWNER_RULES,
+  EligibleOwners,
+  type OwnerRules,
+} from "../decisions/eligible_owners.ts";
 import type {
   Endpoint,
   PeerStanding,
@@ -36,13 +40,19 @@
  */
 export class MembershipDirectory implements UpstreamDirectory, NeighbourSource {
   readonly #core: MembershipCore;
+  readonly #ownerRules: (pool: string) => OwnerRules;
   readonly #pools = new Map<string, PoolEntry>();
 
   /**
    * @param core Membership of this daemon.
+   * @param ownerRules Times of each pool, from its table.
    */
-  constructor(core: MembershipCore) {
+  constructor(
+    core: MembershipCore,
+    ownerRules: (pool: string) => OwnerRules = () => DEFAULT_OWNER_RULES,
+  ) {
     this.#core = core;
+    this.#ownerRules = ownerRules;
   }
 
   /** Number of pools that were asked for. */
@@ -83,13 +93,14 @@
    *
    * @param pool Pool.
    * @param dataCentre Home data centre of the keys.
-   * @returns History, kept from the first time that the pool was asked for.
+   * @returns History. Before the first time that the pool was asked for, it
+   * knows each member's last join and loss only.
    */
   eligibleOwners(pool: string, dataCentre: string): EligibleOwners {
     const { owners } = this.#open(pool);
     let history = owners.get(dataCentre);
     if (history === undefined) {
-      history = new EligibleOwners();
+      history = new EligibleOwners(() => this.#ownerRules(pool));
       owners.set(dataCentre, history);
     }
     return history;
@@ -115,7 +126,8 @@
     if (kind === "updated") {
       return;
     }
-    entry.changedMs.set(dataCentre, atMs);
+    const beforeMs = entry.changedMs.get(dataCentre) ?? atMs;
+    entry.changedMs.set(dataCentre, Math.max(beforeMs, atMs));
     this.eligibleOwners(change.pool, dataCentre)
       .record({ kind, instanceId, atMs });
     if (kind === "joined") {
@@ -145,17 +157,29 @@
     const { registry } = this.#core;
     const { table } = registry;
     for (const row of table.rows()) {
-      if (table.poolOf(row) !== pool || !isLiveState(registry.stateAt(row))) {
-        continue;
+      if (table.poolOf(row) === pool) {
+        this.#fillRow(entry, row);
       }
-      this.#applyChange(entry, {
-        kind: "joined",
-        instanceId: table.idOf(row),
-        incarnationEpochMs: table.incarnationOf(row),
-        dataCentre: table.dataCentreOf(row),
-        pool,
-        atMs: table.learnedMsOf(row),
-      });
+    }
+  }
+
+  /** A member that was lost shortly before may still be eligible as an owner. */
+  #fillRow(entry: PoolEntry, row: number): void {
+    const { registry } = this.#core;
+    const { table } = registry;
+    const instanceId = table.idOf(row);
+    const change = {
+      instanceId,
+      incarnationEpochMs: table.incarnationOf(row),
+      dataCentre: table.dataCentreOf(row),
+      pool: table.poolOf(row),
+    };
+    const joinedMs = table.learnedMsOf(row);
+    this.#applyChange(entry, { ...change, kind: "joined", atMs: joinedMs });
+    const lostMs = registry.lostMsOf(instanceId);
+    if (lostMs !== undefined) {
+      const kind = registry.stateAt(row) === "dead" ? "dead" : "gone";
+      this.#applyChange(entry, { ...change, kind, atMs: lostMs });
     }
   }
 
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -9,6 +9,7 @@
   type PeerIdentity,
   type PeerTransport,
 } from "../core/peer_transport.ts";
+import type { OwnerRules } from "../decisions/eligible_owners.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
   MemberState,
@@ -34,7 +35,7 @@
   SyncAction,
 } from "./membership_events.ts";
 import { PROBE_METHOD, PUSH_METHOD, SYNC_METHOD } from "./peer_methods.ts";
-import { UpstreamLife } from "./upstream_life.ts";
+import { UpstreamLife, type UpstreamPlace } from "./upstream_life.ts";
 
 // One more than the readers, so that a lost reader is replaced at once.
 const LEASE_CANDIDATES_COUNT = 3;
@@ -56,6 +57,8 @@
   clock: Clock;
   /** Warm-up time of a pool's upstreams, in ms. */
   coldStartMs: (pool: string) => number;
+  /** Times of each pool for the owners of keys; defaults are the design's. */
+  ownerRules?: (pool: string) => OwnerRules;
   /** Upstream of the settings, when it does not announce itself. */
   upstream?: Announcement;
   /** Receives faults that are not failures of a peer, such as a wrong schema. */
@@ -127,11 +130,11 @@
     this.#options = options;
     const nowMs = options.clock.monotonicMs();
     this.#core = new MembershipCore(options, nowMs);
-    this.directory = new MembershipDirectory(this.#core);
+    this.directory = new MembershipDirectory(this.#core, options.ownerRules);
     this.upstream = new UpstreamLife({
       coldStartMs: options.coldStartMs,
       publisher: {
-        place: (place) => this.#handleEvent({ kind: "placed", place }),
+        place: (place) => this.#publishPlace(place),
         setLeaving: (isLeaving) =>
           this.#handleEvent({ kind: isLeaving ? "leave" : "stay" }),
       },
@@ -265,6 +268,14 @@
     }
   }
 
+  #publishPlace(place: UpstreamPlace): void {
+    this.#handleEvent({ kind: "placed", place });
+    // The history of the own pool must not begin only at the first key.
+    if (place.pool !== "") {
+      this.directory.endpoints(place.pool);
+    }
+  }
+
   #serve(): void {
     const { transport } = this.#options;
     transport.serve(
--- a/src/membership/view_synchroniser.ts
+++ b/src/membership/view_synchroniser.ts
@@ -28,7 +28,7 @@
 export class ViewSynchroniser {
   readonly #view: MemberView;
   readonly #contacts = new ContactBook();
-  #isJoined: boolean;
+  #isJoined = false;
   #mismatchesCount = 0;
   #lastSyncMs = Number.NEGATIVE_INFINITY;
 
@@ -38,7 +38,6 @@
    */
   constructor(view: MemberView, contacts: readonly Address[]) {
     this.#view = view;
-    this.#isJoined = contacts.length === 0;
     this.addContacts(contacts);
   }
 
