Write announcements to the platform and read them as a newcomer

Cause: a newcomer without contacts found no peer, and the last incarnation of an instance was lost with its peers. Ruled out: one object per member (26,000 objects, and a write per start); entering stored announcements as members (they may be old; they are used as addresses only); a write of the whole view by a holder that has just started (it would remove members that it does not know yet). Change: AnnouncementPart writes four shards per data centre while it holds the lease, at most once per shard and second and only on a change; reads the own shard at the start; the holder looks for unknown data centres. Conclusion: wire.ts has to register AnnouncementPart.

--- /dev/null
+++ b/src/membership/announcement_part.ts
@@ -0,0 +1,279 @@
+/** Announcements in the platform: written in batches, read by newcomers. */
+import { periodic, type Stream } from "most";
+import type { Clock } from "../core/clock.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { type PlatformClient, PlatformError } from "../core/platform_client.ts";
+import type { RandomSource } from "../core/random.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import { memberShardSchema } from "../schemas/member_schema.ts";
+import type { MembershipCore } from "./membership_core.ts";
+import { peerAddressOf } from "./membership_events.ts";
+import {
+  buildShard,
+  isSameShard,
+  SHARD_KIND,
+  shardName,
+  shardOf,
+  SHARDS_COUNT,
+  type StoredMember,
+} from "./shard_content.ts";
+
+/** Shortest time between two writes of one shard, in ms. */
+export const SHARD_WRITE_INTERVAL_MS = 1_000;
+/** Time after which a holder drops announcements that it never saw live, in ms. */
+const UNKNOWN_KEPT_MS = 3_600_000;
+/** Addresses that a newcomer takes from a shard. */
+const CONTACTS_COUNT = 3;
+/** Time between the first two reads while no peer was reached; it doubles. */
+const READ_INTERVAL_MS = 5_000;
+const READ_INTERVAL_MAX_MS = 60_000;
+/**
+ * Time after which a holder looks for other data centres, in ms: those that
+ * started at the same time have not found each other. Once it knows one, it
+ * looks rarely, because all announcements are 5 MB at the design size.
+ */
+const EXPLORE_INTERVAL_MS = 30_000;
+const EXPLORE_KNOWN_INTERVAL_MS = 3_600_000;
+
+/** What the announcements need of the membership. */
+export interface AnnouncedMembership {
+  readonly core: MembershipCore;
+  /** Adds addresses of peers. */
+  addContacts(addresses: readonly Address[]): void;
+  /** Learns of an earlier incarnation of this instance. */
+  learnIncarnation(incarnationEpochMs: number): void;
+}
+
+/** Options of {@link AnnouncementPart}. */
+export type AnnouncementPartOptions = {
+  membership: AnnouncedMembership;
+  platform: PlatformClient;
+  clock: Clock;
+  random: RandomSource;
+  /** Whether this daemon holds `leases/<data centre>-reader-0` now. */
+  holdsLease: () => boolean;
+  /** Ticks; default one per second. */
+  ticks?: Stream<unknown>;
+};
+
+/** What is known about the object of one shard. */
+type Shard = {
+  /** Undefined until it was read, and after a write with an unknown result. */
+  version: number | "absent" | undefined;
+  members: readonly StoredMember[];
+  isBusy: boolean;
+};
+
+function parseMembers(value: unknown): StoredMember[] {
+  const result = memberShardSchema.safeParse(value);
+  return result.success ? result.data.members : [];
+}
+
+/**
+ * Writes the announcements of the own data centre while it holds the lease, at
+ * most once per shard and second, and only when they changed. A newcomer reads
+ * the shard of its own instance, which also holds its last incarnation, and then
+ * the others until it reaches a peer.
+ *
+ * @example
+ * loop.register(new AnnouncementPart({
+ *   membership, platform, clock, random,
+ *   holdsLease: () => readerLeases[0].isHeld(),
+ * }));
+ */
+export class AnnouncementPart implements ControlPart<unknown> {
+  readonly name = "announcements";
+  readonly inputs: Stream<unknown>;
+  readonly #options: AnnouncementPartOptions;
+  readonly #shards: Shard[] = Array.from({ length: SHARDS_COUNT }, () => ({
+    version: undefined,
+    members: [],
+    isBusy: false,
+  }));
+  readonly #startedMs: number;
+  #isOwnShardRead = false;
+  #nextReadMs = Number.NEGATIVE_INFINITY;
+  #readIntervalMs = READ_INTERVAL_MS;
+  #lastExploredMs: number;
+  #holdsLease = false;
+
+  /**
+   * @param options Membership, platform and lease.
+   */
+  constructor(options: AnnouncementPartOptions) {
+    this.#options = options;
+    this.#startedMs = options.clock.monotonicMs();
+    this.#lastExploredMs = this.#startedMs;
+    this.inputs = options.ticks ?? periodic(SHARD_WRITE_INTERVAL_MS, undefined);
+  }
+
+  /** Handles a tick. */
+  async handle(): Promise<void> {
+    await Promise.all([this.#readAsNewcomer(), this.#writeAsHolder()]);
+  }
+
+  async #readAsNewcomer(): Promise<void> {
+    const nowMs = this.#options.clock.monotonicMs();
+    const { core } = this.#options.membership;
+    const isDone = this.#isOwnShardRead && core.isJoined;
+    if (isDone || nowMs < this.#nextReadMs) {
+      return;
+    }
+    this.#nextReadMs = nowMs + this.#readIntervalMs;
+    this.#readIntervalMs = Math.min(
+      this.#readIntervalMs * 2,
+      READ_INTERVAL_MAX_MS,
+    );
+    const isRepeated = this.#isOwnShardRead;
+    const { instanceId, dataCentre } = core.identity;
+    const own = await this.#read(shardName(dataCentre, shardOf(instanceId)));
+    if (own !== undefined) {
+      this.#isOwnShardRead = true;
+      this.#learnFrom(own, instanceId);
+    }
+    // The own shard may be empty, or name only instances that are gone.
+    if (own?.length === 0 || isRepeated) {
+      this.#learnFrom(await this.#readAll(), instanceId);
+    }
+  }
+
+  /** Finds data centres of which this daemon knows no member. */
+  async #exploreAsHolder(): Promise<void> {
+    const nowMs = this.#options.clock.monotonicMs();
+    const { membership } = this.#options;
+    const known = membership.core.readers.listDataCentres();
+    const intervalMs = known.length > 1
+      ? EXPLORE_KNOWN_INTERVAL_MS
+      : EXPLORE_INTERVAL_MS;
+    if (nowMs - this.#lastExploredMs < intervalMs) {
+      return;
+    }
+    this.#lastExploredMs = nowMs;
+    const members = await this.#readAll();
+    const byDataCentre = new Map(
+      members.map((one) => [one.dataCentre, peerAddressOf(one)]),
+    );
+    known.forEach((dataCentre) => byDataCentre.delete(dataCentre));
+    membership.addContacts([...byDataCentre.values()]);
+  }
+
+  async #readAll(): Promise<StoredMember[]> {
+    try {
+      const objects = await this.#options.platform.list(SHARD_KIND);
+      return objects.flatMap(({ value }) => parseMembers(value));
+    } catch (error) {
+      this.#ignoreOutage(error);
+      return [];
+    }
+  }
+
+  #learnFrom(members: readonly StoredMember[], instanceId: string): void {
+    const { membership, random } = this.#options;
+    const own = members.find((one) => one.instanceId === instanceId);
+    const { incarnationEpochMs } = membership.core.identity;
+    if (own !== undefined && own.incarnationEpochMs > incarnationEpochMs) {
+      membership.learnIncarnation(own.incarnationEpochMs);
+    }
+    const peers = members.filter((one) => one.instanceId !== instanceId);
+    const { dataCentre } = membership.core.identity;
+    const near = peers.filter((one) => one.dataCentre === dataCentre);
+    const candidates = near.length > 0 ? near : peers;
+    const chosen: Address[] = [];
+    while (candidates.length > 0 && chosen.length < CONTACTS_COUNT) {
+      const index = random.nextInt(candidates.length);
+      chosen.push(
+        peerAddressOf(candidates.splice(index, 1)[0] as StoredMember),
+      );
+    }
+    membership.addContacts(chosen);
+  }
+
+  async #writeAsHolder(): Promise<void> {
+    const { holdsLease, membership } = this.#options;
+    const holds = holdsLease();
+    if (holds && !this.#holdsLease) {
+      // Another holder may have written since this daemon last did.
+      this.#shards.forEach((shard) => shard.version = undefined);
+    }
+    this.#holdsLease = holds;
+    const isReady = membership.core.isJoined || this.#isOwnShardRead;
+    if (!holds || !isReady) {
+      return;
+    }
+    await Promise.all([
+      ...this.#shards.map((_shard, index) => this.#write(index)),
+      this.#exploreAsHolder(),
+    ]);
+  }
+
+  async #write(index: number): Promise<void> {
+    const shard = this.#shards[index] as Shard;
+    if (shard.isBusy) {
+      return;
+    }
+    shard.isBusy = true;
+    try {
+      if (shard.version === undefined) {
+        await this.#refresh(shard, index);
+      }
+      await this.#put(shard, index);
+    } catch (error) {
+      // The result of a write may be unknown, so the object is read again.
+      shard.version = undefined;
+      this.#ignoreOutage(error);
+    } finally {
+      shard.isBusy = false;
+    }
+  }
+
+  async #refresh(shard: Shard, index: number): Promise<void> {
+    const { membership, platform } = this.#options;
+    const name = shardName(membership.core.identity.dataCentre, index);
+    const object = await platform.get(SHARD_KIND, name);
+    shard.version = object?.version ?? "absent";
+    shard.members = parseMembers(object?.value);
+  }
+
+  async #put(shard: Shard, index: number): Promise<void> {
+    const { membership, platform, clock, holdsLease } = this.#options;
+    const { registry, identity } = membership.core;
+    const { dataCentre } = identity;
+    const keepsUnknown = clock.monotonicMs() - this.#startedMs <
+      UNKNOWN_KEPT_MS;
+    const { members: stored } = shard;
+    const options = { dataCentre, shard: index, stored, keepsUnknown };
+    const members = buildShard(registry, options);
+    // The lease may have lapsed while the object was read.
+    if (
+      isSameShard(members, stored) || shard.version === undefined ||
+      !holdsLease()
+    ) {
+      return;
+    }
+    const name = shardName(dataCentre, index);
+    const object = { kind: SHARD_KIND, name, value: { members } };
+    const result = await platform.put(object, {
+      expectedVersion: shard.version,
+    });
+    const isWritten = result.kind === "written";
+    shard.version = isWritten ? result.version : undefined;
+    shard.members = isWritten ? members : stored;
+  }
+
+  async #read(name: string): Promise<StoredMember[] | undefined> {
+    try {
+      const object = await this.#options.platform.get(SHARD_KIND, name);
+      return parseMembers(object?.value);
+    } catch (error) {
+      this.#ignoreOutage(error);
+      return undefined;
+    }
+  }
+
+  /** The platform may be down for long; contacts and peers are used instead. */
+  #ignoreOutage(error: unknown): void {
+    if (!(error instanceof PlatformError)) {
+      throw error;
+    }
+  }
+}
--- a/src/membership/contact_book.ts
+++ b/src/membership/contact_book.ts
@@ -20,7 +20,7 @@
   #nextMs = Number.NEGATIVE_INFINITY;
 
   /**
-   * Adds addresses that are not yet known.
+   * Adds addresses that are not yet known; they are tried first.
    *
    * @param addresses Addresses of peer listeners.
    * @param own Own address, which is left out.
@@ -30,6 +30,11 @@
       !isSameAddress(address, own) &&
       !this.#addresses.some((known) => isSameAddress(known, address))
     );
+    if (added.length === 0) {
+      return;
+    }
+    this.#nextIndex = this.#addresses.length;
+    this.#nextMs = Number.NEGATIVE_INFINITY;
     this.#addresses = [...this.#addresses, ...added];
   }
 
--- /dev/null
+++ b/src/membership/shard_content.ts
@@ -0,0 +1,115 @@
+/** Announcements of a data centre as they are stored in the platform. */
+import { hash32 } from "../core/hash.ts";
+import type { MemberShard } from "../schemas/member_schema.ts";
+import { isLiveState, type MemberRegistry } from "./member_registry.ts";
+
+/**
+ * Shards per data centre. At the design size a data centre has about 870
+ * members of about 200 bytes, far under the megabyte of one object; more shards
+ * would cost more writes.
+ */
+export const SHARDS_COUNT = 4;
+/** Kind of the objects. */
+export const SHARD_KIND = "members";
+const SHARD_SEED = 104;
+
+/** One announcement. */
+export type StoredMember = MemberShard["members"][number];
+
+/**
+ * Returns the shard of an instance.
+ *
+ * @param instanceId Instance id.
+ * @returns Integer in `[0, SHARDS_COUNT)`.
+ */
+export function shardOf(instanceId: string): number {
+  return hash32(instanceId, SHARD_SEED) % SHARDS_COUNT;
+}
+
+/**
+ * Names the object of a shard.
+ *
+ * @param dataCentre Data centre.
+ * @param shard Number of the shard.
+ * @returns Name for the platform.
+ */
+export function shardName(dataCentre: string, shard: number): string {
+  return `${dataCentre}-${shard}`;
+}
+
+function toStored(registry: MemberRegistry, row: number): StoredMember {
+  const { sequence: _sequence, ...stored } = registry.table.read(row);
+  return stored;
+}
+
+function compareIds(a: StoredMember, b: StoredMember): number {
+  return a.instanceId < b.instanceId ? -1 : a.instanceId > b.instanceId ? 1 : 0;
+}
+
+/** Options of {@link buildShard}. */
+export type BuildShardOptions = {
+  dataCentre: string;
+  shard: number;
+  /** Present content of the object. */
+  stored: readonly StoredMember[];
+  /**
+   * Whether announcements of instances that this daemon does not know are kept.
+   * A daemon that has just joined may not know all members.
+   */
+  keepsUnknown: boolean;
+};
+
+/**
+ * Computes the content of a shard. Members that died without confirmation stay,
+ * because the platform holds announcements and no liveness.
+ *
+ * @param registry Members as this daemon holds them.
+ * @param options Shard and its present content.
+ * @returns Announcements, ordered by instance id.
+ */
+export function buildShard(
+  registry: MemberRegistry,
+  options: BuildShardOptions,
+): StoredMember[] {
+  const { dataCentre, shard, stored, keepsUnknown } = options;
+  const members = new Map<string, StoredMember>();
+  for (const row of registry.table.rows()) {
+    const state = registry.stateAt(row);
+    const isAnnounced = isLiveState(state) || state === "dead";
+    const instanceId = registry.table.idOf(row);
+    if (
+      isAnnounced && registry.table.dataCentreOf(row) === dataCentre &&
+      shardOf(instanceId) === shard
+    ) {
+      members.set(instanceId, toStored(registry, row));
+    }
+  }
+  for (const one of stored) {
+    const known = registry.versionOf(one.instanceId);
+    const isNewer = known !== undefined &&
+      one.incarnationEpochMs > known.incarnationEpochMs;
+    if (isNewer || (known === undefined && keepsUnknown)) {
+      members.set(one.instanceId, one);
+    }
+  }
+  return [...members.values()].sort(compareIds);
+}
+
+/**
+ * Compares two contents of a shard.
+ *
+ * @param a First content, ordered by instance id.
+ * @param b Second content, ordered by instance id.
+ * @returns True when they are equal.
+ */
+export function isSameShard(
+  a: readonly StoredMember[],
+  b: readonly StoredMember[],
+): boolean {
+  return a.length === b.length && a.every((one, index) => {
+    const other = b[index] as StoredMember;
+    return Object.entries(one).every(([field, value]) =>
+      other[field as keyof StoredMember] === value
+    );
+  });
+}
