--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -45,6 +45,7 @@
   WireParts,
 } from "./daemon_parts.ts";
 import { DrainController } from "./drain_controller.ts";
+import { controlGauges } from "./control_gauges.ts";
 import { FixedControlPlane } from "./fixed_control_plane.ts";
 import { Housekeeping } from "./housekeeping.ts";
 import { MembershipHandle } from "./membership_handle.ts";
@@ -218,6 +219,9 @@
   };
   const open = new OpenExchanges(nowMs);
   const gate = new WorkGate();
+  if (given.processMetrics === true) {
+    metrics.collectProcess();
+  }
   const observer = metrics.requests;
   const chain = new ChainRegistry();
   const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
@@ -341,10 +345,10 @@
     { log },
   );
   const housekeeping = new Housekeeping({
+    configChanges: control.configChanges,
     isConfigured: () => config.current() !== undefined,
     notifyConfigured: () => life.notify("configured"),
     rotateLatencies: () => metrics.requests.rotate(),
-    nowMs,
   });
   const loop = new EventLoop((part, error) =>
     log.error("Control event failed", { part, ...errorFields(error) })
@@ -378,7 +382,7 @@
       goldcrest_queue_length: load?.queuedCount ?? 0,
       goldcrest_admission_level: load?.levelRank ?? 0,
       goldcrest_open_exchanges: open.count,
-      goldcrest_config_generation: config.current()?.generation ?? 0,
+      ...controlGauges(control.status()),
       goldcrest_draining: drain.isServing ? 0 : 1,
     };
   }
