Bound the requests of the tool to the daemons

Ruled out: asking a sample, because the time-out must name the daemons that lag. Change: 64 requests at once, and members that have the generation in force are not asked again.

--- a/src/cli/daemon_client.ts
+++ b/src/cli/daemon_client.ts
@@ -22,6 +22,8 @@
 };
 
 const TIMEOUT_MS = 3_000;
+// A fleet has thousands of daemons; the tool keeps few connections open.
+const CONCURRENCY_MAX = 64;
 
 async function call(
   url: string,
@@ -87,20 +89,29 @@
   await call(url, `/${action}`, "POST");
 }
 
+async function viewDaemon(url: string): Promise<DaemonView> {
+  try {
+    return { url, status: await readStatus(url) };
+  } catch (error) {
+    return { url, error: (error as Error).message };
+  }
+}
+
 /**
- * Reads the status of several daemons at once.
+ * Reads the status of several daemons, a bounded number at once.
  *
  * @param urls Operator listeners.
  * @returns One view for each, in order.
  */
-export function viewDaemons(urls: readonly string[]): Promise<DaemonView[]> {
-  return Promise.all(urls.map(async (url): Promise<DaemonView> => {
-    try {
-      return { url, status: await readStatus(url) };
-    } catch (error) {
-      return { url, error: (error as Error).message };
-    }
-  }));
+export async function viewDaemons(
+  urls: readonly string[],
+): Promise<DaemonView[]> {
+  const views: DaemonView[] = [];
+  for (let start = 0; start < urls.length; start += CONCURRENCY_MAX) {
+    const batch = urls.slice(start, start + CONCURRENCY_MAX);
+    views.push(...await Promise.all(batch.map(viewDaemon)));
+  }
+  return views;
 }
 
 /**
--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -88,16 +88,27 @@
   }
 }
 
-async function listLagging(
+/** One look at the daemons; those in `done` are not asked again. */
+async function lookAtDaemons(
   options: WaitOptions,
   generation: number,
+  done: Set<string>,
 ): Promise<{ lagging: string[]; count: number }> {
-  const seeds = await viewDaemons(options.daemonUrls);
-  const others = listMemberUrls(seeds)
-    .filter((url) => !options.daemonUrls.includes(url));
-  const views = [...seeds, ...await viewDaemons(others)];
-  const lagging = views.flatMap((view) => describeLag(view, generation) ?? []);
-  return { lagging, count: views.length };
+  const { daemonUrls } = options;
+  const seeds = await viewDaemons(daemonUrls);
+  const listed = listMemberUrls(seeds);
+  const open = listed.filter((url) =>
+    !done.has(url) && !daemonUrls.includes(url)
+  );
+  const views = [...seeds, ...await viewDaemons(open)];
+  const lagging = views.flatMap((view) => {
+    const lag = describeLag(view, generation);
+    if (lag === undefined) {
+      done.add(view.url);
+    }
+    return lag ?? [];
+  });
+  return { lagging, count: listed.length };
 }
 
 async function awaitAcceptance(
@@ -120,9 +131,14 @@
   options: WaitOptions,
   deadlineMs: number,
 ): Promise<ForceState> {
+  const done = new Set<string>();
   let reported = -1;
   while (true) {
-    const { lagging, count } = await listLagging(options, head.generation);
+    const { lagging, count } = await lookAtDaemons(
+      options,
+      head.generation,
+      done,
+    );
     if (lagging.length === 0) {
       return { kind: "in-force", head, count };
     }
