State which members the tool could not ask

Ruled out: treating unasked members as lagging, because the tool could never end with success. Change: the report counts unasked members; options in seconds are checked before any write; bodies of refused answers are drained, so that they do not occupy connections; createHash instead of hash, which early Node.js 20 lacks.

--- a/src/cli/apply_command_test.ts
+++ b/src/cli/apply_command_test.ts
@@ -62,6 +62,13 @@
   assert.match(err, /^arguments: .*"--unknown".*\n$/);
 });
 
+test("a timeout that is no number is bad input, before any write", async (t) => {
+  const { apply, storedText } = await startToolBed(t);
+  const { code } = await apply(routesText(3), "--wait-timeout", "soon");
+  assert.equal(code, EXIT_CODES.badInput);
+  assert.notEqual(storedText(), routesText(3));
+});
+
 test("waiting without an acceptor ends with a timeout", async (t) => {
   const { apply } = await startToolBed(t);
   const wait = ["--wait", "--wait-timeout", "0.1"];
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -11,7 +11,7 @@
 } from "./daemon_client.ts";
 import { describeStatus, describeTop } from "./daemon_text.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
-import { CommandError, RelayCommand } from "./relay_command.ts";
+import { CommandError, parseSeconds, RelayCommand } from "./relay_command.ts";
 
 const CLEAR_SCREEN = "\x1b[2J\x1b[H";
 
@@ -100,13 +100,13 @@
     if (this.metrics) {
       return await this.#printMetrics();
     }
+    const intervalMs = parseSeconds(this.intervalS, "--interval");
     let before: DaemonView[] = [];
     while (true) {
       const views = await viewAll(this.listUrls(), this.members);
       if (!this.json && !this.once) {
         this.context.stdout.write(CLEAR_SCREEN);
       }
-      const intervalMs = Number(this.intervalS) * 1_000;
       const lines = describeTop(views, { before, intervalMs });
       this.print({ daemons: views }, lines);
       if (this.once) {
--- a/src/cli/edit_command.ts
+++ b/src/cli/edit_command.ts
@@ -14,8 +14,8 @@
   type TableSources,
 } from "./edit_plan.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
-import { type ForceState, waitInForce } from "./in_force.ts";
-import { PlatformCommand } from "./relay_command.ts";
+import { describeInForce, type ForceState, waitInForce } from "./in_force.ts";
+import { parseSeconds, PlatformCommand } from "./relay_command.ts";
 import type { EditOutcome } from "./table_edit.ts";
 import { type EditResult, TableWriter } from "./table_writer.ts";
 
@@ -49,12 +49,14 @@
   });
   daemons = Option.Array("--daemon", {
     description:
-      "Operator listener of a daemon to wait for, repeatable; its members are asked too",
+      "Operator listener of a daemon to wait for, repeatable; default GOLDCRESTRELAY_DAEMONS; members that name their listener are asked too",
   });
   dryRun = Option.Boolean("--dry-run", false, {
     description: "Validate and show the difference without writing",
   });
 
+  #waitTimeoutMs = 0;
+
   /**
    * Computes the edit.
    *
@@ -70,6 +72,7 @@
   }
 
   async #edit(platform: PlatformClient): Promise<ExitCode> {
+    this.#waitTimeoutMs = parseSeconds(this.waitTimeoutS, "--wait-timeout");
     const writer = new TableWriter(platform);
     const bases: TableBases = {
       routes: await writer.read("routes"),
@@ -146,7 +149,7 @@
     const listed = process.env.GOLDCRESTRELAY_DAEMONS?.split(",") ?? [];
     return await waitInForce(platform, versions, {
       daemonUrls: this.daemons ?? listed,
-      timeoutMs: Number(this.waitTimeoutS) * 1_000,
+      timeoutMs: this.#waitTimeoutMs,
       progress: (line) => this.progress(line),
     });
   }
@@ -171,10 +174,7 @@
       (version === undefined ? "" : `, version ${version}`)
     );
     const force = report.inForce?.kind === "in-force"
-      ? [
-        `Generation ${report.inForce.head.generation} is in force ` +
-        `in ${report.inForce.count} daemons`,
-      ]
+      ? describeInForce(report.inForce)
       : [];
     const lines = [...edits, ...force];
     this.print(report, lines.length > 0 ? lines : ["Nothing was written"]);
--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -14,12 +14,19 @@
   viewDaemons,
 } from "./daemon_client.ts";
 
+/** Daemons that were asked, and members that could not be. */
+export type Coverage = {
+  readonly count: number;
+  /** Members whose operator listener no daemon names. */
+  readonly unaskedCount: number;
+};
+
 /** How far the edit has come. */
 export type ForceState =
   | { readonly kind: "waiting" }
   | { readonly kind: "refused"; readonly mistakes: TableMistake[] }
   | { readonly kind: "accepted"; readonly head: ConfigHead }
-  | { readonly kind: "in-force"; readonly head: ConfigHead; count: number }
+  | ({ readonly kind: "in-force"; readonly head: ConfigHead } & Coverage)
   | {
     readonly kind: "timeout";
     readonly head?: ConfigHead;
@@ -88,12 +95,40 @@
   }
 }
 
+/** Counts live members that were not named and state no operator listener. */
+function countUnasked(seeds: readonly DaemonView[]): number {
+  const named = new Set(seeds.map(({ status }) => status?.instanceId));
+  const unasked = seeds.flatMap(({ status }) => status?.members ?? [])
+    .filter(({ state, operator, instanceId }) =>
+      state !== "dead" && state !== "left" && operator === undefined &&
+      !named.has(instanceId)
+    )
+    .map(({ instanceId }) => instanceId);
+  return new Set(unasked).size;
+}
+
+/**
+ * Describes where a configuration is in force.
+ *
+ * @param state Final state of a wait.
+ * @returns Lines; members that could not be asked are stated.
+ */
+export function describeInForce(
+  state: Extract<ForceState, { kind: "in-force" }>,
+): string[] {
+  const { head, count, unaskedCount } = state;
+  const line = `Generation ${head.generation} is in force in ${count} daemons`;
+  return unaskedCount === 0
+    ? [line]
+    : [line, `${unaskedCount} members were not asked: name their --daemon`];
+}
+
 /** One look at the daemons; those in `done` are not asked again. */
 async function lookAtDaemons(
   options: WaitOptions,
   generation: number,
   done: Set<string>,
-): Promise<{ lagging: string[]; count: number }> {
+): Promise<{ lagging: string[] } & Coverage> {
   const { daemonUrls } = options;
   const seeds = await viewDaemons(daemonUrls);
   const listed = listMemberUrls(seeds);
@@ -108,7 +143,8 @@
     }
     return lag ?? [];
   });
-  return { lagging, count: listed.length };
+  const unaskedCount = countUnasked(seeds);
+  return { lagging, count: listed.length, unaskedCount };
 }
 
 async function awaitAcceptance(
@@ -134,13 +170,13 @@
   const done = new Set<string>();
   let reported = -1;
   while (true) {
-    const { lagging, count } = await lookAtDaemons(
+    const { lagging, count, unaskedCount } = await lookAtDaemons(
       options,
       head.generation,
       done,
     );
     if (lagging.length === 0) {
-      return { kind: "in-force", head, count };
+      return { kind: "in-force", head, count, unaskedCount };
     }
     if (lagging.length !== reported) {
       options.progress(`In force in ${count - lagging.length} of ${count}`);
--- a/src/cli/in_force_test.ts
+++ b/src/cli/in_force_test.ts
@@ -42,6 +42,12 @@
   loop.register(reading);
   loop.start();
   const status = sampleStatus("i-1", 0);
+  status.members.push({
+    instanceId: "i-2",
+    incarnationEpochMs: 1,
+    dataCentre: "dc-1",
+    state: "alive",
+  });
   const refresh = setInterval(() => status.config = store.status(), TICKS_MS);
   t.after(async () => {
     clearInterval(refresh);
@@ -53,6 +59,7 @@
   const first = await apply(routesText(3), "--wait", ...daemon);
   assert.equal(first.code, EXIT_CODES.applied, first.err);
   assert.match(first.out, /Generation \d is in force in 1 daemons/);
+  assert.match(first.out, /1 members were not asked/);
   const second = await apply(routesText(4), "--wait", "--json", ...daemon);
   assert.equal(second.code, EXIT_CODES.applied);
   const { inForce } = JSON.parse(second.out);
--- a/src/cli/relay_command.ts
+++ b/src/cli/relay_command.ts
@@ -8,6 +8,7 @@
 import { DaemonError } from "./daemon_client.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
 
+const MS_PER_S = 1_000;
 const PLATFORM_TIMEOUT_MS = 5_000;
 const PLATFORM_CALLS_PER_S_MAX = 20;
 // A tool that waits for a person pauses less than a daemon does.
@@ -28,6 +29,26 @@
   }
 }
 
+/**
+ * Parses a duration that an option states in seconds.
+ *
+ * @param text Value of the option.
+ * @param option Name of the option, for the message.
+ * @returns Duration in ms.
+ * @throws {CommandError} With exit code 2 unless it is a positive number.
+ *
+ * @example
+ * parseSeconds("1.5", "--interval"); // 1500
+ */
+export function parseSeconds(text: string, option: string): number {
+  const durationMs = Number(text) * MS_PER_S;
+  if (!(durationMs > 0)) {
+    const message = `${option}: Must be a positive number of seconds`;
+    throw new CommandError(EXIT_CODES.badInput, message);
+  }
+  return durationMs;
+}
+
 /** Describes an error for people and for scripts. */
 function describeError(
   error: unknown,
--- a/src/config/table_digest.ts
+++ b/src/config/table_digest.ts
@@ -1,5 +1,5 @@
 /** Digest of a pair of tables. */
-import { hash } from "node:crypto";
+import { createHash } from "node:crypto";
 import type { TableEntry } from "../schemas/config_schema.ts";
 import type { TableEntries } from "./table_entries.ts";
 
@@ -7,7 +7,7 @@
 const entryDigests = new WeakMap<TableEntry, string>();
 
 function sha256(text: string): string {
-  return hash("sha256", text);
+  return createHash("sha256").update(text).digest("hex");
 }
 
 /**
--- a/src/platform/http_platform_client.ts
+++ b/src/platform/http_platform_client.ts
@@ -47,6 +47,21 @@
 const CONNECTIONS_MAX = 8;
 const OK = 200;
 
+/** A body that is not read would keep its connection occupied. */
+async function readOrDump<T>(
+  answer: Dispatcher.ResponseData,
+  read: (answer: Dispatcher.ResponseData) => Promise<T>,
+): Promise<T> {
+  try {
+    return await read(answer);
+  } catch (error) {
+    if (!answer.body.bodyUsed) {
+      await answer.body.dump();
+    }
+    throw error;
+  }
+}
+
 type WatchSink = { event(timeMs: number, object: StoredObject): void };
 
 /**
@@ -158,7 +173,7 @@
         signal: AbortSignal.timeout(this.#options.timeoutMs),
       });
       this.#count(answer.statusCode);
-      return await read(answer);
+      return await readOrDump(answer, read);
     } catch (error) {
       if (error instanceof PlatformError) {
         throw error;
