--- a/stand_ins/demo.ts
+++ b/stand_ins/demo.ts
@@ -21,13 +21,15 @@
 import {
   countEffects,
   formatHeader,
+  formatRecovery,
   formatSecond,
   formatTotals,
 } from "./demo_report.ts";
 import { ProgramGroup } from "./program_group.ts";
 
 const ROOT = fileURLToPath(new URL("../../", import.meta.url));
-const REPORT_DELAY_S = 1;
+// Calls take up to a few seconds with their retries.
+const REPORT_DELAY_S = 4;
 
 const STREAMS: readonly DemoStream[] = [
   {
@@ -53,6 +55,15 @@
 const NORMAL_RATES_PER_S = [30, 60];
 const SURGE_RATES_PER_S = [30, 370];
 
+const EXPLANATION = `Offering calls to all daemons.
+Enrolments (inscription) and log reads (logbook) both call certify. After 6 s
+certify slows down and log reads surge to three times its capacity, and their
+callers try three times. For each second in which the calls started:
+- complete: the caller got its whole answer
+- shed: refused, and nothing ran
+- failed: the service ran and its call to certify was refused, or it was late
+`;
+
 function say(line: string): void {
   process.stdout.write(`${line}\n`);
 }
@@ -121,12 +132,17 @@
     { title: "overload", durationMs: 10_000, ...surge },
     SLOW_SERVICE_MS,
   );
+  const endSecond = load.secondsCount;
   await run(
     { title: "normal", durationMs: 8_000, ...normal },
     NORMAL_SERVICE_MS,
   );
+  const untilSecond = load.secondsCount;
   await load.finish();
   stopPrinting();
+  say("");
+  say(formatTotals(STREAMS, load));
+  say(formatRecovery(load, endSecond, untilSecond));
   return load;
 }
 
@@ -150,11 +166,9 @@
     "reachable",
     instances.map((one) => `${one.callersUrl}/logs/1`),
   );
-  say("Offering calls; certify slows down and log reads surge after 6 s.\n");
+  say(EXPLANATION);
   say(formatHeader(STREAMS));
   const load = await runPhases(mesh);
-  say("");
-  say(formatTotals(STREAMS, load));
   say(await countEffects(mesh, load.completeKeys));
 }
 
--- a/stand_ins/demo_report.ts
+++ b/stand_ins/demo_report.ts
@@ -76,6 +76,36 @@
   }).join("\n");
 }
 
+const RECOVERED_RATIO = 0.95;
+
+/**
+ * States how long the goodput took to come back.
+ *
+ * @param load Load with its counts by second.
+ * @param endSecond Second in which the overload ended.
+ * @param untilSecond Second after the last one that counts.
+ * @returns One line.
+ */
+export function formatRecovery(
+  load: DemoLoad,
+  endSecond: number,
+  untilSecond: number,
+): string {
+  let second = untilSecond;
+  while (second > endSecond && isRecovered(load.counts(second - 1))) {
+    second--;
+  }
+  return second === untilSecond
+    ? "Not recovered by the end of the demo"
+    : `Recovered ${second - endSecond} s after the end of the overload`;
+}
+
+function isRecovered(counts: readonly DemoCounts[]): boolean {
+  return counts.every(({ completeCount, offeredCount }) =>
+    completeCount >= offeredCount * RECOVERED_RATIO
+  );
+}
+
 /**
  * Compares the complete enrolments with what the upstreams ran.
  *
--- /dev/null
+++ b/stand_ins/program_group_test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ProgramGroup } from "./program_group.ts";
+
+function isRunning(pid: number): boolean {
+  try {
+    process.kill(pid, 0);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+test("no process outlives its group, also when a later program fails to start", async () => {
+  const programs = new ProgramGroup();
+  const platform = await programs.start("stand_ins/platform.js", []);
+  await assert.rejects(
+    programs.start("src/daemon/main.js", ["/does/not/exist"], { quiet: true }),
+    /ended with exit code 2/,
+  );
+  assert.equal(isRunning(platform.pid), true);
+  await programs.stop();
+  assert.equal(isRunning(platform.pid), false);
+});
