--- a/src/reference_pages/sections.ts
+++ b/src/reference_pages/sections.ts
@@ -1,6 +1,7 @@
 /** Sections of the pages that are generated from schemas, tables and charts. */
 import type { z } from "zod";
 import { CHART_NAMES, readChart } from "../charts/load_chart.ts";
+import { drawMermaid } from "../cli/chart_diagram.ts";
 import {
   ERROR_ANSWERS,
   errorAnswer,
@@ -16,7 +17,6 @@
   routesTableSchema,
 } from "../schemas/tables_schema.ts";
 import { type MetricName, METRICS } from "../telemetry/metric_names.ts";
-import { chartDiagram } from "./chart_diagram.ts";
 import { ERROR_ADVICE } from "./error_advice.ts";
 import { formatTable } from "./markdown_table.ts";
 import { listFields } from "./schema_fields.ts";
@@ -81,7 +81,8 @@
 function chartsSection(): string {
   return CHART_NAMES.map((name) => {
     const chart = readChart(name);
-    return `## ${name}\n\n${chart.description}.\n\n${chartDiagram(chart)}`;
+    const diagram = ["```mermaid", ...drawMermaid(chart), "```"].join("\n");
+    return `## ${name}\n\n${chart.description}.\n\n${diagram}`;
   }).join("\n\n");
 }
 
--- a/src/telemetry/metric_names.ts
+++ b/src/telemetry/metric_names.ts
@@ -90,7 +90,7 @@
   goldcrest_members_alive: {
     kind: "gauge",
     labels: [],
-    help: "Instances that this daemon holds alive, itself not counted",
+    help: "Instances that this daemon holds alive, itself included",
     advice: "Compare with the instances that you run; a difference between " +
       "daemons is a partition",
   },
