Drain the demo's daemons gracefully and print their exit codes

Change: all daemons get SIGTERM while their upstreams still run. A body that is over the operator listener's limit closes the connection, since its rest is not read.

--- a/src/operator/operator_server.ts
+++ b/src/operator/operator_server.ts
@@ -24,6 +24,7 @@
 type Action = (request: IncomingMessage) => Answer | Promise<Answer>;
 
 const ANNOUNCEMENT_MAX_BYTES = 16_384;
+const TOO_LARGE_STATUS = 413;
 const REQUEST_TIMEOUT_MS = 10_000;
 const METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -36,7 +37,7 @@
     return { status: 400, body: { mistakes: error.mistakes } };
   }
   if (error instanceof TextTooLargeError) {
-    return { status: 413, body: { error: error.message } };
+    return { status: TOO_LARGE_STATUS, body: { error: error.message } };
   }
   return { status: 500, body: { error: "Internal error" } };
 }
@@ -186,6 +187,10 @@
   }
 
   #send(response: ServerResponse, answer: Answer): void {
+    if (answer.status === TOO_LARGE_STATUS) {
+      // The rest of the body is not read.
+      response.shouldKeepAlive = false;
+    }
     const text = typeof answer.body === "string"
       ? answer.body
       : `${JSON.stringify(answer.body)}\n`;
--- a/stand_ins/demo.ts
+++ b/stand_ins/demo.ts
@@ -15,6 +15,7 @@
 import {
   changeBehaviour,
   type DemoMesh,
+  drainDaemons,
   startMesh,
   waitUntilOk,
 } from "./demo_mesh.ts";
@@ -170,6 +171,8 @@
   say(formatHeader(STREAMS));
   const load = await runPhases(mesh);
   say(await countEffects(mesh, load.completeKeys));
+  const exitCodes = await drainDaemons(mesh);
+  say(`Exit codes of the drained daemons: ${exitCodes.join(", ")}`);
 }
 
 async function main(): Promise<number> {
--- a/stand_ins/demo_mesh.ts
+++ b/stand_ins/demo_mesh.ts
@@ -3,7 +3,7 @@
 import { request } from "undici";
 import { z } from "zod";
 import { addressSchema } from "../src/schemas/common_schema.ts";
-import type { ProgramGroup } from "./program_group.ts";
+import type { ProgramGroup, StartedProgram } from "./program_group.ts";
 import type { UpstreamBehaviour } from "./upstream_settings.ts";
 
 const DATA_CENTRES = ["dakar-plateau", "thies-nord"] as const;
@@ -48,6 +48,7 @@
   readonly outboundUrl: string;
   /** Records and behaviour of the upstream. */
   readonly controlUrl: string;
+  readonly daemon: StartedProgram;
 };
 
 /** The running mesh. */
@@ -90,6 +91,7 @@
   const { controlPort } = upstreamReadySchema.parse(upstream.ready);
   const instance = {
     service,
+    daemon,
     outboundUrl,
     callersUrl: url("callers"),
     operatorUrl: url("operator"),
@@ -207,3 +209,16 @@
     await answer.body.dump();
   }));
 }
+
+/**
+ * Stops all daemons gracefully while their upstreams still run.
+ *
+ * @param mesh Running mesh.
+ * @returns Exit codes; 0 for each daemon that cut nothing.
+ */
+export function drainDaemons(mesh: DemoMesh): Promise<(number | null)[]> {
+  return Promise.all(mesh.instances.map(({ daemon }) => {
+    daemon.signal("SIGTERM");
+    return daemon.exited;
+  }));
+}
