Wire announcements, lease candidates and owner rules

Change: announcements in the platform, candidates by rank that compete for one reader lease each, rules of the pool for owners, releases awaited on stop, gauges read once per scrape.

--- /dev/null
+++ b/src/daemon/daemon_gauges.ts
@@ -0,0 +1,39 @@
+/** Gauges of a daemon. */
+import type { LoadState } from "../decisions/admission_policy.ts";
+import type { GaugeValues } from "../telemetry/metrics.ts";
+import type { ControlStatus } from "./operator_view.ts";
+
+/** State that the gauges are read from. */
+export type GaugeSources = {
+  /** Load of the own upstream; undefined when none is attached. */
+  readonly load: LoadState | undefined;
+  readonly openCount: number;
+  readonly isServing: boolean;
+  readonly status: ControlStatus;
+};
+
+/**
+ * Reads the gauges of a daemon.
+ *
+ * @param sources State of the data path, the drain and the control plane.
+ * @returns Values by name.
+ */
+export function daemonGauges(sources: GaugeSources): GaugeValues {
+  const { load, openCount, isServing, status } = sources;
+  const { config, members, leases } = status;
+  const countOf = (state: string) =>
+    members.filter((member) => member.state === state).length;
+  return {
+    goldcrest_in_flight: load?.inFlightCount ?? 0,
+    goldcrest_limit: load?.limitCount ?? 0,
+    goldcrest_queue_length: load?.queuedCount ?? 0,
+    goldcrest_admission_level: load?.levelRank ?? 0,
+    goldcrest_open_exchanges: openCount,
+    goldcrest_config_generation: config.generation,
+    goldcrest_config_confirmed_age_ms: config.confirmedAgeMs,
+    goldcrest_members_alive: countOf("alive"),
+    goldcrest_members_suspect: countOf("suspect"),
+    goldcrest_leases_held: leases.filter((lease) => lease.heldBySelf).length,
+    goldcrest_draining: isServing ? 0 : 1,
+  };
+}
--- a/src/daemon/membership_handle.ts
+++ b/src/daemon/membership_handle.ts
@@ -87,9 +87,9 @@
     return this.#membership?.directory.eligibleOwners(pool, dataCentre);
   }
 
-  /** Whether this daemon should compete for a reader's lease. */
-  isReaderCandidate(): boolean {
-    return this.#membership?.isReaderCandidate() ?? false;
+  /** Members that compete for the leases of readers; empty before the join. */
+  leaseCandidateIds(): readonly string[] {
+    return this.#membership?.leaseCandidateIds() ?? [];
   }
 
   /** Lists all members for `/status`. */
--- a/src/daemon/peer_control_plane.ts
+++ b/src/daemon/peer_control_plane.ts
@@ -3,6 +3,7 @@
 import type { ConfigStore } from "../config/config_store.ts";
 import type { EventLoop } from "../core/event_loop.ts";
 import type { OwnerHistory } from "../decisions/key_owner.ts";
+import type { AnnouncementPart } from "../membership/announcement_part.ts";
 import type { MembershipPart } from "../membership/membership_part.ts";
 import type { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
 import type { KeyRing } from "../peer/key_ring.ts";
@@ -32,6 +33,8 @@
   controlParts: readonly AnyControlPart[];
   /** Constructs the membership for the bound addresses. */
   createMembership: (bound: BoundAddresses) => MembershipPart;
+  /** Constructs the announcements of a membership in the platform. */
+  createAnnouncements: (membership: MembershipPart) => AnnouncementPart;
 };
 
 /** Connects membership, configuration and platform to the daemon. */
@@ -67,9 +70,11 @@
 
   /** @inheritdoc */
   join(loop: EventLoop, bound: BoundAddresses): void {
-    const membership = this.#parts.createMembership(bound);
+    const { createMembership, createAnnouncements, controlParts } = this.#parts;
+    const membership = createMembership(bound);
+    const announcements = createAnnouncements(membership);
     this.directory.connect(membership);
-    for (const part of [membership, ...this.#parts.controlParts]) {
+    for (const part of [membership, announcements, ...controlParts]) {
       loop.register(part as AnyControlPart);
     }
   }
@@ -97,9 +102,7 @@
   async close(): Promise<void> {
     const { leases, transport, platform } = this.#parts;
     await this.directory.leave();
-    for (const lease of leases) {
-      lease.release();
-    }
+    await Promise.all(leases.map((lease) => lease.release()));
     await transport.close();
     await platform.close();
   }
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -14,7 +14,8 @@
 import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import { createPolicySet } from "../decisions/policy_set.ts";
 import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
-import { MemberOwners } from "../membership/member_owners.ts";
+import { AnnouncementPart } from "../membership/announcement_part.ts";
+import { MemberOwners, ownerRulesOf } from "../membership/member_owners.ts";
 import { MembershipPart } from "../membership/membership_part.ts";
 import { PlacementHistory } from "../membership/placement_history.ts";
 import { NO_UPSTREAM } from "../membership/upstream_life.ts";
@@ -22,6 +23,10 @@
 import { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
 import { KeyRing } from "../peer/key_ring.ts";
 import { HttpPlatformClient } from "../platform/http_platform_client.ts";
+import {
+  isAcceptorCandidate,
+  isReaderCandidate,
+} from "../platform/lease_candidacy.ts";
 import { LeaseHolder } from "../platform/lease_holder.ts";
 import { LocalTransport } from "../proxy/attempt_transport.ts";
 import { ChainRegistry } from "../proxy/chain_registry.ts";
@@ -34,8 +39,9 @@
 import { Listener } from "../proxy/listener.ts";
 import { OutboundService } from "../proxy/outbound_service.ts";
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
-import { errorFields, NullLogger } from "../telemetry/logger.ts";
-import { type GaugeValues, Metrics } from "../telemetry/metrics.ts";
+import { errorFields, type Logger, NullLogger } from "../telemetry/logger.ts";
+import { Metrics } from "../telemetry/metrics.ts";
+import { daemonGauges } from "./daemon_gauges.ts";
 import { DaemonLife } from "./daemon_life.ts";
 import type {
   AnyControlPart,
@@ -45,7 +51,6 @@
   WireParts,
 } from "./daemon_parts.ts";
 import { DrainController } from "./drain_controller.ts";
-import { controlGauges } from "./control_gauges.ts";
 import { FixedControlPlane } from "./fixed_control_plane.ts";
 import { Housekeeping } from "./housekeeping.ts";
 import { MembershipHandle } from "./membership_handle.ts";
@@ -99,9 +104,14 @@
 
 function wireControlPlane(
   settings: Settings,
-  parts: { clock: Clock; keyClock: KeyClock; random: RandomSource },
+  parts: {
+    clock: Clock;
+    keyClock: KeyClock;
+    random: RandomSource;
+    log: Logger;
+  },
 ): ControlPlane {
-  const { clock, random } = parts;
+  const { clock, random, log } = parts;
   const nowMs = () => clock.monotonicMs();
   const { id: instanceId, dataCentre } = settings.instance;
   const holder = { instanceId, incarnationEpochMs: clock.wallMs() };
@@ -119,17 +129,24 @@
   });
   const store = new ConfigStore(clock);
   const leaseParts = { holder, platform, clock, random };
-  const readerLeases = READER_NUMBERS.map((number) =>
+  const readerLeases: LeaseHolder[] = READER_NUMBERS.map((number) =>
     new LeaseHolder({
       ...leaseParts,
       leaseName: `${dataCentre}-reader-${number}`,
-      isCandidate: () => membership.isReaderCandidate(),
+      isCandidate: () =>
+        isReaderCandidate({
+          instanceId,
+          rankedIds: membership.leaseCandidateIds(),
+          competesElsewhere: readerLeases.some((lease, other) =>
+            other !== number && lease.isCompeting()
+          ),
+        }),
     })
   );
   const acceptorLease = new LeaseHolder({
     ...leaseParts,
     leaseName: "config-acceptor",
-    isCandidate: () => readerLeases[0]?.isHeld() ?? false,
+    isCandidate: () => isAcceptorCandidate(readerLeases),
   });
   const leases = [...readerLeases, acceptorLease];
   const placements = new PlacementHistory(KEY_RETENTION_MAX_MS);
@@ -152,6 +169,7 @@
         placements.record(store.current()?.tables.pools.pools ?? {}, nowMs()),
     },
   ];
+  const poolRules = (pool: string) => store.current()?.tables.pools.pools[pool];
   return new PeerControlPlane({
     store,
     membership,
@@ -166,6 +184,14 @@
     platform,
     leases,
     controlParts,
+    createAnnouncements: (joined) =>
+      new AnnouncementPart({
+        membership: joined,
+        platform,
+        clock,
+        random,
+        holdsLease: () => readerLeases[0]?.isHeld() ?? false,
+      }),
     createMembership: ({ peer, hop }) =>
       new MembershipPart({
         ...holder,
@@ -180,8 +206,10 @@
         contacts: settings.peers.contacts,
         transport,
         clock,
-        coldStartMs: (pool) =>
-          store.current()?.tables.pools.pools[pool]?.coldStartMs ?? 0,
+        coldStartMs: (pool) => poolRules(pool)?.coldStartMs ?? 0,
+        ownerRules: (pool) => ownerRulesOf(poolRules(pool)),
+        onError: (error) =>
+          log.error("Peer message failed", errorFields(error)),
         holdsReaderLease: () => readerLeases.some((lease) => lease.isHeld()),
       }),
   });
@@ -199,10 +227,17 @@
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
   const random = new SeededRandom(seedOf(settings, clock.wallMs()));
-  const metrics = new Metrics(readGauges);
+  const metrics = new Metrics(() =>
+    daemonGauges({
+      load: serving.load(),
+      openCount: open.count,
+      isServing: drain.isServing,
+      status: control.status(),
+    })
+  );
   const keyClock = new KeyClock(() => clock.wallMs());
   const control = given.config === undefined || given.directory === undefined
-    ? wireControlPlane(settings, { clock, keyClock, random })
+    ? wireControlPlane(settings, { clock, keyClock, random, log })
     : new FixedControlPlane({
       config: given.config,
       directory: given.directory,
@@ -374,19 +409,6 @@
     }
   }
 
-  function readGauges(): GaugeValues {
-    const load = serving.load();
-    return {
-      goldcrest_in_flight: load?.inFlightCount ?? 0,
-      goldcrest_limit: load?.limitCount ?? 0,
-      goldcrest_queue_length: load?.queuedCount ?? 0,
-      goldcrest_admission_level: load?.levelRank ?? 0,
-      goldcrest_open_exchanges: open.count,
-      ...controlGauges(control.status()),
-      goldcrest_draining: drain.isServing ? 0 : 1,
-    };
-  }
-
   async function listen(): Promise<BoundAddresses> {
     const { listeners: addresses } = settings;
     const bound = {
--- a/src/membership/member_owners.ts
+++ b/src/membership/member_owners.ts
@@ -1,6 +1,11 @@
 /** Owners of keys by the history of members and of pools. */
-import type { EligibleOwners } from "../decisions/eligible_owners.ts";
+import {
+  DEFAULT_OWNER_RULES,
+  type EligibleOwners,
+  type OwnerRules,
+} from "../decisions/eligible_owners.ts";
 import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
+import type { Pool } from "../schemas/tables_schema.ts";
 import type { PlacementHistory } from "./placement_history.ts";
 
 /** Parts of {@link MemberOwners}. */
@@ -62,3 +67,17 @@
 ): T | undefined {
   return periods.findLast(({ fromMs }) => fromMs <= timeMs);
 }
+
+/**
+ * Reads the rules for owners out of a pool's entry.
+ *
+ * @param pool Entry of the table of pools; undefined gives the defaults.
+ * @returns Rules for the history of owners.
+ */
+export function ownerRulesOf(pool: Pool | undefined): OwnerRules {
+  if (pool === undefined) {
+    return DEFAULT_OWNER_RULES;
+  }
+  const { handoverMs, keyRetentionMs } = pool;
+  return { handoverMs, retentionMs: keyRetentionMs };
+}
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -158,12 +158,11 @@
     return this.#core;
   }
 
-  /** Whether this daemon should compete for a reader's lease. */
-  isReaderCandidate(): boolean {
-    const { instanceId, dataCentre } = this.identity;
+  /** Members of the own data centre that compete for the leases of readers. */
+  leaseCandidateIds(): readonly string[] {
+    const { dataCentre } = this.identity;
     return this.#core.readers.listCandidates(dataCentre)
-      .slice(0, LEASE_CANDIDATES_COUNT)
-      .includes(instanceId);
+      .slice(0, LEASE_CANDIDATES_COUNT);
   }
 
   /** Lists all members for `/status`. */
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -32,6 +32,7 @@
   readonly requests = new RequestMetrics();
   readonly #registry = new Registry();
   readonly #readGauges: () => GaugeValues;
+  readonly #gauges = new Map<GaugeName, Gauge>();
 
   /**
    * @param readGauges Reads the present values of all gauges.
@@ -69,6 +70,11 @@
    * @returns Prometheus text format.
    */
   async text(): Promise<string> {
+    // Read once, since the values walk over all members.
+    const values = this.#readGauges();
+    for (const [name, gauge] of this.#gauges) {
+      gauge.set(values[name]);
+    }
     const registered = await this.#registry.metrics();
     return `${registered}\n${summariesText(this.requests.listSeries())}`;
   }
@@ -110,16 +116,10 @@
   }
 
   #registerGauges(): void {
-    const readGauges = this.#readGauges;
     for (const name of (Object.keys(METRICS) as MetricName[]).filter(isGauge)) {
-      new Gauge({
-        name,
-        help: METRICS[name].help,
-        registers: [this.#registry],
-        collect() {
-          this.set(readGauges()[name]);
-        },
-      });
+      const { help } = METRICS[name];
+      const gauge = new Gauge({ name, help, registers: [this.#registry] });
+      this.#gauges.set(name, gauge);
     }
   }
 }
