Measure heap, directions and all daemons in bench:scale

Cause: the step watched 12 daemons and called them the last, drained and killed one daemon each, read the last applied generation whichever it was, and stated resident memory only, which hides what control adds.

Ruled out: counting /proc/PID/io wrongly. libuv reads and writes sockets by read and write, so that rchar and wchar count them; no operator listener is read during the quiet time.

Change: all daemons are watched, three are drained and three killed; delays belong to the change that was made; bytes received and sent; reads, writes and waiting watches of the platform; load average; heap plus external memory from /metrics after a garbage collection (SIGUSR2 to the bench's own entry), less the same of one daemon with control off.

--- /dev/null
+++ b/bench/scale/control_off_daemon.ts
@@ -0,0 +1,39 @@
+/**
+ * A daemon without control: fixed tables and directory, no peers and no
+ * platform. It collects its garbage on SIGUSR2. The argument is the number of
+ * routes; the ready line names its operator listener.
+ */
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { wireDaemon } from "../../src/daemon/wire.ts";
+import { settingsSchema } from "../../src/schemas/settings_schema.ts";
+import { FixedConfig, FixedDirectory } from "../../src/testing/fixed_parts.ts";
+import { makeFleetTables } from "./fleet_tables.ts";
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+process.on("SIGUSR2", () => collectGarbage());
+
+const anyPort = { host: "127.0.0.1", port: 0 };
+const settings = settingsSchema.parse({
+  instance: { id: "control-off", dataCentre: "dc-0" },
+  listeners: {
+    callers: anyPort,
+    hop: anyPort,
+    outbound: anyPort,
+    peer: anyPort,
+    operator: anyPort,
+  },
+  platform: { url: "http://127.0.0.1:9" },
+  peers: { keys: [{ id: "bench", secret: "bench-secret-0123456789" }] },
+});
+const daemon = wireDaemon(settings, {
+  config: new FixedConfig(
+    makeFleetTables(Number(process.argv[2]), { change: 1 }),
+  ),
+  directory: new FixedDirectory(),
+  processMetrics: true,
+});
+const { operator } = await daemon.listen();
+process.stdout.write(`${JSON.stringify({ operator })}\n`);
--- a/bench/scale/fleet.ts
+++ b/bench/scale/fleet.ts
@@ -14,11 +14,14 @@
   ProgramGroup,
   type StartedProgram,
 } from "../../stand_ins/program_group.ts";
+import {
+  DATA_CENTRES,
+  ENDPOINTS_PER_POOL,
+  makeFleetTables,
+} from "./fleet_tables.ts";
 
 const LOOPBACK = "127.0.0.1";
 const ANY_PORT = { host: LOOPBACK, port: 0 };
-const DATA_CENTRES_COUNT = 3;
-const ENDPOINTS_PER_POOL = 5;
 const START_BATCH_COUNT = 10;
 const CONTACTS_COUNT = 3;
 const READY_LIMIT_MS = 120_000;
@@ -29,12 +32,18 @@
 });
 const platformLineSchema = z.object({ url: z.url() });
 
+const controlOffLineSchema = z.object({ operator: addressSchema });
+
+/** A daemon whose cost is measured. */
+export type MeasuredDaemon = {
+  readonly program: StartedProgram;
+  readonly operatorUrl: string;
+};
+
 /** One daemon of the fleet. */
-export type FleetDaemon = {
+export type FleetDaemon = MeasuredDaemon & {
   readonly id: string;
   readonly dataCentre: string;
-  readonly program: StartedProgram;
-  readonly operatorUrl: string;
   readonly peer: Address;
 };
 
@@ -72,6 +81,21 @@
     );
   }
 
+  /**
+   * Starts a daemon without control, whose cost is subtracted.
+   *
+   * @returns The program and its operator listener.
+   */
+  async startControlOff(): Promise<MeasuredDaemon> {
+    const program = await this.#programs.start(
+      "bench/scale/control_off_daemon.js",
+      [String(this.#daemonsCount)],
+    );
+    const { operator } = controlOffLineSchema.parse(program.ready);
+    const operatorUrl = `http://${operator.host}:${operator.port}`;
+    return { program, operatorUrl };
+  }
+
   /** Stops all processes by force; the fleet has no work to drain. */
   async stop(): Promise<void> {
     for (const { program } of this.daemons) {
@@ -87,29 +111,15 @@
    * @param change Number of the change.
    */
   async applyTables(change: number): Promise<void> {
-    const poolsCount = Math.ceil(this.#daemonsCount / ENDPOINTS_PER_POOL);
-    const names = Array.from({ length: poolsCount }, (_, i) => `pool-${i}`);
-    const routes = names.map((pool, index) => [`route-${index}`, {
-      match: { method: "GET", pathPrefix: `/${pool}` },
-      pool,
-      class: "standard",
-      idempotent: true,
-      timeoutMs: index === 0 ? 10_000 + change : 10_000,
-    }]);
-    const pools = names.map((pool) => [pool, {
-      dataCentres: this.#dataCentres(),
-      slotsCount: 10,
-      connectionsMaxCount: 1_000,
-      endpointsCount: ENDPOINTS_PER_POOL,
-    }]);
+    const { routes, pools } = makeFleetTables(this.#daemonsCount, { change });
     const code = await this.#programs.run("src/cli/main.js", [
       "apply",
       "--platform",
       this.platformUrl,
       "--routes",
-      this.#write("routes.jsonc", { routes: Object.fromEntries(routes) }),
+      this.#write("routes.jsonc", routes),
       "--pools",
-      this.#write("pools.jsonc", { pools: Object.fromEntries(pools) }),
+      this.#write("pools.jsonc", pools),
     ]);
     if (code !== 0) {
       throw new Error(`The tool ended with exit code ${code}`);
@@ -152,13 +162,9 @@
     }
   }
 
-  #dataCentres(): string[] {
-    return Array.from({ length: DATA_CENTRES_COUNT }, (_, i) => `dc-${i}`);
-  }
-
   async #startOne(number: number): Promise<FleetDaemon> {
     const id = `instance-${number}`;
-    const dataCentre = `dc-${number % DATA_CENTRES_COUNT}`;
+    const dataCentre = DATA_CENTRES[number % DATA_CENTRES.length] as string;
     const settingsFile = this.#write(`${id}.jsonc`, {
       instance: { id, dataCentre },
       listeners: {
@@ -182,7 +188,7 @@
       },
       log: { level: "error" },
     });
-    const program = await this.#programs.start("src/daemon/main.js", [
+    const program = await this.#programs.start("bench/scale/fleet_daemon.js", [
       settingsFile,
     ]);
     const { listeners } = daemonLineSchema.parse(program.ready);
