Announce the operator listener and read statuses without members

Change: a member's place has operatorHost and operatorPort (two bytes more in the compact record, 44 a row); `/status` states them; the tool finds all daemons from one and asks each once, also when the operator named it by another address. `/status?members=none` leaves the members out and the tool uses it for all daemons but the named ones; another value is answered 400. A loopback listener is announced only among loopback peers, one at all addresses at the peer's host. Two stored announcements that differ only by a missing field are no longer equal.

Ruled out: a member without operator listener as port 0 on the wire; the fields are absent instead.

--- a/src/cli/daemon_client.ts
+++ b/src/cli/daemon_client.ts
@@ -48,15 +48,28 @@
   }
 }
 
+/** Options of a read of the status. */
+export type StatusOptions = {
+  /**
+   * Whether the members are read too; default all. A member of a large fleet
+   * answers with thousands of members, of which one daemon's list is enough.
+   */
+  members?: "all" | "none";
+};
+
 /**
  * Reads the status of a daemon.
  *
  * @param url Operator listener.
+ * @param options Whether the members are read too.
  * @returns Checked status.
  * @throws {DaemonError} Without a valid answer.
  */
-export async function readStatus(url: string): Promise<Status> {
-  const text = await call(url, "/status", "GET");
+export async function readStatus(
+  url: string,
+  { members = "all" }: StatusOptions = {},
+): Promise<Status> {
+  const text = await call(url, `/status?members=${members}`, "GET");
   try {
     return statusSchema.parse(JSON.parse(text));
   } catch {
@@ -89,9 +102,12 @@
   await call(url, `/${action}`, "POST");
 }
 
-async function viewDaemon(url: string): Promise<DaemonView> {
+async function viewDaemon(
+  url: string,
+  options: StatusOptions,
+): Promise<DaemonView> {
   try {
-    return { url, status: await readStatus(url) };
+    return { url, status: await readStatus(url, options) };
   } catch (error) {
     return { url, error: (error as Error).message };
   }
@@ -101,15 +117,19 @@
  * Reads the status of several daemons, a bounded number at once.
  *
  * @param urls Operator listeners.
+ * @param options Whether the members are read too.
  * @returns One view for each, in order.
  */
 export async function viewDaemons(
   urls: readonly string[],
+  options: StatusOptions = {},
 ): Promise<DaemonView[]> {
   const views: DaemonView[] = [];
   for (let start = 0; start < urls.length; start += CONCURRENCY_MAX) {
     const batch = urls.slice(start, start + CONCURRENCY_MAX);
-    views.push(...await Promise.all(batch.map(viewDaemon)));
+    views.push(
+      ...await Promise.all(batch.map((url) => viewDaemon(url, options))),
+    );
   }
   return views;
 }
@@ -118,11 +138,15 @@
  * Lists the operator listeners of the members that daemons name.
  *
  * @param views Daemons that were asked.
- * @returns URLs of members that are not gone, the asked ones included.
+ * @returns URLs of members that are not gone, the asked ones included, each
+ * daemon once even when the operator named it by another address.
  */
 export function listMemberUrls(views: readonly DaemonView[]): string[] {
+  const asked = new Set(views.map(({ status }) => status?.instanceId));
   const members = views.flatMap(({ status }) => status?.members ?? [])
-    .filter(({ state }) => state !== "dead" && state !== "left")
+    .filter(({ state, instanceId }) =>
+      state !== "dead" && state !== "left" && !asked.has(instanceId)
+    )
     .flatMap(({ operator }) => operator ?? [])
     .map(({ host, port }) =>
       host.includes(":") ? `http://[${host}]:${port}` : `http://${host}:${port}`
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -44,7 +44,7 @@
     return views;
   }
   const others = listMemberUrls(views).filter((url) => !urls.includes(url));
-  return [...views, ...await viewDaemons(others)];
+  return [...views, ...await viewDaemons(others, { members: "none" })];
 }
 
 function exitCodeOf(views: DaemonView[]): ExitCode {
--- a/src/cli/daemon_text.ts
+++ b/src/cli/daemon_text.ts
@@ -51,7 +51,10 @@
     `  configuration  generation ${config.generation} ${digest}, confirmed ${ageS} s ago`,
     `  admission      level ${admission.level} of 512, in flight ` +
     `${admission.inFlightCount} of ${admission.limitCount}, queue ${admission.queueCount}`,
-    `  members        ${countMembers(status) || "none"}`,
+    // A daemon lists itself, so the list is empty only when not asked for.
+    ...status.members.length === 0
+      ? []
+      : [`  members        ${countMembers(status)}`],
     ...status.leases.map(({ name, state, holder = "unknown" }) =>
       `  lease          ${name}: ${state}, holder ${holder}`
     ),
--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -135,7 +135,7 @@
   const open = listed.filter((url) =>
     !done.has(url) && !daemonUrls.includes(url)
   );
-  const views = [...seeds, ...await viewDaemons(open)];
+  const views = [...seeds, ...await viewDaemons(open, { members: "none" })];
   const lagging = views.flatMap((view) => {
     const lag = describeLag(view, generation);
     if (lag === undefined) {
--- /dev/null
+++ b/src/daemon/announced_operator_test.ts
@@ -0,0 +1,21 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { announcedOperator } from "./announced_operator.ts";
+
+const peer = { host: "10.0.0.7", port: 9083 };
+const announce = (host: string, peerHost = peer.host) =>
+  announcedOperator({ host, port: 9084 }, {
+    peer: { ...peer, host: peerHost },
+  });
+
+// Guards against a tool that asks its own machine instead of the member.
+test("a loopback listener is announced only among loopback peers", () => {
+  assert.deepEqual(announce("127.0.0.1"), {});
+  assert.deepEqual(announce("::1"), {});
+  assert.equal(announce("127.0.0.1", "127.0.0.1").operatorPort, 9084);
+});
+
+test("a listener at all addresses is announced at the peer's host", () => {
+  assert.equal(announce("0.0.0.0").operatorHost, "10.0.0.7");
+  assert.equal(announce("10.0.0.8").operatorHost, "10.0.0.8");
+});
--- a/src/daemon/daemon_parts.ts
+++ b/src/daemon/daemon_parts.ts
@@ -69,7 +69,7 @@
   /** Tells the peers that this instance takes no new work, or takes it again. */
   setLeaving(isLeaving: boolean): void;
   /** State for `/status`. */
-  status(): ControlStatus;
+  status(options: { listsMembers: boolean }): ControlStatus;
   /** Leaves the peers and closes all connections. */
   close(): Promise<void>;
 }
--- a/src/daemon/operator_view.ts
+++ b/src/daemon/operator_view.ts
@@ -22,7 +22,7 @@
   /** Load of the own upstream; undefined when none is attached. */
   load: () => LoadState | undefined;
   /** State of membership and configuration. */
-  controlStatus: () => ControlStatus;
+  controlStatus: (options: { listsMembers: boolean }) => ControlStatus;
 };
 
 /** Options of {@link OperatorView}. */
@@ -66,14 +66,14 @@
   }
 
   /** @inheritdoc */
-  status(): Status {
+  status(options: { listsMembers: boolean }): Status {
     const { instance, identity } = this.#options;
     return {
       instanceId: instance.id,
       incarnationEpochMs: identity.incarnationEpochMs,
       dataCentre: instance.dataCentre,
       state: this.#state(),
-      ...this.#parts.controlStatus(),
+      ...this.#parts.controlStatus(options),
       admission: this.#admission(),
       counters: this.#parts.metrics.requests.counters(),
     };
--- a/src/daemon/peer_control_plane.ts
+++ b/src/daemon/peer_control_plane.ts
@@ -90,10 +90,10 @@
   }
 
   /** @inheritdoc */
-  status(): ControlStatus {
+  status({ listsMembers }: { listsMembers: boolean }): ControlStatus {
     return {
       config: this.config.status(),
-      members: this.directory.listMembers(),
+      members: listsMembers ? this.directory.listMembers() : [],
       leases: this.#parts.leases.map((lease) => lease.status()),
     };
   }
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -41,6 +41,7 @@
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
 import { errorFields, type Logger, NullLogger } from "../telemetry/logger.ts";
 import { Metrics } from "../telemetry/metrics.ts";
+import { announcedOperator } from "./announced_operator.ts";
 import { daemonGauges } from "./daemon_gauges.ts";
 import { DaemonLife } from "./daemon_life.ts";
 import type {
@@ -192,7 +193,7 @@
         random,
         holdsLease: () => readerLeases[0]?.isHeld() ?? false,
       }),
-    createMembership: ({ peer, hop }) =>
+    createMembership: ({ peer, hop, operator }) =>
       new MembershipPart({
         ...holder,
         dataCentre,
@@ -201,6 +202,7 @@
           peerPort: peer.port,
           hopHost: hop.host,
           hopPort: hop.port,
+          ...announcedOperator(operator, { peer }),
           ...NO_UPSTREAM,
         },
         contacts: settings.peers.contacts,
@@ -232,7 +234,7 @@
       load: serving.load(),
       openCount: open.count,
       isServing: drain.isServing,
-      status: control.status(),
+      status: control.status({ listsMembers: true }),
     })
   );
   const keyClock = new KeyClock(() => clock.wallMs());
@@ -375,7 +377,7 @@
       attachment,
       metrics,
       load: () => serving.load(),
-      controlStatus: () => control.status(),
+      controlStatus: (options) => control.status(options),
     }, { instance: settings.instance, identity }),
     { log },
   );
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -1,4 +1,5 @@
 /** Compact store of all members of the fleet. */
+import type { Address } from "../schemas/common_schema.ts";
 import type { MemberPlace, MemberUpdate } from "../schemas/member_schema.ts";
 import { bucketName, bucketOf, BUCKETS_COUNT } from "./member_digests.ts";
 
@@ -8,6 +9,13 @@
 /** A member's record without its state, which is the chart's. */
 export type MemberRecord = Omit<MemberUpdate, "state" | "suspectedBy">;
 
+/** Hosts of a member's listeners. */
+type Hosts = {
+  readonly peer: string;
+  readonly hop: string;
+  readonly operator: string;
+};
+
 function parseIpv4(host: string): number | undefined {
   const parts = host.split(".");
   if (parts.length !== 4) {
@@ -49,6 +57,8 @@
   readonly connections: Uint32Array;
   readonly peerPorts: Uint16Array;
   readonly hopPorts: Uint16Array;
+  /** 0 when the member announces no operator listener. */
+  readonly operatorPorts: Uint16Array;
   readonly pools: Uint16Array;
   readonly dataCentres: Uint16Array;
   readonly states: Uint8Array;
@@ -63,6 +73,7 @@
     this.connections = new Uint32Array(capacity);
     this.peerPorts = new Uint16Array(capacity);
     this.hopPorts = new Uint16Array(capacity);
+    this.operatorPorts = new Uint16Array(capacity);
     this.pools = new Uint16Array(capacity);
     this.dataCentres = new Uint16Array(capacity);
     this.states = new Uint8Array(capacity);
@@ -80,6 +91,7 @@
     larger.connections.set(this.connections);
     larger.peerPorts.set(this.peerPorts);
     larger.hopPorts.set(this.hopPorts);
+    larger.operatorPorts.set(this.operatorPorts);
     larger.pools.set(this.pools);
     larger.dataCentres.set(this.dataCentres);
     larger.states.set(this.states);
@@ -89,7 +101,7 @@
 }
 
 /**
- * All members in typed columns: 42 bytes a row besides the instance id and its
+ * All members in typed columns: 44 bytes a row besides the instance id and its
  * index. Full objects are built only when they are read.
  */
 export class MemberTable {
@@ -98,8 +110,8 @@
   readonly #rowsById = new Map<string, number>();
   readonly #freeRows: number[] = [];
   readonly #names = new NameList();
-  /** Hosts that are not one IPv4 address for both listeners. */
-  readonly #otherHosts = new Map<number, { peer: string; hop: string }>();
+  /** Hosts that are not one IPv4 address for all listeners. */
+  readonly #otherHosts = new Map<number, Hosts>();
 
   /** Number of members. */
   get size(): number {
@@ -154,6 +166,7 @@
     columns.connections[row] = record.connectionsMaxCount;
     columns.peerPorts[row] = record.peerPort;
     columns.hopPorts[row] = record.hopPort;
+    columns.operatorPorts[row] = record.operatorPort ?? 0;
     columns.pools[row] = this.#names.indexOf(record.pool);
     this.#writeHosts(row, record);
   }
@@ -169,6 +182,7 @@
       ...this.#readHosts(row),
       peerPort: columns.peerPorts[row] as number,
       hopPort: columns.hopPorts[row] as number,
+      ...this.#readOperator(row),
       pool: this.poolOf(row),
       slotsCount: columns.slots[row] as number,
       connectionsMaxCount: columns.connections[row] as number,
@@ -242,12 +256,25 @@
     this.#columns.learned[row] = learnedMs;
   }
 
+  /**
+   * Operator listener of a member.
+   *
+   * @param row Row of the member.
+   * @returns Its address; undefined when the member announces none.
+   */
+  operatorOf(row: number): Address | undefined {
+    const port = this.#columns.operatorPorts[row] as number;
+    return port === 0 ? undefined : { host: this.#hostsOf(row).operator, port };
+  }
+
   #writeHosts(row: number, place: MemberPlace): void {
-    const value = place.peerHost === place.hopHost
-      ? parseIpv4(place.peerHost)
+    const { peerHost: peer, hopHost: hop, operatorHost: operator = peer } =
+      place;
+    const value = peer === hop && peer === operator
+      ? parseIpv4(peer)
       : undefined;
     if (value === undefined) {
-      this.#otherHosts.set(row, { peer: place.peerHost, hop: place.hopHost });
+      this.#otherHosts.set(row, { peer, hop, operator });
     } else {
       this.#otherHosts.delete(row);
     }
@@ -255,11 +282,25 @@
   }
 
   #readHosts(row: number): Pick<MemberPlace, "peerHost" | "hopHost"> {
+    const { peer, hop } = this.#hostsOf(row);
+    return { peerHost: peer, hopHost: hop };
+  }
+
+  #readOperator(
+    row: number,
+  ): Pick<MemberPlace, "operatorHost" | "operatorPort"> {
+    const operator = this.operatorOf(row);
+    return operator === undefined
+      ? {}
+      : { operatorHost: operator.host, operatorPort: operator.port };
+  }
+
+  #hostsOf(row: number): Hosts {
     const other = this.#otherHosts.get(row);
     if (other !== undefined) {
-      return { peerHost: other.peer, hopHost: other.hop };
+      return other;
     }
     const host = formatIpv4(this.#columns.hosts[row] as number);
-    return { peerHost: host, hopHost: host };
+    return { peer: host, hop: host, operator: host };
   }
 }
--- /dev/null
+++ b/src/membership/member_table_test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { MemberTable } from "./member_table.ts";
+import { isSameShard } from "./shard_content.ts";
+
+const place = {
+  instanceId: "a",
+  dataCentre: "dc-a",
+  incarnationEpochMs: 1,
+  sequence: 0,
+  peerHost: "10.0.0.1",
+  peerPort: 1,
+  hopHost: "10.0.0.1",
+  hopPort: 2,
+  pool: "",
+  slotsCount: 0,
+  connectionsMaxCount: 0,
+};
+const operators = [
+  {},
+  { operatorHost: "10.0.0.1", operatorPort: 3 },
+  { operatorHost: "10.9.9.9", operatorPort: 3 },
+  { operatorHost: "fd00::1", operatorPort: 3 },
+];
+
+// Guards against a tool that asks a listener at another host than announced.
+test("the compact record keeps the operator listener, also when it changes", () => {
+  const table = new MemberTable();
+  const row = table.add(place, 0);
+  for (const operator of operators) {
+    const record = { ...place, ...operator };
+    table.write(row, record);
+    assert.deepEqual(table.read(row), record);
+  }
+});
+
+test("an announcement that gains an operator listener is written", () => {
+  const { sequence: _sequence, ...stored } = place;
+  const gained = { ...stored, ...operators[1] };
+  assert.equal(isSameShard([stored], [gained]), false);
+  assert.equal(isSameShard([gained], [stored]), false);
+});
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -170,12 +170,14 @@
     const { registry } = this.#core;
     return [...registry.table.rows()].map((row) => {
       const pool = registry.table.poolOf(row);
+      const operator = registry.table.operatorOf(row);
       return {
         instanceId: registry.table.idOf(row),
         incarnationEpochMs: registry.table.incarnationOf(row),
         dataCentre: registry.table.dataCentreOf(row),
         state: STATUS_STATES[registry.stateAt(row)],
         ...(pool !== "" && { pool }),
+        ...(operator !== undefined && { operator }),
       };
     });
   }
--- a/src/membership/shard_content.ts
+++ b/src/membership/shard_content.ts
@@ -108,8 +108,10 @@
 ): boolean {
   return a.length === b.length && a.every((one, index) => {
     const other = b[index] as StoredMember;
-    return Object.entries(one).every(([field, value]) =>
-      other[field as keyof StoredMember] === value
-    );
+    const entries = Object.entries(one);
+    return entries.length === Object.keys(other).length &&
+      entries.every(([field, value]) =>
+        other[field as keyof StoredMember] === value
+      );
   });
 }
--- a/src/operator/operator_server.ts
+++ b/src/operator/operator_server.ts
@@ -99,7 +99,7 @@
     return new Map([
       ["/healthz", new Map([["GET", () => ok({ healthy: true })]])],
       ["/readyz", new Map([["GET", () => this.#readiness()]])],
-      ["/status", new Map([["GET", () => this.#status()]])],
+      ["/status", new Map([["GET", (request) => this.#status(request)]])],
       ["/metrics", new Map([["GET", () => this.#metrics()]])],
       ["/drain", new Map([["POST", () => this.#drain()]])],
       ["/undrain", new Map([["POST", () => this.#undrain()]])],
@@ -121,8 +121,15 @@
     return { status: readiness.ready ? 200 : 503, body: readiness };
   }
 
-  #status(): Answer {
-    return ok(statusSchema.parse(this.#target.status()));
+  #status({ url = "" }: IncomingMessage): Answer {
+    const query = url.split("?", 2)[1];
+    const members = new URLSearchParams(query).get("members") ?? "all";
+    if (members !== "all" && members !== "none") {
+      const error = 'Query "members" must be "all" or "none"';
+      return { status: 400, body: { error } };
+    }
+    const listsMembers = members === "all";
+    return ok(statusSchema.parse(this.#target.status({ listsMembers })));
   }
 
   async #metrics(): Promise<Answer> {
--- a/src/operator/operator_server_test.ts
+++ b/src/operator/operator_server_test.ts
@@ -107,3 +107,10 @@
   target.ending = true;
   assert.equal((await call("POST", "/undrain")).status, 409);
 });
+
+// Guards against a mistyped query that is answered with all members.
+test("an unknown value of the query is refused by name", async () => {
+  const { status, text } = await call("GET", "/status?members=some");
+  assert.equal(status, 400);
+  assert.match(text, /must be \\"all\\" or \\"none\\"/);
+});
--- a/src/operator/operator_target.ts
+++ b/src/operator/operator_target.ts
@@ -11,8 +11,13 @@
 export interface OperatorTarget {
   /** Tells whether the daemon takes requests. */
   readiness(): Readiness;
-  /** Describes the daemon. */
-  status(): Status;
+  /**
+   * Describes the daemon.
+   *
+   * @param options Whether the members are listed.
+   * @returns Status; without members when they are not asked for.
+   */
+  status(options: { listsMembers: boolean }): Status;
   /** Writes all metrics in Prometheus text format. */
   metricsText(): Promise<string>;
   /** Starts a drain without ending the process. */
--- a/src/schemas/member_schema.ts
+++ b/src/schemas/member_schema.ts
@@ -37,6 +37,9 @@
   peerPort: z.int().min(1).max(65535),
   hopHost: hostSchema,
   hopPort: z.int().min(1).max(65535),
+  /** Operator listener; absent when it cannot be reached from outside. */
+  operatorHost: hostSchema.optional(),
+  operatorPort: z.int().min(1).max(65535).optional(),
   /** Pool of the upstream; empty while no upstream is announced. */
   pool: z.union([nameSchema, z.literal("")]),
   slotsCount: z.int().min(0).max(1_000_000),
--- a/src/schemas/status_schema.ts
+++ b/src/schemas/status_schema.ts
@@ -75,7 +75,8 @@
   dataCentre: nameSchema,
   state: z.enum(["starting", "ready", "draining", "stopped"]),
   config: configStatusSchema,
-  members: z.array(memberStatusSchema),
+  members: z.array(memberStatusSchema)
+    .describe("Empty with the query `members=none`"),
   leases: z.array(leaseStatusSchema),
   admission: admissionStatusSchema,
   counters: z.array(classCountersSchema),
