--- /dev/null
+++ b/bench/membership/measure_fleet.ts
@@ -0,0 +1,196 @@
+/** Cost of membership in a simulated data centre. */
+import process from "node:process";
+import {
+  type FleetMessage,
+  type FleetNode,
+  MembershipFleet,
+} from "../membership_fleet.ts";
+import { measureCodecMs, sealedBytes, type Traffic } from "./message_sizes.ts";
+
+const SEED = 1;
+const CONTACTS_COUNT = 3;
+const CONVERGE_LIMIT_MS = 60_000;
+const IDLE_MS = 10_000;
+const LOSS_LIMIT_MS = 30_000;
+const SETTLE_MS = 10_000;
+const EVENTS_COUNT = 5;
+const MS_PER_S = 1_000;
+const US_PER_MS = 1_000;
+
+/** Cost of one event, such as a restart, at one daemon. */
+export type EventCost = {
+  /** Floods that a daemon sends and receives for one event. */
+  readonly pushesCount: number;
+  /** Bytes of these floods and their answers, sent and received. */
+  readonly bytes: number;
+  /** Longest virtual time until the last daemon has it, in ms. */
+  readonly lastMs: number;
+};
+
+/** Figures of a simulated data centre. */
+export type FleetCost = {
+  readonly membersCount: number;
+  /** Exchanges that a daemon starts or answers each second. */
+  readonly idleExchangesPerS: number;
+  /** Bytes of these exchanges, without the framing of gRPC. */
+  readonly idleBytesPerS: number;
+  /** Processor time of the decisions of one daemon, in ms each second. */
+  readonly idleDecisionsMsPerS: number;
+  /** Processor time of encoding and decoding a probe, in ms. */
+  readonly codecMs: number;
+  readonly placement: EventCost;
+  readonly kill: EventCost;
+  readonly leave: EventCost;
+  readonly start: EventCost;
+};
+
+class FleetMeter {
+  readonly fleet: MembershipFleet;
+  readonly #membersCount: number;
+  #traffic = new Map<FleetMessage["kind"], Traffic>();
+  #isCounting = false;
+  lastProbe: FleetMessage | undefined;
+
+  constructor(membersCount: number) {
+    this.#membersCount = membersCount;
+    this.fleet = new MembershipFleet({
+      seed: SEED,
+      onMessage: (message) => this.#count(message),
+    });
+    this.fleet.addNodes(membersCount, {
+      dataCentre: "dc-0",
+      contactsCount: CONTACTS_COUNT,
+    });
+  }
+
+  converge(): void {
+    const { fleet } = this;
+    const isDone = () =>
+      fleet.nodes.every(({ core }) =>
+        core.registry.table.size === this.#membersCount
+      );
+    if (fleet.runUntil(isDone, CONVERGE_LIMIT_MS) === Infinity) {
+      throw new Error("The members do not find each other");
+    }
+    fleet.run(SETTLE_MS);
+  }
+
+  /** Counts the messages of an action, per daemon; both ends count them. */
+  count(action: () => void): Map<FleetMessage["kind"], Traffic> {
+    this.#traffic = new Map();
+    this.#isCounting = true;
+    action();
+    this.#isCounting = false;
+    return this.#traffic;
+  }
+
+  #count(message: FleetMessage): void {
+    if (!this.#isCounting) {
+      return;
+    }
+    const { kind } = message;
+    if (kind === "probe") {
+      this.lastProbe = message;
+    }
+    const known = this.#traffic.get(kind) ?? { messagesCount: 0, bytes: 0 };
+    this.#traffic.set(kind, {
+      messagesCount: known.messagesCount + 1,
+      bytes: known.bytes + sealedBytes(message),
+    });
+  }
+
+  /** Cost of an event at one daemon; an exchange costs two daemons. */
+  measureEvent(
+    subjects: readonly FleetNode[],
+    act: (node: FleetNode) => void,
+    isSeen: (watcher: FleetNode, subject: FleetNode) => boolean,
+  ): EventCost {
+    const delaysMs: number[] = [];
+    const traffic = this.count(() => {
+      for (const subject of subjects) {
+        const watchers = this.fleet.nodes.filter((node) =>
+          node !== subject && node.condition === "up"
+        );
+        act(subject);
+        delaysMs.push(this.fleet.runUntil(
+          () => watchers.every((watcher) => isSeen(watcher, subject)),
+          LOSS_LIMIT_MS,
+        ));
+        this.fleet.run(MS_PER_S);
+      }
+    });
+    const pushes = traffic.get("push") ?? { messagesCount: 0, bytes: 0 };
+    const share = 2 / (this.#membersCount * subjects.length);
+    return {
+      pushesCount: pushes.messagesCount * share,
+      bytes: pushes.bytes * share,
+      lastMs: Math.max(...delaysMs),
+    };
+  }
+}
+
+function measureDecisionsMs(fleet: MembershipFleet): number {
+  const start = process.cpuUsage();
+  fleet.run(IDLE_MS);
+  const { user, system } = process.cpuUsage(start);
+  return (user + system) / US_PER_MS / fleet.nodes.length /
+    (IDLE_MS / MS_PER_S);
+}
+
+function measureEvents(meter: FleetMeter) {
+  const { fleet } = meter;
+  const { nodes } = fleet;
+  const subjectsFrom = (first: number) =>
+    nodes.slice(first, first + EVENTS_COUNT);
+  const isGone = (watcher: FleetNode, subject: FleetNode) =>
+    fleet.view(watcher, subject) !== "alive";
+  const placement = meter.measureEvent(
+    subjectsFrom(CONTACTS_COUNT),
+    (node) => fleet.send(node, { kind: "placed", place: { slotsCount: 17 } }),
+    (watcher, { id, core }) =>
+      watcher.core.registry.versionOf(id)?.sequence === core.ownUpdate.sequence,
+  );
+  const leaving = subjectsFrom(CONTACTS_COUNT + EVENTS_COUNT);
+  const leave = meter.measureEvent(leaving, (node) => {
+    fleet.send(node, { kind: "leave" });
+    fleet.run(MS_PER_S);
+    fleet.send(node, { kind: "left" });
+    fleet.kill(node);
+  }, isGone);
+  const start = meter.measureEvent(
+    leaving,
+    (node) =>
+      fleet.restart(
+        node,
+        nodes.slice(0, CONTACTS_COUNT).map(({ address }) => address),
+      ),
+    (watcher, subject) => fleet.view(watcher, subject) === "alive",
+  );
+  const killed = subjectsFrom(CONTACTS_COUNT + 2 * EVENTS_COUNT);
+  const kill = meter.measureEvent(killed, (node) => fleet.kill(node), isGone);
+  return { placement, leave, start, kill };
+}
+
+/**
+ * Measures a data centre of simulated daemons under a virtual clock.
+ *
+ * @param membersCount Daemons.
+ * @returns Cost per daemon.
+ */
+export function measureFleet(membersCount: number): FleetCost {
+  const meter = new FleetMeter(membersCount);
+  meter.converge();
+  const idleDecisionsMsPerS = measureDecisionsMs(meter.fleet);
+  const idle = [...meter.count(() => meter.fleet.run(IDLE_MS)).values()];
+  const sum = (field: keyof Traffic) =>
+    idle.reduce((total, traffic) => total + traffic[field], 0);
+  const perDaemonS = 2 / membersCount / (IDLE_MS / MS_PER_S);
+  return {
+    membersCount,
+    idleExchangesPerS: sum("messagesCount") * perDaemonS,
+    idleBytesPerS: sum("bytes") * perDaemonS,
+    idleDecisionsMsPerS,
+    codecMs: measureCodecMs(meter.lastProbe as FleetMessage),
+    ...measureEvents(meter),
+  };
+}
--- /dev/null
+++ b/bench/membership/message_sizes.ts
@@ -0,0 +1,87 @@
+/** Sizes of the membership's messages as they are sent. */
+import type { z } from "zod";
+import {
+  openEnvelope,
+  packBody,
+  sealEnvelope,
+  unpackBody,
+} from "../../src/peer/envelope.ts";
+import { KeyRing } from "../../src/peer/key_ring.ts";
+import {
+  PROBE_METHOD,
+  PUSH_METHOD,
+  SYNC_METHOD,
+} from "../../src/membership/peer_methods.ts";
+import { measureCpuMs } from "../config/measure.ts";
+import type { FleetMessage, FleetNode } from "../membership_fleet.ts";
+
+const METHODS = {
+  probe: PROBE_METHOD,
+  push: PUSH_METHOD,
+  sync: SYNC_METHOD,
+} as const;
+const KEYS = new KeyRing([{ id: "bench", secret: "bench-secret-0123456789" }]);
+const REQUEST_ID = "123456789012";
+const CODEC_REPEATS_COUNT = 5_000;
+
+/** Number and bytes of messages, requests and answers counted as one. */
+export type Traffic = { messagesCount: number; bytes: number };
+
+/** One direction of an exchange. */
+type Half = {
+  readonly from: FleetNode;
+  readonly to: FleetNode;
+  readonly body: unknown;
+  readonly direction: "request" | "answer";
+};
+
+function seal(kind: FleetMessage["kind"], half: Half): Buffer {
+  const { from, to, body, direction } = half;
+  const method = METHODS[kind];
+  const schema: z.ZodType = direction === "request"
+    ? method.request
+    : method.answer;
+  return sealEnvelope(
+    {
+      direction,
+      method: method.name,
+      from: from.core.identity,
+      target: to.id,
+      sentEpochMs: Date.now(),
+      requestId: REQUEST_ID,
+    },
+    packBody(body, schema),
+    { keys: KEYS },
+  );
+}
+
+/**
+ * Computes the bytes of an exchange, without the framing of gRPC.
+ *
+ * @param message Message that was answered.
+ * @returns Bytes of request and answer with their envelopes.
+ */
+export function sealedBytes(message: FleetMessage): number {
+  const { kind, from, body, answer } = message;
+  const to = message.to as FleetNode;
+  const request = seal(kind, { from, to, body, direction: "request" });
+  const reply = { from: to, to: from, body: answer };
+  return request.length +
+    seal(kind, { ...reply, direction: "answer" }).length;
+}
+
+/**
+ * Measures the codec: schema checks, packing and MAC at both ends.
+ *
+ * @param message A probe that was answered.
+ * @returns Processor time of one message at both ends together, in ms.
+ */
+export function measureCodecMs(message: FleetMessage): number {
+  const { from, body } = message;
+  const to = message.to as FleetNode;
+  return measureCpuMs(CODEC_REPEATS_COUNT, () => {
+    const bytes = seal("probe", { from, to, body, direction: "request" });
+    const opened = openEnvelope(bytes, { keys: KEYS, wallMs: Date.now() });
+    unpackBody(opened.body, PROBE_METHOD.request);
+  });
+}
