--- /dev/null
+++ b/bench/capacity/model.ts
@@ -0,0 +1,212 @@
+/** Cost of each role at the design size, computed from measured slopes. */
+import { DATA_CENTRE_MEMBERS_COUNT, DESIGN_SIZE } from "./design_size.ts";
+import { valueAt } from "./fit_line.ts";
+import type { MeasuredStep, Slopes } from "./slopes_schema.ts";
+
+/** Data centres of the measured fleets. */
+const BENCH_DATA_CENTRES_COUNT = 3;
+/** Heads compared each second: one asked and one answered each 2 s. */
+const COMPARISONS_PER_S = 1;
+const NEIGHBOURS_COUNT = 8;
+const READERS_PER_DATA_CENTRE = 2;
+/** Exchanges of a reader with other data centres: probes and comparisons. */
+const REMOTE_EXCHANGES_PER_S = 3;
+/** Leaving, left and joined; or suspect, dead and joined. */
+const UPDATES_PER_EVENT = 3;
+const SHARDS_COUNT = 4;
+/** Announcements of a restart: the old instance leaves and a new one joins. */
+const SHARD_WRITES_PER_EVENT = 2;
+const MS_PER_S = 1_000;
+
+const { changesPerS, restartsPerS, failuresPerS, routesCount } = DESIGN_SIZE;
+
+/** Updates of members of the whole fleet each second. */
+export const UPDATES_PER_S = UPDATES_PER_EVENT * (restartsPerS + failuresPerS);
+
+/** Cost of a role, on top of nothing. */
+export type RoleCost = {
+  readonly messagesPerS: number;
+  readonly bytesPerS: number;
+  readonly coreRatio: number;
+};
+
+/** Costs of one exchange at one end, as measured in the largest fleet. */
+export type ExchangeCost = {
+  readonly bytes: number;
+  readonly cpuMs: number;
+};
+
+/** Fleet of the most processes that was measured. */
+export function largestStep({ scale }: Slopes): MeasuredStep {
+  return scale.steps.at(-1) as MeasuredStep;
+}
+
+/** Simulated data centre of the most members. */
+export function largestFleet({ membership }: Slopes) {
+  return membership.fleets.at(-1) as Slopes["membership"]["fleets"][number];
+}
+
+/**
+ * Divides what control costs in the largest fleet by the exchanges that cause
+ * it. Leases and platform calls are part of the result, so that it is high.
+ *
+ * @param slopes Measured values.
+ * @returns Cost of one exchange at one of its ends.
+ */
+export function exchangeCost(slopes: Slopes): ExchangeCost {
+  const { coreRatio, offCoreRatio, bytesPerS } = largestStep(slopes);
+  const perS = largestFleet(slopes).idleExchangesPerS + COMPARISONS_PER_S;
+  return {
+    bytes: bytesPerS.mean / perS,
+    cpuMs: (coreRatio.mean - offCoreRatio) * MS_PER_S / perS,
+  };
+}
+
+function sumCosts(...costs: RoleCost[]): RoleCost {
+  return costs.reduce((sum, cost) => ({
+    messagesPerS: sum.messagesPerS + cost.messagesPerS,
+    bytesPerS: sum.bytesPerS + cost.bytesPerS,
+    coreRatio: sum.coreRatio + cost.coreRatio,
+  }));
+}
+
+function exchangesCost(
+  slopes: Slopes,
+  perS: number,
+  extra: { bytesPerS?: number; cpuMsPerS?: number } = {},
+): RoleCost {
+  const { bytes, cpuMs } = exchangeCost(slopes);
+  return {
+    messagesPerS: perS,
+    bytesPerS: perS * bytes + (extra.bytesPerS ?? 0),
+    coreRatio: (perS * cpuMs + (extra.cpuMsPerS ?? 0)) / MS_PER_S,
+  };
+}
+
+/** Probes and comparisons of an idle daemon. */
+export function idleCost(slopes: Slopes): RoleCost {
+  const perS = largestFleet(slopes).idleExchangesPerS + COMPARISONS_PER_S;
+  return exchangesCost(slopes, perS);
+}
+
+/** Floods of restarts and failures of the whole fleet at one daemon. */
+export function updatesCost(slopes: Slopes): RoleCost {
+  const { leave, start, kill } = largestFleet(slopes);
+  const records = slopes.membership.records.at(-1);
+  const perS = (field: "pushesCount" | "bytes") =>
+    restartsPerS * (leave[field] + start[field]) +
+    failuresPerS * (kill[field] + start[field]);
+  return exchangesCost(slopes, perS("pushesCount"), {
+    bytesPerS: perS("bytes"),
+    cpuMsPerS: UPDATES_PER_S * NEIGHBOURS_COUNT * (records?.updateMs ?? 0),
+  });
+}
+
+/** Floods of configuration changes at one daemon. */
+export function changesCost(slopes: Slopes): RoleCost {
+  const { sizes, perRoute } = slopes.config;
+  const stepBytes = 2 * NEIGHBOURS_COUNT * (sizes.at(-1)?.stepBytes ?? 0);
+  return exchangesCost(slopes, changesPerS * 2 * NEIGHBOURS_COUNT, {
+    bytesPerS: changesPerS * stepBytes,
+    cpuMsPerS: changesPerS * valueAt(perRoute.stepApplyCpuMs, routesCount),
+  });
+}
+
+/** Every daemon, as a member and an observer. */
+export function daemonCost(slopes: Slopes): RoleCost {
+  return sumCosts(idleCost(slopes), updatesCost(slopes), changesCost(slopes));
+}
+
+/** What a reader of a data centre adds to a daemon. */
+export function readerCost(slopes: Slopes): RoleCost {
+  const remoteReaders = READERS_PER_DATA_CENTRE *
+    (DESIGN_SIZE.dataCentresCount - 1);
+  const ownUpdatesPerS = UPDATES_PER_S / DESIGN_SIZE.dataCentresCount;
+  const remoteUpdatesPerS = UPDATES_PER_S - ownUpdatesPerS;
+  const pushesPerS = ownUpdatesPerS * remoteReaders +
+    remoteUpdatesPerS * READERS_PER_DATA_CENTRE;
+  const { placement } = largestFleet(slopes);
+  const pushBytes = placement.bytes / placement.pushesCount;
+  // Each change arrives on the watch with its step, and the acceptor's status.
+  const watchBytes = 2 * (slopes.config.sizes.at(-1)?.stepBytes ?? 0);
+  return exchangesCost(slopes, REMOTE_EXCHANGES_PER_S + pushesPerS, {
+    bytesPerS: pushesPerS * pushBytes + changesPerS * watchBytes,
+  });
+}
+
+/** Bytes of both tables as the platform stores them. */
+export function tablesBytes({ config }: Slopes): number {
+  const { routesTableBytes, poolsTableBytes } = config.perRoute;
+  return valueAt(routesTableBytes, routesCount) +
+    valueAt(poolsTableBytes, routesCount);
+}
+
+/** What the acceptor adds to a reader. */
+export function acceptorCost(slopes: Slopes): RoleCost {
+  const { acceptCpuMs, routesTableBytes } = slopes.config.perRoute;
+  // The watch delivers the whole changed table; the snapshot is both tables.
+  const bytes = valueAt(routesTableBytes, routesCount) + tablesBytes(slopes);
+  const cpuMs = valueAt(acceptCpuMs, routesCount);
+  return {
+    messagesPerS: changesPerS * 6,
+    bytesPerS: changesPerS * bytes,
+    coreRatio: changesPerS * cpuMs / MS_PER_S,
+  };
+}
+
+/** Bytes of one shard of announcements. */
+export function shardBytes({ membership }: Slopes): number {
+  const bytes = membership.records.at(-1)?.storedMemberBytes ?? 0;
+  return bytes * DATA_CENTRE_MEMBERS_COUNT / SHARDS_COUNT;
+}
+
+/** What the holder of the announcements adds to a reader. */
+export function announcementsCost(slopes: Slopes): RoleCost {
+  const writesPerS = SHARD_WRITES_PER_EVENT *
+    (restartsPerS + failuresPerS) / DESIGN_SIZE.dataCentresCount;
+  return {
+    messagesPerS: writesPerS,
+    bytesPerS: writesPerS * shardBytes(slopes),
+    coreRatio: 0,
+  };
+}
+
+/** Calls of all daemons at the platform. */
+export function platformCalls(slopes: Slopes) {
+  const { platformReadsPerS, platformWritesPerS, waitingWatchesCount } =
+    largestStep(slopes);
+  const factor = DESIGN_SIZE.dataCentresCount / BENCH_DATA_CENTRES_COUNT;
+  const announcements = SHARD_WRITES_PER_EVENT * (restartsPerS + failuresPerS);
+  // Per change: the tool reads three times and writes once, the acceptor reads
+  // twice and writes three objects.
+  return {
+    readsPerS: platformReadsPerS * factor + changesPerS * 5,
+    writesPerS: platformWritesPerS * factor + changesPerS * 4 + announcements,
+    waitingWatchesCount: Math.ceil(waitingWatchesCount * factor),
+    restartWritesPerS: SHARDS_COUNT,
+  };
+}
+
+/** Memory that control adds to a daemon, by part, in bytes. */
+export function addedMemory(slopes: Slopes) {
+  const { recordBytes, records } = slopes.membership;
+  const { usedBytes, offUsedBytes, daemonsCount } = largestStep(slopes);
+  const measured = usedBytes.mean - offUsedBytes;
+  const parts = {
+    base: measured - recordBytes.slope * daemonsCount,
+    records: records.at(-1)?.recordsBytes ?? 0,
+    config: valueAt(slopes.config.perRoute.copyHeapBytes, routesCount),
+  };
+  return { ...parts, total: parts.base + parts.records + parts.config };
+}
+
+/** What one wait of the tool for all daemons transfers, in bytes. */
+export function toolBytes({ membership }: Slopes): number {
+  const bytes = membership.records.at(-1)?.statusMemberBytes ?? 0;
+  return bytes * DESIGN_SIZE.endpointsCount;
+}
+
+/** Bytes of floods at one daemon when many members fail at once. */
+export function cutBytes(slopes: Slopes, lostCount: number): number {
+  return largestFleet(slopes).kill.bytes * lostCount;
+}
--- a/bench/membership/main.ts
+++ b/bench/membership/main.ts
@@ -3,10 +3,11 @@
  * one view of synthetic members up to the design size.
  */
 import { writeFileSync } from "node:fs";
+import { loadavg } from "node:os";
 import process from "node:process";
 import { Cli, Command, Option } from "clipanion";
 import { measureFleet } from "./measure_fleet.ts";
-import { measureRecords } from "./measure_records.ts";
+import { measureRecords, type RecordCost } from "./measure_records.ts";
 
 function parseSizes(text: string): number[] {
   return text.split(",").map(Number);
@@ -23,12 +24,16 @@
   });
 
   async execute(): Promise<number> {
-    const records = parseSizes(this.records).map(measureRecords);
+    const records: RecordCost[] = [];
+    for (const membersCount of parseSizes(this.records)) {
+      records.push(await measureRecords(membersCount));
+    }
     console.table(records);
     const fleets = parseSizes(this.fleets).map(measureFleet);
     this.context.stdout.write(`${JSON.stringify(fleets, null, 1)}\n`);
     if (this.json !== undefined) {
-      writeFileSync(this.json, JSON.stringify({ records, fleets }, null, 1));
+      const report = { records, fleets, loadAverage: loadavg() };
+      writeFileSync(this.json, `${JSON.stringify(report, null, 1)}\n`);
     }
     return 0;
   }
--- a/bench/membership/measure_fleet.ts
+++ b/bench/membership/measure_fleet.ts
@@ -44,6 +44,13 @@
   readonly start: EventCost;
 };
 
+type MeasuredEvent = {
+  act: (subject: FleetNode) => void;
+  isSeen: (watcher: FleetNode, subject: FleetNode) => boolean;
+  /** What follows when all have seen the event. */
+  finish?: (subject: FleetNode) => void;
+};
+
 class FleetMeter {
   readonly fleet: MembershipFleet;
   readonly #membersCount: number;
@@ -102,8 +109,7 @@
   /** Cost of an event at one daemon; an exchange costs two daemons. */
   measureEvent(
     subjects: readonly FleetNode[],
-    act: (node: FleetNode) => void,
-    isSeen: (watcher: FleetNode, subject: FleetNode) => boolean,
+    { act, isSeen, finish }: MeasuredEvent,
   ): EventCost {
     const delaysMs: number[] = [];
     const traffic = this.count(() => {
@@ -116,6 +122,7 @@
           () => watchers.every((watcher) => isSeen(watcher, subject)),
           LOSS_LIMIT_MS,
         ));
+        finish?.(subject);
         this.fleet.run(MS_PER_S);
       }
     });
@@ -144,30 +151,31 @@
     nodes.slice(first, first + EVENTS_COUNT);
   const isGone = (watcher: FleetNode, subject: FleetNode) =>
     fleet.view(watcher, subject) !== "alive";
-  const placement = meter.measureEvent(
-    subjectsFrom(CONTACTS_COUNT),
-    (node) => fleet.send(node, { kind: "placed", place: { slotsCount: 17 } }),
-    (watcher, { id, core }) =>
+  const contacts = nodes.slice(0, CONTACTS_COUNT).map(({ address }) => address);
+  const placement = meter.measureEvent(subjectsFrom(CONTACTS_COUNT), {
+    act: (node) =>
+      fleet.send(node, { kind: "placed", place: { slotsCount: 17 } }),
+    isSeen: (watcher, { id, core }) =>
       watcher.core.registry.versionOf(id)?.sequence === core.ownUpdate.sequence,
-  );
+  });
   const leaving = subjectsFrom(CONTACTS_COUNT + EVENTS_COUNT);
-  const leave = meter.measureEvent(leaving, (node) => {
-    fleet.send(node, { kind: "leave" });
-    fleet.run(MS_PER_S);
-    fleet.send(node, { kind: "left" });
-    fleet.kill(node);
-  }, isGone);
-  const start = meter.measureEvent(
-    leaving,
-    (node) =>
-      fleet.restart(
-        node,
-        nodes.slice(0, CONTACTS_COUNT).map(({ address }) => address),
-      ),
-    (watcher, subject) => fleet.view(watcher, subject) === "alive",
-  );
+  const leave = meter.measureEvent(leaving, {
+    act: (node) => fleet.send(node, { kind: "leave" }),
+    isSeen: isGone,
+    finish: (node) => {
+      fleet.send(node, { kind: "left" });
+      fleet.kill(node);
+    },
+  });
+  const start = meter.measureEvent(leaving, {
+    act: (node) => fleet.restart(node, contacts),
+    isSeen: (watcher, subject) => fleet.view(watcher, subject) === "alive",
+  });
   const killed = subjectsFrom(CONTACTS_COUNT + 2 * EVENTS_COUNT);
-  const kill = meter.measureEvent(killed, (node) => fleet.kill(node), isGone);
+  const kill = meter.measureEvent(killed, {
+    act: (node) => fleet.kill(node),
+    isSeen: isGone,
+  });
   return { placement, leave, start, kill };
 }
 
--- a/bench/membership/measure_records.ts
+++ b/bench/membership/measure_records.ts
@@ -1,5 +1,6 @@
 /** Memory and processor time of one member's view, with synthetic members. */
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 import { MembershipCore } from "../../src/membership/membership_core.ts";
 import type { MemberUpdate } from "../../src/schemas/member_schema.ts";
 import { measureCpuMs } from "../config/measure.ts";
@@ -7,6 +8,7 @@
 const DATA_CENTRES_COUNT = 30;
 const POOLS_COUNT = 1_700;
 const PAGE_COUNT = 500;
+const COLLECT_MS = 100;
 const UPDATES_COUNT = 2_000;
 const START_EPOCH_MS = 1_700_000_000_000;
 
@@ -17,6 +19,10 @@
   readonly recordsBytes: number;
   /** Processor time of one update that arrives alone, in ms. */
   readonly updateMs: number;
+  /** JSON of one member in the object of a shard. */
+  readonly storedMemberBytes: number;
+  /** JSON of one member in `/status`. */
+  readonly statusMemberBytes: number;
 };
 
 function makeUpdate(index: number, sequence: number): MemberUpdate {
@@ -39,8 +45,12 @@
   };
 }
 
-function usedBytes(): number {
-  (globalThis as { gc?: () => void }).gc?.();
+/** The buffers of a former view are freed only after a turn of the loop. */
+async function usedBytes(): Promise<number> {
+  const { gc } = globalThis as { gc?: () => void };
+  gc?.();
+  await sleep(COLLECT_MS);
+  gc?.();
   const { heapUsed, external } = process.memoryUsage();
   return heapUsed + external;
 }
@@ -63,15 +73,32 @@
   }, 0);
 }
 
+function measureJson(index: number) {
+  const { sequence: _sequence, state, suspectedBy: _by, ...stored } =
+    makeUpdate(
+      index,
+      0,
+    );
+  const { instanceId, incarnationEpochMs, dataCentre, pool } = stored;
+  const operator = { host: stored.operatorHost, port: stored.operatorPort };
+  const status = { instanceId, incarnationEpochMs, dataCentre, state, pool };
+  return {
+    storedMemberBytes: JSON.stringify(stored).length,
+    statusMemberBytes: JSON.stringify({ ...status, operator }).length,
+  };
+}
+
 /**
  * Measures a view of synthetic members.
  *
  * @param membersCount Members in 30 data centres and 1,700 pools.
  * @returns Memory of the view and processor time of an update.
  */
-export function measureRecords(membersCount: number): RecordCost {
+export async function measureRecords(
+  membersCount: number,
+): Promise<RecordCost> {
   const core = makeCore();
-  const beforeBytes = usedBytes();
+  const beforeBytes = await usedBytes();
   for (let first = 1; first < membersCount; first += PAGE_COUNT) {
     const count = Math.min(PAGE_COUNT, membersCount - first);
     push(
@@ -79,11 +106,16 @@
       Array.from({ length: count }, (_, index) => makeUpdate(first + index, 0)),
     );
   }
-  const recordsBytes = usedBytes() - beforeBytes;
+  const recordsBytes = (await usedBytes()) - beforeBytes;
   const updateMs = measureCpuMs(UPDATES_COUNT, (index) => {
     const subject = 1 + index % (membersCount - 1);
     const round = 1 + Math.floor(index / (membersCount - 1));
     push(core, [makeUpdate(subject, round)]);
   });
-  return { membersCount: core.registry.table.size, recordsBytes, updateMs };
+  return {
+    membersCount: core.registry.table.size,
+    recordsBytes,
+    updateMs,
+    ...measureJson(membersCount - 1),
+  };
 }
