Read the list of members at intervals while the tool waits

Change: the list is read at the start, every 2 s, and once more before the tool states that the configuration is in force; all other reads leave members out.

Conclusion: a daemon that joined while the tool waited is still asked.

--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -43,6 +43,9 @@
 };
 
 const POLL_MS = 250;
+// A list of 26,000 members has some 4 MB; it is read again for members that
+// ended or joined in the meantime.
+const LIST_INTERVAL_MS = 2_000;
 
 /**
  * Describes a daemon that lags behind a generation.
@@ -123,28 +126,29 @@
     : [line, `${unaskedCount} members were not asked: name their --daemon`];
 }
 
-/** One look at the daemons; those in `done` are not asked again. */
-async function lookAtDaemons(
-  options: WaitOptions,
+/** Daemons to ask, as the named ones list them. */
+type Listing = { readonly urls: readonly string[]; unaskedCount: number };
+
+async function listDaemons(daemonUrls: readonly string[]): Promise<Listing> {
+  const seeds = await viewDaemons(daemonUrls);
+  return { urls: listMemberUrls(seeds), unaskedCount: countUnasked(seeds) };
+}
+
+/** Asks the daemons that are not in `done`, and adds those that follow. */
+async function askOpen(
+  urls: readonly string[],
   generation: number,
   done: Set<string>,
-): Promise<{ lagging: string[] } & Coverage> {
-  const { daemonUrls } = options;
-  const seeds = await viewDaemons(daemonUrls);
-  const listed = listMemberUrls(seeds);
-  const open = listed.filter((url) =>
-    !done.has(url) && !daemonUrls.includes(url)
-  );
-  const views = [...seeds, ...await viewDaemons(open, { members: "none" })];
-  const lagging = views.flatMap((view) => {
+): Promise<string[]> {
+  const open = urls.filter((url) => !done.has(url));
+  const views = await viewDaemons(open, { members: "none" });
+  return views.flatMap((view) => {
     const lag = describeLag(view, generation);
     if (lag === undefined) {
       done.add(view.url);
     }
     return lag ?? [];
   });
-  const unaskedCount = countUnasked(seeds);
-  return { lagging, count: listed.length, unaskedCount };
 }
 
 async function awaitAcceptance(
@@ -168,17 +172,22 @@
   deadlineMs: number,
 ): Promise<ForceState> {
   const done = new Set<string>();
+  let listing = await listDaemons(options.daemonUrls);
+  let listedMs = performance.now();
   let reported = -1;
   while (true) {
-    const { lagging, count, unaskedCount } = await lookAtDaemons(
-      options,
-      head.generation,
-      done,
-    );
-    if (lagging.length === 0) {
-      return { kind: "in-force", head, count, unaskedCount };
+    const lagging = await askOpen(listing.urls, head.generation, done);
+    const isDue = performance.now() - listedMs >= LIST_INTERVAL_MS;
+    if (lagging.length === 0 || isDue) {
+      listing = await listDaemons(options.daemonUrls);
+      listedMs = performance.now();
+    }
+    const { urls, unaskedCount } = listing;
+    if (urls.every((url) => done.has(url))) {
+      return { kind: "in-force", head, count: urls.length, unaskedCount };
     }
     if (lagging.length !== reported) {
+      const count = urls.length;
       options.progress(`In force in ${count - lagging.length} of ${count}`);
       reported = lagging.length;
     }
