Count the envelope of a flood once in the capacity model

Cause: floods were charged with the bytes of a whole idle exchange and with their own sealed bytes, which counts two envelopes.

Change: floods cost the framing of an exchange, which is what the sockets of the largest fleet carry beyond the sealed probes, and their own sealed bytes. Margins are stated with two decimals.

--- a/bench/capacity/model.ts
+++ b/bench/capacity/model.ts
@@ -33,6 +33,8 @@
 /** Costs of one exchange at one end, as measured in the largest fleet. */
 export type ExchangeCost = {
   readonly bytes: number;
+  /** The part of `bytes` that is not in the two envelopes of a probe. */
+  readonly framingBytes: number;
   readonly cpuMs: number;
 };
 
@@ -55,9 +57,12 @@
  */
 export function exchangeCost(slopes: Slopes): ExchangeCost {
   const { coreRatio, offCoreRatio, bytesPerS } = largestStep(slopes);
-  const perS = largestFleet(slopes).idleExchangesPerS + COMPARISONS_PER_S;
+  const { idleExchangesPerS, idleBytesPerS } = largestFleet(slopes);
+  const perS = idleExchangesPerS + COMPARISONS_PER_S;
+  const bytes = bytesPerS.mean / perS;
   return {
-    bytes: bytesPerS.mean / perS,
+    bytes,
+    framingBytes: bytes - idleBytesPerS / idleExchangesPerS,
     cpuMs: (coreRatio.mean - offCoreRatio) * MS_PER_S / perS,
   };
 }
@@ -83,6 +88,15 @@
   };
 }
 
+/** Floods whose bytes, with their envelopes, were measured. */
+function floodsCost(
+  slopes: Slopes,
+  { perS, sealedBytesPerS }: { perS: number; sealedBytesPerS: number },
+): RoleCost {
+  const bytesPerS = perS * exchangeCost(slopes).framingBytes + sealedBytesPerS;
+  return { ...exchangesCost(slopes, perS), bytesPerS };
+}
+
 /** Probes and comparisons of an idle daemon. */
 export function idleCost(slopes: Slopes): RoleCost {
   const perS = largestFleet(slopes).idleExchangesPerS + COMPARISONS_PER_S;
@@ -96,10 +110,14 @@
   const perS = (field: "pushesCount" | "bytes") =>
     restartsPerS * (leave[field] + start[field]) +
     failuresPerS * (kill[field] + start[field]);
-  return exchangesCost(slopes, perS("pushesCount"), {
-    bytesPerS: perS("bytes"),
-    cpuMsPerS: UPDATES_PER_S * NEIGHBOURS_COUNT * (records?.updateMs ?? 0),
+  const floods = floodsCost(slopes, {
+    perS: perS("pushesCount"),
+    sealedBytesPerS: perS("bytes"),
   });
+  const applyMsPerS = UPDATES_PER_S * NEIGHBOURS_COUNT *
+    (records?.updateMs ?? 0);
+  const coreRatio = floods.coreRatio + applyMsPerS / MS_PER_S;
+  return { ...floods, coreRatio };
 }
 
 /** Floods of configuration changes, along the same edges as updates. */
@@ -129,9 +147,19 @@
   const pushBytes = placement.bytes / placement.pushesCount;
   // Each change arrives on the watch with its step, and the acceptor's status.
   const watchBytes = 2 * (slopes.config.sizes.at(-1)?.stepBytes ?? 0);
-  return exchangesCost(slopes, REMOTE_EXCHANGES_PER_S + pushesPerS, {
-    bytesPerS: pushesPerS * pushBytes + changesPerS * watchBytes,
-  });
+  const watch = {
+    messagesPerS: 2 * changesPerS,
+    bytesPerS: changesPerS * watchBytes,
+    coreRatio: 0,
+  };
+  return sumCosts(
+    exchangesCost(slopes, REMOTE_EXCHANGES_PER_S),
+    floodsCost(slopes, {
+      perS: pushesPerS,
+      sealedBytesPerS: pushesPerS * pushBytes,
+    }),
+    watch,
+  );
 }
 
 /** Bytes of both tables as the platform stores them. */
--- a/bench/capacity/page_sections.ts
+++ b/bench/capacity/page_sections.ts
@@ -52,9 +52,10 @@
 
 /** States how far a value is from its limit. */
 function margin(value: number, limit: number): string {
-  return value <= limit
-    ? `${(limit / value).toFixed(1)} times below`
-    : `${(value / limit).toFixed(1)} times over`;
+  const [ratio, side] = value <= limit
+    ? [limit / value, "below"]
+    : [value / limit, "over"];
+  return `${ratio.toFixed(2)} times ${side}`;
 }
 
 function costCells({ messagesPerS, bytesPerS, coreRatio }: RoleCost): string[] {
@@ -319,7 +320,7 @@
     ["exchanges a second at a daemon, simulated", rate(idleExchangesPerS)],
     ["members of that simulated data centre", String(membersCount)],
     ["bytes of an exchange with its envelopes", perExchange.toFixed(0)],
-    ["bytes of an exchange on the wire", bytes.toFixed(0)],
+    ["bytes of an exchange at the sockets", bytes.toFixed(0)],
     ["processor time of an exchange at one end", milliseconds(cpuMs)],
     ["of it codec of one message, both ends", milliseconds(codecMs)],
   ]);
