--- a/bench/overload/main.ts
+++ b/bench/overload/main.ts
@@ -21,9 +21,16 @@
     .join(", ");
 }
 
+function listCounts(counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts)
+    .map(([name, count]) => `${name} ${count}`)
+    .join(", ");
+}
+
 function printSummary(summary: RunSummary): void {
   const failures = Object.entries(summary.failures)
-    .map(([kind, count]) => `${kind} ${count}`).join(", ");
+    .map(([stream, kinds]) => `${stream}: ${listCounts(kinds)}`)
+    .join("\n                            ");
   process.stdout.write(`
 ${summary.deployment}, policy ${summary.policy}, seed ${summary.seed}
   succeeded under pressure  ${listRatios(summary.successRatio)}
--- a/bench/overload/summary.ts
+++ b/bench/overload/summary.ts
@@ -39,7 +39,8 @@
   readonly recoveryMs: number;
   readonly wrongAnswersCount: number;
   readonly latencyP99Ms: Readonly<Record<string, number>>;
-  readonly failures: Readonly<Record<string, number>>;
+  /** Failed tries of the whole run by error kind, by stream. */
+  readonly failures: Readonly<Record<string, Record<string, number>>>;
   readonly goodput: Readonly<
     Partial<Record<ImportanceClass, readonly ClassPoint[]>>
   >;
@@ -206,7 +207,7 @@
       byName,
       (some) => Math.max(...some.map(({ latencyMs }) => latencyMs.p99)),
     ),
-    failures: sumFailures(streams),
+    failures: mapValues(byName, sumFailures),
     goodput: mapValues(
       groupBy(streams, ({ importanceClass }) => importanceClass),
       goodputPoints,
