Pass calls of the bench as one value

Cause: functions of the bench and two private methods of decisions had more than two positional parameters, against the house style.

--- a/bench/policy/call_graph.ts
+++ b/bench/policy/call_graph.ts
@@ -1,5 +1,6 @@
 /** Calls between the upstreams of a scenario. */
 import { SeededRandom } from "../../src/core/random.ts";
+import type { FinishedRequest } from "../../src/decisions/admission_policy.ts";
 import type { PoolView } from "../../src/decisions/upstream_selector.ts";
 import { EventQueue } from "./event_queue.ts";
 import { type ClientTry, Metrics } from "./metrics.ts";
@@ -37,14 +38,26 @@
 
 type Done = (answer: Answer) => void;
 
-type OpenCall = {
+/** A call of a daemon. */
+type Call = {
   readonly daemon: Daemon;
   readonly plan: CallPlan;
   readonly context: Context;
   readonly done: Done;
+  /** Instances that refused or failed it. */
   readonly excludedIds: readonly string[];
 };
 
+/** An attempt of a call at the upstream of a daemon. */
+type Attempt = {
+  readonly call: Call;
+  readonly target: Daemon;
+  readonly instanceId: string;
+  readonly sentMs: number;
+  /** Called with the answer once; undefined when the caller has gone. */
+  close(answer: Answer | undefined): void;
+};
+
 const OK: Answer = {
   ok: true,
   error: "",
@@ -63,6 +76,16 @@
   return { ...OK, ok: false, error, outcome: "not-run", overloaded: true };
 }
 
+function resultOf(answer: Answer | undefined): FinishedRequest["result"] {
+  if (answer === undefined) {
+    return "cancelled";
+  }
+  if (answer.ok) {
+    return "succeeded";
+  }
+  return answer.overloaded ? "overloaded" : "failed";
+}
+
 /** Sends calls through the decisions of the daemons, under virtual time. */
 export class CallGraph {
   readonly scenario: Scenario;
@@ -113,175 +136,181 @@
    */
   enter(random: SeededRandom, context: Context, done: Done): void {
     const { daemons } = this.world;
-    const entry = daemons[random.nextInt(daemons.length)] as Daemon;
-    this.#call(entry, context.load.call, context, done);
+    const daemon = daemons[random.nextInt(daemons.length)] as Daemon;
+    const { call: plan } = context.load;
+    this.#call({ daemon, plan, context, done, excludedIds: [] });
   }
 
-  #call(daemon: Daemon, plan: CallPlan, context: Context, done: Done): void {
-    const { nowMs } = this.events;
+  #call(call: Call): void {
+    const { daemon, plan, context } = call;
     if (context.repeated) {
-      daemon.retries.recordRepeated(plan.pool, nowMs);
+      daemon.retries.recordRepeated(plan.pool, this.events.nowMs);
     } else {
-      daemon.retries.recordOriginal(plan.pool, nowMs);
+      daemon.retries.recordOriginal(plan.pool, this.events.nowMs);
     }
-    this.#attempt({ daemon, plan, context, done, excludedIds: [] });
+    this.#attempt(call);
   }
 
-  #attempt(call: OpenCall): void {
+  #attempt(call: Call): void {
     const { daemon, plan, context, excludedIds } = call;
     const { client, rank, depthCount } = context;
     if (client.ended) {
       return;
     }
-    const pool = this.world.pools.get(plan.pool) as PoolView;
-    const { nowMs } = this.events;
     const selection = daemon.selector.choose(
-      pool,
+      this.world.pools.get(plan.pool) as PoolView,
       { rank, excludedIds, depthCount },
-      nowMs,
+      this.events.nowMs,
     );
     if (selection.kind === "refuse") {
       call.done(refusal(`${plan.pool} entry ${selection.error}`));
       return;
     }
-    const { instanceId } = selection.endpoint;
-    const target = this.world.byId.get(instanceId) as Daemon;
-    daemon.selector.started(instanceId, nowMs);
+    this.#send(call, selection.endpoint.instanceId);
+  }
+
+  #send(call: Call, instanceId: string): void {
+    const { client } = call.context;
+    call.daemon.selector.started(instanceId, this.events.nowMs);
+    const abort = () => attempt.close(undefined);
     let open = true;
-    const close = (answer: Answer | undefined) => {
-      if (!open) {
-        return;
-      }
-      open = false;
-      client.onAbort.delete(abort);
-      const result = answer === undefined
-        ? "cancelled"
-        : answer.ok
-        ? "succeeded"
-        : answer.overloaded
-        ? "overloaded"
-        : "failed";
-      daemon.selector.finished({
-        instanceId,
-        result,
-        latencyMs: this.events.nowMs - nowMs,
-        ...(answer === undefined
-          ? {}
-          : { load: target.upstream.admission.load() }),
-      }, this.events.nowMs);
-      if (answer !== undefined) {
-        this.#answered(call, answer, instanceId);
-      }
+    const attempt: Attempt = {
+      call,
+      target: this.world.byId.get(instanceId) as Daemon,
+      instanceId,
+      sentMs: this.events.nowMs,
+      close: (answer) => {
+        if (open) {
+          open = false;
+          client.onAbort.delete(abort);
+          this.#finishAttempt(attempt, answer);
+        }
+      },
     };
-    const abort = () => close(undefined);
     client.onAbort.add(abort);
     this.events.after(HOP_LATENCY_MS, () => {
       if (!client.ended) {
-        this.#serve(
-          target,
-          plan,
-          context,
-          (answer) => this.events.after(HOP_LATENCY_MS, () => close(answer)),
-        );
+        this.#serve(attempt);
       }
     });
   }
 
-  #answered(
-    call: OpenCall,
-    answer: Answer,
-    instanceId: string,
-  ): void {
-    const { daemon, plan, context } = call;
+  #finishAttempt(attempt: Attempt, answer: Answer | undefined): void {
+    const { call, target, instanceId, sentMs } = attempt;
     const { nowMs } = this.events;
-    const attemptsLeftCount = context.attemptsLeftCount - 1;
-    if (
-      answer.ok || !daemon.retries.mayRetry({
-        pool: plan.pool,
-        attemptsLeftCount,
-        outcome: answer.outcome,
-        idempotent: context.load.idempotent,
-        exhausted: answer.exhausted && !this.policy.freshAttempts,
-        overloaded: answer.overloaded,
-        remainingMs: context.client.deadlineMs - nowMs,
-      }, nowMs)
-    ) {
+    call.daemon.selector.finished({
+      instanceId,
+      result: resultOf(answer),
+      latencyMs: nowMs - sentMs,
+      ...(answer === undefined
+        ? {}
+        : { load: target.upstream.admission.load() }),
+    }, nowMs);
+    if (answer === undefined) {
+      return;
+    }
+    const attemptsLeftCount = call.context.attemptsLeftCount - 1;
+    if (!this.#mayRetry(call, { answer, attemptsLeftCount })) {
       call.done(answer);
       return;
     }
     this.#attempt({
       ...call,
-      context: { ...context, attemptsLeftCount, repeated: true },
+      context: { ...call.context, attemptsLeftCount, repeated: true },
       excludedIds: [...call.excludedIds, instanceId],
     });
   }
 
-  #serve(target: Daemon, plan: CallPlan, context: Context, done: Done): void {
-    target.upstream.offer({
+  #mayRetry(
+    { daemon, plan, context }: Call,
+    { answer, attemptsLeftCount }: {
+      answer: Answer;
+      attemptsLeftCount: number;
+    },
+  ): boolean {
+    const { nowMs } = this.events;
+    return !answer.ok && daemon.retries.mayRetry({
+      pool: plan.pool,
+      attemptsLeftCount,
+      outcome: answer.outcome,
+      idempotent: context.load.idempotent,
+      exhausted: answer.exhausted && !this.policy.freshAttempts,
+      overloaded: answer.overloaded,
+      remainingMs: context.client.deadlineMs - nowMs,
+    }, nowMs);
+  }
+
+  #serve(attempt: Attempt): void {
+    const { plan, context } = attempt.call;
+    const answerLater = (answer: Answer) =>
+      this.events.after(HOP_LATENCY_MS, () => attempt.close(answer));
+    attempt.target.upstream.offer({
       ...context,
       pool: plan.pool,
       stage: "new",
       admittedMs: 0,
       workingMs: 0,
       nestedMs: 0,
-      refused: (error) => done(refusal(`${plan.pool} ${error}`)),
-      work: (visit) => this.#startWork(target, plan, { context, visit, done }),
+      refused: (error) => answerLater(refusal(`${plan.pool} ${error}`)),
+      work: (visit) => this.#startWork(attempt, { visit, done: answerLater }),
     });
   }
 
-  #startWork(
-    target: Daemon,
-    plan: CallPlan,
-    at: { context: Context; visit: Visit; done: Done },
-  ): void {
-    const { context, visit, done } = at;
+  #startWork(attempt: Attempt, at: { visit: Visit; done: Done }): void {
+    const { call: { plan, context }, target } = attempt;
     const workMs = this.#sampleWork(plan);
     for (const pool of [plan.pool, ...context.holders]) {
       context.client.addWork(pool, workMs);
     }
+    const finish = (answer: Answer) => {
+      if (at.visit.stage === "working") {
+        target.upstream.end(at.visit, resultOf(answer));
+        at.done(
+          answer.ok ? OK : { ...answer, outcome: "unknown", exhausted: true },
+        );
+      }
+    };
     this.events.after(workMs, () => {
-      if (visit.stage !== "working") {
-        return;
+      if (at.visit.stage === "working") {
+        this.#callNested(attempt, { visit: at.visit, next: 0, done: finish });
       }
-      this.#nested(target, plan, { ...at, next: 0 }, (answer) => {
-        if (visit.stage === "working") {
-          target.upstream.end(visit, answer.ok ? "succeeded" : "overloaded");
-          done(
-            answer.ok ? OK : { ...answer, outcome: "unknown", exhausted: true },
-          );
-        }
-      });
     });
   }
 
-  #nested(
-    target: Daemon,
-    plan: CallPlan,
-    at: { context: Context; visit: Visit; next: number },
-    done: Done,
+  /** Makes the calls further down, one after another. */
+  #callNested(
+    attempt: Attempt,
+    at: { visit: Visit; next: number; done: Done },
   ): void {
-    const call = plan.calls[at.next];
-    if (call === undefined) {
-      done(OK);
+    const { call: { plan: { calls, pool }, context }, target } = attempt;
+    const plan = calls[at.next];
+    if (plan === undefined) {
+      at.done(OK);
       return;
     }
     const sentMs = this.events.nowMs;
-    const { context } = at;
+    const done = (answer: Answer) => {
+      at.visit.nestedMs += this.events.nowMs - sentMs;
+      if (answer.ok) {
+        this.#callNested(attempt, { ...at, next: at.next + 1 });
+      } else {
+        at.done(answer);
+      }
+    };
     const nested = {
       ...context,
       depthCount: context.depthCount + 1,
-      holders: [...context.holders, plan.pool],
+      holders: [...context.holders, pool],
       attemptsLeftCount: this.policy.freshAttempts
         ? ATTEMPTS_COUNT
         : context.attemptsLeftCount,
     };
-    this.#call(target, call, nested, (answer) => {
-      at.visit.nestedMs += this.events.nowMs - sentMs;
-      if (answer.ok) {
-        this.#nested(target, plan, { ...at, next: at.next + 1 }, done);
-      } else {
-        done(answer);
-      }
+    this.#call({
+      daemon: target,
+      plan,
+      context: nested,
+      done,
+      excludedIds: [],
     });
   }
 
--- a/bench/policy/report.ts
+++ b/bench/policy/report.ts
@@ -31,14 +31,16 @@
   goodputPerS: Record<ImportanceClass, number[]>;
 };
 
-function holdTimes(
-  plan: CallPlan,
-  scenario: Scenario,
+/** Adds the slot time that a call needs at each pool, and returns its own. */
+function addHoldTimes(
   holds: Map<string, number>,
+  { plan, scenario }: { plan: CallPlan; scenario: Scenario },
 ): number {
   const slowRatio = scenario.pools[plan.pool]?.slowRatio ?? 1;
-  const nestedMs = plan.calls.map((call) => holdTimes(call, scenario, holds));
-  const holdMs = nestedMs.reduce((a, b) => a + b, plan.workMs * slowRatio);
+  let holdMs = plan.workMs * slowRatio;
+  for (const call of plan.calls) {
+    holdMs += addHoldTimes(holds, { plan: call, scenario });
+  }
   holds.set(plan.pool, (holds.get(plan.pool) ?? 0) + holdMs);
   return holdMs;
 }
@@ -51,7 +53,7 @@
     .sort((a, b) => order(a) - order(b));
   for (const load of loads) {
     const holds = new Map<string, number>();
-    holdTimes(load.call, scenario, holds);
+    addHoldTimes(holds, { plan: load.call, scenario });
     const uses = [...holds].map(([pool, holdMs]) => {
       const rules = scenario.pools[pool] as Scenario["pools"][string];
       const slots = rules.slotsCount * rules.endpointsCount;
--- a/src/decisions/gradient_limiter.ts
+++ b/src/decisions/gradient_limiter.ts
@@ -82,7 +82,7 @@
 
   #adapt(recentMs: number, at: { elapsedMs: number; nowMs: number }): void {
     if (this.#trial !== undefined) {
-      this.#endTrial(this.#trial, recentMs, at.nowMs);
+      this.#endTrial(this.#trial, { recentMs, nowMs: at.nowMs });
       return;
     }
     this.#followLatency(recentMs, at.elapsedMs);
@@ -113,7 +113,10 @@
     this.#setLimit(this.#limitCount * DECREASE_RATIO);
   }
 
-  #endTrial(trial: Trial, recentMs: number, nowMs: number): void {
+  #endTrial(
+    trial: Trial,
+    { recentMs, nowMs }: { recentMs: number; nowMs: number },
+  ): void {
     if (nowMs < trial.untilMs) {
       return;
     }
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -112,7 +112,7 @@
     ) {
       return { kind: "refuse", error: "shed" };
     }
-    if (!this.#canMeetDeadline(request, this.#expectedWaitMs(rank), nowMs)) {
+    if (!this.#canMeetDeadline(request, nowMs + this.#expectedWaitMs(rank))) {
       return { kind: "refuse", error: "deadline_unmeetable" };
     }
     if (this.#inFlightCount < this.#limitCount && this.#queue.size === 0) {
@@ -214,7 +214,7 @@
   }
 
   #dispatch(entry: QueueEntry, nowMs: number): void {
-    if (!this.#canMeetDeadline(entry.request, 0, nowMs)) {
+    if (!this.#canMeetDeadline(entry.request, nowMs)) {
       this.#refuse(entry, "deadline_unmeetable");
       return;
     }
@@ -237,14 +237,10 @@
     }
   }
 
-  #canMeetDeadline(
-    request: AdmissionRequest,
-    waitMs: number,
-    nowMs: number,
-  ): boolean {
+  #canMeetDeadline(request: AdmissionRequest, startMs: number): boolean {
     const serviceMs = this.#estimates.typicalMs(request.route ?? ALL_ROUTES);
-    return nowMs + waitMs + serviceMs <= request.deadlineMs &&
-      nowMs < request.deadlineMs;
+    return startMs < request.deadlineMs &&
+      startMs + serviceMs <= request.deadlineMs;
   }
 
   /** Requests that run earlier, divided by the rate of completions. */
