Raise the level by at least 16 ranks per interval

Cause: at preference 0 the level rises by 8 ranks per control interval; after the pressure, recovery takes 1000 ms (association) and 1750 ms (regie), and no figure gains by it. Change: 16 ranks at 0 and 32 at 1, instead of 8 and 32.

--- a/src/decisions/overload_tuning.ts
+++ b/src/decisions/overload_tuning.ts
@@ -4,8 +4,8 @@
 export const CONTROL_INTERVAL_MS = 100;
 
 const DELAY_TARGET_MS = 20;
-const LEVEL_RISE_MIN_COUNT = 8;
-const LEVEL_RISE_SPAN_COUNT = 24;
+const LEVEL_RISE_MIN_COUNT = 16;
+const LEVEL_RISE_SPAN_COUNT = 16;
 const QUEUE_AGE_MIN_RATIO = 0.25;
 
 /** Figures of the policy at one value of the preference. */
