Scale the delay target by four towards each end of the preference

Cause: both ends of overloadPreference gave the same goodput; a standing queue of 40 ms is shorter than the variation of the arrivals on upstreams with few slots. Change: the target is 80 ms at 0, 20 ms at 0.5 and 5 ms at 1 (40, 20 and 10 before).

--- a/src/decisions/overload_tuning.ts
+++ b/src/decisions/overload_tuning.ts
@@ -20,8 +20,8 @@
 
 /**
  * Scales the policy between goodput and recovery. At 0 the delay target is
- * twice 20 ms and waits may take the pool's whole age limit; at 1 the target is
- * half of 20 ms and waits are a quarter as long.
+ * four times 20 ms and waits may take the pool's whole age limit; at 1 the target
+ * is a quarter of 20 ms and waits are a quarter as long.
  *
  * @param overloadPreference 0 prefers goodput, 1 prefers recovery.
  * @param queueAgeMaxMs Longest wait that the pool allows, in ms.
@@ -36,7 +36,7 @@
 ): OverloadTuning {
   const ageRatio = 1 - overloadPreference * (1 - QUEUE_AGE_MIN_RATIO);
   return {
-    delayTargetMs: DELAY_TARGET_MS * 2 ** (1 - 2 * overloadPreference),
+    delayTargetMs: DELAY_TARGET_MS * 4 ** (1 - 2 * overloadPreference),
     queueAgeMaxMs: queueAgeMaxMs * ageRatio,
     levelRiseMaxCount: Math.round(
       LEVEL_RISE_MIN_COUNT + LEVEL_RISE_SPAN_COUNT * overloadPreference,
