--- a/bench/membership_fleet.ts
+++ b/bench/membership/membership_fleet.ts
@@ -1,15 +1,15 @@
 /** Many memberships under a virtual clock with a simulated network. */
-import type { PeerFailure } from "../src/core/peer_transport.ts";
-import { SeededRandom } from "../src/core/random.ts";
-import { TICK_MS } from "../src/membership/member_prober.ts";
-import { MembershipCore } from "../src/membership/membership_core.ts";
+import type { PeerFailure } from "../../src/core/peer_transport.ts";
+import { SeededRandom } from "../../src/core/random.ts";
+import { TICK_MS } from "../../src/membership/member_prober.ts";
+import { MembershipCore } from "../../src/membership/membership_core.ts";
 import type {
   AnswerWithActions,
   MembershipAction,
   MembershipEvent,
-} from "../src/membership/membership_events.ts";
-import type { Address } from "../src/schemas/common_schema.ts";
-import type { MemberState } from "../src/schemas/member_schema.ts";
+} from "../../src/membership/membership_events.ts";
+import type { Address } from "../../src/schemas/common_schema.ts";
+import type { MemberState } from "../../src/schemas/member_schema.ts";
 import { VirtualSchedule } from "./virtual_schedule.ts";
 
 const TIMEOUTS_MS = { probe: 500, push: 1_000, sync: 3_000 };
--- a/src/membership/announcement_part_test.ts
+++ b/src/membership/announcement_part_test.ts
@@ -4,7 +4,7 @@
 import {
   type FleetNode,
   MembershipFleet,
-} from "../../bench/membership_fleet.ts";
+} from "../../bench/membership/membership_fleet.ts";
 import { ManualClock } from "../core/clock.ts";
 import {
   type PlatformClient,
--- a/src/membership/membership_core_test.ts
+++ b/src/membership/membership_core_test.ts
@@ -4,7 +4,7 @@
   type FleetMessage,
   type FleetNode,
   MembershipFleet,
-} from "../../bench/membership_fleet.ts";
+} from "../../bench/membership/membership_fleet.ts";
 import { SeededRandom } from "../core/random.ts";
 
 /** Two refused probes, one interval apart, and the flood. */
--- a/src/membership/membership_directory_test.ts
+++ b/src/membership/membership_directory_test.ts
@@ -3,7 +3,7 @@
 import {
   type FleetNode,
   MembershipFleet,
-} from "../../bench/membership_fleet.ts";
+} from "../../bench/membership/membership_fleet.ts";
 import { MembershipDirectory } from "./membership_directory.ts";
 
 type View = { fleet: MembershipFleet; reader: FleetNode; victim: FleetNode };
