--- a/src/peer/grpc_peer_transport_test.ts
+++ b/src/peer/grpc_peer_transport_test.ts
@@ -6,6 +6,7 @@
 import { PeerError, type PeerFailure } from "../core/peer_transport.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { PeerKey } from "../schemas/settings_schema.ts";
+import { TcpRelay } from "../testing/tcp_relay.ts";
 import { GrpcPeerTransport } from "./grpc_peer_transport.ts";
 import { KeyRing } from "./key_ring.ts";
 import type { RejectionReason } from "./rejected_message.ts";
@@ -150,6 +151,32 @@
   );
 });
 
+// TCP would resend for minutes on a connection that lost its packets.
+test("a peer is reached again after a partition over a new connection", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  const relay = new TcpRelay(b.address.port);
+  t.after(() => relay.close());
+  const address = { host: "127.0.0.1", port: await relay.listen() };
+  await echo(a, address);
+  relay.setMode("toClient", "drop");
+  const call = { method: ECHO, body: { text: "hello" } };
+  for (let attempt = 0; attempt < 3; attempt++) {
+    await assert.rejects(
+      a.transport.request(address, call, { timeoutMs: 100 }),
+      failsWith("timeout"),
+    );
+  }
+  relay.setMode("toClient", "pass");
+  const results = [];
+  for (let attempt = 0; attempt < 4; attempt++) {
+    results.push(
+      await a.transport.request(address, call, { timeoutMs: 500 })
+        .then(() => "ok", () => "failed"),
+    );
+  }
+  assert.equal(results.at(-1), "ok");
+});
+
 test("a connection that is not used is closed", async (t) => {
   const a = await startNode(t, "a", { idleMs: 20 });
   const [b, c] = [await startNode(t, "b"), await startNode(t, "c")];
