--- a/src/peer/grpc_peer_transport_test.ts
+++ b/src/peer/grpc_peer_transport_test.ts
@@ -6,9 +6,10 @@
 import { PeerError, type PeerFailure } from "../core/peer_transport.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { PeerKey } from "../schemas/settings_schema.ts";
-import type { RejectionReason } from "./envelope.ts";
+import { TcpRelay } from "../testing/tcp_relay.ts";
 import { GrpcPeerTransport } from "./grpc_peer_transport.ts";
 import { KeyRing } from "./key_ring.ts";
+import type { RejectionReason } from "./rejected_message.ts";
 
 const OLD_KEY: PeerKey = { id: "old", secret: "0123456789abcdef-old" };
 const NEW_KEY: PeerKey = { id: "new", secret: "0123456789abcdef-new" };
@@ -18,7 +19,15 @@
   request: z.strictObject({ text: z.string() }),
   answer: z.strictObject({ text: z.string(), from: z.string() }),
 };
-const LOOSE_ECHO = { ...ECHO, request: z.unknown() };
+/** Same field names as ECHO's, so that only the type is wrong. */
+const LOOSE_ECHO = {
+  ...ECHO,
+  request: z.strictObject({ text: z.unknown() }),
+};
+const RENAMED_ECHO = {
+  ...ECHO,
+  request: z.strictObject({ words: z.string() }),
+};
 
 type Node = {
   transport: GrpcPeerTransport;
@@ -90,6 +99,17 @@
   assert.deepEqual(b.rejected, ["schema", "stale"]);
 });
 
+// Field names do not travel, so another daemon version could misread them.
+test("a message with other field names is rejected before it is read", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  const call = { method: RENAMED_ECHO, body: { words: "hello" } };
+  await assert.rejects(
+    a.transport.request(b.address, call, { timeoutMs: 2_000 }),
+    failsWith("rejected"),
+  );
+  assert.deepEqual(b.rejected, ["version"]);
+});
+
 test("each refused connection is a new attempt, and a restart is reached", async (t) => {
   const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
   await echo(a, b.address);
@@ -131,6 +151,32 @@
   );
 });
 
+// TCP would resend for minutes on a connection that lost its packets.
+test("a peer is reached again after a partition over a new connection", async (t) => {
+  const [a, b] = [await startNode(t, "a"), await startNode(t, "b")];
+  const relay = new TcpRelay(b.address.port);
+  t.after(() => relay.close());
+  const address = { host: "127.0.0.1", port: await relay.listen() };
+  await echo(a, address);
+  relay.setMode("toClient", "drop");
+  const call = { method: ECHO, body: { text: "hello" } };
+  for (let attempt = 0; attempt < 3; attempt++) {
+    await assert.rejects(
+      a.transport.request(address, call, { timeoutMs: 100 }),
+      failsWith("timeout"),
+    );
+  }
+  relay.setMode("toClient", "pass");
+  const results = [];
+  for (let attempt = 0; attempt < 4; attempt++) {
+    results.push(
+      await a.transport.request(address, call, { timeoutMs: 500 })
+        .then(() => "ok", () => "failed"),
+    );
+  }
+  assert.equal(results.at(-1), "ok");
+});
+
 test("a connection that is not used is closed", async (t) => {
   const a = await startNode(t, "a", { idleMs: 20 });
   const [b, c] = [await startNode(t, "b"), await startNode(t, "c")];
