Return the same array from FixedDirectory until it changes

Cause: the interface UpstreamDirectory promises it, and the selector rebuilds its subset for another array. In the hop benchmark this was done at every call: rendezvousSubset and poolState took 6.5 us of a profiled call. Change: the list of each pool is kept until an endpoint is added or replaced.

--- a/src/testing/fixed_parts.ts
+++ b/src/testing/fixed_parts.ts
@@ -42,6 +42,8 @@
 /** Directory whose endpoints and standing a test sets. */
 export class FixedDirectory implements UpstreamDirectory {
   #endpoints: Endpoint[] = [];
+  // The selector keeps its state as long as it gets the same array.
+  readonly #byPool = new Map<string, readonly Endpoint[]>();
   #standing: PeerStanding = {
     knownPeersCount: 0,
     lastAckMs: 0,
@@ -54,7 +56,7 @@
    * @param endpoint Endpoint to list.
    */
   add(endpoint: Endpoint): void {
-    this.#endpoints.push(endpoint);
+    this.replace([...this.#endpoints, endpoint]);
   }
 
   /**
@@ -64,6 +66,7 @@
    */
   replace(endpoints: readonly Endpoint[]): void {
     this.#endpoints = [...endpoints];
+    this.#byPool.clear();
   }
 
   /**
@@ -77,7 +80,13 @@
 
   /** @inheritdoc */
   endpoints(pool: string): readonly Endpoint[] {
-    return this.#endpoints.filter((endpoint) => endpoint.pool === pool);
+    const known = this.#byPool.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const listed = this.#endpoints.filter((endpoint) => endpoint.pool === pool);
+    this.#byPool.set(pool, listed);
+    return listed;
   }
 
   /** @inheritdoc */
