Prove that not-run is true

Ruled out: believing an upstream's own refusal after it made calls through its daemon; those calls may have taken effect, so that the outcome is unknown. socket.resetAndDestroy in the relay: Node.js 20 spun in native code afterwards. Change: src/proxy/not_run_test.ts; ChainEntry notes calls of the upstream.

--- a/src/proxy/chain_registry.ts
+++ b/src/proxy/chain_registry.ts
@@ -6,6 +6,8 @@
   readonly context: RequestContext;
   /** Whether a call that the upstream made for it failed for good. */
   downstreamFailed: boolean;
+  /** Whether the upstream made calls for it. */
+  calledDownstream: boolean;
 };
 
 /**
@@ -22,7 +24,7 @@
    * @returns The entry, for {@link ChainRegistry.remove}.
    */
   add(context: RequestContext): ChainEntry {
-    const entry = { context, downstreamFailed: false };
+    const entry = { context, downstreamFailed: false, calledDownstream: false };
     this.#entries.set(context.requestId, entry);
     return entry;
   }
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -95,6 +95,9 @@
     let tenant = DEFAULT_TENANT;
     try {
       const parent = this.#findParent(request);
+      if (parent !== undefined) {
+        parent.calledDownstream = true;
+      }
       const config = this.#requireConfig();
       tenant = parent?.context.tenant ?? this.#identify(request, config);
       const rules = this.#requireRoute(request, config, tenant);
--- a/src/proxy/inbound_exchange.ts
+++ b/src/proxy/inbound_exchange.ts
@@ -126,8 +126,13 @@
 
   /** @inheritdoc */
   onFailure(failure: Failure): void {
-    this.#finishedAs = failure.outcome === "not-run" ? "overloaded" : "failed";
-    this.#send("failed", failure);
+    // Calls that the upstream made may have taken effect, whatever it says.
+    const believed: Failure =
+      failure.kind === "upstream_refused" && this.chainEntry?.calledDownstream
+        ? { kind: "upstream_failed", outcome: "unknown" }
+        : failure;
+    this.#finishedAs = believed.outcome === "not-run" ? "overloaded" : "failed";
+    this.#send("failed", believed);
   }
 
   /** Action: sends the request to the upstream. */
--- /dev/null
+++ b/src/proxy/not_run_test.ts
@@ -0,0 +1,152 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { type Call, sendCall } from "../../stand_ins/send_call.ts";
+import { checkHistory } from "../testing/check_history.ts";
+import { Mesh, type MeshInstance } from "../testing/mesh.ts";
+import { waitFor } from "../testing/wait_for.ts";
+
+const TABLES = {
+  routes: {
+    enrol: {
+      match: { method: "POST", pathPrefix: "/enrolments" },
+      pool: "inscription",
+      class: "critical",
+      idempotent: false,
+    },
+    look: {
+      match: { method: "GET", pathPrefix: "/enrolments" },
+      pool: "inscription",
+      class: "standard",
+      idempotent: true,
+    },
+    vote: {
+      match: { method: "POST", pathPrefix: "/votes" },
+      pool: "certify",
+      class: "critical",
+      idempotent: false,
+    },
+  },
+  pools: {
+    inscription: { refusalsNotRun: true, queueMaxCount: 5, queueAgeMaxMs: 50 },
+    certify: { refusalsNotRun: true },
+  },
+};
+
+async function startMesh(t: TestContext) {
+  const mesh = new Mesh(t, TABLES);
+  const server = await mesh.start({ pool: "inscription", slotsCount: 5 });
+  const entry = await mesh.start({ pool: "other" });
+  return { mesh, server, entry };
+}
+
+function enrol(entry: MeshInstance, token: string, call: Partial<Call> = {}) {
+  return sendCall({
+    url: entry.callersUrl,
+    method: "POST",
+    path: "/enrolments",
+    token,
+    ...call,
+  });
+}
+
+async function waitForEffects(instance: MeshInstance, count: number) {
+  await waitFor(
+    `${count} effects`,
+    () => instance.upstream.effects.filter((one) => one.effect).length >= count,
+  );
+}
+
+// Guards against not-run for a request whose last byte had arrived.
+for (const relay of ["hopRelay", "upstreamRelay"] as const) {
+  test(`a connection cut before the answer is unknown, at the ${relay}`, async (t) => {
+    const { mesh, server, entry } = await startMesh(t);
+    server.upstream.change({ serviceMs: 10_000 });
+    const calls = [1, 2, 3].map((index) => enrol(entry, `cut-${index}`));
+    await waitForEffects(server, 3);
+    server[relay].reset();
+    const records = await Promise.all(calls);
+    assert.deepEqual(records.map((one) => one.outcome), [
+      "unknown",
+      "unknown",
+      "unknown",
+    ]);
+    assert.deepEqual(
+      checkHistory({ calls: records, effects: mesh.effects() }),
+      [],
+    );
+  });
+}
+
+// Guards against a refusal that speaks only of the last of several attempts.
+test("a retry that is refused keeps the outcome of the attempt before it", async (t) => {
+  const { mesh, server, entry } = await startMesh(t);
+  const other = await mesh.start({ pool: "inscription", slotsCount: 5 });
+  const both = [server, other];
+  both.forEach((one) => one.upstream.change({ serviceMs: 10_000 }));
+  const call = enrol(entry, "look-1", { method: "GET" });
+  await waitFor(
+    "one effect",
+    () => mesh.effects()["inscription"]?.some((one) => one.effect) === true,
+  );
+  both.forEach((one) => one.upstream.change({ shedding: true }));
+  both.forEach((one) => one.upstreamRelay.reset());
+  const record = await call;
+  assert.equal(mesh.effects()["inscription"]?.length, 2);
+  assert.equal(record.outcome, "unknown");
+  assert.equal(record.errorKind, "upstream_refused");
+  assert.deepEqual(
+    checkHistory({ calls: [record], effects: mesh.effects() }),
+    [],
+  );
+});
+
+// Guards against believing an upstream that refuses after a call of its own
+// had an effect further down.
+test("a refusal after a call to another service is unknown", async (t) => {
+  const { mesh, server, entry } = await startMesh(t);
+  const certify = await mesh.start({ pool: "certify" });
+  const next = {
+    url: server.outboundUrl,
+    method: "POST",
+    path: "/votes",
+  } as const;
+  server.upstream.change({ next, refusesAfterNext: true });
+  const record = await enrol(entry, "late-refusal");
+  assert.equal(certify.upstream.effects.length, 1);
+  assert.equal(record.outcome, "unknown");
+  assert.equal(record.errorKind, "upstream_failed");
+});
+
+// Guards against false refusals under overload, cuts and sheds at once.
+test("every not-run of a mixed run has no effect", async (t) => {
+  const { mesh, server, entry } = await startMesh(t);
+  server.upstream.change({ serviceMs: 15, spreadRatio: 1, slotsCount: 3 });
+  const events = [
+    () => server.upstreamRelay.reset(),
+    () => server.upstream.change({ shedding: true }),
+    () => server.hopRelay.reset(),
+    () => server.upstream.change({ shedding: false }),
+    () => mesh.directory.replace([{ ...server.endpoint, hopPort: 1 }]),
+    () => server.hopRelay.reset(),
+    () => mesh.directory.replace([server.endpoint]),
+  ];
+  const calls = [];
+  for (let index = 0; index < 700; index++) {
+    calls.push(enrol(entry, `mixed-${index}`, {
+      headers: index % 4 === 0 ? { "goldcrest-deadline-ms": "30" } : {},
+    }));
+    if (index % 40 === 0) {
+      events[(index / 40) % events.length]?.();
+    }
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  const records = await Promise.all(calls);
+  const kinds = new Set(records.map((one) => one.errorKind));
+  assert.deepEqual(
+    checkHistory({ calls: records, effects: mesh.effects() }),
+    [],
+  );
+  assert.ok(records.filter((one) => one.outcome === "not-run").length > 20);
+  assert.ok(kinds.has("upstream_refused"), [...kinds].join());
+  assert.ok(kinds.has("no_upstream"), [...kinds].join());
+});
--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -45,7 +45,6 @@
   readonly #server: Server;
   readonly #targetPort: number;
   #delayMs = 0;
-  #refusing = false;
   #waiters: (() => void)[] = [];
 
   /**
@@ -99,20 +98,16 @@
   }
 
   /**
-   * Resets new connections at once.
-   *
-   * @param refusing Whether new connections are reset.
+   * Closes all open connections in both directions. Node.js 20 spun in native
+   * code after `resetAndDestroy`, so that the sockets are destroyed instead;
+   * the system sends a reset when bytes are unread.
    */
-  refuse(refusing: boolean): void {
-    this.#refusing = refusing;
-  }
-
-  /** Resets all open connections. */
   reset(): void {
     for (const { client, target } of this.#links) {
-      client.resetAndDestroy();
-      target.resetAndDestroy();
+      client.destroy();
+      target.destroy();
     }
+    this.#links.clear();
   }
 
   /**
@@ -136,12 +131,8 @@
 
   #accept(client: Socket): void {
     client.on("error", () => {});
-    if (this.#refusing) {
-      client.resetAndDestroy();
-      return;
-    }
     const target = connect(this.#targetPort, LOOPBACK);
-    target.on("error", () => client.resetAndDestroy());
+    target.on("error", () => client.destroy());
     const link = { client, target };
     this.#links.add(link);
     this.#connect(link, "toTarget");
--- a/stand_ins/upstream_server.ts
+++ b/stand_ins/upstream_server.ts
@@ -44,6 +44,10 @@
   });
 }
 
+function refuse(response: ServerResponse): void {
+  response.writeHead(503, { "goldcrest-outcome": "not-run" }).end();
+}
+
 function readHeader(request: IncomingMessage, name: string): string {
   const value = request.headers[name];
   return typeof value === "string" ? value : "";
@@ -136,7 +140,7 @@
     if (this.#mustShed()) {
       effect.state = "shed";
       request.resume();
-      response.writeHead(503, { "goldcrest-outcome": "not-run" }).end();
+      refuse(response);
       return;
     }
     const abort = new AbortController();
@@ -171,6 +175,10 @@
     try {
       await sleep(this.#serviceMs(), undefined, { signal });
       await callNext(this.#behaviour, effect, { signal });
+      if (this.#behaviour.refusesAfterNext) {
+        refuse(response);
+        return;
+      }
       await writeAnswer(response, { tenant, wish }, { signal });
       effect.state = "done";
     } finally {
--- a/stand_ins/upstream_settings.ts
+++ b/stand_ins/upstream_settings.ts
@@ -35,6 +35,8 @@
     factorRatio: z.number().min(0).default(1)
       .describe("Reported value divided by the true one"),
   }).default({ lagMs: 0, factorRatio: 1 }),
+  refusesAfterNext: z.boolean().default(false)
+    .describe("Claims not-run after the call to the next service"),
   next: nextCallSchema.optional()
     .describe("Call that the work makes to the next service"),
 });
