--- /dev/null
+++ b/src/decisions/gradient_limiter.ts
@@ -0,0 +1,134 @@
+/** Concurrency limit that follows the ratio of usual to recent latency. */
+import type {
+  ConcurrencyLimiter,
+  LatencySample,
+} from "./concurrency_limiter.ts";
+
+const WINDOW_MS = 100;
+const WINDOW_SAMPLES_MIN_COUNT = 10;
+/** The usual latency follows the recent one, so that a lasting change becomes usual. */
+const USUAL_LATENCY_PERIOD_MS = 10_000;
+/** Recent latency may exceed the usual one by this factor before the limit falls. */
+const TOLERANCE_RATIO = 1.5;
+const DECREASE_RATIO = 0.8;
+/**
+ * A decrease is kept when latency falls by at least half of it. Otherwise the
+ * upstream is slow for another reason, and fewer requests would only leave its
+ * slots unused.
+ */
+const KEPT_LATENCY_RATIO = 1 - (1 - DECREASE_RATIO) / 2;
+const INCREASE_RATIO = 0.2;
+/** The limit never falls below this share of the slots, as latency alone is no proof of overload. */
+const LIMIT_MIN_RATIO = 0.25;
+
+/** A decrease whose effect on the latency is not known yet. */
+type Trial = { limitCount: number; latencyMs: number; untilMs: number };
+
+/**
+ * Lowers the limit while recent latency exceeds the usual latency and falls
+ * with the limit, and raises it back to the slots otherwise.
+ *
+ * @example
+ * const limiter = new GradientLimiter(100);
+ * limiter.record({ latencyMs: 20, inFlightCount: 90, overloaded: false }, nowMs);
+ */
+export class GradientLimiter implements ConcurrencyLimiter {
+  readonly kind = "gradient";
+  #slotsCount: number;
+  #limitCount: number;
+  #usualMs = 0;
+  #windowStartMs: number | undefined;
+  #windowSumMs = 0;
+  #windowCount = 0;
+  #busy = false;
+  #trial: Trial | undefined;
+
+  /**
+   * @param slotsCount Announced slots of the upstream; the first limit.
+   */
+  constructor(slotsCount: number) {
+    this.#slotsCount = slotsCount;
+    this.#limitCount = slotsCount;
+  }
+
+  /** @inheritdoc */
+  limit(): number {
+    return Math.max(1, Math.round(this.#limitCount));
+  }
+
+  /** @inheritdoc */
+  record(sample: LatencySample, nowMs: number): void {
+    this.#windowStartMs ??= nowMs;
+    this.#windowSumMs += sample.latencyMs;
+    this.#windowCount++;
+    this.#busy ||= sample.inFlightCount * 2 >= this.#limitCount;
+    const elapsedMs = nowMs - this.#windowStartMs;
+    if (elapsedMs < WINDOW_MS || this.#windowCount < WINDOW_SAMPLES_MIN_COUNT) {
+      return;
+    }
+    this.#adapt(this.#windowSumMs / this.#windowCount, { elapsedMs, nowMs });
+    this.#windowStartMs = nowMs;
+    this.#windowSumMs = 0;
+    this.#windowCount = 0;
+    this.#busy = false;
+  }
+
+  /** @inheritdoc */
+  resize(slotsCount: number): void {
+    this.#limitCount *= slotsCount / this.#slotsCount;
+    this.#slotsCount = slotsCount;
+    this.#trial = undefined;
+  }
+
+  #adapt(recentMs: number, at: { elapsedMs: number; nowMs: number }): void {
+    if (this.#trial !== undefined) {
+      this.#endTrial(this.#trial, recentMs, at.nowMs);
+      return;
+    }
+    this.#followLatency(recentMs, at.elapsedMs);
+    if (recentMs <= TOLERANCE_RATIO * this.#usualMs) {
+      this.#setLimit(
+        this.#limitCount + INCREASE_RATIO * Math.sqrt(this.#limitCount),
+      );
+      return;
+    }
+    if (this.#busy) {
+      this.#startTrial(recentMs, at.nowMs);
+    }
+  }
+
+  #followLatency(recentMs: number, elapsedMs: number): void {
+    const share = 1 - Math.exp(-elapsedMs / USUAL_LATENCY_PERIOD_MS);
+    const usualMs = this.#usualMs === 0
+      ? recentMs
+      : this.#usualMs + share * (recentMs - this.#usualMs);
+    // The usual latency falls at once, so that a quiet start sets the base.
+    this.#usualMs = Math.min(usualMs, recentMs * TOLERANCE_RATIO);
+  }
+
+  #startTrial(latencyMs: number, nowMs: number): void {
+    // Requests that were running before the decrease have ended by then.
+    const untilMs = nowMs + 2 * Math.max(WINDOW_MS, latencyMs);
+    this.#trial = { limitCount: this.#limitCount, latencyMs, untilMs };
+    this.#setLimit(this.#limitCount * DECREASE_RATIO);
+  }
+
+  #endTrial(trial: Trial, recentMs: number, nowMs: number): void {
+    if (nowMs < trial.untilMs) {
+      return;
+    }
+    this.#trial = undefined;
+    if (recentMs > trial.latencyMs * KEPT_LATENCY_RATIO) {
+      this.#usualMs = recentMs;
+      this.#setLimit(trial.limitCount);
+    }
+  }
+
+  #setLimit(limitCount: number): void {
+    const lowest = Math.max(1, this.#slotsCount * LIMIT_MIN_RATIO);
+    this.#limitCount = Math.min(
+      this.#slotsCount,
+      Math.max(lowest, limitCount),
+    );
+  }
+}
--- a/src/decisions/importance.ts
+++ b/src/decisions/importance.ts
@@ -8,9 +8,15 @@
 /** Admission keys per class. */
 export const ADMISSION_KEYS_COUNT = 128;
 
+/** Ranks by which each passed hop makes a request more important. */
+const DEPTH_RANKS_COUNT = 16;
+
 /** Ranks in all: a level of this value admits every request. */
 export const RANKS_COUNT = IMPORTANCE_CLASSES.length * ADMISSION_KEYS_COUNT;
 
+/** Importance classes in all. */
+export const CLASSES_COUNT = IMPORTANCE_CLASSES.length;
+
 /**
  * Derives the admission key, which stays the same along the chain and over
  * retries so that all hops shed the same requests.
@@ -50,3 +56,20 @@
   const index = Math.floor(rank / ADMISSION_KEYS_COUNT);
   return IMPORTANCE_CLASSES[index] ?? "background";
 }
+
+/**
+ * Prefers requests on which work has already been done, within their class.
+ *
+ * @param rank Rank in `[0, 512)`.
+ * @param depthCount Hops of the request, 1 at the entry of the call graph.
+ * @returns Rank lowered by 16 per hop after the first, not below the first rank
+ * of its class.
+ *
+ * @example
+ * effectiveRank(300, 2); // 284
+ */
+export function effectiveRank(rank: number, depthCount: number): number {
+  const firstOfClass = rank - rank % ADMISSION_KEYS_COUNT;
+  const passedCount = Math.max(0, depthCount - 1);
+  return Math.max(firstOfClass, rank - DEPTH_RANKS_COUNT * passedCount);
+}
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -96,7 +96,7 @@
     try {
       const parent = this.#findParent(request);
       if (parent !== undefined) {
-        parent.calledDownstream = true;
+        parent.calledFurther = true;
       }
       const config = this.#requireConfig();
       tenant = parent?.context.tenant ?? this.#identify(request, config);
@@ -136,7 +136,7 @@
       const source = this.#parts.outbound.send(
         { context, headers, body },
         receiver,
-        { parentRequestId: parent?.context.requestId },
+        { parent },
       );
       receiver.connect(source);
     } catch (error) {
@@ -216,6 +216,7 @@
         admissionKey(idempotencyKey ?? requestId),
       idempotent: rules.route.idempotent,
       depthCount: (parent?.context.depthCount ?? 0) + 1,
+      repeated: parent?.context.repeated ?? false,
       attemptsLeftCount: Math.min(
         rules.route.attemptsMax,
         parent?.context.attemptsLeftCount ?? rules.route.attemptsMax,
--- a/src/proxy/not_run_test.ts
+++ b/src/proxy/not_run_test.ts
@@ -82,6 +82,15 @@
   const { mesh, server, entry } = await startMesh(t);
   const other = await mesh.start({ pool: "inscription", slotsCount: 5 });
   const both = [server, other];
+  // Earlier requests give the retry budget its first retries.
+  await Promise.all(
+    Array.from(
+      { length: 20 },
+      (_, index) => enrol(entry, `early-${index}`, { method: "GET" }),
+    ),
+  );
+  const effects = () => mesh.effects()["inscription"] ?? [];
+  const earlyCount = effects().length;
   both.forEach((one) => one.upstream.change({ serviceMs: 10_000 }));
   const call = enrol(entry, "look-1", { method: "GET" });
   await waitFor(
@@ -91,7 +100,7 @@
   both.forEach((one) => one.upstream.change({ shedding: true }));
   both.forEach((one) => one.upstreamRelay.reset());
   const record = await call;
-  assert.equal(mesh.effects()["inscription"]?.length, 2);
+  assert.equal(effects().length, earlyCount + 2);
   assert.equal(record.outcome, "unknown");
   assert.equal(record.errorKind, "upstream_refused");
   assert.deepEqual(
