--- a/stand_ins/call_record.ts
+++ b/stand_ins/call_record.ts
@@ -11,6 +11,8 @@
   /** `broken`: no answer, or one that ended early. */
   outcome: z.enum(["complete", "not-run", "unknown", "broken"]),
   errorKind: z.string(),
+  recordedStatus: z.string()
+    .describe("Status of an earlier answer for the key; empty without one"),
   answerTenant: z.string().describe("Tenant that the answer claims"),
   bytesCount: z.int().describe("Bytes of the body that arrived"),
   bodyMatches: z.boolean().describe("Whether every byte is the expected one"),
--- a/stand_ins/send_call.ts
+++ b/stand_ins/send_call.ts
@@ -69,6 +69,7 @@
     status: 0,
     outcome: "broken",
     errorKind: "",
+    recordedStatus: "",
     answerTenant: "",
     bytesCount: 0,
     bodyMatches: false,
@@ -87,6 +88,7 @@
   record.requestId = textOf(headers["goldcrest-request-id"]);
   record.answerTenant = textOf(headers["goldcrest-tenant"]);
   record.errorKind = textOf(headers["goldcrest-error"]);
+  record.recordedStatus = textOf(headers["goldcrest-recorded-status"]);
   const check = new BodyCheck(record);
   for await (const chunk of answer.body) {
     check.add(chunk as Uint8Array);
