Limit the rate at which a daemon raises its incarnation

Cause: two daemons that were given the same instance id outbid each other's incarnation at the speed of the network, with one flood each. Ruled out: ending one of the two (neither knows which one is meant). Change: the time between raises doubles from 1 s to 60 s; the count is exposed for a gauge. The test of a lone daemon also checks its standing for keyed requests. Conclusion: a duplicate id is visible and no longer floods.

--- a/src/membership/member_view.ts
+++ b/src/membership/member_view.ts
@@ -60,7 +60,7 @@
     if (held.state !== "alive" && held.state !== "leaving") {
       this.own.rejectBy();
     }
-    if (this.own.refute(held)) {
+    if (this.own.refute(held, nowMs)) {
       this.#publishOwn(nowMs);
     }
   }
--- a/src/membership/membership_core.ts
+++ b/src/membership/membership_core.ts
@@ -87,6 +87,11 @@
       readers.listReaders(dataCentre).includes(own.id);
   }
 
+  /** Raises of the own incarnation; more than one means a duplicate id. */
+  get incarnationRaisesCount(): number {
+    return this.#view.own.raisesCount;
+  }
+
   /** Whether the view was compared with a peer since the start. */
   get isJoined(): boolean {
     return this.#synchroniser.isJoined;
--- a/src/membership/membership_core_test.ts
+++ b/src/membership/membership_core_test.ts
@@ -145,12 +145,17 @@
   const alone = nodeAt(fleet, 3);
   const rest = others(fleet, alone);
   fleet.isCut = (from, to) => from === alone || to === alone;
+  const cutMs = fleet.schedule.nowMs;
   const isLost = () => fleet.allHold(rest, [alone], ["dead"]);
   assert.ok(fleet.runUntil(isLost, 60_000) < 60_000);
   fleet.run(30_000);
   assert.deepEqual(drainChanges(fleet), new Set([alone.id]));
+  assert.ok(alone.core.standing.lastAckMs <= cutMs + 1, "it runs keys");
   fleet.isCut = () => false;
+  const healedMs = fleet.schedule.nowMs;
   fleet.run(10_000);
+  assert.ok(alone.core.standing.acceptedSinceMs >= healedMs);
+  assert.ok(alone.core.standing.lastAckMs > healedMs);
   assert.ok(fleet.allHold(fleet.nodes, fleet.nodes, ["alive"]));
 });
 
@@ -218,6 +223,27 @@
   assert.ok(victim.core.identity.incarnationEpochMs > future);
 });
 
+test("two daemons with one instance id do not flood without end", () => {
+  const messages: FleetMessage[] = [];
+  const fleet = startFleet(20, {
+    onMessage: (message) => messages.push(message),
+  });
+  const [victim, twin] = [nodeAt(fleet, 4), nodeAt(fleet, 5)];
+  messages.length = 0;
+  const endMs = fleet.schedule.nowMs + 60_000;
+  while (fleet.schedule.nowMs < endMs) {
+    // The twin outbids each incarnation that it hears of.
+    const { ownUpdate } = victim.core;
+    const incarnationEpochMs = ownUpdate.incarnationEpochMs + 1;
+    const updates = [{ ...ownUpdate, incarnationEpochMs, sequence: 0 }];
+    const request = { updates, isRepair: false };
+    fleet.send(twin, { kind: "pushed", request, fromId: "twin" });
+    fleet.run(10);
+  }
+  const raises = victim.core.incarnationRaisesCount;
+  assert.ok(raises > 1 && raises <= 7, `${raises} raises in 60 s`);
+});
+
 test("a whole data centre restarts through contacts only", () => {
   const fleet = startFleet(50);
   fleet.nodes.forEach((node) => fleet.kill(node));
--- a/src/membership/own_member.ts
+++ b/src/membership/own_member.ts
@@ -9,6 +9,13 @@
 
 /** Silence of all peers after which ownership of keys begins anew, in ms. */
 const SELF_FENCE_MS = 3_000;
+/**
+ * Shortest time between two raises of the incarnation, in ms; it doubles with
+ * each raise. Two daemons that were given the same instance id would otherwise
+ * outbid each other at the speed of the network.
+ */
+const RAISE_INTERVAL_MS = 1_000;
+const RAISE_INTERVAL_MAX_MS = 60_000;
 
 /** Identity and place with which a daemon starts. */
 export type OwnMemberOptions = {
@@ -24,6 +31,8 @@
   #update: MemberUpdate;
   #lastAckMs = Number.NEGATIVE_INFINITY;
   #acceptedSinceMs: number;
+  #raisesCount = 0;
+  #nextRaiseMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param options Identity and place.
@@ -36,6 +45,14 @@
     this.#acceptedSinceMs = nowMs;
   }
 
+  /**
+   * Number of raises of the incarnation. More than one means that another
+   * daemon uses the same instance id.
+   */
+  get raisesCount(): number {
+    return this.#raisesCount;
+  }
+
   /** Statement about this daemon, for floods. */
   get update(): MemberUpdate {
     return this.#update;
@@ -64,9 +81,10 @@
    * Answers a statement about this daemon that is newer than its own.
    *
    * @param claimed Version that a peer or the platform holds.
+   * @param nowMs Monotonic time, in ms.
    * @returns True when the own version was raised and is to be flooded.
    */
-  refute(claimed: MemberVersion): boolean {
+  refute(claimed: MemberVersion, nowMs: number): boolean {
     const isOver = this.#update.state === "left";
     if (isOver || compareVersions(claimed, this.#update) <= 0) {
       return false;
@@ -74,11 +92,9 @@
     const own = this.#update.incarnationEpochMs;
     // `left` ends an incarnation, so it can only be refuted by a newer one.
     if (claimed.incarnationEpochMs > own || claimed.state === "left") {
-      const incarnationEpochMs = claimed.incarnationEpochMs + 1;
-      this.#update = { ...this.#update, incarnationEpochMs, sequence: 0 };
-    } else {
-      this.#update = { ...this.#update, sequence: claimed.sequence + 1 };
+      return this.#raise(claimed.incarnationEpochMs + 1, nowMs);
     }
+    this.#update = { ...this.#update, sequence: claimed.sequence + 1 };
     return true;
   }
 
@@ -108,4 +124,16 @@
   beAlone(nowMs: number): void {
     this.#lastAckMs = nowMs;
   }
+
+  /** A raise that is refused now is tried again when a peer answers a probe. */
+  #raise(incarnationEpochMs: number, nowMs: number): boolean {
+    if (nowMs < this.#nextRaiseMs) {
+      return false;
+    }
+    const intervalMs = RAISE_INTERVAL_MS * 2 ** this.#raisesCount;
+    this.#nextRaiseMs = nowMs + Math.min(intervalMs, RAISE_INTERVAL_MAX_MS);
+    this.#raisesCount++;
+    this.#update = { ...this.#update, incarnationEpochMs, sequence: 0 };
+    return true;
+  }
 }
