Keep the back-off of refuted suspicions over single answers

Cause: ten of 50 daemons whose loop was blocked 900 ms at a time were suspected and refuted again and again, since every second answer cleared the back-off; a member that restarted after a suspicion could not be suspected by that observer. Ruled out: longer probe timeouts (they delay the detection for all members). Change: ten answers in a row halve the misses that are needed; the bound is 16 instead of 32; a new incarnation starts afresh. Tests of the detector alone.

--- a/src/membership/failure_detector.ts
+++ b/src/membership/failure_detector.ts
@@ -10,10 +10,13 @@
 const REFUSALS_TO_CONFIRM_COUNT = 2;
 /**
  * A member that refutes this observer's suspicions is reachable by others, as
- * with a link that loses one direction. The misses that are needed double with
- * each refutation, up to this bound, so that the floods stay few.
+ * with a link that loses one direction, or answers late. The misses that are
+ * needed double with each refutation, up to this bound, so that the floods stay
+ * few.
  */
-const MISSES_TO_SUSPECT_MAX_COUNT = 32;
+const MISSES_TO_SUSPECT_MAX_COUNT = 16;
+/** Answers in a row after which the misses that are needed are halved. */
+const ACKS_TO_TRUST_COUNT = 10;
 
 /** What an observer concludes from a failed probe. */
 export type Verdict = "none" | "suspect" | "gone";
@@ -21,6 +24,7 @@
 type Target = {
   nextMs: number;
   isAwaited: boolean;
+  acksCount: number;
   missesCount: number;
   refusalsCount: number;
   missesNeededCount: number;
@@ -75,6 +79,7 @@
       this.#targets.set(instanceId, {
         nextMs: nowMs + (index * PROBE_INTERVAL_MS) / instanceIds.length,
         isAwaited: false,
+        acksCount: 0,
         missesCount: 0,
         refusalsCount: 0,
         missesNeededCount: MISSES_TO_SUSPECT_COUNT,
@@ -114,8 +119,13 @@
     target.isAwaited = false;
     target.missesCount = 0;
     target.refusalsCount = 0;
-    target.missesNeededCount = MISSES_TO_SUSPECT_COUNT;
-    target.suspected = undefined;
+    target.acksCount++;
+    if (target.acksCount % ACKS_TO_TRUST_COUNT === 0) {
+      target.missesNeededCount = Math.max(
+        target.missesNeededCount / 2,
+        MISSES_TO_SUSPECT_COUNT,
+      );
+    }
   }
 
   /**
@@ -146,15 +156,8 @@
 
   #countMiss(target: Target, version: MemberVersion): Verdict {
     target.missesCount++;
-    const { suspected } = target;
-    if (suspected !== undefined && suspected.sequence < version.sequence) {
-      target.suspected = undefined;
-      target.missesCount = 1;
-      target.missesNeededCount = Math.min(
-        target.missesNeededCount * 2,
-        MISSES_TO_SUSPECT_MAX_COUNT,
-      );
-    }
+    target.acksCount = 0;
+    this.#followRefutation(target, version);
     if (
       target.missesCount < target.missesNeededCount ||
       target.suspected !== undefined
@@ -164,4 +167,23 @@
     target.suspected = version;
     return "suspect";
   }
+
+  #followRefutation(target: Target, version: MemberVersion): void {
+    const { suspected } = target;
+    if (suspected === undefined) {
+      return;
+    }
+    if (suspected.incarnationEpochMs !== version.incarnationEpochMs) {
+      target.suspected = undefined;
+      target.missesCount = 1;
+      target.missesNeededCount = MISSES_TO_SUSPECT_COUNT;
+    } else if (suspected.sequence < version.sequence) {
+      target.suspected = undefined;
+      target.missesCount = 1;
+      target.missesNeededCount = Math.min(
+        target.missesNeededCount * 2,
+        MISSES_TO_SUSPECT_MAX_COUNT,
+      );
+    }
+  }
 }
--- /dev/null
+++ b/src/membership/failure_detector_test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FailureDetector, type Verdict } from "./failure_detector.ts";
+
+const ID = "plates-1";
+
+function createDetector(): FailureDetector {
+  const detector = new FailureDetector();
+  detector.setTargets([ID], 0);
+  return detector;
+}
+
+function miss(
+  detector: FailureDetector,
+  version: { incarnationEpochMs?: number; sequence?: number } = {},
+): Verdict {
+  return detector.fail(ID, {
+    failure: "timeout",
+    isExcused: false,
+    version: {
+      incarnationEpochMs: 1,
+      sequence: 0,
+      state: "alive",
+      ...version,
+    },
+  });
+}
+
+/** Number of misses until the observer suspects. */
+function countMisses(detector: FailureDetector, sequence: number): number {
+  for (let count = 1; count <= 100; count++) {
+    if (miss(detector, { sequence }) === "suspect") {
+      return count;
+    }
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+test("an answer between two misses clears the first one", () => {
+  const detector = createDetector();
+  assert.equal(miss(detector), "none");
+  detector.acknowledge(ID);
+  assert.equal(miss(detector), "none");
+  assert.equal(miss(detector), "suspect");
+});
+
+test("a member that answers late is suspected less and less often", () => {
+  const detector = createDetector();
+  const counts = [0, 1, 2, 3, 4].map((sequence) => {
+    const count = countMisses(detector, sequence);
+    detector.acknowledge(ID);
+    return count;
+  });
+  assert.deepEqual(counts, [2, 4, 8, 16, 16]);
+});
+
+test("a member that answers in time again is trusted as before", () => {
+  const detector = createDetector();
+  [0, 1, 2].forEach((sequence) => countMisses(detector, sequence));
+  for (let round = 0; round < 30; round++) {
+    detector.acknowledge(ID);
+  }
+  assert.equal(countMisses(detector, 2), Number.POSITIVE_INFINITY);
+  assert.equal(countMisses(detector, 3), 4);
+});
+
+test("the new process of a restarted member is suspected like any other", () => {
+  const detector = createDetector();
+  countMisses(detector, 5);
+  detector.acknowledge(ID);
+  assert.equal(miss(detector, { incarnationEpochMs: 2 }), "none");
+  assert.equal(miss(detector, { incarnationEpochMs: 2 }), "suspect");
+});
+
+test("only two refused connections in a row confirm the end", () => {
+  const detector = createDetector();
+  const probe = {
+    isExcused: true,
+    version: { incarnationEpochMs: 1, sequence: 0, state: "alive" },
+  } as const;
+  const fail = (failure: "refused" | "replaced" | "timeout") =>
+    detector.fail(ID, { ...probe, failure });
+  assert.equal(fail("refused"), "none");
+  assert.equal(fail("timeout"), "none");
+  assert.equal(fail("refused"), "none");
+  assert.equal(fail("replaced"), "gone");
+});
