Bring the wiring example of the membership up to date

Cause: the example left out the random source of AnnouncementPart. Ruled out: nothing else was considered. Change: the doc comment only.

--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -97,7 +97,9 @@
  *   coldStartMs: (pool) => config.current()?.tables.pools... ?? 0,
  *   transport, clock,
  * });
- * const announcements = new AnnouncementPart({ membership, platform, clock, holdsLease });
+ * const announcements = new AnnouncementPart({
+ *   membership, platform, clock, random, holdsLease: () => readerLeases[0].isHeld(),
+ * });
  * loop.register(membership);
  * loop.register(announcements);
  * loop.start(); // only now are probes of peers answered
