Answer bad input at the door with its error kind

Cause: a chunked body over the limit destroyed the connection without any answer, and an unforeseen error of a handler was answered bad_request with not-run although the request could have been forwarded. Ruled out: destroying the request's stream, which closes the connection before the answer; the body now passes a bounded stream of its own. Change: LimitedBody gives 413 body_too_large with outcome unknown and closes the connection; unforeseen errors are internal and unknown; the test relay passes back-pressure on; src/proxy/door_test.ts.

--- /dev/null
+++ b/src/proxy/door_test.ts
@@ -0,0 +1,244 @@
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { sendCall } from "../../stand_ins/send_call.ts";
+import { Mesh, type MeshInstance } from "../testing/mesh.ts";
+import { waitFor } from "../testing/wait_for.ts";
+
+const TABLES = {
+  routes: {
+    upload: {
+      match: { method: "POST", pathPrefix: "/uploads" },
+      pool: "catalogue",
+      class: "standard",
+      idempotent: false,
+      bodyMaxBytes: 100_000,
+    },
+    view: {
+      match: { method: "GET", pathPrefix: "/views" },
+      pool: "catalogue",
+      class: "standard",
+      idempotent: true,
+    },
+    probe: {
+      match: { method: "HEAD", pathPrefix: "/views" },
+      pool: "catalogue",
+      class: "standard",
+      idempotent: true,
+    },
+  },
+  pools: { catalogue: {} },
+};
+
+async function startPair(t: TestContext) {
+  const mesh = new Mesh(t, TABLES);
+  const server = await mesh.start({ pool: "catalogue" });
+  const entry = await mesh.start({ pool: "other" });
+  return { mesh, server, entry };
+}
+
+type Listener = "callers" | "hop";
+
+function open(instance: MeshInstance, listener: Listener = "callers"): Socket {
+  const socket = connect(instance.bound[listener].port, "127.0.0.1");
+  socket.on("error", () => {});
+  return socket;
+}
+
+/** Sends raw bytes and reads until the expected text has arrived. */
+async function exchange(
+  instance: MeshInstance,
+  text: string,
+  options: { until: RegExp; listener?: Listener },
+): Promise<string> {
+  const socket = open(instance, options.listener);
+  let received = "";
+  let closed = false;
+  socket.on("data", (chunk) => received += chunk);
+  socket.on("close", () => closed = true);
+  socket.write(text);
+  await waitFor(
+    `an answer matches ${options.until}`,
+    () => options.until.test(received) || closed,
+  );
+  socket.destroy();
+  return received;
+}
+
+function requestText(
+  line: string,
+  headers: readonly string[] = [],
+  body = "",
+): string {
+  return `${line} HTTP/1.1\r\nHost: x\r\n${
+    headers.map((header) => `${header}\r\n`).join("")
+  }\r\n${body}`;
+}
+
+const END_OF_HEAD = /\r\n\r\n/;
+
+test("oversized headers are answered header_too_large", async (t) => {
+  const { entry, mesh } = await startPair(t);
+  const text = requestText("GET /views", [`X-Large: ${"x".repeat(20_000)}`]);
+  const answer = await exchange(entry, text, { until: END_OF_HEAD });
+  assert.match(answer, /^HTTP\/1\.1 431 /);
+  assert.match(answer, /goldcrest-error: header_too_large/i);
+  assert.match(answer, /goldcrest-outcome: not-run/i);
+  assert.equal(mesh.effects()["catalogue"]?.length, 0);
+});
+
+test("what is no HTTP is answered bad_request", async (t) => {
+  const { entry } = await startPair(t);
+  const answer = await exchange(entry, "NONSENSE\r\n\r\n", {
+    until: END_OF_HEAD,
+  });
+  assert.match(answer, /goldcrest-error: bad_request/i);
+});
+
+// Guards against not-run for a body of which the upstream got a part.
+test("a chunked body over the limit is body_too_large with outcome unknown", async (t) => {
+  const { entry } = await startPair(t);
+  const chunk = `${(50_000).toString(16)}\r\n${"x".repeat(50_000)}\r\n`;
+  const text = requestText(
+    "POST /uploads?token=a",
+    ["Transfer-Encoding: chunked"],
+    chunk.repeat(4),
+  );
+  const answer = await exchange(entry, text, { until: END_OF_HEAD });
+  assert.match(answer, /^HTTP\/1\.1 413 /);
+  assert.match(answer, /goldcrest-error: body_too_large/i);
+  assert.match(answer, /goldcrest-outcome: unknown/i);
+});
+
+// Guards against a slot that stays taken, and against a crash, when a caller
+// leaves in the middle of its body.
+for (const length of ["Content-Length: 50000", "Transfer-Encoding: chunked"]) {
+  test(`a caller that leaves within its body frees everything, ${length}`, async (t) => {
+    const { entry, server, mesh } = await startPair(t);
+    const body = length.startsWith("Content") ? "part" : "4\r\npart\r\n";
+    const socket = open(entry);
+    socket.write(requestText("POST /uploads?token=a", [length], body));
+    await waitFor("the entry daemon has read", () => socket.bytesWritten > 60);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    socket.destroy();
+    await waitFor(
+      "no request is left at the upstream",
+      () =>
+        (mesh.effects()["catalogue"] ?? []).every((one) =>
+          one.state !== "waiting" && one.state !== "running"
+        ),
+    );
+    const record = await sendCall({
+      url: entry.callersUrl,
+      method: "GET",
+      path: "/views",
+      token: "after",
+    });
+    assert.equal(record.outcome, "complete");
+    assert.equal(server.upstream.effects.at(-1)?.token, "after");
+  });
+}
+
+// Guards against unbounded buffers for a caller that does not read.
+test("an answer that is never read is held back at the upstream", async (t) => {
+  const { entry, server } = await startPair(t);
+  const socket = open(entry);
+  socket.pause();
+  socket.write(requestText("GET /views?token=a&bytes=200000000"));
+  await waitFor(
+    "the transfer has begun",
+    () => server.upstream.effects.length === 1,
+  );
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  assert.equal(server.upstream.effects[0]?.state, "running");
+  socket.destroy();
+  await waitFor(
+    "the upstream stops",
+    () => server.upstream.effects[0]?.state === "cancelled",
+  );
+});
+
+test("forged internal headers of callers change nothing", async (t) => {
+  const { entry, server } = await startPair(t);
+  const answer = await exchange(
+    entry,
+    requestText("GET /views?token=a", [
+      "Goldcrest-Outcome: not-run",
+      "Goldcrest-Tenant: thies",
+      "Goldcrest-Request-Id: forged",
+      "goldcrest-hop: 1;forged",
+      "goldcrest-answer: 1;forged",
+      "Goldcrest-Class: critical",
+      "Goldcrest-Attempts: 99",
+    ]),
+    { until: END_OF_HEAD },
+  );
+  assert.match(answer, /goldcrest-outcome: complete/i);
+  const [effect] = server.upstream.effects;
+  assert.equal(effect?.tenant, "default");
+  assert.notEqual(effect?.requestId, "forged");
+});
+
+for (
+  const [name, hop] of [
+    ["no token", []],
+    ["a malformed hop header", ["goldcrest-hop: 1;x"]],
+    [
+      "a forged token",
+      [
+        "goldcrest-hop: 1;id;other-1;catalogue-0;1;default;view;catalogue;0;1;1;1;3;1000,1000;0.k1.AAAA",
+      ],
+    ],
+  ] as const
+) {
+  test(`a hop with ${name} is hop_rejected`, async (t) => {
+    const { server, mesh } = await startPair(t);
+    const answer = await exchange(server, requestText("GET /views", hop), {
+      until: END_OF_HEAD,
+      listener: "hop",
+    });
+    assert.match(answer, /^HTTP\/1\.1 403 /);
+    assert.match(answer, /goldcrest-error: hop_rejected/i);
+    assert.equal(mesh.effects()["catalogue"]?.length, 0);
+  });
+}
+
+test("a hop to another incarnation is refused and runs nothing", async (t) => {
+  const { entry, server, mesh } = await startPair(t);
+  mesh.directory.replace([{ ...server.endpoint, incarnationEpochMs: 1 }]);
+  const record = await sendCall({
+    url: entry.callersUrl,
+    method: "POST",
+    path: "/uploads",
+    token: "a",
+  });
+  assert.equal(record.errorKind, "no_upstream");
+  assert.equal(record.outcome, "not-run");
+  assert.equal(mesh.effects()["catalogue"]?.length, 0);
+});
+
+test("HEAD, 204, 304, Expect and pipelined requests are answered whole", async (t) => {
+  const { entry } = await startPair(t);
+  const pipelined = [
+    requestText("HEAD /views?token=a&bytes=100"),
+    requestText("GET /views?token=b&bytes=0&status=204"),
+    requestText("GET /views?token=c&bytes=0&status=304"),
+    requestText("GET /views?token=d&bytes=8"),
+  ].join("");
+  const answers = await exchange(entry, pipelined, {
+    until: /x-token: d[^]*\r\n\r\n.{8}/,
+  });
+  assert.deepEqual(
+    [...answers.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status),
+    ["200", "204", "304", "200"],
+  );
+  const expected = await exchange(
+    entry,
+    requestText("POST /uploads?token=e", [
+      "Expect: 100-continue",
+      "Content-Length: 4",
+    ], "body"),
+    { until: /x-token: e/ },
+  );
+  assert.match(expected, /^HTTP\/1\.1 100 Continue/);
+});
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -234,7 +234,8 @@
   ): void {
     const failure: Failure = error instanceof RelayError
       ? { kind: error.kind, outcome: error.outcome }
-      : { kind: "bad_request", outcome: "not-run" };
+      // An unforeseen error may come after the request was sent.
+      : { kind: "internal", outcome: "unknown" };
     const decorator = new PublicAnswer(identity.requestId, identity.tenant);
     new ResponseReceiver(response, decorator).onFailure(failure);
   }
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -134,7 +134,8 @@
       const source = this.#inbound.serve({ context, headers, body }, receiver);
       receiver.connect(source);
     } catch {
-      receiver.onFailure({ kind: "bad_request", outcome: "not-run" });
+      // An unforeseen error may come after the request was forwarded.
+      receiver.onFailure({ kind: "internal", outcome: "unknown" });
     }
   }
 
--- a/src/proxy/http_answer_source.ts
+++ b/src/proxy/http_answer_source.ts
@@ -1,6 +1,7 @@
 /** Adapts undici's dispatch to the answer interfaces. */
 import type { Dispatcher } from "undici";
 import type { ErrorKind } from "../errors/error_kinds.ts";
+import { RelayError } from "../errors/relay_error.ts";
 import type {
   AnswerHead,
   AnswerReceiver,
@@ -117,18 +118,21 @@
   /** Called by undici when the exchange fails at any point. */
   onResponseError(
     _controller: Dispatcher.DispatchController,
-    _error: Error,
+    error: Error,
   ): void {
     if (this.#finished) {
       return;
     }
     this.#finished = true;
-    this.#receiver.onFailure(this.#describeFailure());
+    this.#receiver.onFailure(this.#describeFailure(error));
   }
 
   // undici starts a request only on an open connection, so a failure before
   // the start proves that no byte was written.
-  #describeFailure(): Failure {
+  #describeFailure(error: Error): Failure {
+    if (error instanceof RelayError) {
+      return { kind: error.kind, outcome: error.outcome };
+    }
     return this.#controller === undefined
       ? { kind: this.#options.unreachableKind, outcome: "not-run" }
       : { kind: this.#options.brokenKind, outcome: "unknown" };
--- a/src/proxy/request_body.ts
+++ b/src/proxy/request_body.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies. */
 import type { IncomingMessage } from "node:http";
+import { Transform, type TransformCallback } from "node:stream";
 import { RelayError } from "../errors/relay_error.ts";
 import type { RequestBody } from "./answer_receiver.ts";
 
@@ -21,16 +22,46 @@
   });
 }
 
-/** Fails a streamed body that grows past its limit. */
-function limitStream(request: IncomingMessage, bodyMaxBytes: number): void {
-  let receivedBytes = 0;
-  request.on("data", (chunk: Buffer) => {
-    receivedBytes += chunk.length;
-    if (receivedBytes > bodyMaxBytes) {
-      request.destroy(new Error("The body is larger than the route allows"));
+/** Streamed body that fails when it grows past its limit. */
+class LimitedBody extends Transform {
+  readonly #bodyMaxBytes: number;
+  #receivedBytes = 0;
+
+  constructor(bodyMaxBytes: number) {
+    super();
+    this.#bodyMaxBytes = bodyMaxBytes;
+  }
+
+  override _transform(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    callback: TransformCallback,
+  ): void {
+    this.#receivedBytes += chunk.length;
+    if (this.#receivedBytes <= this.#bodyMaxBytes) {
+      callback(null, chunk);
+      return;
+    }
+    // A part of the body may have reached the upstream.
+    const message = `Body exceeds ${this.#bodyMaxBytes} bytes`;
+    const outcome = "unknown";
+    callback(new RelayError("body_too_large", message, { outcome }));
+  }
+}
+
+/** Bounds a body without a length; the request stays open for an answer. */
+function limitStream(
+  request: IncomingMessage,
+  bodyMaxBytes: number,
+): LimitedBody {
+  const limited = new LimitedBody(bodyMaxBytes);
+  limited.on("error", () => request.unpipe(limited));
+  request.on("close", () => {
+    if (!request.complete) {
+      limited.destroy(new Error("The caller has gone"));
     }
   });
-  request.pause();
+  return request.pipe(limited);
 }
 
 /** Options of {@link readBody}. */
@@ -65,8 +96,5 @@
   if (!chunked && (lengthBytes ?? 0) <= REPLAYABLE_BODY_MAX_BYTES) {
     return await collect(request);
   }
-  if (chunked) {
-    limitStream(request, options.bodyMaxBytes);
-  }
-  return request;
+  return chunked ? limitStream(request, options.bodyMaxBytes) : request;
 }
--- a/src/proxy/response_receiver.ts
+++ b/src/proxy/response_receiver.ts
@@ -92,6 +92,10 @@
     if (answer.retryAfterS !== undefined) {
       headers.push("retry-after", String(answer.retryAfterS));
     }
+    // The rest of such a body is not read.
+    if (failure.kind === "body_too_large") {
+      headers.push("connection", "close");
+    }
     this.#response.writeHead(answer.status, headers);
     this.#response.end(body);
   }
--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -153,13 +153,26 @@
       if (this.#modes[direction] === "drop") {
         return;
       }
-      this.#later(() => to.writable && to.write(chunk));
+      this.#later(() => this.#pass(link, direction, { chunk }));
       this.#count(direction, chunk.length);
     });
     from.on("end", () => this.#later(() => to.end()));
     this.#applyMode(link, direction);
   }
 
+  /** A slow reader holds the writer back, as it would without the relay. */
+  #pass(
+    link: Link,
+    direction: Direction,
+    { chunk }: { chunk: Buffer },
+  ): void {
+    const { from, to } = endsOf(link, direction);
+    if (to.writable && !to.write(chunk)) {
+      from.pause();
+      to.once("drain", () => this.#applyMode(link, direction));
+    }
+  }
+
   #applyMode(link: Link, direction: Direction): void {
     const { from } = endsOf(link, direction);
     if (this.#modes[direction] === "hold") {
