--- /dev/null
+++ b/src/proxy/chain_test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { sendCall } from "../../stand_ins/send_call.ts";
+import type { Settings } from "../schemas/settings_schema.ts";
+import { Mesh, type MeshInstance } from "../testing/mesh.ts";
+import { waitFor } from "../testing/wait_for.ts";
+
+const SERVICES = ["entry", "enrol", "certify", "logbook"];
+const ORIGINALS_COUNT = 200;
+const ATTEMPT_RATIO_MAX = 1.1;
+
+/** Starts a chain in which each service calls the next one. */
+async function startChain(t: TestContext, policy?: Settings["policy"]) {
+  const routes = Object.fromEntries(SERVICES.map((pool) => [pool, {
+    match: { method: "POST", pathPrefix: `/${pool}` },
+    pool,
+    class: "critical",
+    idempotent: true,
+  }]));
+  const pools = Object.fromEntries(
+    SERVICES.map((pool) => [pool, { refusalsNotRun: true }]),
+  );
+  const mesh = new Mesh(t, { routes, pools, policy });
+  for (const [index, pool] of SERVICES.entries()) {
+    const following = SERVICES[index + 1];
+    for (let copy = 0; copy < 2; copy++) {
+      const instance = await mesh.start({ pool });
+      if (following !== undefined) {
+        instance.upstream.change({
+          next: {
+            url: instance.outboundUrl,
+            method: "POST",
+            path: `/${following}`,
+          },
+        });
+      }
+    }
+  }
+  return mesh;
+}
+
+async function callThroughFailure(mesh: Mesh): Promise<number> {
+  const [first] = mesh.instances as [MeshInstance];
+  mesh.instances
+    .filter((one) => one.endpoint.pool === "logbook")
+    .forEach((one) => one.upstream.change({ shedding: true }));
+  const calls = [];
+  for (let index = 0; index < ORIGINALS_COUNT; index++) {
+    calls.push(sendCall({
+      url: first.callersUrl,
+      method: "POST",
+      path: "/entry",
+      token: `storm-${index}`,
+    }));
+    await sleep(5);
+  }
+  await Promise.all(calls);
+  const countsOfPools = Object.values(mesh.effects()).map((all) => all.length);
+  return Math.max(...countsOfPools) / ORIGINALS_COUNT;
+}
+
+// Guards against a retry storm when the deepest of four services refuses all.
+test("retries over a chain of four services stay within the budget", async (t) => {
+  const ratio = await callThroughFailure(await startChain(t));
+  console.log(`attempts per original: ${ratio}`);
+  assert.ok(ratio <= ATTEMPT_RATIO_MAX, `${ratio} attempts per original`);
+});
+
+test("the baseline of retries at every hop multiplies the attempts", async (t) => {
+  const ratio = await callThroughFailure(await startChain(t, "fixed"));
+  console.log(`attempts per original, baseline: ${ratio}`);
+  assert.ok(ratio > ATTEMPT_RATIO_MAX, `${ratio} attempts per original`);
+});
+
+// Guards against work that goes on for a caller that has left.
+test("a cancellation travels along the whole chain and frees the slots", async (t) => {
+  const mesh = await startChain(t);
+  const [first] = mesh.instances as [MeshInstance];
+  mesh.instances
+    .filter((one) => one.endpoint.pool === "logbook")
+    .forEach((one) => one.upstream.change({ serviceMs: 60_000 }));
+  const abort = new AbortController();
+  const call = sendCall({
+    url: first.callersUrl,
+    method: "POST",
+    path: "/entry",
+    token: "left",
+  }, { signal: abort.signal });
+  const all = () => Object.values(mesh.effects()).flat();
+  await waitFor(
+    "the deepest service works",
+    () => all().length === SERVICES.length && all().every((one) => one.effect),
+  );
+  abort.abort();
+  await call;
+  await waitFor(
+    "no service works any more",
+    () =>
+      all().every((one) => one.state === "cancelled" || one.state === "failed"),
+  );
+  assert.equal(all().length, SERVICES.length);
+});
--- a/src/testing/mesh.ts
+++ b/src/testing/mesh.ts
@@ -1,7 +1,9 @@
 /** Daemons and upstream stand-ins of several services in one process. */
 import type { TestContext } from "node:test";
 import type { BoundAddresses, Daemon } from "../daemon/daemon_parts.ts";
+import type { LifeEvent } from "../daemon/daemon_life.ts";
 import { wireDaemon } from "../daemon/wire.ts";
+import { EventSource } from "../core/event_source.ts";
 import type { Endpoint } from "../decisions/upstream_directory.ts";
 import { type Settings, settingsSchema } from "../schemas/settings_schema.ts";
 import { UpstreamServer } from "../../stand_ins/upstream_server.ts";
@@ -30,6 +32,8 @@
 export type MeshInstance = {
   readonly endpoint: Endpoint;
   readonly daemon: Daemon;
+  /** Signals to the daemon. */
+  readonly signals: EventSource<LifeEvent>;
   readonly upstream: UpstreamServer;
   /** URL of the listener for callers. */
   readonly callersUrl: string;
@@ -108,7 +112,8 @@
     }));
     const { port } = await upstream.start();
     const upstreamRelay = new TcpRelay(port);
-    const daemon = this.#wire(id, dataCentre);
+    const signals = new EventSource<LifeEvent>();
+    const daemon = this.#wire({ id, dataCentre }, signals);
     const bound = await daemon.listen();
     const hopRelay = new TcpRelay(bound.hop.port);
     daemon.attachUpstream({
@@ -134,6 +139,7 @@
     const instance = {
       endpoint,
       daemon,
+      signals,
       upstream,
       callersUrl: `http://${LOOPBACK}:${bound.callers.port}`,
       outboundUrl: `http://${LOOPBACK}:${bound.outbound.port}`,
@@ -179,9 +185,12 @@
     return byPool;
   }
 
-  #wire(id: string, dataCentre: string): Daemon {
+  #wire(
+    instance: { id: string; dataCentre: string },
+    signals: EventSource<LifeEvent>,
+  ): Daemon {
     const settings = settingsSchema.parse({
-      instance: { id, dataCentre },
+      instance,
       listeners: {
         callers: ANY_PORT,
         hop: ANY_PORT,
@@ -194,7 +203,12 @@
       peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
     });
     const { directory, owners } = this;
-    return wireDaemon(settings, { config: this.#config, directory, owners });
+    return wireDaemon(settings, {
+      config: this.#config,
+      directory,
+      owners,
+      signals: signals.stream,
+    });
   }
 
   async #stop(): Promise<void> {
