--- a/bench/membership/measure_fleet.ts
+++ b/bench/membership/measure_fleet.ts
@@ -4,7 +4,7 @@
   type FleetMessage,
   type FleetNode,
   MembershipFleet,
-} from "../membership_fleet.ts";
+} from "./membership_fleet.ts";
 import { measureCodecMs, sealedBytes, type Traffic } from "./message_sizes.ts";
 
 const SEED = 1;
--- a/bench/membership/message_sizes.ts
+++ b/bench/membership/message_sizes.ts
@@ -1,11 +1,7 @@
 /** Sizes of the membership's messages as they are sent. */
 import type { z } from "zod";
-import {
-  openEnvelope,
-  packBody,
-  sealEnvelope,
-  unpackBody,
-} from "../../src/peer/envelope.ts";
+import { codecOf } from "../../src/peer/body_codec.ts";
+import { openEnvelope, sealEnvelope } from "../../src/peer/envelope.ts";
 import { KeyRing } from "../../src/peer/key_ring.ts";
 import {
   PROBE_METHOD,
@@ -13,7 +9,7 @@
   SYNC_METHOD,
 } from "../../src/membership/peer_methods.ts";
 import { measureCpuMs } from "../config/measure.ts";
-import type { FleetMessage, FleetNode } from "../membership_fleet.ts";
+import type { FleetMessage, FleetNode } from "./membership_fleet.ts";
 
 const METHODS = {
   probe: PROBE_METHOD,
@@ -41,16 +37,18 @@
   const schema: z.ZodType = direction === "request"
     ? method.request
     : method.answer;
+  const codec = codecOf(schema);
   return sealEnvelope(
     {
       direction,
+      fingerprint: codec.fingerprint,
       method: method.name,
       from: from.core.identity,
       target: to.id,
       sentEpochMs: Date.now(),
       requestId: REQUEST_ID,
     },
-    packBody(body, schema),
+    codec.pack(body),
     { keys: KEYS },
   );
 }
@@ -82,6 +80,6 @@
   return measureCpuMs(CODEC_REPEATS_COUNT, () => {
     const bytes = seal("probe", { from, to, body, direction: "request" });
     const opened = openEnvelope(bytes, { keys: KEYS, wallMs: Date.now() });
-    unpackBody(opened.body, PROBE_METHOD.request);
+    codecOf(PROBE_METHOD.request).unpack(opened.body);
   });
 }
