Let critical requests fill half of the age limit before any is shed

Cause: traces of inscription (30 slots of 480 ms) show bursts of four and more waiting enrolments, for which the level fell into the critical class although critical requests use 75% of the capacity. Change: the level stays above the critical class until its waiting requests mean a wait of half the age limit of the queue.

--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -343,14 +343,19 @@
       standingDelayMs,
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
-      waitingFromRank: this.#waitingFromRank(),
+      waitingFromRank: this.#waitingFromRank(ratePerMs),
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
     });
   }
 
-  /** First rank of the most important class that waits. */
-  #waitingFromRank(): number {
-    let classIndex = 0;
+  /** First rank of the most important class that waits too long. */
+  #waitingFromRank(ratePerMs: number): number {
+    // Critical requests may fill half of the age limit before any is shed.
+    const criticalCount = this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
+    if (this.#queue.countInClass(0) > criticalCount) {
+      return 0;
+    }
+    let classIndex = 1;
     while (
       this.#queue.countAboveClass(classIndex + 1) <= STANDING_ALLOWED_COUNT &&
       classIndex < CLASSES_COUNT - 1
