End the fence of a daemon that was suspected once

Cause: while a peer suspects the daemon, the membership states an infinite time of acceptance; the fence took it for the time of the lapse and compared every later answer with it, so that the daemon refused all keyed requests for ever. Change: the lapse is noted at the time of the look. Conclusion: fixed.

--- a/src/decisions/self_fence.ts
+++ b/src/decisions/self_fence.ts
@@ -65,7 +65,8 @@
       return;
     }
     if (doubted && this.#lapsedMs === undefined) {
-      this.#lapsedMs = standing.acceptedSinceMs;
+      // Infinite until a peer accepts this daemon again.
+      this.#lapsedMs = Math.min(standing.acceptedSinceMs, nowMs);
     }
   }
 
