Make the tests of replacement and retries use all endpoints

Change: one caller per pool in both tests; the replacement waits until a transfer runs at the leaving instance.

--- a/src/proxy/chain_test.ts
+++ b/src/proxy/chain_test.ts
@@ -19,7 +19,12 @@
     idempotent: true,
   }]));
   const pools = Object.fromEntries(
-    SERVICES.map((pool) => [pool, { refusalsNotRun: true }]),
+    SERVICES.map((pool) => [pool, {
+      refusalsNotRun: true,
+      // With few callers each of them uses all endpoints of the pool.
+      callersMaxCount: 1,
+      endpointsCount: 2,
+    }]),
   );
   const mesh = new Mesh(t, { routes, pools, policy });
   for (const [index, pool] of SERVICES.entries()) {
--- a/src/proxy/replacement_test.ts
+++ b/src/proxy/replacement_test.ts
@@ -6,6 +6,7 @@
 import { sendCall } from "../../stand_ins/send_call.ts";
 import { checkHistory } from "../testing/check_history.ts";
 import { Mesh, type MeshInstance } from "../testing/mesh.ts";
+import { waitFor } from "../testing/wait_for.ts";
 
 // `npm run test:replacement` replaces for a minute.
 const REPLACEMENTS_COUNT = Number(process.env["REPLACEMENTS_COUNT"] ?? 2);
@@ -23,7 +24,8 @@
       idempotent: true,
     },
   },
-  pools: { mediatheque: {} },
+  // With few callers each of them uses all endpoints of the pool.
+  pools: { mediatheque: { callersMaxCount: 1, endpointsCount: 2 } },
 };
 
 // Guards against transfers that are cut when their instance is replaced.
@@ -57,6 +59,10 @@
       ...serving.slice(1),
       await mesh.start({ pool: "mediatheque" }),
     ];
+    await waitFor(
+      "a transfer runs at the leaving instance",
+      () => leaving.upstream.effects.some((one) => one.state === "running"),
+    );
     leaving.signals.emit("terminate");
     // Peers learn of the drain only after some requests were refused.
     await sleep(500);
