--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -112,7 +112,7 @@
     ) {
       return { kind: "refuse", error: "shed" };
     }
-    if (!this.#canMeetDeadline(request, this.#expectedWaitMs(rank), nowMs)) {
+    if (!this.#canMeetDeadline(request, nowMs + this.#expectedWaitMs(rank))) {
       return { kind: "refuse", error: "deadline_unmeetable" };
     }
     if (this.#inFlightCount < this.#limitCount && this.#queue.size === 0) {
@@ -214,7 +214,7 @@
   }
 
   #dispatch(entry: QueueEntry, nowMs: number): void {
-    if (!this.#canMeetDeadline(entry.request, 0, nowMs)) {
+    if (!this.#canMeetDeadline(entry.request, nowMs)) {
       this.#refuse(entry, "deadline_unmeetable");
       return;
     }
@@ -237,14 +237,10 @@
     }
   }
 
-  #canMeetDeadline(
-    request: AdmissionRequest,
-    waitMs: number,
-    nowMs: number,
-  ): boolean {
+  #canMeetDeadline(request: AdmissionRequest, startMs: number): boolean {
     const serviceMs = this.#estimates.typicalMs(request.route ?? ALL_ROUTES);
-    return nowMs + waitMs + serviceMs <= request.deadlineMs &&
-      nowMs < request.deadlineMs;
+    return startMs < request.deadlineMs &&
+      startMs + serviceMs <= request.deadlineMs;
   }
 
   /** Requests that run earlier, divided by the rate of completions. */
@@ -347,14 +343,19 @@
       standingDelayMs,
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
-      waitingFromRank: this.#waitingFromRank(),
+      waitingFromRank: this.#waitingFromRank(ratePerMs),
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
     });
   }
 
-  /** First rank of the most important class that waits. */
-  #waitingFromRank(): number {
-    let classIndex = 0;
+  /** First rank of the most important class that waits too long. */
+  #waitingFromRank(ratePerMs: number): number {
+    // Critical requests may fill half of the age limit before any is shed.
+    const criticalCount = this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
+    if (this.#queue.countInClass(0) > criticalCount) {
+      return 0;
+    }
+    let classIndex = 1;
     while (
       this.#queue.countAboveClass(classIndex + 1) <= STANDING_ALLOWED_COUNT &&
       classIndex < CLASSES_COUNT - 1
--- a/src/membership/member_view.ts
+++ b/src/membership/member_view.ts
@@ -60,7 +60,7 @@
     if (held.state !== "alive" && held.state !== "leaving") {
       this.own.rejectBy();
     }
-    if (this.own.refute(held)) {
+    if (this.own.refute(held, nowMs)) {
       this.#publishOwn(nowMs);
     }
   }
@@ -90,8 +90,6 @@
   #collectChanges(): void {
     const changes = this.registry.takeChanges();
     this.#changes.push(...changes);
-    if (changes.some(({ kind }) => kind !== "updated")) {
-      this.readers.invalidate();
-    }
+    this.readers.follow(changes);
   }
 }
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -97,7 +97,9 @@
  *   coldStartMs: (pool) => config.current()?.tables.pools... ?? 0,
  *   transport, clock,
  * });
- * const announcements = new AnnouncementPart({ membership, platform, clock, holdsLease });
+ * const announcements = new AnnouncementPart({
+ *   membership, platform, clock, random, holdsLease: () => readerLeases[0].isHeld(),
+ * });
  * loop.register(membership);
  * loop.register(announcements);
  * loop.start(); // only now are probes of peers answered
@@ -170,12 +172,14 @@
     const { registry } = this.#core;
     return [...registry.table.rows()].map((row) => {
       const pool = registry.table.poolOf(row);
+      const operator = registry.table.operatorOf(row);
       return {
         instanceId: registry.table.idOf(row),
         incarnationEpochMs: registry.table.incarnationOf(row),
         dataCentre: registry.table.dataCentreOf(row),
         state: STATUS_STATES[registry.stateAt(row)],
         ...(pool !== "" && { pool }),
+        ...(operator !== undefined && { operator }),
       };
     });
   }
