--- a/src/testing/keyed_simulation.ts
+++ b/src/testing/keyed_simulation.ts
@@ -14,16 +14,9 @@
 } from "../decisions/keyed_admission.ts";
 import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import type { PeerStanding } from "../decisions/upstream_directory.ts";
-
-/** Rules that the simulation can leave out, to show what they prevent. */
-export type KeyedRules = {
-  /** The owner checks its ownership since the key's first send. */
-  ownership: boolean;
-  /** A daemon that was frozen or cut off runs no keys. */
-  fence: boolean;
-  /** The checks are repeated before a request is forwarded. */
-  recheck: boolean;
-};
+import type { KeyedResult, KeyedRules } from "./keyed_result.ts";
+import { LaggedOwners } from "./lagged_owners.ts";
+import { VirtualTimeline } from "./virtual_timeline.ts";
 
 /** Options of {@link KeyedSimulation}. */
 export type KeyedSimulationOptions = {
@@ -32,21 +25,6 @@
   rules: KeyedRules;
 };
 
-/** Figures of a run. */
-export type KeyedResult = {
-  readonly keysCount: number;
-  readonly attemptsCount: number;
-  readonly killsCount: number;
-  readonly freezesCount: number;
-  readonly cutsCount: number;
-  /** Keys with one effect. */
-  readonly onceCount: number;
-  /** Keys with more than one effect. */
-  readonly repeatedCount: number;
-  readonly replayedCount: number;
-};
-
-const TICK_MS = 10;
 const KEY_INTERVAL_MS = 60;
 const FAILURE_INTERVAL_MS = 6_000;
 /** One attempt in this many comes through a daemon that sees a lost owner. */
@@ -84,66 +62,6 @@
   generation: number;
 };
 
-/** Runs action callbacks in order of virtual time. */
-class VirtualTimeline {
-  readonly #buckets = new Map<number, (() => void)[]>();
-  #tick = 0;
-
-  get nowMs(): number {
-    return this.#tick * TICK_MS;
-  }
-
-  after(delayMs: number, action: () => void): void {
-    const tick = this.#tick + Math.max(1, Math.round(delayMs / TICK_MS));
-    const bucket = this.#buckets.get(tick) ?? [];
-    bucket.push(action);
-    this.#buckets.set(tick, bucket);
-  }
-
-  run(untilMs: number): void {
-    while (this.nowMs < untilMs) {
-      this.#tick++;
-      const actions = this.#buckets.get(this.#tick) ?? [];
-      this.#buckets.delete(this.#tick);
-      actions.forEach((action) => action());
-    }
-  }
-}
-
-/** Periods as one daemon sees them, some time after they began. */
-class LaggedOwners implements OwnerHistory {
-  readonly #periods: readonly OwnerList[];
-  readonly #lagMs: number;
-  readonly #nowEpochMs: () => number;
-
-  constructor(
-    periods: readonly OwnerList[],
-    lagMs: number,
-    { nowEpochMs }: { nowEpochMs: () => number },
-  ) {
-    this.#periods = periods;
-    this.#lagMs = lagMs;
-    this.#nowEpochMs = nowEpochMs;
-  }
-
-  lists(
-    _pool: string,
-    _dataCentre: string,
-    fromEpochMs: number,
-  ): readonly OwnerList[] {
-    const seen = this.#periods
-      .filter((period) =>
-        period.sinceEpochMs + this.#lagMs <= this.#nowEpochMs()
-      )
-      .map((period) => ({
-        ...period,
-        sinceEpochMs: period.sinceEpochMs + this.#lagMs,
-      }));
-    const first = seen.findLastIndex((one) => one.sinceEpochMs <= fromEpochMs);
-    return first < 0 ? [] : seen.slice(first);
-  }
-}
-
 /**
  * One pool in one data centre whose owners are killed, frozen and cut off
  * while callers repeat keys through daemons with lagging views.
--- a/src/testing/keyed_simulation_test.ts
+++ b/src/testing/keyed_simulation_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type KeyedRules, KeyedSimulation } from "./keyed_simulation.ts";
+import type { KeyedRules } from "./keyed_result.ts";
+import { KeyedSimulation } from "./keyed_simulation.ts";
 
 const ALL_RULES = { ownership: true, fence: true, recheck: true };
 const KEYS_COUNT = 12_000;
--- /dev/null
+++ b/src/testing/virtual_timeline.ts
@@ -0,0 +1,47 @@
+/** Schedule of simulations under a virtual clock. */
+
+const TICK_MS = 10;
+
+/**
+ * Runs actions in order of virtual time, in steps of 10 ms.
+ *
+ * @example
+ * timeline.after(500, () => attempt());
+ * timeline.run(10_000);
+ */
+export class VirtualTimeline {
+  readonly #buckets = new Map<number, (() => void)[]>();
+  #tick = 0;
+
+  /** Virtual time since the start, in ms. */
+  get nowMs(): number {
+    return this.#tick * TICK_MS;
+  }
+
+  /**
+   * Schedules an action.
+   *
+   * @param delayMs Delay; at least one step.
+   * @param action Action to run.
+   */
+  after(delayMs: number, action: () => void): void {
+    const tick = this.#tick + Math.max(1, Math.round(delayMs / TICK_MS));
+    const bucket = this.#buckets.get(tick) ?? [];
+    bucket.push(action);
+    this.#buckets.set(tick, bucket);
+  }
+
+  /**
+   * Runs all actions up to a time.
+   *
+   * @param untilMs End, in ms since the start.
+   */
+  run(untilMs: number): void {
+    while (this.nowMs < untilMs) {
+      this.#tick++;
+      const actions = this.#buckets.get(this.#tick) ?? [];
+      this.#buckets.delete(this.#tick);
+      actions.forEach((action) => action());
+    }
+  }
+}
