Shed critical requests in rank order once the critical class is overloaded

Cause: a new test with critical requests alone at three times capacity showed 16% of the lowest ranks refused queue_timeout: the level did not fall while fewer than half of the age limit's requests waited, and the newest came first. Change: the allowance of half the age limit holds only while the level admits the whole critical class. Ruled out: a latch that sheds until hardly any request waits: 12% of the lowest ranks timed out, as the queue filled again after each release.

--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -350,9 +350,7 @@
 
   /** First rank of the most important class that waits too long. */
   #waitingFromRank(ratePerMs: number): number {
-    // Critical requests may fill half of the age limit before any is shed.
-    const criticalCount = this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
-    if (this.#queue.countInClass(0) > criticalCount) {
+    if (this.#isCriticalOverload(ratePerMs)) {
       return 0;
     }
     let classIndex = 1;
@@ -364,4 +362,16 @@
     }
     return classIndex * ADMISSION_KEYS_COUNT;
   }
+
+  /**
+   * Critical requests may fill half of the age limit before any is shed. Once
+   * some are, the level follows their waits as it does for other classes.
+   */
+  #isCriticalOverload(ratePerMs: number): boolean {
+    const shedsCritical = this.#level.levelRank < ADMISSION_KEYS_COUNT;
+    const allowedCount = shedsCritical
+      ? STANDING_ALLOWED_COUNT
+      : this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
+    return this.#queue.countInClass(0) > allowedCount;
+  }
 }
--- a/src/decisions/rank_admission_test.ts
+++ b/src/decisions/rank_admission_test.ts
@@ -115,6 +115,16 @@
   assert.equal(upstream.admission.load().levelRank, 512);
 });
 
+test("critical requests alone at three times capacity are shed in the order of their ranks", () => {
+  const upstream = new Upstream();
+  const random = new SeededRandom(6);
+  const perStep = CAPACITY_PER_STEP * 3;
+  upstream.run(20_000, { perStep, rank: () => random.nextInt(128) });
+  assert.ok(upstream.doneRatio((e) => e.rank < 16) > 0.9);
+  assert.ok(upstream.doneRatio((e) => e.rank >= 96) < 0.1);
+  assert.ok(upstream.doneRatio(() => true) > 0.9 / 3);
+});
+
 test("a tenant that sends ten times its share cannot crowd out the others of its class", () => {
   const upstream = new Upstream();
   const random = new SeededRandom(2);
