--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -343,14 +343,17 @@
       standingDelayMs,
       standingCount: seen.standingCount,
       servedCount: ratePerMs * CONTROL_INTERVAL_MS,
-      waitingFromRank: this.#waitingFromRank(),
+      waitingFromRank: this.#waitingFromRank(ratePerMs),
       freeRatio: Math.max(0, 1 - seen.inFlightMean / this.#limitCount),
     });
   }
 
-  /** First rank of the most important class that waits. */
-  #waitingFromRank(): number {
-    let classIndex = 0;
+  /** First rank of the most important class that waits too long. */
+  #waitingFromRank(ratePerMs: number): number {
+    if (this.#isCriticalOverload(ratePerMs)) {
+      return 0;
+    }
+    let classIndex = 1;
     while (
       this.#queue.countAboveClass(classIndex + 1) <= STANDING_ALLOWED_COUNT &&
       classIndex < CLASSES_COUNT - 1
@@ -359,4 +362,16 @@
     }
     return classIndex * ADMISSION_KEYS_COUNT;
   }
+
+  /**
+   * Critical requests may fill half of the age limit before any is shed. Once
+   * some are, the level follows their waits as it does for other classes.
+   */
+  #isCriticalOverload(ratePerMs: number): boolean {
+    const shedsCritical = this.#level.levelRank < ADMISSION_KEYS_COUNT;
+    const allowedCount = shedsCritical
+      ? STANDING_ALLOWED_COUNT
+      : this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
+    return this.#queue.countInClass(0) > allowedCount;
+  }
 }
