End timers with their streams

Cause: most's periodic stream leaves its timer running after the stream was disposed; the 30 s interval of the latency quantiles kept each test file with a daemon, and a stopped daemon, alive for up to 30 s. Ruled out: unreferenced timers, which most's scheduler does not offer. Change: a timer stream that clears its timer on disposal, used everywhere.

--- a/src/config/config_acceptor.ts
+++ b/src/config/config_acceptor.ts
@@ -1,9 +1,10 @@
 /** Accepts pairs of tables while this daemon holds the lease `config-acceptor`. */
-import { empty, mergeArray, periodic, type Stream } from "most";
+import { empty, mergeArray, type Stream } from "most";
 import type { Clock } from "../core/clock.ts";
 import type { ControlPart } from "../core/event_loop.ts";
 import { EventSource } from "../core/event_source.ts";
 import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import {
   type Accepted,
   type AcceptorStatus,
@@ -87,7 +88,7 @@
   constructor(options: ConfigAcceptorOptions) {
     this.#options = options;
     this.#snapshots = new SnapshotStore(options.platform);
-    const { lease, platform, ticks = periodic(TICK_MS) } = options;
+    const { lease, platform, ticks = timerStream(TICK_MS) } = options;
     const tables = lease.changes
       .map((held) => held ? platform.watch(TABLES_KIND) : empty())
       .switchLatest() as Stream<StoredObject>;
--- a/src/config/config_distributor.ts
+++ b/src/config/config_distributor.ts
@@ -1,5 +1,5 @@
 /** Distributes the accepted configuration between daemons. */
-import { mergeArray, periodic, type Stream } from "most";
+import { mergeArray, type Stream } from "most";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { Clock } from "../core/clock.ts";
@@ -8,6 +8,7 @@
 import type { NeighbourSource, PeerTransport } from "../core/peer_transport.ts";
 import type { PlatformClient } from "../core/platform_client.ts";
 import type { RandomSource } from "../core/random.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { ConfigHead } from "../schemas/config_schema.ts";
 import { ConfigFetcher } from "./config_fetcher.ts";
@@ -89,7 +90,7 @@
    * @param options Store, peers, platform, clock and random numbers.
    */
   constructor(options: ConfigDistributorOptions) {
-    const { store, transport, ticks = periodic(TICK_MS) } = options;
+    const { store, transport, ticks = timerStream(TICK_MS) } = options;
     this.#options = options;
     this.#machine = new StateMachine(ConfigDistributor.#CHART, this);
     this.#fetcher = new ConfigFetcher(store, transport);
--- a/src/config/config_reader.ts
+++ b/src/config/config_reader.ts
@@ -1,7 +1,8 @@
 /** Reads the accepted configuration from the platform. */
-import { empty, merge, periodic, type Stream } from "most";
+import { empty, merge, type Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
 import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import { type Accepted, acceptedSchema } from "../schemas/config_schema.ts";
 import { ACCEPTED_NAME, CONFIG_KIND } from "./config_objects.ts";
 import type { ConfigStore } from "./config_store.ts";
@@ -92,7 +93,7 @@
    */
   constructor(options: ConfigReaderOptions) {
     this.#options = options;
-    const { lease, platform, ticks = periodic(TICK_MS) } = options;
+    const { lease, platform, ticks = timerStream(TICK_MS) } = options;
     const objects = lease.changes
       .map((held) => held ? platform.watch(CONFIG_KIND) : empty())
       .switchLatest() as Stream<StoredObject>;
--- a/src/daemon/housekeeping.ts
+++ b/src/daemon/housekeeping.ts
@@ -1,6 +1,7 @@
 /** Work of the daemon's own parts besides requests. */
-import { mergeArray, of, periodic, type Stream } from "most";
+import { mergeArray, of, type Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
+import { timerStream } from "../core/timer_stream.ts";
 
 /** What the housekeeping looks after. */
 export interface HousekeepingHost {
@@ -33,8 +34,8 @@
     this.inputs = mergeArray<HousekeepingEvent>([
       of("config"),
       host.configChanges.constant("config"),
-      // The first event of a periodic stream comes at once.
-      periodic(LATENCY_INTERVAL_MS).skip(1).constant("interval"),
+      // The first event of a timer stream comes at once.
+      timerStream(LATENCY_INTERVAL_MS).skip(1).constant("interval"),
     ]);
   }
 
--- a/src/membership/announcement_part.ts
+++ b/src/membership/announcement_part.ts
@@ -1,9 +1,10 @@
 /** Announcements in the platform: written in batches, read by newcomers. */
-import { periodic, type Stream } from "most";
+import type { Stream } from "most";
 import type { Clock } from "../core/clock.ts";
 import type { ControlPart } from "../core/event_loop.ts";
 import { type PlatformClient, PlatformError } from "../core/platform_client.ts";
 import type { RandomSource } from "../core/random.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import { memberShardSchema } from "../schemas/member_schema.ts";
 import type { MembershipCore } from "./membership_core.ts";
@@ -104,7 +105,7 @@
     this.#options = options;
     this.#startedMs = options.clock.monotonicMs();
     this.#lastExploredMs = this.#startedMs;
-    this.inputs = options.ticks ?? periodic(SHARD_WRITE_INTERVAL_MS, undefined);
+    this.inputs = options.ticks ?? timerStream(SHARD_WRITE_INTERVAL_MS);
   }
 
   /** Handles a tick. */
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -1,5 +1,5 @@
 /** Membership of a daemon as one control part. */
-import { mergeArray, periodic, type Stream } from "most";
+import { mergeArray, type Stream } from "most";
 import type { Clock } from "../core/clock.ts";
 import type { ControlPart } from "../core/event_loop.ts";
 import { EventSource } from "../core/event_source.ts";
@@ -9,6 +9,7 @@
   type PeerIdentity,
   type PeerTransport,
 } from "../core/peer_transport.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import type { OwnerRules } from "../decisions/eligible_owners.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
@@ -142,7 +143,7 @@
       },
     });
     const tick: MembershipInput = { kind: "tick" };
-    const ticks = periodic(TICK_MS, tick);
+    const ticks = timerStream(TICK_MS).constant(tick);
     this.inputs = mergeArray([ticks, this.#events.stream]);
     this.#serve();
     if (options.upstream !== undefined) {
--- a/src/platform/lease_holder.ts
+++ b/src/platform/lease_holder.ts
@@ -1,5 +1,5 @@
 /** Competes for one lease and renews it, by the chart `lease`. */
-import { merge, periodic, type Stream } from "most";
+import { merge, type Stream } from "most";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { Clock } from "../core/clock.ts";
@@ -7,6 +7,7 @@
 import { EventSource } from "../core/event_source.ts";
 import type { PlatformClient } from "../core/platform_client.ts";
 import type { RandomSource } from "../core/random.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import type { LeaseToken } from "../schemas/platform_schema.ts";
 import type { LeaseStatus } from "../schemas/status_schema.ts";
 import { LEASE_LENGTH_MS, LEASE_RENEWAL_MS } from "./lease_decision.ts";
@@ -78,7 +79,7 @@
     this.name = `lease ${options.leaseName}`;
     this.#machine = new StateMachine(LeaseHolder.#CHART, this);
     this.#store = new LeaseStore(options);
-    const ticks = (options.ticks ?? periodic(TICK_MS))
+    const ticks = (options.ticks ?? timerStream(TICK_MS))
       .map((): LeaseEvent => ({ kind: "tick" }));
     this.inputs = merge(ticks, this.#events.stream);
   }
