Pass ranks of ended requests and refusals further down to the policy

Cause: the policy keeps a level per route for refusals further down, but the data path passed neither rank nor depth of ended requests; an upstream that answered a server error for a failed nested call was ejected for the fault of another service; refusals beside the upstream were missing from the inbound metrics; a leaving member stayed the owner of its keys, so that they were refused until its last transfer had ended. Change: rank and depth on ended requests, 'overloaded' for answers marked exhausted, records of inbound refusals, ChurnMap for entries that live as long as a request, keys of a leaving member move at once. Ruled out: eligibility of leaving members for the hand-over time, since they refuse all new requests themselves.

--- a/src/membership/membership_directory.ts
+++ b/src/membership/membership_directory.ts
@@ -27,6 +27,8 @@
   readonly memberIds: Set<string>;
   readonly changedMs: Map<string, number>;
   readonly owners: Map<string, EligibleOwners>;
+  /** Members that take no new work. */
+  readonly leavingIds: Set<string>;
   endpoints: readonly Endpoint[] | undefined;
 };
 
@@ -124,17 +126,43 @@
     const { kind, instanceId, dataCentre, atMs } = change;
     entry.endpoints = undefined;
     if (kind === "updated") {
+      this.#followLeaving(entry, change);
       return;
     }
     const beforeMs = entry.changedMs.get(dataCentre) ?? atMs;
     entry.changedMs.set(dataCentre, Math.max(beforeMs, atMs));
     this.eligibleOwners(change.pool, dataCentre)
       .record({ kind, instanceId, atMs });
-    if (kind === "joined") {
-      entry.memberIds.add(instanceId);
-    } else {
+    if (kind !== "joined") {
       entry.memberIds.delete(instanceId);
+      entry.leavingIds.delete(instanceId);
+      return;
+    }
+    entry.memberIds.add(instanceId);
+    this.#followLeaving(entry, change);
+  }
+
+  /**
+   * A leaving member has stated itself that it runs no new request, so its keys
+   * move at once instead of being refused until its last transfer has ended.
+   */
+  #followLeaving(entry: PoolEntry, change: Omit<MemberChange, "kind">): void {
+    const { instanceId, dataCentre, atMs } = change;
+    const { registry } = this.#core;
+    const row = registry.table.rowOf(instanceId);
+    const isLeaving = row !== undefined &&
+      ENDPOINT_STATES[registry.stateAt(row)] === "draining";
+    if (isLeaving === entry.leavingIds.has(instanceId)) {
+      return;
+    }
+    const owners = this.eligibleOwners(change.pool, dataCentre);
+    if (isLeaving) {
+      entry.leavingIds.add(instanceId);
+      owners.record({ kind: "gone", instanceId, atMs });
+      return;
     }
+    entry.leavingIds.delete(instanceId);
+    owners.record({ kind: "joined", instanceId, atMs });
   }
 
   #open(pool: string): PoolEntry {
@@ -146,6 +174,7 @@
       memberIds: new Set(),
       changedMs: new Map(),
       owners: new Map(),
+      leavingIds: new Set(),
       endpoints: undefined,
     };
     this.#pools.set(pool, entry);
--- a/src/proxy/chain_registry.ts
+++ b/src/proxy/chain_registry.ts
@@ -1,4 +1,5 @@
 /** Contexts of the requests that the own upstream is running. */
+import { ChurnMap } from "../core/churn_map.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** A running request and what happened to the calls that it made. */
@@ -21,7 +22,7 @@
  * it passes on. Class, deadline and attempts cannot be forged this way.
  */
 export class ChainRegistry {
-  readonly #entries = new Map<string, ChainEntry>();
+  readonly #entries = new ChurnMap<string, ChainEntry>();
 
   /**
    * Records a request that is about to run on the upstream.
--- a/src/proxy/inbound_exchange.ts
+++ b/src/proxy/inbound_exchange.ts
@@ -13,6 +13,7 @@
 } from "./answer_receiver.ts";
 import { type ChainEntry, nestedTimeMs } from "./chain_registry.ts";
 import type { KeyedExchange } from "./keyed_exchange.ts";
+import { rankOf } from "./request_context.ts";
 
 /** What an inbound exchange needs of its service. */
 export interface InboundHost {
@@ -20,6 +21,8 @@
   forward(exchange: InboundExchange): AnswerSource;
   /** Frees the slot and starts waiting requests. */
   release(exchange: InboundExchange, finished: FinishedRequest): void;
+  /** Records a request that was refused before it was forwarded. */
+  recordRefusal(exchange: InboundExchange, kind: ErrorKind): void;
   /** Removes the request from the queue. */
   leaveQueue(exchange: InboundExchange): void;
   /** States load and drain state for answers. */
@@ -144,11 +147,7 @@
   /** Action: passes the head on with the state of this daemon. */
   relayHead(head: AnswerHead): void {
     clearTimeout(this.#deadlineTimer);
-    this.#finishedAs = head.status === OVERLOAD_STATUS
-      ? "overloaded"
-      : head.status >= SERVER_ERROR_STATUS
-      ? "failed"
-      : "succeeded";
+    this.#finishedAs = this.#judgeAnswer(head.status);
     this.#receiver.onHead({
       ...head,
       serving: this.#host.servingState(this.chainEntry),
@@ -167,6 +166,8 @@
       latencyMs: nowMs - this.startedMs,
       result: this.#finishedAs,
       route: this.request.context.routeName,
+      rank: rankOf(this.request.context),
+      depthCount: this.request.context.depthCount,
       nestedMs: nestedTimeMs(this.chainEntry, nowMs),
     });
   }
@@ -184,12 +185,13 @@
 
   /** Action: answers with a refusal of this daemon. */
   answerRefusal(failure: Failure): void {
+    this.#host.recordRefusal(this, failure.kind);
     this.#answer(failure);
   }
 
   /** Action: answers that the deadline passed in the queue. */
   answerTooLate(): void {
-    this.#answer({ kind: "deadline_unmeetable", outcome: "not-run" });
+    this.answerRefusal({ kind: "deadline_unmeetable", outcome: "not-run" });
   }
 
   /** Action: answers that the deadline passed while the upstream worked. */
@@ -207,6 +209,16 @@
     this.#receiver.onFailure(failure);
   }
 
+  /** A refusal further down is overload of the chain, not a fault. */
+  #judgeAnswer(status: number): FinishedRequest["result"] {
+    if (status < SERVER_ERROR_STATUS) {
+      return "succeeded";
+    }
+    const isRefused = status === OVERLOAD_STATUS ||
+      this.chainEntry?.downstreamFailed === true;
+    return isRefused ? "overloaded" : "failed";
+  }
+
   #answer(failure: Failure): void {
     this.#receiver.onFailure({
       ...failure,
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -1,10 +1,15 @@
 /** Serves requests on the upstream beside the daemon. */
+import { ChurnMap } from "../core/churn_map.ts";
 import type {
   AdmissionPolicy,
   FinishedRequest,
 } from "../decisions/admission_policy.ts";
-import { admissionRank } from "../decisions/importance.ts";
-import type { RequestObserver } from "../telemetry/request_observer.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
+import type {
+  RequestObserver,
+  RequestRecord,
+} from "../telemetry/request_observer.ts";
+import { rankOf } from "./request_context.ts";
 import type {
   AnswerReceiver,
   AnswerSource,
@@ -44,6 +49,13 @@
   resume() {},
 };
 
+const RESULT_NAMES = {
+  succeeded: "complete",
+  cancelled: "cancelled",
+  overloaded: "upstream_failed",
+  failed: "upstream_failed",
+} as const satisfies Record<FinishedRequest["result"], RequestRecord["result"]>;
+
 const NO_LOAD = {
   levelRank: 0,
   inFlightCount: 0,
@@ -55,7 +67,7 @@
 export class InboundService implements InboundHost {
   readonly #chain: ChainRegistry;
   readonly #options: InboundServiceOptions;
-  readonly #exchanges = new Map<number, InboundExchange>();
+  readonly #exchanges = new ChurnMap<number, InboundExchange>();
   #served: ServedUpstream | undefined;
   #pollTimer: NodeJS.Timeout | undefined;
   #nextTicket = 1;
@@ -143,10 +155,15 @@
       this.#chain.remove(exchange.chainEntry);
     }
     this.#served?.admission.finish(finished, this.nowMs());
-    this.#record(exchange, finished);
+    this.#record(exchange, RESULT_NAMES[finished.result]);
     this.#poll();
   }
 
+  /** @inheritdoc */
+  recordRefusal(exchange: InboundExchange, kind: ErrorKind): void {
+    this.#record(exchange, kind);
+  }
+
   /** @inheritdoc */
   leaveQueue(exchange: InboundExchange): void {
     this.#exchanges.delete(exchange.ticket);
@@ -199,7 +216,7 @@
     const { context } = exchange.request;
     const decision = served.admission.offer({
       ticket: exchange.ticket,
-      rank: admissionRank(context.importanceClass, context.admissionKey),
+      rank: rankOf(context),
       tenant: context.tenant,
       tenantWeight: this.#options.tenantWeight(context.tenant),
       depthCount: context.depthCount,
@@ -250,21 +267,19 @@
     }, QUEUE_POLL_INTERVAL_MS);
   }
 
-  #record(exchange: InboundExchange, finished: FinishedRequest): void {
+  #record(exchange: InboundExchange, result: RequestRecord["result"]): void {
     const { context } = exchange.request;
+    const nowMs = this.nowMs();
+    const isForwarded = exchange.startedMs > 0;
     this.#options.observer.record({
       side: "inbound",
       tenant: context.tenant,
       importanceClass: context.importanceClass,
       pool: context.pool,
-      result: finished.result === "succeeded"
-        ? "complete"
-        : finished.result === "cancelled"
-        ? "cancelled"
-        : "upstream_failed",
-      latencyMs: this.nowMs() - exchange.arrivedMs,
-      queueMs: exchange.startedMs - exchange.arrivedMs,
-      attemptsCount: 1,
+      result,
+      latencyMs: nowMs - exchange.arrivedMs,
+      queueMs: (isForwarded ? exchange.startedMs : nowMs) - exchange.arrivedMs,
+      attemptsCount: isForwarded ? 1 : 0,
     });
   }
 }
--- a/src/proxy/outbound_exchange.ts
+++ b/src/proxy/outbound_exchange.ts
@@ -143,9 +143,10 @@
   onFailure(failure: Failure): void {
     this.#lastFailure = failure;
     this.#mayHaveRun ||= failure.outcome !== "not-run";
-    this.#endAttempt(isOverloadRefusal(failure) ? "overloaded" : "failed", {
-      serving: failure.serving,
-    });
+    const { serving } = failure;
+    // A failure further down says nothing about the health of this endpoint.
+    const isRefused = isOverloadRefusal(failure) || serving?.exhausted === true;
+    this.#endAttempt(isRefused ? "overloaded" : "failed", { serving });
     this.#send("attemptFailed", failure);
   }
 
@@ -191,8 +192,7 @@
 
   /** Action: ends the answer. */
   endAnswer(): void {
-    const failed = this.#headStatus >= SERVER_ERROR_STATUS;
-    this.#endAttempt(failed ? "failed" : "succeeded");
+    this.#endAttempt(this.#judgeAnswer());
     this.#receiver.onEnd();
     this.#host.finish(this, "complete");
   }
@@ -224,6 +224,13 @@
     this.#source?.cancel();
   }
 
+  #judgeAnswer(): AttemptResult["result"] {
+    if (this.#headStatus < SERVER_ERROR_STATUS) {
+      return "succeeded";
+    }
+    return this.#attempt?.serving?.exhausted === true ? "overloaded" : "failed";
+  }
+
   /** The outcome speaks of all attempts, not only of the last one. */
   #describe(failure: Failure): Failure {
     if (this.#mayHaveRun) {
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -1,5 +1,4 @@
 /** Sends requests to upstreams of any pool. */
-import { admissionRank } from "../decisions/importance.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
 import { chooseOwner, type OwnerHistory } from "../decisions/key_owner.ts";
@@ -27,7 +26,7 @@
 } from "./answer_receiver.ts";
 import type { AttemptTransport } from "./attempt_transport.ts";
 import type { ChainEntry, ChainRegistry } from "./chain_registry.ts";
-import type { RequestContext } from "./request_context.ts";
+import { rankOf, type RequestContext } from "./request_context.ts";
 import {
   isOverloadRefusal,
   OutboundExchange,
@@ -126,7 +125,7 @@
     return this.#parts.selector.choose(
       { name: context.pool, rules, endpoints },
       {
-        rank: admissionRank(context.importanceClass, context.admissionKey),
+        rank: rankOf(context),
         depthCount: context.depthCount,
         excludedIds: exchange.excludedIds,
       },
--- a/src/proxy/request_context.ts
+++ b/src/proxy/request_context.ts
@@ -1,4 +1,5 @@
 /** What the daemons know of one request. */
+import { admissionRank } from "../decisions/importance.ts";
 import type { ImportanceClass } from "../schemas/common_schema.ts";
 
 /** Properties of a request that travel along the chain. */
@@ -26,3 +27,13 @@
   readonly idleTimeoutMs: number;
   readonly idempotencyKey: string | undefined;
 };
+
+/**
+ * Computes the rank of a request.
+ *
+ * @param context Context of the request.
+ * @returns Rank in `[0, 512)`; lower is more important.
+ */
+export function rankOf(context: RequestContext): number {
+  return admissionRank(context.importanceClass, context.admissionKey);
+}
