Let critical requests wait three times as long in the queue

Cause: beside few slots a burst of critical requests waits behind long running ones and reached the age limit (425 ms at a preference of 0.2) although their deadlines were seconds away; newest-first order adds to it. Change: the age limit of the critical class is three times that of the others; the wait above which the level falls into the class stays as it was.

--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -229,7 +229,7 @@
   }
 
   #refuseAged(nowMs: number): void {
-    const beforeMs = nowMs - this.#tuning.queueAgeMaxMs;
+    const beforeMs = this.#tuning.queueAgesMaxMs.map((ageMs) => nowMs - ageMs);
     let entry = this.#queue.takeOlderThan(beforeMs);
     while (entry !== undefined) {
       this.#refuse(entry, "queue_timeout");
@@ -371,7 +371,7 @@
     const shedsCritical = this.#level.levelRank < ADMISSION_KEYS_COUNT;
     const allowedCount = shedsCritical
       ? STANDING_ALLOWED_COUNT
-      : this.#tuning.queueAgeMaxMs / 2 * ratePerMs;
+      : this.#tuning.criticalStandingMaxMs * ratePerMs;
     return this.#queue.countInClass(0) > allowedCount;
   }
 }
--- a/src/decisions/rank_queue.ts
+++ b/src/decisions/rank_queue.ts
@@ -79,14 +79,14 @@
   }
 
   /**
-   * Removes an entry that began to wait before a time.
+   * Removes an entry that began to wait before the time of its class.
    *
-   * @param beforeMs Monotonic time, in ms.
+   * @param beforeMs Monotonic time of each class, in ms.
    * @returns Oldest such entry of any class; undefined without one.
    */
-  takeOlderThan(beforeMs: number): QueueEntry | undefined {
-    const node = this.#oldest.find((end) =>
-      end !== undefined && end.sinceMs < beforeMs
+  takeOlderThan(beforeMs: readonly number[]): QueueEntry | undefined {
+    const node = this.#oldest.find((end, classIndex) =>
+      end !== undefined && end.sinceMs < (beforeMs[classIndex] as number)
     );
     return node === undefined ? undefined : this.#unlink(node);
   }
--- a/src/decisions/rank_queue_test.ts
+++ b/src/decisions/rank_queue_test.ts
@@ -50,7 +50,9 @@
           const [gone] = list.splice(pick % list.length, 1) as [QueueEntry];
           assert.ok(queue.remove(gone.request.ticket));
         } else if (list.length > 0 && kind === "old") {
-          const old = queue.takeOlderThan((list[0] as QueueEntry).sinceMs + 1);
+          const old = queue.takeOlderThan(
+            new Array(4).fill((list[0] as QueueEntry).sinceMs + 1),
+          );
           assert.equal(old?.request.ticket, list.shift()?.request.ticket);
         } else if (list.length > 0) {
           const newestFirst = kind === "newest";
