--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -8,12 +8,9 @@
 import { EventLoop } from "../core/event_loop.ts";
 import { hash32 } from "../core/hash.ts";
 import { type RandomSource, SeededRandom } from "../core/random.ts";
-import type { ConfigSource } from "../decisions/config_source.ts";
-import type { OwnerHistory } from "../decisions/key_owner.ts";
 import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
 import { MemoryLedger } from "../decisions/memory_ledger.ts";
 import { createPolicySet } from "../decisions/policy_set.ts";
-import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
 import { AnnouncementPart } from "../membership/announcement_part.ts";
 import { MemberOwners, ownerRulesOf } from "../membership/member_owners.ts";
 import { MembershipPart } from "../membership/membership_part.ts";
@@ -28,16 +25,8 @@
   isReaderCandidate,
 } from "../platform/lease_candidacy.ts";
 import { LeaseHolder } from "../platform/lease_holder.ts";
-import { LocalTransport } from "../proxy/attempt_transport.ts";
-import { ChainRegistry } from "../proxy/chain_registry.ts";
-import { EntryHandler } from "../proxy/entry_handler.ts";
-import { HopHandler } from "../proxy/hop_handler.ts";
-import { HopTokens } from "../proxy/hop_token.ts";
-import { HopTransport } from "../proxy/hop_transport.ts";
-import { InboundService } from "../proxy/inbound_service.ts";
-import { KeyedGate } from "../proxy/keyed_gate.ts";
+import { DataPath } from "../proxy/data_path.ts";
 import { Listener } from "../proxy/listener.ts";
-import { OutboundService } from "../proxy/outbound_service.ts";
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
 import { errorFields, type Logger, NullLogger } from "../telemetry/logger.ts";
 import { Metrics } from "../telemetry/metrics.ts";
@@ -63,7 +52,6 @@
 import { UpstreamServing } from "./upstream_serving.ts";
 import { WorkGate } from "./work_gate.ts";
 
-const HOP_CONNECTIONS_MAX_COUNT = 64;
 const CUT_LOG_MAX_COUNT = 100;
 /** Each data centre has this many readers of the platform. */
 const READER_NUMBERS = [0, 1];
@@ -74,30 +62,6 @@
   answersMaxBytes: 16_777_216,
 };
 
-function wireKeyedGate(
-  settings: Settings,
-  parts: {
-    config: ConfigSource;
-    directory: UpstreamDirectory;
-    owners: OwnerHistory;
-    clock: KeyClock;
-    nowMs: () => number;
-    startedEpochMs: number;
-  },
-): KeyedGate {
-  const { config, directory, clock, nowMs } = parts;
-  const ledger = new MemoryLedger(LEDGER_LIMITS);
-  const admission = new KeyedAdmission(parts.owners, ledger, {
-    instanceId: settings.instance.id,
-    dataCentre: settings.instance.dataCentre,
-    startedEpochMs: parts.startedEpochMs,
-    startedMs: nowMs(),
-  });
-  return new KeyedGate({ admission, ledger, clock, config, directory }, {
-    nowMs,
-  });
-}
-
 /** Different daemons and different starts draw different random numbers. */
 function seedOf(settings: Settings, wallMs: number): number {
   return hash32(`${settings.instance.id} ${wallMs}`);
@@ -259,67 +223,46 @@
   if (given.processMetrics === true) {
     metrics.collectProcess();
   }
-  const observer = metrics.requests;
-  const chain = new ChainRegistry();
-  const tokens = new HopTokens(settings.peers.keys, () => clock.wallMs());
-  const keyed = wireKeyedGate(settings, {
-    config,
-    directory,
-    owners,
-    clock: keyClock,
-    nowMs,
-    startedEpochMs: clock.wallMs(),
-  });
   const policies = createPolicySet(settings.policy, {
     random,
     instance: settings.instance,
   });
-  const inbound = new InboundService(chain, {
-    instanceId,
-    nowMs,
-    observer,
-    keyed,
-    tenantWeight: (tenant) =>
-      config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
-  });
-  const hopTransport = new HopTransport(tokens, {
-    instanceId,
-    nowMs,
-    connectionsMaxCount: HOP_CONNECTIONS_MAX_COUNT,
-  });
-  const outbound = new OutboundService({
+  const ledger = new MemoryLedger(LEDGER_LIMITS);
+  const dataPath = new DataPath({
     config,
     directory,
     owners,
-    selector: policies.selector,
-    retries: policies.retries,
-    transport: new LocalTransport(inbound, hopTransport, { instanceId }),
-    chain,
-    observer,
+    policies,
+    ledger,
+    admission: new KeyedAdmission(owners, ledger, {
+      instanceId,
+      dataCentre: settings.instance.dataCentre,
+      startedEpochMs: clock.wallMs(),
+      startedMs: nowMs(),
+    }),
     keyClock,
-  }, { nowMs });
-  const entry = new EntryHandler({ config, outbound }, { nowMs });
-  const ownCalls = new EntryHandler(
-    { config, outbound, chain },
-    { nowMs },
-  );
-  const hops = new HopHandler(inbound, tokens, { identity, nowMs });
+    observer: metrics.requests,
+  }, {
+    identity,
+    keys: settings.peers.keys,
+    nowMs,
+    wallMs: () => clock.wallMs(),
+  });
+  const { inbound } = dataPath;
   const listeners = {
     callers: new Listener(open.track(
       "callers",
-      gate.guard((request, response) => entry.handle(request, response)),
+      gate.guard((request, response) => dataPath.handleCall(request, response)),
     )),
     hop: new Listener(open.track(
       "hop",
-      (request, response) => hops.handle(request, response),
+      (request, response) => dataPath.handleHop(request, response),
     )),
     outbound: new Listener(open.track(
       "outbound",
       gate.guard(
-        (request, response) => ownCalls.handle(request, response),
-        (request) =>
-          chain.find(String(request.headers["goldcrest-request-id"])) !==
-            undefined,
+        (request, response) => dataPath.handleOwnCall(request, response),
+        (request) => dataPath.continuesChain(request),
       ),
     )),
   };
@@ -356,7 +299,7 @@
     reloadKeys: () =>
       reloadKeys({
         readKeys: given.readKeys ?? (() => settings.peers.keys),
-        holders: [tokens, ...control.keyHolders],
+        holders: [dataPath.tokens, ...control.keyHolders],
         log,
       }),
     listOpen: () => ({
@@ -422,7 +365,7 @@
     };
     control.join(loop, bound);
     loop.start();
-    keyed.start();
+    dataPath.start();
     if (settings.upstream !== undefined) {
       attachment.announce(settings.upstream);
     }
@@ -430,7 +373,6 @@
   }
 
   async function destroy(): Promise<void> {
-    keyed.stop();
     for (const listener of Object.values(listeners)) {
       listener.destroy();
     }
@@ -438,7 +380,7 @@
     drain.close();
     await control.close();
     await loop.stop();
-    await hopTransport.close();
+    await dataPath.close();
   }
 
   return {
--- a/src/decisions/overload_tuning.ts
+++ b/src/decisions/overload_tuning.ts
@@ -52,7 +52,7 @@
       queueAgeMaxMs * CRITICAL_AGE_FACTOR * ageRatio,
       ...OTHER_CLASSES.map(() => queueAgeMaxMs * ageRatio),
     ],
-    criticalStandingMaxMs: queueAgeMaxMs * ageRatio / 2,
+    criticalStandingMaxMs: queueAgeMaxMs * CRITICAL_AGE_FACTOR * ageRatio / 2,
     levelRiseMaxCount: Math.round(
       LEVEL_RISE_MIN_COUNT + LEVEL_RISE_SPAN_COUNT * overloadPreference,
     ),
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -364,14 +364,16 @@
   }
 
   /**
-   * Critical requests may fill half of the age limit before any is shed. Once
+   * Critical requests may fill half of the age limit, and half of the queue,
+   * before any is shed. In a longer queue requests of all ranks time out. Once
    * some are, the level follows their waits as it does for other classes.
    */
   #isCriticalOverload(ratePerMs: number): boolean {
     const shedsCritical = this.#level.levelRank < ADMISSION_KEYS_COUNT;
-    const allowedCount = shedsCritical
-      ? STANDING_ALLOWED_COUNT
-      : this.#tuning.criticalStandingMaxMs * ratePerMs;
+    const allowedCount = shedsCritical ? STANDING_ALLOWED_COUNT : Math.min(
+      this.#tuning.criticalStandingMaxMs * ratePerMs,
+      this.#queueMaxCount / 2,
+    );
     return this.#queue.countInClass(0) > allowedCount;
   }
 }
--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -44,6 +44,7 @@
   };
   readonly #server: Server;
   readonly #targetPort: number;
+  #observer: ((direction: Direction, chunk: Buffer) => void) | undefined;
   #delayMs = 0;
   #waiters: (() => void)[] = [];
 
@@ -55,6 +56,15 @@
     this.#server = createServer((client) => this.#accept(client));
   }
 
+  /**
+   * Shows all bytes that are passed on.
+   *
+   * @param observer Receives each chunk in order.
+   */
+  observe(observer: (direction: Direction, chunk: Buffer) => void): void {
+    this.#observer = observer;
+  }
+
   /**
    * Starts to listen.
    *
@@ -153,6 +163,7 @@
       if (this.#modes[direction] === "drop") {
         return;
       }
+      this.#observer?.(direction, chunk);
       this.#later(() => this.#pass(link, direction, { chunk }));
       this.#count(direction, chunk.length);
     });
