--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -370,10 +370,13 @@
    */
   #isCriticalOverload(ratePerMs: number): boolean {
     const shedsCritical = this.#level.levelRank < ADMISSION_KEYS_COUNT;
-    const allowedCount = shedsCritical ? STANDING_ALLOWED_COUNT : Math.min(
+    const waitCount = Math.min(
       this.#tuning.criticalStandingMaxMs * ratePerMs,
       this.#queueMaxCount / 2,
     );
+    const allowedCount = shedsCritical
+      ? STANDING_ALLOWED_COUNT
+      : Math.max(STANDING_ALLOWED_COUNT, waitCount);
     return this.#queue.countInClass(0) > allowedCount;
   }
 }
