--- a/bench/overload/bed.ts
+++ b/bench/overload/bed.ts
@@ -186,6 +186,7 @@
     const poolEntries = pools.map(({ name, nextPath: _, ...pool }) => [name, {
       ...pool,
       dataCentres: dataCentres.slice(0, pool.endpointsCount),
+      callersMaxCount: pools.reduce((sum, one) => sum + one.endpointsCount, 0),
       queueMaxCount: pool.slotsCount * 10,
       coldStartMs: 0,
     }]);
