--- a/bench/overload/bed.ts
+++ b/bench/overload/bed.ts
@@ -5,16 +5,19 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { z } from "zod";
-import {
-  type Address,
-  addressSchema,
-} from "../../src/schemas/common_schema.ts";
+import type { Address } from "../../src/schemas/common_schema.ts";
 import type { Settings } from "../../src/schemas/settings_schema.ts";
 import { statusSchema } from "../../src/schemas/status_schema.ts";
 import {
   ProgramGroup,
   type StartedProgram,
 } from "../../stand_ins/program_group.ts";
+import {
+  ANY_PORT_LISTENERS,
+  readDaemonLine,
+  readPlatformLine,
+  urlOf,
+} from "../../stand_ins/ready_lines.ts";
 import {
   type Effect,
   effectSchema,
@@ -23,15 +26,10 @@
 import { type Deployment, type PoolPlan, SERVICE_MS } from "./deployments.ts";
 
 const LOOPBACK = "127.0.0.1";
-const ANY_PORT = { host: LOOPBACK, port: 0 };
 const POLL_INTERVAL_MS = 200;
 const READY_LIMIT_MS = 60_000;
 const SPREAD_RATIO = 0.3;
 
-const daemonLineSchema = z.object({
-  listeners: z.record(z.string(), addressSchema),
-});
-const platformLineSchema = z.object({ url: z.url() });
 const upstreamLineSchema = z.object({ port: z.int(), controlPort: z.int() });
 
 /** One instance of the deployment. */
@@ -46,10 +44,6 @@
   readonly controlUrl: string;
 };
 
-function urlOf({ host, port }: { host: string; port: number }): string {
-  return `http://${host}:${port}`;
-}
-
 /** Running deployment. */
 export class Bed {
   readonly instances: BedInstance[] = [];
@@ -71,7 +65,7 @@
   /** Starts all processes, applies the tables and waits until all are ready. */
   async start(): Promise<void> {
     const platform = await this.#programs.start("stand_ins/platform.js", []);
-    this.#platformUrl = platformLineSchema.parse(platform.ready).url;
+    this.#platformUrl = readPlatformLine(platform.ready);
     for (const pool of this.#deployment.pools) {
       for (let number = 1; number <= pool.endpointsCount; number++) {
         this.instances.push(await this.#startInstance(pool, number));
@@ -121,13 +115,7 @@
     const dataCentre = dataCentres[(number - 1) % dataCentres.length] as string;
     const settingsFile = this.#write(`${id}.jsonc`, {
       instance: { id, dataCentre },
-      listeners: {
-        callers: ANY_PORT,
-        hop: ANY_PORT,
-        outbound: ANY_PORT,
-        peer: ANY_PORT,
-        operator: ANY_PORT,
-      },
+      listeners: ANY_PORT_LISTENERS,
       platform: { url: this.#platformUrl },
       peers: {
         contacts: this.#contacts(),
@@ -139,21 +127,20 @@
     const daemon = await this.#programs.start("src/daemon/main.js", [
       settingsFile,
     ]);
-    const { listeners } = daemonLineSchema.parse(daemon.ready);
-    const address = (name: string) =>
-      urlOf(addressSchema.parse(listeners[name]));
+    const listeners = readDaemonLine(daemon.ready);
+    const operatorUrl = urlOf(listeners.operator);
     const upstream = await this.#startUpstream(pool, number, {
-      operatorUrl: address("operator"),
-      outboundUrl: address("outbound"),
+      operatorUrl,
+      outboundUrl: urlOf(listeners.outbound),
     });
     const { controlPort } = upstreamLineSchema.parse(upstream.ready);
     return {
       pool: pool.name,
       daemon,
       upstream,
-      peer: addressSchema.parse(listeners.peer),
-      entryUrl: address("callers"),
-      operatorUrl: address("operator"),
+      peer: listeners.peer,
+      entryUrl: urlOf(listeners.callers),
+      operatorUrl,
       controlUrl: urlOf({ host: LOOPBACK, port: controlPort }),
     };
   }
--- a/bench/scale/fleet.ts
+++ b/bench/scale/fleet.ts
@@ -14,6 +14,12 @@
   ProgramGroup,
   type StartedProgram,
 } from "../../stand_ins/program_group.ts";
+import {
+  ANY_PORT_LISTENERS,
+  readDaemonLine,
+  readPlatformLine,
+  urlOf,
+} from "../../stand_ins/ready_lines.ts";
 import {
   DATA_CENTRES,
   ENDPOINTS_PER_POOL,
@@ -21,17 +27,11 @@
 } from "./fleet_tables.ts";
 
 const LOOPBACK = "127.0.0.1";
-const ANY_PORT = { host: LOOPBACK, port: 0 };
 const START_BATCH_COUNT = 10;
 const CONTACTS_COUNT = 3;
 const READY_LIMIT_MS = 120_000;
 const POLL_INTERVAL_MS = 250;
 
-const daemonLineSchema = z.object({
-  listeners: z.record(z.string(), addressSchema),
-});
-const platformLineSchema = z.object({ url: z.url() });
-
 const controlOffLineSchema = z.object({ operator: addressSchema });
 
 /** A daemon whose cost is measured. */
@@ -65,7 +65,7 @@
   /** Starts the platform and all daemons, and applies the first tables. */
   async start(): Promise<void> {
     const platform = await this.#programs.start("stand_ins/platform.js", []);
-    this.platformUrl = platformLineSchema.parse(platform.ready).url;
+    this.platformUrl = readPlatformLine(platform.ready);
     while (this.daemons.length < this.#daemonsCount) {
       const from = this.daemons.length;
       const to = Math.min(this.#daemonsCount, from + START_BATCH_COUNT);
@@ -167,13 +167,7 @@
     const dataCentre = DATA_CENTRES[number % DATA_CENTRES.length] as string;
     const settingsFile = this.#write(`${id}.jsonc`, {
       instance: { id, dataCentre },
-      listeners: {
-        callers: ANY_PORT,
-        hop: ANY_PORT,
-        outbound: ANY_PORT,
-        peer: ANY_PORT,
-        operator: ANY_PORT,
-      },
+      listeners: ANY_PORT_LISTENERS,
       upstream: {
         pool: `pool-${Math.floor(number / ENDPOINTS_PER_POOL)}`,
         host: LOOPBACK,
@@ -191,14 +185,13 @@
     const program = await this.#programs.start("bench/scale/fleet_daemon.js", [
       settingsFile,
     ]);
-    const { listeners } = daemonLineSchema.parse(program.ready);
-    const { host, port } = listeners.operator as Address;
+    const { operator, peer } = readDaemonLine(program.ready);
     return {
       id,
       dataCentre,
       program,
-      operatorUrl: `http://${host}:${port}`,
-      peer: listeners.peer as Address,
+      operatorUrl: urlOf(operator),
+      peer,
     };
   }
 
--- a/stand_ins/demo_mesh.ts
+++ b/stand_ins/demo_mesh.ts
@@ -2,18 +2,20 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { z } from "zod";
-import { addressSchema } from "../src/schemas/common_schema.ts";
+import type { Address } from "../src/schemas/common_schema.ts";
 import type { ProgramGroup, StartedProgram } from "./program_group.ts";
+import {
+  ANY_PORT_LISTENERS,
+  readDaemonLine,
+  readPlatformLine,
+  urlOf,
+} from "./ready_lines.ts";
 import type { UpstreamBehaviour } from "./upstream_settings.ts";
 
 const DATA_CENTRES = ["dakar-plateau", "thies-nord"] as const;
-const ANY_PORT = { host: "127.0.0.1", port: 0 };
 const POLL_INTERVAL_MS = 100;
 const READY_LIMIT_MS = 30_000;
 
-const daemonReadySchema = z.object({
-  listeners: z.record(z.string(), addressSchema),
-});
 const upstreamReadySchema = z.object({
   port: z.int(),
   controlPort: z.int(),
@@ -63,23 +65,19 @@
   writeSettings: (instanceId: string, settings: unknown) => string;
 };
 
-function originOf({ host, port }: { host: string; port: number }): string {
-  return `http://${host}:${port}`;
-}
-
 async function startInstance(
   programs: ProgramGroup,
   service: ServiceName,
   settingsFile: string,
-): Promise<{ instance: DemoInstance; peer: z.infer<typeof addressSchema> }> {
+): Promise<{ instance: DemoInstance; peer: Address }> {
   const daemon = await programs.start("src/daemon/main.js", [settingsFile]);
-  const { listeners } = daemonReadySchema.parse(daemon.ready);
-  const url = (name: string) => originOf(listeners[name] ?? ANY_PORT);
-  const outboundUrl = url("outbound");
+  const listeners = readDaemonLine(daemon.ready);
+  const outboundUrl = urlOf(listeners.outbound);
+  const operatorUrl = urlOf(listeners.operator);
   const { behaviour, next } = SERVICES[service];
   const settings = {
     pool: service,
-    announceUrl: url("operator"),
+    announceUrl: operatorUrl,
     behaviour: {
       ...behaviour,
       ...(next === undefined ? {} : { next: { ...next, url: outboundUrl } }),
@@ -93,11 +91,11 @@
     service,
     daemon,
     outboundUrl,
-    callersUrl: url("callers"),
-    operatorUrl: url("operator"),
-    controlUrl: originOf({ host: "127.0.0.1", port: controlPort }),
+    callersUrl: urlOf(listeners.callers),
+    operatorUrl,
+    controlUrl: urlOf({ host: "127.0.0.1", port: controlPort }),
   };
-  return { instance, peer: listeners.peer ?? ANY_PORT };
+  return { instance, peer: listeners.peer };
 }
 
 function createSettings(
@@ -107,13 +105,7 @@
 ) {
   return {
     instance,
-    listeners: {
-      callers: ANY_PORT,
-      hop: ANY_PORT,
-      outbound: ANY_PORT,
-      peer: ANY_PORT,
-      operator: ANY_PORT,
-    },
+    listeners: ANY_PORT_LISTENERS,
     platform: { url: platformUrl },
     peers: {
       contacts,
@@ -136,7 +128,7 @@
   options: StartMeshOptions,
 ): Promise<DemoMesh> {
   const platform = await programs.start("stand_ins/platform.js", []);
-  const platformUrl = z.object({ url: z.url() }).parse(platform.ready).url;
+  const platformUrl = readPlatformLine(platform.ready);
   const instances: DemoInstance[] = [];
   const contacts: unknown[] = [];
   for (const dataCentre of DATA_CENTRES) {
