--- a/bench/policy/plot.ts
+++ b/bench/goodput_plot.ts
@@ -1,8 +1,14 @@
 /** Plot of goodput by class over time. */
 import * as echarts from "echarts";
-import { IMPORTANCE_CLASSES } from "../../src/schemas/common_schema.ts";
-import { BUCKET_MS } from "./metrics.ts";
-import type { RunReport } from "./report.ts";
+import {
+  IMPORTANCE_CLASSES,
+  type ImportanceClass,
+} from "../src/schemas/common_schema.ts";
+
+/** Goodput of one run by class: time in s and complete requests per s. */
+export type GoodputSeries = Readonly<
+  Partial<Record<ImportanceClass, readonly (readonly [number, number])[]>>
+>;
 
 const WIDTH_PX = 900;
 const ROW_HEIGHT_PX = 260;
@@ -12,12 +18,12 @@
  * Draws one row per policy.
  *
  * @param title Title of the plot.
- * @param rows Policies with the report of one run.
+ * @param rows Policies with the goodput of one run.
  * @returns The plot as an SVG document.
  */
 export function plotGoodput(
   title: string,
-  rows: readonly { name: string; report: RunReport }[],
+  rows: readonly { name: string; goodput: GoodputSeries }[],
 ): string {
   const chart = echarts.init(null, null, {
     renderer: "svg",
@@ -38,17 +44,14 @@
       name: `${name}: complete requests/s`,
       nameTextStyle: { align: "left" },
     })),
-    series: rows.flatMap(({ report }, row) =>
+    series: rows.flatMap(({ goodput }, row) =>
       IMPORTANCE_CLASSES.map((importanceClass) => ({
         name: importanceClass,
         type: "line",
         showSymbol: false,
         xAxisIndex: row,
         yAxisIndex: row,
-        data: report.goodputPerS[importanceClass].map((perS, bucket) => [
-          bucket * BUCKET_MS / 1_000,
-          perS,
-        ]),
+        data: goodput[importanceClass] ?? [],
       }))
     ),
   });
--- a/bench/overload/main.ts
+++ b/bench/overload/main.ts
@@ -1,11 +1,13 @@
 /** Benchmark of the overload policies with real processes. */
-import { writeFileSync } from "node:fs";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import process from "node:process";
 import { Cli, Command, Option } from "clipanion";
 import { settingsSchema } from "../../src/schemas/settings_schema.ts";
+import { plotGoodput } from "../goodput_plot.ts";
 import { ASSOCIATION, REGIE, SLOTS_SCALE } from "./deployments.ts";
 import { runExperiment } from "./experiment.ts";
-import { type RunSummary, summarise } from "./summary.ts";
+import { goodputSeries, type RunSummary, summarise } from "./summary.ts";
 
 const DEPLOYMENTS = [ASSOCIATION, REGIE];
 const DEFAULT_SEEDS = ["1"];
@@ -43,6 +45,24 @@
 `);
 }
 
+/** Draws the first seed of each deployment, one row per policy. */
+function writePlots(folder: string, summaries: readonly RunSummary[]): void {
+  mkdirSync(folder, { recursive: true });
+  for (const { name } of DEPLOYMENTS) {
+    const rows = summaries
+      .filter(({ deployment }) => deployment === name)
+      .filter(({ seed }, _, runs) => seed === runs[0]?.seed)
+      .map((summary) => ({
+        name: summary.policy,
+        goodput: goodputSeries(summary),
+      }));
+    if (rows.length > 0) {
+      const svg = plotGoodput(`${name}: goodput by class, processes`, rows);
+      writeFileSync(join(folder, `${name}.svg`), svg);
+    }
+  }
+}
+
 /** Runs each policy on each deployment with the same seeds. */
 class OverloadCommand extends Command {
   static override paths = [Command.Default];
@@ -58,6 +78,7 @@
   deployments = Option.Array("--deployment");
   policies = Option.Array("--policy");
   seeds = Option.Array("--seed");
+  svg = Option.String("--svg", { description: "Writes plots to FOLDER" });
   json = Option.String("--json", { description: "Writes all figures to FILE" });
 
   async execute(): Promise<number> {
@@ -77,6 +98,9 @@
         }
       }
     }
+    if (this.svg !== undefined) {
+      writePlots(this.svg, summaries);
+    }
     if (this.json !== undefined) {
       writeFileSync(this.json, `${JSON.stringify(summaries, null, 1)}\n`);
     }
--- a/bench/overload/summary.ts
+++ b/bench/overload/summary.ts
@@ -1,5 +1,6 @@
 /** Figures of one run against the targets of the overload policy. */
 import type { ImportanceClass } from "../../src/schemas/common_schema.ts";
+import type { GoodputSeries } from "../goodput_plot.ts";
 import type { Effect } from "../../stand_ins/upstream_settings.ts";
 import { type PoolPlan, SERVICE_MS, SLOW_SERVICE_MS } from "./deployments.ts";
 import {
@@ -214,3 +215,19 @@
     ),
   };
 }
+
+/**
+ * Gives the goodput of a run as points over time.
+ *
+ * @param summary Figures of the run.
+ * @returns Points by class, for the plot.
+ */
+export function goodputSeries({ goodput }: RunSummary): GoodputSeries {
+  return mapValues(
+    goodput,
+    (points) =>
+      (points ?? []).map(({ fromMs, goodputPerS }) =>
+        [fromMs / MS_PER_S, goodputPerS] as const
+      ),
+  );
+}
--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -9,14 +9,14 @@
 import { parseArgs } from "node:util";
 import { CallGraph } from "./call_graph.ts";
 import { Clients } from "./clients.ts";
-import { plotGoodput } from "./plot.ts";
+import { plotGoodput } from "../goodput_plot.ts";
 import {
   type BenchPolicy,
   FixedPolicy,
   RankPolicy,
   UnlimitedPolicy,
 } from "./policies.ts";
-import { reportRun, type RunReport } from "./report.ts";
+import { goodputSeries, reportRun, type RunReport } from "./report.ts";
 import { readScenario, type Scenario } from "./scenario.ts";
 
 const SCENARIO_FOLDER = "bench/policy/scenarios";
@@ -108,7 +108,7 @@
     mkdirSync(values.svg, { recursive: true });
     const rows = results.map(({ name: policy, reports: [report] }) => ({
       name: policy,
-      report: report as RunReport,
+      goodput: goodputSeries(report as RunReport),
     }));
     const svg = plotGoodput(`${name}: goodput by class`, rows);
     writeFileSync(join(values.svg, `${name}.svg`), svg);
--- a/bench/policy/report.ts
+++ b/bench/policy/report.ts
@@ -4,6 +4,7 @@
   type ImportanceClass,
 } from "../../src/schemas/common_schema.ts";
 import { BUCKET_MS, type Metrics } from "./metrics.ts";
+import type { GoodputSeries } from "../goodput_plot.ts";
 import type { CallPlan, RouteLoad, Scenario } from "./scenario.ts";
 
 const PREVIOUS_FROM_MS = 2_000;
@@ -164,3 +165,17 @@
     goodputPerS: goodputPerS(metrics),
   };
 }
+
+/**
+ * Gives the goodput of a run as points over time.
+ *
+ * @param report Report of the run.
+ * @returns Points by class, for the plot.
+ */
+export function goodputSeries({ goodputPerS }: RunReport): GoodputSeries {
+  const entries = Object.entries(goodputPerS).map(([name, rates]) => [
+    name,
+    rates.map((perS, bucket) => [bucket * BUCKET_MS / 1_000, perS] as const),
+  ]);
+  return Object.fromEntries(entries) as GoodputSeries;
+}
