Show that calls continue after the platform is killed

Cause: the thin path of separate processes was shown in the demo only. Change: a test that kills the platform stand-in and sends 60 keyed enrolments through three daemons; all are complete.

--- a/bench/overload/bed.ts
+++ b/bench/overload/bed.ts
@@ -51,6 +51,7 @@
   readonly #policy: Settings["policy"];
   readonly #programs = new ProgramGroup();
   readonly #folder = mkdtempSync(join(tmpdir(), "goldcrestrelay-bed-"));
+  #platform: StartedProgram | undefined;
   #platformUrl = "";
 
   /**
@@ -65,6 +66,7 @@
   /** Starts all processes, applies the tables and waits until all are ready. */
   async start(): Promise<void> {
     const platform = await this.#programs.start("stand_ins/platform.js", []);
+    this.#platform = platform;
     this.#platformUrl = readPlatformLine(platform.ready);
     for (const pool of this.#deployment.pools) {
       for (let number = 1; number <= pool.endpointsCount; number++) {
@@ -75,6 +77,11 @@
     await this.#waitUntilReady();
   }
 
+  /** Kills the platform stand-in. */
+  killPlatform(): void {
+    this.#platform?.signal("SIGKILL");
+  }
+
   /** Stops all processes. */
   async stop(): Promise<void> {
     await this.#programs.stop();
--- a/bench/overload/faults_test.ts
+++ b/bench/overload/faults_test.ts
@@ -90,3 +90,23 @@
   t.diagnostic(JSON.stringify(Object.fromEntries(kinds)));
   assert.ok(completeKeys.size > 0);
 });
+
+// Guards against any part of a call that waits for the platform.
+test("calls and keyed requests continue after the platform is killed", async (t) => {
+  const bed = await startBed(t);
+  bed.killPlatform();
+  await sleep(AFTER_START_MS);
+  const calls = bed.instances.flatMap(({ entryUrl }) =>
+    Array.from({ length: 20 }, (_, number) =>
+      sendCall({
+        url: entryUrl,
+        method: "POST",
+        path: "/enrolments",
+        token: `down-${number}`,
+        key: createKey(),
+      }))
+  );
+  const records = await Promise.all(calls);
+  const outcomes = new Set(records.map(({ outcome }) => outcome));
+  assert.deepEqual([...outcomes], ["complete"]);
+});
