Let critical requests of half a service time wait before any is shed

Cause: beside few slots with long service the level fell into the critical class although the critical load was two thirds of the capacity. Ruled out: more waiting requests at any number of slots (the queue bound of the test of critical requests at three times capacity). Change: the allowance is at least half of the concurrency limit.

--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/rank_admission.ts
@@ -365,7 +365,8 @@
 
   /**
    * Critical requests may fill half of the age limit, and half of the queue,
-   * before any is shed. In a longer queue requests of all ranks time out. Once
+   * before any is shed. In a longer queue requests of all ranks time out. Half as
+   * many as the limit means half a service time, which is no overload. Once
    * some are, the level follows their waits as it does for other classes.
    */
   #isCriticalOverload(ratePerMs: number): boolean {
@@ -376,7 +377,7 @@
     );
     const allowedCount = shedsCritical
       ? STANDING_ALLOWED_COUNT
-      : Math.max(STANDING_ALLOWED_COUNT, waitCount);
+      : Math.max(this.#limitCount / 2, STANDING_ALLOWED_COUNT, waitCount);
     return this.#queue.countInClass(0) > allowedCount;
   }
 }
