Use the shared listeners everywhere and remove counters that nothing reads

Cause: a read-through found the same list of listeners in the mesh, three tests and two benchmark programs, and a count of requests in both services of the data path that is raised on each request and read by nothing (the drain counts open exchanges instead). Ruled out: one base class for the pass-through methods of the inbound and the outbound exchange, which share their names but not their charts. Change: ANY_PORT_LISTENERS in all of them; the counters are removed.

--- a/bench/hop/bench_daemon.ts
+++ b/bench/hop/bench_daemon.ts
@@ -9,6 +9,7 @@
 import { settingsSchema } from "../../src/schemas/settings_schema.ts";
 import { JsonLogger } from "../../src/telemetry/logger.ts";
 import { FixedConfig, FixedDirectory } from "../../src/testing/fixed_parts.ts";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 const SLOTS = { slotsCount: 1_000, connectionsMaxCount: 64 };
 const DATA_CENTRE = "dakar-plateau";
@@ -27,16 +28,9 @@
 });
 
 const given = benchSettingsSchema.parse(JSON.parse(process.argv[2] ?? ""));
-const anyPort = { host: "127.0.0.1", port: 0 };
 const settings = settingsSchema.parse({
   instance: { id: given.instanceId, dataCentre: DATA_CENTRE },
-  listeners: {
-    callers: anyPort,
-    hop: anyPort,
-    outbound: anyPort,
-    peer: anyPort,
-    operator: anyPort,
-  },
+  listeners: ANY_PORT_LISTENERS,
   platform: { url: "http://127.0.0.1:9" },
   peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
 });
--- a/bench/scale/control_off_daemon.ts
+++ b/bench/scale/control_off_daemon.ts
@@ -10,21 +10,15 @@
 import { settingsSchema } from "../../src/schemas/settings_schema.ts";
 import { FixedConfig, FixedDirectory } from "../../src/testing/fixed_parts.ts";
 import { makeFleetTables } from "./fleet_tables.ts";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
 process.on("SIGUSR2", () => collectGarbage());
 
-const anyPort = { host: "127.0.0.1", port: 0 };
 const settings = settingsSchema.parse({
   instance: { id: "control-off", dataCentre: "dc-0" },
-  listeners: {
-    callers: anyPort,
-    hop: anyPort,
-    outbound: anyPort,
-    peer: anyPort,
-    operator: anyPort,
-  },
+  listeners: ANY_PORT_LISTENERS,
   platform: { url: "http://127.0.0.1:9" },
   peers: { keys: [{ id: "bench", secret: "bench-secret-0123456789" }] },
 });
--- a/src/daemon/drain_test.ts
+++ b/src/daemon/drain_test.ts
@@ -9,9 +9,9 @@
 import { FixedConfig, FixedDirectory } from "../testing/fixed_parts.ts";
 import type { LifeEvent } from "./daemon_life.ts";
 import { wireDaemon } from "./wire.ts";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 const LOOPBACK = "127.0.0.1";
-const ANY_PORT = { host: LOOPBACK, port: 0 };
 const SLOTS = { slotsCount: 4, connectionsMaxCount: 10 };
 
 const config = new FixedConfig({
@@ -42,13 +42,7 @@
   await once(upstream, "listening");
   const settings = settingsSchema.parse({
     instance: { id: "mediatheque-1", dataCentre: "zig-centre" },
-    listeners: {
-      callers: ANY_PORT,
-      hop: ANY_PORT,
-      outbound: ANY_PORT,
-      peer: ANY_PORT,
-      operator: ANY_PORT,
-    },
+    listeners: ANY_PORT_LISTENERS,
     platform: { url: "http://127.0.0.1:9" },
     peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
     drainLimitMs,
--- a/src/daemon/main_test.ts
+++ b/src/daemon/main_test.ts
@@ -9,6 +9,7 @@
 import { text } from "node:stream/consumers";
 import { after, afterEach, test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 const PROGRAM = fileURLToPath(new URL("./main.js", import.meta.url));
 const ANY_PORT = { host: "127.0.0.1", port: 0 };
@@ -22,13 +23,7 @@
 function writeSettings(changes: Record<string, unknown> = {}): void {
   const settings = {
     instance: { id: "certify-1", dataCentre: "dakar-plateau" },
-    listeners: {
-      callers: ANY_PORT,
-      hop: ANY_PORT,
-      outbound: ANY_PORT,
-      peer: ANY_PORT,
-      operator: ANY_PORT,
-    },
+    listeners: ANY_PORT_LISTENERS,
     platform: { url: "http://127.0.0.1:9" },
     peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
     ...changes,
--- a/src/daemon/wire_test.ts
+++ b/src/daemon/wire_test.ts
@@ -11,9 +11,9 @@
 } from "../testing/fixed_parts.ts";
 import type { Daemon } from "./daemon_parts.ts";
 import { wireDaemon } from "./wire.ts";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 const LOOPBACK = "127.0.0.1";
-const ANY_PORT = { host: LOOPBACK, port: 0 };
 
 const config = new FixedConfig({
   routes: {
@@ -65,13 +65,7 @@
 async function startDaemon(pool: string, handler: RequestListener) {
   const settings = settingsSchema.parse({
     instance: { id: `${pool}-1`, dataCentre: "dakar-plateau" },
-    listeners: {
-      callers: ANY_PORT,
-      hop: ANY_PORT,
-      outbound: ANY_PORT,
-      peer: ANY_PORT,
-      operator: ANY_PORT,
-    },
+    listeners: ANY_PORT_LISTENERS,
     platform: { url: "http://127.0.0.1:1" },
     peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
   });
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -82,11 +82,6 @@
     this.#options = options;
   }
 
-  /** Requests that wait or run. */
-  get activeCount(): number {
-    return this.#exchanges.size;
-  }
-
   /**
    * Sets the upstream that requests are forwarded to.
    *
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -73,7 +73,6 @@
   readonly #parts: OutboundServiceParts;
   readonly #options: OutboundServiceOptions;
   readonly #parents = new WeakMap<OutboundExchange, ChainEntry>();
-  #activeCount = 0;
 
   /**
    * @param parts Decisions, directory and transport.
@@ -84,11 +83,6 @@
     this.#options = options;
   }
 
-  /** Requests that have not ended. */
-  get activeCount(): number {
-    return this.#activeCount;
-  }
-
   /**
    * Sends a request.
    *
@@ -103,7 +97,6 @@
     options: { parent?: ChainEntry } = {},
   ): AnswerSource {
     const exchange = new OutboundExchange(request, receiver, this);
-    this.#activeCount++;
     this.#startCall(exchange, options.parent);
     this.#recordSend(request.context);
     exchange.start();
@@ -172,7 +165,6 @@
     result: RequestRecord["result"],
     failure?: Failure,
   ): void {
-    this.#activeCount--;
     this.#endCall(exchange, failure);
     const { context } = exchange.request;
     this.#parts.observer.record({
--- a/src/testing/mesh.ts
+++ b/src/testing/mesh.ts
@@ -14,9 +14,9 @@
 } from "../../stand_ins/upstream_settings.ts";
 import { FixedConfig, FixedDirectory, FixedOwners } from "./fixed_parts.ts";
 import { TcpRelay } from "./tcp_relay.ts";
+import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 
 const LOOPBACK = "127.0.0.1";
-const ANY_PORT = { host: LOOPBACK, port: 0 };
 /** Data centre of instances that name none. */
 export const DEFAULT_DATA_CENTRE = "dc-a";
 
@@ -191,13 +191,7 @@
   ): Daemon {
     const settings = settingsSchema.parse({
       instance,
-      listeners: {
-        callers: ANY_PORT,
-        hop: ANY_PORT,
-        outbound: ANY_PORT,
-        peer: ANY_PORT,
-        operator: ANY_PORT,
-      },
+      listeners: ANY_PORT_LISTENERS,
       policy: this.#policy,
       platform: { url: "http://127.0.0.1:1" },
       peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
