--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -33,7 +33,8 @@
   return text.replace(/[.*+?^${}()|[\]\\/]/g, "\\$&");
 }
 
-const files = ["dist/src", "dist/stand_ins", "dist/bench"].flatMap(listTests);
+const files = ["dist/src", "dist/stand_ins", "dist/bench", "dist/platform"]
+  .flatMap(listTests);
 const knownRed = readKnownRed();
 for (const name of knownRed) {
   console.log(`known red, passed over: ${name}`);
--- a/src/charts/load_chart.ts
+++ b/src/charts/load_chart.ts
@@ -26,6 +26,11 @@
   "configuration",
   "lease",
   "daemon",
+  "forwarded_request",
+  "served_request",
+  "local_upstream",
+  "link",
+  "fleet_daemon",
 ] as const;
 
 /** Name of a chart file without its ending. */
--- /dev/null
+++ b/src/decisions/call_graph.ts
@@ -0,0 +1,154 @@
+/** Which routes a request of a route calls further down, learned from traffic. */
+
+/** Route, route that it calls, calls per run. */
+export type CallEdge = [string, string, number];
+
+/** Runs after which the observed ratio is told to others. */
+const RUNS_MIN_COUNT = 10;
+/** Older observations are halved at this count, so that changes are followed. */
+const RUNS_HALVING_COUNT = 1_000;
+const CALLS_PER_RUN_MIN = 0.05;
+const DEPTH_MAX = 24;
+
+type RouteRuns = { runsCount: number; calls: Map<string, number> };
+
+/** Counts runs and the calls that they make at one upstream. */
+export class CallObserver {
+  readonly #byRoute = new Map<string, RouteRuns>();
+
+  /**
+   * Counts a finished run.
+   *
+   * @param routeName Route of the request.
+   */
+  recordRun(routeName: string): void {
+    const runs = this.#runsOf(routeName);
+    runs.runsCount++;
+    if (runs.runsCount >= RUNS_HALVING_COUNT) {
+      runs.runsCount /= 2;
+      for (const [called, count] of runs.calls) {
+        runs.calls.set(called, count / 2);
+      }
+    }
+  }
+
+  /**
+   * Counts a call.
+   *
+   * @param routeName Route of the running request.
+   * @param calledRouteName Route of the call.
+   */
+  recordCall(routeName: string, calledRouteName: string): void {
+    const { calls } = this.#runsOf(routeName);
+    calls.set(calledRouteName, (calls.get(calledRouteName) ?? 0) + 1);
+  }
+
+  /**
+   * Lists what was learned, rounded so that it rarely changes.
+   *
+   * @returns Edges in a stable order.
+   */
+  edges(): CallEdge[] {
+    const edges: CallEdge[] = [];
+    for (const [routeName, { runsCount, calls }] of this.#byRoute) {
+      if (runsCount < RUNS_MIN_COUNT) {
+        continue;
+      }
+      for (const [called, count] of calls) {
+        const perRun = count / runsCount;
+        if (perRun >= CALLS_PER_RUN_MIN) {
+          edges.push([routeName, called, Math.max(0.5, Math.round(perRun))]);
+        }
+      }
+    }
+    return edges.sort((a, b) =>
+      a[0].localeCompare(b[0]) || a[1].localeCompare(b[1])
+    );
+  }
+
+  #runsOf(routeName: string): RouteRuns {
+    let runs = this.#byRoute.get(routeName);
+    if (runs === undefined) {
+      runs = { runsCount: 0, calls: new Map() };
+      this.#byRoute.set(routeName, runs);
+    }
+    return runs;
+  }
+}
+
+/** Merged edges of all daemons. */
+export class CallGraph {
+  readonly #byMember = new Map<string, readonly CallEdge[]>();
+  #merged: Map<string, Map<string, number>> | undefined;
+
+  /**
+   * Replaces what one daemon has observed.
+   *
+   * @param memberName Daemon that observed the calls.
+   * @param edges Its edges.
+   */
+  update(memberName: string, edges: readonly CallEdge[]): void {
+    this.#byMember.set(memberName, edges);
+    this.#merged = undefined;
+  }
+
+  /**
+   * Computes the runs that one request of a route causes at each route.
+   *
+   * @param routeName Route of the request.
+   * @returns Route to runs; the route itself has one.
+   */
+  runsByRoute(routeName: string): ReadonlyMap<string, number> {
+    const runs = new Map<string, number>();
+    this.#addRuns(routeName, { count: 1, depth: 0, runs });
+    return runs;
+  }
+
+  /**
+   * Tells whether a route is called by another one.
+   *
+   * @param routeName Route.
+   * @returns True when some daemon has observed such calls.
+   */
+  isCalled(routeName: string): boolean {
+    for (const calls of this.#edges().values()) {
+      if (calls.has(routeName)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #addRuns(
+    routeName: string,
+    { count, depth, runs }: {
+      count: number;
+      depth: number;
+      runs: Map<string, number>;
+    },
+  ): void {
+    runs.set(routeName, (runs.get(routeName) ?? 0) + count);
+    if (depth >= DEPTH_MAX) {
+      return;
+    }
+    for (const [called, perRun] of this.#edges().get(routeName) ?? []) {
+      this.#addRuns(called, { count: count * perRun, depth: depth + 1, runs });
+    }
+  }
+
+  #edges(): Map<string, Map<string, number>> {
+    if (this.#merged !== undefined) {
+      return this.#merged;
+    }
+    const merged = new Map<string, Map<string, number>>();
+    for (const edges of this.#byMember.values()) {
+      for (const [routeName, called, perRun] of edges) {
+        const calls = merged.get(routeName) ?? new Map<string, number>();
+        calls.set(called, Math.max(calls.get(called) ?? 0, perRun));
+        merged.set(routeName, calls);
+      }
+    }
+    this.#merged = merged;
+    return merged;
+  }
+}
--- /dev/null
+++ b/src/decisions/moving_average.ts
@@ -0,0 +1,37 @@
+/** Exponentially weighted mean of a series of values. */
+
+/**
+ * Mean that gives the newest value a fixed weight.
+ *
+ * @example
+ * const mean = new MovingAverage(0.1, 20);
+ * mean.add(30);
+ * mean.value; // 21
+ */
+export class MovingAverage {
+  readonly #weight: number;
+  #value: number;
+
+  /**
+   * @param weight Weight of the newest value, in `(0, 1]`.
+   * @param initial Value before the first one is added.
+   */
+  constructor(weight: number, initial: number) {
+    this.#weight = weight;
+    this.#value = initial;
+  }
+
+  /** Present mean. */
+  get value(): number {
+    return this.#value;
+  }
+
+  /**
+   * Adds a value.
+   *
+   * @param value Newest value.
+   */
+  add(value: number): void {
+    this.#value += (value - this.#value) * this.#weight;
+  }
+}
--- /dev/null
+++ b/src/decisions/path_selector.ts
@@ -0,0 +1,94 @@
+/** Chooses the upstream that should run a request. */
+import type { RandomSource } from "../core/random.ts";
+
+/** What the choice knows of one upstream. */
+export type PathView = {
+  readonly isOwnDataCentre: boolean;
+  readonly isCold: boolean;
+  /** Requests that run at once at most. */
+  readonly limitCount: number;
+  /** Requests that run or wait by the present knowledge. */
+  readonly openCount: number;
+  /** Mean time of any request at the upstream, in ms; 0 when unknown. */
+  readonly meanRunMs: number;
+  /** Mean time of this route's requests, in ms; 0 when unknown. */
+  readonly routeRunMs: number;
+  /** Share of requests that fail. */
+  readonly failureRatio: number;
+};
+
+/** Options of {@link choosePath}. */
+export type ChoosePathOptions = {
+  random: RandomSource;
+  /** Cost of a request to another data centre, as a time in ms. */
+  remotePenaltyMs: number;
+};
+
+/** Busy share from which a further request counts as slowed down. */
+const BUSY_RATIO = 0.75;
+/** A cold upstream takes about twice as long. */
+const COLD_FACTOR = 2;
+/** Cost of a failure relative to a run; a repeat costs more than the run. */
+const FAILURE_COST = 4;
+/** Spread that keeps many daemons from choosing the same upstream at once. */
+const SPREAD_RATIO = 0.08;
+/** Upstreams that are compared at most. */
+const COMPARED_MAX_COUNT = 12;
+
+/**
+ * Estimates the cost of a request at an upstream.
+ *
+ * @param view Knowledge of the upstream.
+ * @param options Cost of another data centre.
+ * @returns Expected time until the answer with penalties, in ms.
+ */
+export function pathCostMs(
+  view: PathView,
+  options: Pick<ChoosePathOptions, "remotePenaltyMs">,
+): number {
+  const coldFactor = view.isCold ? COLD_FACTOR : 1;
+  const runMs = (view.routeRunMs || view.meanRunMs) * coldFactor;
+  const limit = Math.max(1, view.limitCount);
+  const next = view.openCount + 1;
+  const slowedMs = Math.max(0, next / limit - BUSY_RATIO) * view.meanRunMs;
+  const waitMs = Math.max(0, next - limit) * view.meanRunMs / limit;
+  const failureMs = view.failureRatio * FAILURE_COST * (runMs + waitMs);
+  const remoteMs = view.isOwnDataCentre ? 0 : options.remotePenaltyMs;
+  return runMs + slowedMs + 2 * waitMs + failureMs + remoteMs;
+}
+
+/**
+ * Chooses the upstream with the lowest expected cost. Of large pools a random
+ * part and all upstreams of the own data centre are compared.
+ *
+ * @param views Upstreams that may run the request.
+ * @param options Random numbers and cost of another data centre.
+ * @returns Index of the choice; -1 without upstreams.
+ *
+ * @example
+ * choosePath(views, { random, remotePenaltyMs: 15 });
+ */
+export function choosePath(
+  views: readonly PathView[],
+  options: ChoosePathOptions,
+): number {
+  const { random } = options;
+  let best = -1;
+  let bestCost = Infinity;
+  const isSampled = views.length > COMPARED_MAX_COUNT;
+  for (let index = 0; index < views.length; index++) {
+    const view = views[index] as PathView;
+    const isSkipped = isSampled && !view.isOwnDataCentre &&
+      random.nextFloat() > COMPARED_MAX_COUNT / views.length;
+    if (isSkipped) {
+      continue;
+    }
+    const spread = 1 + SPREAD_RATIO * random.nextFloat();
+    const cost = pathCostMs(view, options) * spread;
+    if (cost < bestCost) {
+      best = index;
+      bestCost = cost;
+    }
+  }
+  return best < 0 && views.length > 0 ? random.nextInt(views.length) : best;
+}
--- /dev/null
+++ b/src/decisions/repeat_budget.ts
@@ -0,0 +1,88 @@
+/** This daemon's share of the repeated requests that a pool may get. */
+import { SlidingCounter } from "./sliding_counter.ts";
+
+/** Options of {@link RepeatBudget}. */
+export type RepeatBudgetOptions = {
+  /** Repeats per request of a pool over the window, over all daemons. */
+  ratio: number;
+  windowMs: number;
+  /** Repeats beyond the ratio, over all daemons. */
+  slackCount: number;
+};
+
+/**
+ * Part of the stated budget that is used. A repeated run repeats its calls as
+ * well, at pools whose requests this daemon does not see.
+ */
+const USED_RATIO = 0.4;
+
+type Counters = { requests: SlidingCounter; repeats: SlidingCounter };
+
+/**
+ * Bounds repeats per pool. Each daemon takes the ratio of its own requests and
+ * an equal share of the slack, so that no exchange between daemons is needed.
+ *
+ * @example
+ * budget.recordRequest("certify", nowMs);
+ * budget.take("certify", { nowMs, daemonsCount: 14, cost: 1 });
+ */
+export class RepeatBudget {
+  readonly #options: RepeatBudgetOptions;
+  readonly #byPool = new Map<string, Counters>();
+
+  /**
+   * @param options Bounds over all daemons.
+   */
+  constructor(options: RepeatBudgetOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Counts the first send of a request.
+   *
+   * @param pool Pool that runs it.
+   * @param nowMs Monotonic time, in ms.
+   */
+  recordRequest(pool: string, nowMs: number): void {
+    this.#countersOf(pool).requests.add(1, nowMs);
+  }
+
+  /**
+   * Takes the right to a repeat.
+   *
+   * @param pool Pool that would run the repeat.
+   * @param options Time in ms, daemons that share the slack, and runs that
+   *   the repeat causes altogether.
+   * @returns True when the repeat is allowed; it is then charged.
+   */
+  take(
+    pool: string,
+    options: { nowMs: number; daemonsCount: number; cost: number },
+  ): boolean {
+    const { ratio, slackCount } = this.#options;
+    const counters = this.#countersOf(pool);
+    const requestsCount = counters.requests.count(options.nowMs).atLeast;
+    const slack = slackCount / Math.max(1, options.daemonsCount);
+    const allowed = USED_RATIO * (ratio * requestsCount + slack);
+    const usedCount = counters.repeats.count(options.nowMs).atMost;
+    // One repeat is allowed in any case where the slack of the daemon is less.
+    if (usedCount + options.cost > Math.max(1, allowed)) {
+      return false;
+    }
+    counters.repeats.add(options.cost, options.nowMs);
+    return true;
+  }
+
+  #countersOf(pool: string): Counters {
+    let counters = this.#byPool.get(pool);
+    if (counters === undefined) {
+      const { windowMs } = this.#options;
+      counters = {
+        requests: new SlidingCounter(windowMs),
+        repeats: new SlidingCounter(windowMs),
+      };
+      this.#byPool.set(pool, counters);
+    }
+    return counters;
+  }
+}
--- /dev/null
+++ b/src/decisions/slot_queue.ts
@@ -0,0 +1,123 @@
+/** Requests that run at one upstream, and those that wait for a slot. */
+
+/** One request at the queue. */
+export type SlotRequest = {
+  /** Monotonic time by which its answer keeps its full value, in ms. */
+  readonly goalAtMs: number;
+  /** Monotonic time after which it is of no use, in ms. */
+  readonly expiresAtMs: number;
+};
+
+/**
+ * Bounded number of running requests with a queue ordered by latency goal
+ * (earliest deadline first), so that short requests with tight goals overtake
+ * calls that have time to spare.
+ *
+ * @example
+ * const slots = new SlotQueue<Served>();
+ * slots.setLimit(35);
+ * if (slots.enter(request)) { run(request); }
+ */
+export class SlotQueue<R extends SlotRequest> {
+  readonly #waiting: R[] = [];
+  #runningCount = 0;
+  #limitCount = 0;
+
+  /** Requests that run. */
+  get runningCount(): number {
+    return this.#runningCount;
+  }
+
+  /** Requests that wait. */
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
+  /** Requests that may run at once. */
+  get limitCount(): number {
+    return this.#limitCount;
+  }
+
+  /**
+   * Changes the number of requests that may run at once.
+   *
+   * @param limitCount New limit; running requests are not affected.
+   */
+  setLimit(limitCount: number): void {
+    this.#limitCount = limitCount;
+  }
+
+  /**
+   * Admits a request or makes it wait.
+   *
+   * @param request Arriving request.
+   * @returns True when it may run now; false when it waits.
+   */
+  enter(request: R): boolean {
+    if (this.#runningCount < this.#limitCount && this.#waiting.length === 0) {
+      this.#runningCount++;
+      return true;
+    }
+    this.#insert(request);
+    return false;
+  }
+
+  /** Gives back the slot of a request that has ended. */
+  leave(): void {
+    this.#runningCount--;
+  }
+
+  /**
+   * Takes the next waiting request when a slot is free.
+   *
+   * @returns Request that runs now; undefined when none may.
+   */
+  takeNext(): R | undefined {
+    if (this.#runningCount >= this.#limitCount) {
+      return undefined;
+    }
+    const next = this.#waiting.shift();
+    if (next !== undefined) {
+      this.#runningCount++;
+    }
+    return next;
+  }
+
+  /**
+   * Removes a waiting request.
+   *
+   * @param request Request that was cancelled or has expired.
+   * @returns True when it was waiting.
+   */
+  remove(request: R): boolean {
+    const index = this.#waiting.indexOf(request);
+    if (index < 0) {
+      return false;
+    }
+    this.#waiting.splice(index, 1);
+    return true;
+  }
+
+  /**
+   * Removes all waiting requests.
+   *
+   * @returns The removed requests.
+   */
+  clear(): R[] {
+    return this.#waiting.splice(0);
+  }
+
+  #insert(request: R): void {
+    let low = 0;
+    let high = this.#waiting.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.#waiting[middle]!.goalAtMs <= request.goalAtMs) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    this.#waiting.splice(low, 0, request);
+  }
+}
--- a/src/errors/error_kinds.ts
+++ b/src/errors/error_kinds.ts
@@ -39,6 +39,12 @@
     retry: "never",
     message: "The request body is larger than the route allows",
   },
+  header_timeout: {
+    status: 408,
+    outcome: "not-run",
+    retry: "always",
+    message: "The request headers did not arrive in time",
+  },
   tenant_denied: {
     status: 403,
     outcome: "not-run",
--- /dev/null
+++ b/src/fleet/config_follower.ts
@@ -0,0 +1,99 @@
+/** Keeps the newest configuration that the store or a peer has shown. */
+import type { Stream } from "most";
+import type { ControlPart } from "../core/event_loop.ts";
+import type { StoredObject } from "../core/platform_client.ts";
+import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import {
+  type FleetConfig,
+  fleetConfigSchema,
+} from "../schemas/fleet_schema.ts";
+import { errorFields, type Logger } from "../telemetry/logger.ts";
+
+/** Options of {@link ConfigFollower}. */
+export type ConfigFollowerOptions = {
+  /** Objects of the configuration's kind. */
+  objects: Stream<StoredObject>;
+  /** Name of the object that holds the configuration. */
+  objectName: string;
+  /** Decodes the object's value; throws when it is no configuration. */
+  decode: (value: unknown) => FleetConfig;
+  log: Logger;
+  /** Called after each newer configuration. */
+  onApplied: (routes: FleetRoutes) => void;
+};
+
+/**
+ * Applies configurations by ascending version, so that nothing that arrives
+ * late, from the store or from a peer, takes the daemon back.
+ */
+export class ConfigFollower implements ControlPart<StoredObject> {
+  readonly name = "configuration";
+  readonly inputs: Stream<StoredObject>;
+  readonly #options: ConfigFollowerOptions;
+  #routes: FleetRoutes | undefined;
+  /** Monotonic time of the last change, in ms. */
+  appliedAtMs = 0;
+
+  /**
+   * @param options Source, decoder and listener.
+   */
+  constructor(options: ConfigFollowerOptions) {
+    this.#options = options;
+    this.inputs = options.objects;
+  }
+
+  /** Routes in force; undefined before the first configuration. */
+  get routes(): FleetRoutes | undefined {
+    return this.#routes;
+  }
+
+  /** Version in force; 0 before the first configuration. */
+  get version(): number {
+    return this.#routes?.config.version ?? 0;
+  }
+
+  /** @inheritdoc */
+  handle(object: StoredObject): void {
+    if (
+      object.name !== this.#options.objectName || object.value === undefined
+    ) {
+      return;
+    }
+    try {
+      this.#apply(this.#options.decode(object.value), "store");
+    } catch (error) {
+      this.#options.log.error("Configuration of the store is not usable", {
+        storeVersion: object.version,
+        ...errorFields(error),
+      });
+    }
+  }
+
+  /**
+   * Takes a configuration from a peer.
+   *
+   * @param value Decoded frame.
+   */
+  receive(value: unknown): void {
+    const result = fleetConfigSchema.safeParse(value);
+    if (result.success) {
+      this.#apply(result.data, "peer");
+    }
+  }
+
+  #apply(config: FleetConfig, source: "store" | "peer"): void {
+    if (config.version <= this.version) {
+      return;
+    }
+    const lastVersion = this.version;
+    this.#routes = new FleetRoutes(config);
+    this.appliedAtMs = performance.now();
+    this.#options.log.info("Configuration in force", {
+      version: config.version,
+      lastVersion,
+      source,
+      routesCount: config.routes.length,
+    });
+    this.#options.onApplied(this.#routes);
+  }
+}
--- /dev/null
+++ b/src/fleet/fleet_life.ts
@@ -0,0 +1,103 @@
+/** Life cycle of the process of a daemon on a platform. */
+import { mergeArray, type Stream } from "most";
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { ControlPart } from "../core/event_loop.ts";
+import { EventSource } from "../core/event_source.ts";
+import type { Logger } from "../telemetry/logger.ts";
+
+/** Event of the chart `fleet_daemon`. */
+export type FleetLifeEvent =
+  | "configured"
+  | "terminate"
+  | "reload"
+  | "idle"
+  | "graceOver";
+
+/** Options of {@link FleetLife}. */
+export type FleetLifeOptions = {
+  log: Logger;
+  signals: Stream<FleetLifeEvent>;
+  /** Stops taking new work. */
+  onStop: () => void;
+  /** Re-reads the settings that may change at run time. */
+  onReload: () => void;
+  /** Requests without an answer. */
+  openCount: () => number;
+};
+
+/** Runs the chart `fleet_daemon`. */
+export class FleetLife implements ControlPart<FleetLifeEvent> {
+  readonly name = "daemon";
+  readonly inputs: Stream<FleetLifeEvent>;
+  /** Resolves when the process should end. */
+  readonly ended: Promise<void>;
+  readonly #options: FleetLifeOptions;
+  readonly #source = new EventSource<FleetLifeEvent>();
+  readonly #machine: StateMachine;
+  #resolveEnded: () => void = () => {};
+  /** Monotonic time of the SIGTERM, in ms. */
+  stoppingSinceMs: number | undefined;
+
+  /**
+   * @param options Log, signals and effects.
+   */
+  constructor(options: FleetLifeOptions) {
+    this.#options = options;
+    this.inputs = mergeArray([options.signals, this.#source.stream]);
+    this.#machine = new StateMachine(FLEET_DAEMON_CHART, this);
+    this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
+  }
+
+  /** Whether the daemon takes new clients. */
+  get isReady(): boolean {
+    return this.#machine.is("ready");
+  }
+
+  /** Name of the chart's state. */
+  get stateName(): string {
+    return this.#machine.state;
+  }
+
+  /**
+   * Adds an event from inside the daemon.
+   *
+   * @param event Event of the chart.
+   */
+  notify(event: FleetLifeEvent): void {
+    this.#source.emit(event);
+  }
+
+  /** @inheritdoc */
+  handle(event: FleetLifeEvent): void {
+    this.#machine.send(event);
+  }
+
+  /** Action: reports that the daemon takes requests. */
+  reportReady(): void {
+    this.#options.log.info("Ready");
+  }
+
+  /** Action: reports and applies changed settings. */
+  reportReload(): void {
+    this.#options.log.info("Reload asked for");
+    this.#options.onReload();
+  }
+
+  /** Action: stops taking new work. */
+  startStop(): void {
+    this.stoppingSinceMs = performance.now();
+    this.#options.log.info("Stopping", {
+      openCount: this.#options.openCount(),
+    });
+    this.#options.onStop();
+  }
+
+  /** Action: ends the process. */
+  end(): void {
+    this.#options.log.info("Stopped", { cutCount: this.#options.openCount() });
+    this.#resolveEnded();
+  }
+}
+
+const FLEET_DAEMON_CHART = loadChart("fleet_daemon", FleetLife.prototype);
--- /dev/null
+++ b/src/fleet/forwarded_exchange.ts
@@ -0,0 +1,257 @@
+/** A request in the daemon where it began, until its answer. */
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { RepeatBudget } from "../decisions/repeat_budget.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { PathTable } from "./path_table.ts";
+import type {
+  ForwardFailure,
+  ResultReceiver,
+  SentRequest,
+  UpstreamAnswer,
+  UpstreamPath,
+} from "./upstream_path.ts";
+
+/** Daemons that one request is offered to at most. */
+const OFFERS_MAX_COUNT = 4;
+/** A repeat with less time left would hardly be answered. */
+const REPEAT_REMAINING_MIN_MS = 30;
+
+/** A request as it came in. */
+export type IncomingRequest = {
+  /** Id of the caller's attempt, for logs. */
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Uint8Array | null;
+  readonly route: FleetRoute;
+  readonly pool: string;
+  /** Monotonic time of arrival, in ms. */
+  readonly arrivedMs: number;
+  /** Monotonic time by which the answer must be there, in ms. */
+  readonly expiresAtMs: number;
+  /** Whether an upstream made it while it ran another request. */
+  readonly isCall: boolean;
+};
+
+/** Sends the answer to the caller. */
+export interface ReplySink {
+  /** Passes on the answer of an upstream. */
+  answer(answer: UpstreamAnswer): void;
+  /** Answers with an error of the closed list. */
+  fail(kind: ErrorKind): void;
+}
+
+/** Parts that exchanges share. */
+export type ExchangeParts = {
+  paths: PathTable;
+  budget: RepeatBudget;
+  decisions: DecisionLog;
+  callerPool: string;
+  /** Daemons that share the repeat budget. */
+  daemonsCount: () => number;
+  /** Runs that a repeat of a route causes altogether. */
+  runsPerRequest: (routeName: string) => number;
+  /** Learns each end, for metrics. */
+  onEnd: (request: IncomingRequest, outcome: string) => void;
+};
+
+/** Runs the chart `forwarded_request`. */
+export class ForwardedExchange implements ResultReceiver {
+  readonly #request: IncomingRequest;
+  readonly #reply: ReplySink;
+  readonly #parts: ExchangeParts;
+  readonly #machine: StateMachine;
+  readonly #timer: NodeJS.Timeout;
+  readonly #tried = new Set<string>();
+  #path: UpstreamPath | undefined;
+  #sent: SentRequest | undefined;
+  #offersCount = 0;
+  #reachedCount = 0;
+  #mayHaveRun = false;
+
+  /**
+   * @param request Request that was admitted.
+   * @param reply Sends the answer.
+   * @param parts Shared parts.
+   */
+  constructor(
+    request: IncomingRequest,
+    reply: ReplySink,
+    parts: ExchangeParts,
+  ) {
+    this.#request = request;
+    this.#reply = reply;
+    this.#parts = parts;
+    this.#machine = new StateMachine(FORWARDED_CHART, this);
+    this.#timer = setTimeout(
+      () => this.#machine.send("expired"),
+      Math.max(1, request.expiresAtMs - performance.now()),
+    );
+  }
+
+  /** Chooses the first upstream. */
+  start(): void {
+    const { pool, route, requestId, isCall } = this.#request;
+    this.#parts.budget.recordRequest(pool, performance.now());
+    this.#parts.decisions.record("routed", requestId, {
+      route: route.name,
+      pool,
+      isCall,
+    });
+    this.chooseUpstream();
+  }
+
+  /** Ends the request because its caller has left. */
+  cancel(): void {
+    this.#machine.send("cancelled");
+  }
+
+  /** @inheritdoc */
+  onAnswer(answer: UpstreamAnswer): void {
+    this.#machine.send("answered", answer);
+  }
+
+  /** @inheritdoc */
+  onFailure(failure: ForwardFailure): void {
+    if (failure.hasReached) {
+      this.#reachedCount++;
+    }
+    this.#parts.decisions.record("attempt failed", this.#request.requestId, {
+      upstream: this.#path?.member.name,
+      kind: failure.kind,
+      isNotRun: failure.isNotRun,
+      hasReached: failure.hasReached,
+    });
+    if (failure.isNotRun) {
+      this.#machine.send("refused", failure);
+      return;
+    }
+    this.#mayHaveRun = true;
+    this.#machine.send("failed", failure);
+  }
+
+  /** Guard: another upstream may get a request that has not run. */
+  maySendElsewhere(failure: ForwardFailure): boolean {
+    return failure.kind !== "deadline_exceeded" &&
+      this.#offersCount < OFFERS_MAX_COUNT &&
+      (!failure.hasReached || this.#mayReachAgain());
+  }
+
+  /** Guard: a request that may have run may run once more. */
+  mayRepeat(): boolean {
+    return this.#request.route.idempotent &&
+      this.#offersCount < OFFERS_MAX_COUNT && this.#mayReachAgain();
+  }
+
+  /** Action: chooses an upstream that was not tried yet. */
+  chooseUpstream(lastFailure?: ForwardFailure): void {
+    const { pool, route } = this.#request;
+    const path = this.#parts.paths.choose(pool, {
+      routeName: route.name,
+      tried: this.#tried,
+    });
+    if (path === undefined) {
+      this.#machine.send("none", lastFailure);
+      return;
+    }
+    this.#path = path;
+    this.#machine.send("chosen", path);
+  }
+
+  /** Action: hands the request over. */
+  sendAttempt(path: UpstreamPath): void {
+    const { route, headers, arrivedMs, expiresAtMs, isCall } = this.#request;
+    const nowMs = performance.now();
+    this.#offersCount++;
+    this.#tried.add(path.member.name);
+    this.#sent = path.send({
+      upstreamId: path.state?.upstreamId ?? "",
+      method: this.#request.method,
+      path: this.#request.path,
+      headers,
+      body: this.#request.body,
+      remainingMs: expiresAtMs - nowMs,
+      routeName: route.name,
+      goalLeftMs: arrivedMs + route.latencyGoalMs - nowMs,
+      isRefusable: !isCall,
+      callerPool: this.#parts.callerPool,
+    }, this);
+  }
+
+  /** Action: passes the answer to the caller. */
+  relayAnswer(answer: UpstreamAnswer): void {
+    const path = this.#path as UpstreamPath;
+    this.#parts.paths.recordRun(path, this.#request.route.name, answer.runMs);
+    this.#end(`answered ${answer.status}`);
+    this.#reply.answer(answer);
+  }
+
+  /** Action: answers with the failure of the last attempt. */
+  answerFailure(failure?: ForwardFailure): void {
+    this.#fail(this.#publicKind(failure));
+  }
+
+  /** Action: answers that the time is over. */
+  answerExpired(): void {
+    this.#fail("deadline_exceeded");
+  }
+
+  /** Action: ends the open attempt. */
+  cancelAttempt(): void {
+    this.#sent?.cancel();
+  }
+
+  /** Action: records that the caller has left. */
+  reportCancelled(): void {
+    this.#end("cancelled");
+  }
+
+  /** A status that promises "not run" needs a proof for every attempt. */
+  #publicKind(failure: ForwardFailure | undefined): ErrorKind {
+    const kind = failure?.kind ?? "no_upstream";
+    if (!this.#mayHaveRun) {
+      return kind === "deadline_exceeded" ? "deadline_exceeded" : kind;
+    }
+    return failure?.isNotRun === false ? kind : "upstream_failed";
+  }
+
+  #mayReachAgain(): boolean {
+    const { route, pool, expiresAtMs } = this.#request;
+    const nowMs = performance.now();
+    return this.#reachedCount < route.attemptsMax &&
+      expiresAtMs - nowMs > REPEAT_REMAINING_MIN_MS &&
+      this.#parts.budget.take(pool, {
+        nowMs,
+        daemonsCount: this.#parts.daemonsCount(),
+        cost: this.#parts.runsPerRequest(route.name),
+      });
+  }
+
+  #fail(kind: ErrorKind): void {
+    this.#end(kind);
+    this.#reply.fail(kind);
+  }
+
+  #end(outcome: string): void {
+    clearTimeout(this.#timer);
+    const { requestId, arrivedMs, route } = this.#request;
+    this.#parts.onEnd(this.#request, outcome);
+    this.#parts.decisions.record("ended", requestId, {
+      route: route.name,
+      outcome,
+      upstream: this.#path?.member.name,
+      offersCount: this.#offersCount,
+      reachedCount: this.#reachedCount,
+      tookMs: Math.round(performance.now() - arrivedMs),
+    });
+  }
+}
+
+const FORWARDED_CHART = loadChart(
+  "forwarded_request",
+  ForwardedExchange.prototype,
+);
--- /dev/null
+++ b/src/fleet/local_path.ts
@@ -0,0 +1,49 @@
+/** Way to the upstream beside the daemon. */
+import type { MemberRecord } from "../schemas/fleet_schema.ts";
+import type { UpstreamState } from "../schemas/link_schema.ts";
+import type { UpstreamGate } from "./upstream_gate.ts";
+import {
+  type ForwardedRequest,
+  PathLoad,
+  type ResultReceiver,
+  type SentRequest,
+  type UpstreamPath,
+} from "./upstream_path.ts";
+
+/** Options of {@link LocalPath}. */
+export type LocalPathOptions = {
+  member: MemberRecord;
+  gate: UpstreamGate;
+  readState: () => UpstreamState;
+};
+
+/** Path without a link; its load is always up to date. */
+export class LocalPath implements UpstreamPath {
+  readonly member: MemberRecord;
+  readonly #load = new PathLoad();
+  readonly #options: LocalPathOptions;
+
+  /**
+   * @param options Own entry, gate and state.
+   */
+  constructor(options: LocalPathOptions) {
+    this.member = options.member;
+    this.#options = options;
+  }
+
+  /** @inheritdoc */
+  get state(): UpstreamState {
+    return this.#options.readState();
+  }
+
+  /** @inheritdoc */
+  get load(): PathLoad {
+    this.#load.update(this.#options.gate.load);
+    return this.#load;
+  }
+
+  /** @inheritdoc */
+  send(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
+    return this.#options.gate.serve(request, receiver);
+  }
+}
--- /dev/null
+++ b/src/fleet/local_upstream.ts
@@ -0,0 +1,187 @@
+/** What the daemon believes of the upstream beside it. */
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { UpstreamReport } from "../schemas/fleet_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
+
+/** What follows from a changed belief. */
+export interface UpstreamListener {
+  /** The upstream takes requests, or its details have changed. */
+  onServing(): void;
+  /** The upstream takes no new requests. */
+  onNotServing(): void;
+}
+
+/** Options of {@link LocalUpstream}. */
+export type LocalUpstreamOptions = {
+  listener: UpstreamListener;
+  log: Logger;
+  /** Upstream whose leaving an earlier process here has acknowledged. */
+  leftUpstreamId?: string;
+};
+
+/** Runs the chart `local_upstream`. */
+export class LocalUpstream {
+  readonly #options: LocalUpstreamOptions;
+  readonly #machine: StateMachine;
+  #report: UpstreamReport | undefined;
+  /** Identity of the start that has left, to tell a later start from it. */
+  #leftStartMs = -Infinity;
+  #leftId: string | undefined;
+  /** Monotonic time of the last report, in ms. */
+  reportedAtMs = -Infinity;
+
+  /**
+   * @param options Listener, log and what the store remembers.
+   */
+  constructor(options: LocalUpstreamOptions) {
+    this.#options = options;
+    this.#leftId = options.leftUpstreamId;
+    this.#machine = new StateMachine(LOCAL_UPSTREAM_CHART, this);
+  }
+
+  /** Last accepted report; undefined before the first. */
+  get report(): UpstreamReport | undefined {
+    return this.#report;
+  }
+
+  /** Whether the upstream takes new requests. */
+  get isServing(): boolean {
+    return this.#machine.is("serving");
+  }
+
+  /** Whether the upstream has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.#machine.is("leaving");
+  }
+
+  /** Name of the chart's state, for logs and metrics. */
+  get stateName(): string {
+    return this.#machine.state;
+  }
+
+  /**
+   * Remembers an upstream whose leaving was acknowledged before this process
+   * started, so that a late heartbeat does not bring it back.
+   *
+   * @param upstreamId Upstream that has left.
+   */
+  rememberLeft(upstreamId: string): void {
+    this.#leftId = upstreamId;
+    if (this.#report?.upstreamId === upstreamId && this.isServing) {
+      this.#machine.send("left");
+    }
+  }
+
+  /**
+   * Takes a heartbeat. Reports that are older than the last one of the same
+   * start, or of an earlier start, are ignored.
+   *
+   * @param report Decoded heartbeat.
+   */
+  heartbeat(report: UpstreamReport): void {
+    if (this.#isOutdated(report)) {
+      this.#options.log.info("Outdated heartbeat ignored", {
+        upstreamId: report.upstreamId,
+        sequence: report.sequence,
+      });
+      return;
+    }
+    this.reportedAtMs = performance.now();
+    if (report.state === "ready") {
+      this.#machine.send("reportedReady", report);
+      return;
+    }
+    this.#report = report;
+    this.#machine.send("reportedDraining", report);
+  }
+
+  /**
+   * Takes the announcement that an upstream leaves.
+   *
+   * @param upstreamId Upstream that leaves.
+   */
+  leave(upstreamId: string): void {
+    const report = this.#report;
+    if (report !== undefined && report.upstreamId !== upstreamId) {
+      return;
+    }
+    this.#leftId = upstreamId;
+    this.#machine.send("left");
+  }
+
+  /** Records that the upstream cannot be reached. */
+  lose(): void {
+    this.#machine.send("lost");
+  }
+
+  /** Records that another upstream answers at the address. */
+  markUnfit(): void {
+    this.#machine.send("unfit");
+  }
+
+  /** Guard: the report is of a start after the one that has left. */
+  isLaterStart(report: UpstreamReport): boolean {
+    return report.upstreamId !== this.#leftId ||
+      report.startedEpochMs > this.#leftStartMs;
+  }
+
+  /** Action: the upstream takes requests. */
+  startServing(report: UpstreamReport): void {
+    this.#report = report;
+    this.#options.log.info("Upstream serves", {
+      upstreamId: report.upstreamId,
+      slotsCount: report.slotsCount,
+      sequence: report.sequence,
+      coldRemainingMs: report.coldRemainingMs,
+    });
+    this.#options.listener.onServing();
+  }
+
+  /** Action: takes over details of a report. */
+  refresh(report: UpstreamReport): void {
+    const last = this.#report;
+    this.#report = report;
+    if (
+      last?.upstreamId !== report.upstreamId ||
+      last.slotsCount !== report.slotsCount ||
+      (last.coldRemainingMs > 0) !== (report.coldRemainingMs > 0)
+    ) {
+      this.#options.listener.onServing();
+    }
+  }
+
+  /** Action: the upstream takes no new requests. */
+  stopServing(): void {
+    const report = this.#report;
+    if (this.isLeaving && report !== undefined) {
+      this.#leftId = report.upstreamId;
+      this.#leftStartMs = report.startedEpochMs;
+    }
+    this.#options.log.info("Upstream takes no new requests", {
+      upstreamId: report?.upstreamId,
+      state: this.#machine.state,
+    });
+    this.#options.listener.onNotServing();
+  }
+
+  #isOutdated(report: UpstreamReport): boolean {
+    const last = this.#report;
+    if (report.upstreamId === this.#leftId && last === undefined) {
+      return report.state === "ready";
+    }
+    if (last === undefined) {
+      return false;
+    }
+    if (report.startedEpochMs !== last.startedEpochMs) {
+      return report.startedEpochMs < last.startedEpochMs;
+    }
+    return report.upstreamId === last.upstreamId &&
+      report.sequence <= last.sequence;
+  }
+}
+
+const LOCAL_UPSTREAM_CHART = loadChart(
+  "local_upstream",
+  LocalUpstream.prototype,
+);
--- /dev/null
+++ b/src/fleet/member_directory.ts
@@ -0,0 +1,263 @@
+/** Known members with a link to each, and the daemon's own entry in the store. */
+import type { Stream } from "most";
+import type { ControlPart } from "../core/event_loop.ts";
+import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
+import {
+  type MemberRecord,
+  memberRecordSchema,
+} from "../schemas/fleet_schema.ts";
+import { errorFields, type Logger } from "../telemetry/logger.ts";
+import type { PathTable } from "./path_table.ts";
+
+/** Kind of the members' entries in the store. */
+export const MEMBER_KIND = "goldcrest-members";
+
+/** Pause before another attempt to write the own entry, in ms. */
+const REGISTER_RETRY_MS = 1_000;
+/** Time without contact after which a member's entry is removed. */
+const MEMBER_EXPIRY_MS = 600_000;
+
+/** Store that can also remove entries. */
+export interface MemberStore extends PlatformClient {
+  /** Removes an object if it is still at a version. Throws {@link PlatformError}. */
+  remove(kind: string, name: string, version: number): Promise<void>;
+}
+
+/** Options of {@link MemberDirectory}. */
+export type MemberDirectoryOptions = {
+  store: MemberStore;
+  ownRecord: MemberRecord;
+  paths: PathTable;
+  link: PeerLinkOptions;
+  log: Logger;
+  /** Receives the own entry as an earlier process left it. */
+  onOwnRecord: (record: MemberRecord) => void;
+};
+
+function isSameEntry(a: MemberRecord, b: MemberRecord): boolean {
+  return a.pool === b.pool && a.dataCentre === b.dataCentre &&
+    a.link.host === b.link.host && a.link.port === b.link.port &&
+    a.leftUpstreamId === b.leftUpstreamId;
+}
+
+/** Follows the members' entries and keeps a link to each member. */
+export class MemberDirectory implements ControlPart<StoredObject> {
+  readonly name = "members";
+  readonly inputs: Stream<StoredObject>;
+  readonly #options: MemberDirectoryOptions;
+  readonly #links = new Map<string, PeerLink>();
+  readonly #versions = new Map<string, number>();
+  #ownRecord: MemberRecord;
+  #ownVersion: number | undefined;
+  #isRegistering = false;
+  #isRegistered = false;
+  #registerAtMs = 0;
+
+  /**
+   * @param options Store, own entry and paths.
+   */
+  constructor(options: MemberDirectoryOptions) {
+    this.#options = options;
+    this.#ownRecord = options.ownRecord;
+    this.inputs = options.store.watch(MEMBER_KIND);
+  }
+
+  /** Members besides this one. */
+  get links(): Iterable<PeerLink> {
+    return this.#links.values();
+  }
+
+  /** Members including this one. */
+  get membersCount(): number {
+    return this.#links.size + 1;
+  }
+
+  /** Own entry as it is told to peers. */
+  get ownRecord(): MemberRecord {
+    return this.#ownRecord;
+  }
+
+  /** @inheritdoc */
+  handle({ name, value, version }: StoredObject): void {
+    if (value === undefined) {
+      this.#onRemoved(name);
+      return;
+    }
+    const result = memberRecordSchema.safeParse(value);
+    if (!result.success) {
+      this.#options.log.warn("Entry of a member is not readable", { name });
+      return;
+    }
+    if (name === this.#ownRecord.name) {
+      this.#onOwnEntry(result.data, version);
+      return;
+    }
+    this.#versions.set(name, version);
+    this.learn(result.data);
+  }
+
+  /**
+   * Takes over the entry of a member, from the store or from its greeting.
+   *
+   * @param record Entry.
+   */
+  learn(record: MemberRecord): void {
+    if (record.name === this.#ownRecord.name) {
+      return;
+    }
+    const link = this.#links.get(record.name);
+    if (link === undefined) {
+      this.#addLink(record);
+      return;
+    }
+    if (!isSameEntry(link.member, record)) {
+      this.#options.paths.remove(link);
+      link.update(record);
+      this.#options.paths.add(link);
+    }
+    if (!link.isUp) {
+      link.dialSoon();
+    }
+  }
+
+  /**
+   * Remembers in the store that the upstream's leaving was acknowledged, so
+   * that a restarted daemon does not send to it again.
+   *
+   * @param upstreamId Upstream that leaves.
+   */
+  rememberLeft(upstreamId: string): void {
+    this.#ownRecord = { ...this.#ownRecord, leftUpstreamId: upstreamId };
+    this.#isRegistered = false;
+    this.#registerAtMs = 0;
+    this.#register();
+  }
+
+  /**
+   * Drives links and the own entry.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param stalledMs Time by which this process itself was late.
+   */
+  tick(nowMs: number, stalledMs: number): void {
+    for (const link of this.#links.values()) {
+      link.tick(nowMs, stalledMs);
+      if (!link.isUp && nowMs - link.downSinceMs > MEMBER_EXPIRY_MS) {
+        this.#expire(link);
+      }
+    }
+    if (!this.#isRegistered && nowMs >= this.#registerAtMs) {
+      this.#register();
+    }
+  }
+
+  /** Ends all links. */
+  close(): void {
+    for (const link of this.#links.values()) {
+      link.remove();
+    }
+  }
+
+  #addLink(record: MemberRecord): void {
+    const link = new PeerLink(record, this.#options.link);
+    this.#links.set(record.name, link);
+    this.#options.paths.add(link);
+    this.#options.log.info("Member seen", {
+      member: record.name,
+      pool: record.pool,
+      dataCentre: record.dataCentre,
+    });
+  }
+
+  #onRemoved(name: string): void {
+    if (name === this.#ownRecord.name) {
+      this.#ownVersion = undefined;
+      this.#isRegistered = false;
+      return;
+    }
+    // A member that is connected lives, whatever became of its entry.
+    const link = this.#links.get(name);
+    if (link !== undefined && !link.isUp) {
+      this.#removeLink(link);
+    }
+  }
+
+  #removeLink(link: PeerLink): void {
+    link.remove();
+    this.#links.delete(link.member.name);
+    this.#options.paths.remove(link);
+    this.#options.log.info("Member gone", { member: link.member.name });
+  }
+
+  #expire(link: PeerLink): void {
+    const { name } = link.member;
+    const version = this.#versions.get(name);
+    this.#removeLink(link);
+    if (version === undefined) {
+      return;
+    }
+    this.#options.store.remove(MEMBER_KIND, name, version).catch((error) => {
+      this.#options.log.warn("Entry of a gone member was not removed", {
+        member: name,
+        ...errorFields(error),
+      });
+    });
+  }
+
+  #onOwnEntry(record: MemberRecord, version: number): void {
+    this.#ownVersion = version;
+    this.#options.onOwnRecord(record);
+    if (
+      record.leftUpstreamId !== undefined &&
+      this.#ownRecord.leftUpstreamId === undefined
+    ) {
+      this.#ownRecord = {
+        ...this.#ownRecord,
+        leftUpstreamId: record.leftUpstreamId,
+      };
+    }
+    this.#isRegistered = isSameEntry(record, this.#ownRecord);
+  }
+
+  #register(): void {
+    if (this.#isRegistering) {
+      return;
+    }
+    this.#isRegistering = true;
+    this.#registerAtMs = performance.now() + REGISTER_RETRY_MS;
+    this.#writeOwn()
+      .catch((error) => {
+        this.#options.log.warn("Own entry was not written", errorFields(error));
+      })
+      .finally(() => {
+        this.#isRegistering = false;
+      });
+  }
+
+  async #writeOwn(): Promise<void> {
+    const { store } = this.#options;
+    const { name } = this.#ownRecord;
+    if (this.#ownVersion === undefined) {
+      const stored = await store.get(MEMBER_KIND, name);
+      if (stored !== undefined) {
+        this.handle(stored);
+      }
+    }
+    if (this.#isRegistered) {
+      return;
+    }
+    const result = await store.put(
+      { kind: MEMBER_KIND, name, value: this.#ownRecord },
+      { expectedVersion: this.#ownVersion ?? "absent" },
+    );
+    if (result.kind === "written") {
+      this.#ownVersion = result.version;
+      this.#isRegistered = true;
+      return;
+    }
+    // Another write was first, perhaps an own one whose answer was lost.
+    this.#ownVersion = undefined;
+    this.#registerAtMs = 0;
+  }
+}
--- /dev/null
+++ b/src/fleet/outbound_listener.ts
@@ -0,0 +1,249 @@
+/** HTTP listener for callers and for the upstream's own calls. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { FleetConfig } from "../schemas/fleet_schema.ts";
+import type { ReplySink } from "./forwarded_exchange.ts";
+import type { UpstreamAnswer } from "./upstream_path.ts";
+
+/** Bounds until a configuration states others. */
+const INITIAL_HEADER_MAX_BYTES = 65_536;
+const INITIAL_BODY_MAX_BYTES = 67_108_864;
+
+/** A request with its whole body. */
+export type ReceivedRequest = {
+  readonly message: IncomingMessage;
+  readonly body: Uint8Array | null;
+  /** Monotonic time at which the head had arrived, in ms. */
+  readonly arrivedMs: number;
+};
+
+/** Handles requests; `reply` must be used once unless the caller leaves. */
+export interface OutboundHandler {
+  /** Handles a request; returns what is called when the caller leaves. */
+  handle(request: ReceivedRequest, reply: ReplySink): () => void;
+  /** Time after which a refused caller should come back, in ms. */
+  retryAfterMs(kind: ErrorKind): number | undefined;
+}
+
+type SocketState = { openCount: number; isClosing: boolean };
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    (headers["content-length"] ?? "0") !== "0";
+}
+
+/** Receives requests and sends answers in their order. */
+export class OutboundListener {
+  readonly #server: Server;
+  readonly #handler: OutboundHandler;
+  readonly #sockets = new WeakMap<Socket, SocketState>();
+  readonly #open = new Set<Socket>();
+  #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
+  #openCount = 0;
+  #isStopping = false;
+
+  /**
+   * @param handler Handles each request.
+   */
+  constructor(handler: OutboundHandler) {
+    this.#handler = handler;
+    this.#server = createServer({
+      maxHeaderSize: INITIAL_HEADER_MAX_BYTES,
+      requestTimeout: 0,
+      headersTimeout: 0,
+      noDelay: true,
+    }, (message, response) => this.#receive(message, response));
+    this.#server.on("connection", (socket: Socket) => {
+      this.#sockets.set(socket, { openCount: 0, isClosing: false });
+      this.#open.add(socket);
+      socket.once("close", () => this.#open.delete(socket));
+    });
+    this.#server.on("clientError", answerParserError);
+  }
+
+  /** Requests without a complete answer. */
+  get openCount(): number {
+    return this.#openCount;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address Address to bind.
+   * @throws When the address cannot be bound.
+   */
+  listen({ host, port }: Address): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port, backlog: 1024 }, () => {
+        this.#server.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Takes over the bounds of a configuration.
+   *
+   * @param limits Bounds on what callers send.
+   */
+  applyLimits(limits: FleetConfig["limits"]): void {
+    this.#bodyMaxBytes = limits.bodyMaxBytes;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** Closes each connection after its last open answer from now on. */
+  stop(): void {
+    this.#isStopping = true;
+    this.#server.closeIdleConnections();
+  }
+
+  /** Stops listening and ends all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #receive(message: IncomingMessage, response: ServerResponse): void {
+    const arrivedMs = performance.now();
+    const state = this.#sockets.get(message.socket);
+    // The answer that ends the connection was sent; the caller repeats what it
+    // had sent behind it.
+    if (state === undefined || state.isClosing) {
+      message.resume();
+      return;
+    }
+    state.openCount++;
+    this.#openCount++;
+    const reply = new HttpReply(response, this.#handler, () => {
+      this.#endsConnection(state);
+      return state.isClosing;
+    });
+    let onLeft = () => {};
+    response.once("close", () => {
+      state.openCount--;
+      this.#openCount--;
+      if (!reply.isSent) {
+        onLeft();
+      }
+    });
+    const handle = (body: Uint8Array | null) => {
+      onLeft = this.#handler.handle({ message, body, arrivedMs }, reply);
+    };
+    if (hasBody(message)) {
+      this.#readBody(message, reply, handle);
+    } else {
+      message.resume();
+      handle(null);
+    }
+  }
+
+  /** While stopping, the last open answer of a connection closes it. */
+  #endsConnection(state: SocketState): void {
+    if (this.#isStopping && state.openCount <= 1) {
+      state.isClosing = true;
+    }
+  }
+
+  #readBody(
+    message: IncomingMessage,
+    reply: HttpReply,
+    handle: (body: Uint8Array | null) => void,
+  ): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    message.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= this.#bodyMaxBytes) {
+        chunks.push(chunk);
+      } else if (!reply.isSent) {
+        reply.fail("body_too_large");
+      }
+    });
+    message.on("end", () => {
+      if (!reply.isSent) {
+        handle(size === 0 ? null : Buffer.concat(chunks, size));
+      }
+    });
+  }
+}
+
+/** Writes one answer. */
+class HttpReply implements ReplySink {
+  readonly #response: ServerResponse;
+  readonly #handler: OutboundHandler;
+  readonly #endsConnection: () => boolean;
+  isSent = false;
+
+  constructor(
+    response: ServerResponse,
+    handler: OutboundHandler,
+    endsConnection: () => boolean,
+  ) {
+    this.#response = response;
+    this.#handler = handler;
+    this.#endsConnection = endsConnection;
+  }
+
+  /** @inheritdoc */
+  answer({ status, headers, body }: UpstreamAnswer): void {
+    this.isSent = true;
+    const response = this.#response;
+    if (this.#endsConnection()) {
+      response.shouldKeepAlive = false;
+    }
+    response.sendDate = false;
+    const length = String(body?.length ?? 0);
+    const isBodyless = status === 204 || status === 304;
+    response.writeHead(
+      status,
+      isBodyless ? [...headers] : [...headers, "content-length", length],
+    );
+    response.end(body ?? undefined);
+  }
+
+  /** @inheritdoc */
+  fail(kind: ErrorKind): void {
+    this.isSent = true;
+    const { status, message } = errorAnswer(kind);
+    const response = this.#response;
+    if (this.#endsConnection() || kind === "body_too_large") {
+      response.shouldKeepAlive = false;
+    }
+    const retryAfterMs = this.#handler.retryAfterMs(kind);
+    const headers = ["content-length", String(message.length)];
+    if (retryAfterMs !== undefined) {
+      headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
+    }
+    response.writeHead(status, headers);
+    response.end(message);
+  }
+}
+
+function answerParserError(
+  error: Error & { code?: string },
+  socket: Socket,
+): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const kind = error.code === "HPE_HEADER_OVERFLOW"
+    ? "header_too_large"
+    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "header_timeout"
+    : "bad_request";
+  const { status, message } = errorAnswer(kind);
+  socket.end(
+    `HTTP/1.1 ${status} ${message}\r\ncontent-length: 0\r\n` +
+      `connection: close\r\n\r\n`,
+  );
+}
--- /dev/null
+++ b/src/fleet/path_table.ts
@@ -0,0 +1,127 @@
+/** Ways to the upstreams of each pool, and what each one costs. */
+import type { RandomSource } from "../core/random.ts";
+import { MovingAverage } from "../decisions/moving_average.ts";
+import { choosePath, type PathView } from "../decisions/path_selector.ts";
+import type { UpstreamPath } from "./upstream_path.ts";
+
+const RUN_TIME_WEIGHT = 0.1;
+/**
+ * Cost of a request to another data centre, as a time: bytes between data
+ * centres are paid for, and the way there and back takes longer.
+ */
+const REMOTE_PENALTY_MS = 15;
+
+/** Options of {@link PathTable}. */
+export type PathTableOptions = {
+  ownDataCentre: string;
+  random: RandomSource;
+};
+
+/** All known paths by member. */
+export class PathTable {
+  readonly #options: PathTableOptions;
+  readonly #byPool = new Map<string, Set<UpstreamPath>>();
+  readonly #runMs = new WeakMap<UpstreamPath, Map<string, MovingAverage>>();
+
+  /**
+   * @param options Own data centre and random numbers.
+   */
+  constructor(options: PathTableOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Adds a path under its member's pool.
+   *
+   * @param path Path to an upstream.
+   */
+  add(path: UpstreamPath): void {
+    const { pool } = path.member;
+    const paths = this.#byPool.get(pool) ?? new Set();
+    paths.add(path);
+    this.#byPool.set(pool, paths);
+  }
+
+  /**
+   * Removes a path.
+   *
+   * @param path Path that was added before.
+   */
+  remove(path: UpstreamPath): void {
+    for (const paths of this.#byPool.values()) {
+      paths.delete(path);
+    }
+  }
+
+  /**
+   * Lists the paths to the upstreams of a pool.
+   *
+   * @param pool Name of the pool.
+   * @returns Paths, serving or not.
+   */
+  pathsOf(pool: string): Iterable<UpstreamPath> {
+    return this.#byPool.get(pool) ?? [];
+  }
+
+  /**
+   * Chooses a path.
+   *
+   * @param pool Pool that runs the request.
+   * @param options Route, and members that were tried before.
+   * @returns The path; undefined when no untried upstream serves.
+   */
+  choose(
+    pool: string,
+    options: { routeName: string; tried: ReadonlySet<string> },
+  ): UpstreamPath | undefined {
+    const paths: UpstreamPath[] = [];
+    const views: PathView[] = [];
+    for (const path of this.pathsOf(pool)) {
+      if (
+        path.state?.isServing === true && !options.tried.has(path.member.name)
+      ) {
+        paths.push(path);
+        views.push(this.#view(path, options.routeName));
+      }
+    }
+    const index = choosePath(views, {
+      random: this.#options.random,
+      remotePenaltyMs: REMOTE_PENALTY_MS,
+    });
+    return paths[index];
+  }
+
+  /**
+   * Records the time of a request at an upstream.
+   *
+   * @param path Path that was chosen.
+   * @param routeName Route of the request.
+   * @param runMs Time at the upstream, in ms.
+   */
+  recordRun(path: UpstreamPath, routeName: string, runMs: number): void {
+    let byRoute = this.#runMs.get(path);
+    if (byRoute === undefined) {
+      byRoute = new Map();
+      this.#runMs.set(path, byRoute);
+    }
+    const mean = byRoute.get(routeName);
+    if (mean === undefined) {
+      byRoute.set(routeName, new MovingAverage(RUN_TIME_WEIGHT, runMs));
+    } else {
+      mean.add(runMs);
+    }
+  }
+
+  #view(path: UpstreamPath, routeName: string): PathView {
+    const { load, state, member } = path;
+    return {
+      isOwnDataCentre: member.dataCentre === this.#options.ownDataCentre,
+      isCold: state?.isCold ?? false,
+      limitCount: state?.limitCount ?? 0,
+      openCount: load.estimatedCount,
+      meanRunMs: load.meanRunMs,
+      routeRunMs: this.#runMs.get(path)?.get(routeName)?.value ?? 0,
+      failureRatio: load.failureRatio,
+    };
+  }
+}
--- /dev/null
+++ b/src/fleet/served_request.ts
@@ -0,0 +1,180 @@
+/** One request at the upstream beside the daemon. */
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { SlotRequest } from "../decisions/slot_queue.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
+import type {
+  ForwardedRequest,
+  ForwardFailure,
+  ResultReceiver,
+  SentRequest,
+  UpstreamAnswer,
+} from "./upstream_path.ts";
+
+/** What a served request needs of the gate that admitted it. */
+export interface ServingGate {
+  /** Sends the request to the upstream. */
+  sendUpstream(request: ServedRequest): SentRequest;
+  /** Takes the request out of the queue. */
+  leaveQueue(request: ServedRequest): void;
+  /** Gives back the slot; the result feeds the statistics. */
+  leaveSlot(request: ServedRequest, result: ServedResult): void;
+}
+
+/** How a request left its slot. */
+export type ServedResult =
+  | "answered"
+  | "refused"
+  | "unreachable"
+  | "failed"
+  | "overdue"
+  | "cancelled";
+
+type End = { answer: UpstreamAnswer } | { failure: ForwardFailure };
+
+/** Runs the chart `served_request`. */
+export class ServedRequest implements SlotRequest, ResultReceiver, SentRequest {
+  readonly request: ForwardedRequest;
+  readonly goalAtMs: number;
+  readonly expiresAtMs: number;
+  /** Time at the upstream so far, from when it was sent. */
+  runningSinceMs = 0;
+  /** Expiry that was handed to the upstream, as a whole monotonic ms. */
+  handedExpiryMs = 0;
+  readonly #gate: ServingGate;
+  readonly #receiver: ResultReceiver;
+  readonly #machine: StateMachine;
+  readonly #timer: NodeJS.Timeout;
+  #sent: SentRequest | undefined;
+  #end: End | undefined;
+
+  /**
+   * @param request Request that arrived.
+   * @param receiver Receives the result.
+   * @param options Gate, and the monotonic time of arrival in ms.
+   */
+  constructor(
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+    options: { gate: ServingGate; nowMs: number },
+  ) {
+    this.request = request;
+    this.#receiver = receiver;
+    this.#gate = options.gate;
+    this.goalAtMs = options.nowMs + request.goalLeftMs;
+    this.expiresAtMs = options.nowMs + request.remainingMs;
+    this.#machine = new StateMachine(SERVED_CHART, this);
+    this.#timer = setTimeout(
+      () => this.#machine.send("expired"),
+      Math.max(1, request.remainingMs),
+    );
+  }
+
+  /** Sends the request to the upstream. */
+  admit(): void {
+    this.#machine.send("admitted");
+  }
+
+  /** Records that the request waits. */
+  queue(): void {
+    this.#machine.send("queued");
+  }
+
+  /**
+   * Refuses the request before it was sent.
+   *
+   * @param kind Why it is refused.
+   */
+  turnAway(kind: ErrorKind): void {
+    this.#machine.send("turnedAway", kind);
+  }
+
+  /** @inheritdoc */
+  cancel(): void {
+    clearTimeout(this.#timer);
+    this.#machine.send("cancelled");
+  }
+
+  /** @inheritdoc */
+  onAnswer(answer: UpstreamAnswer): void {
+    this.#end = { answer };
+    this.#machine.send("ended");
+  }
+
+  /** @inheritdoc */
+  onFailure(failure: ForwardFailure): void {
+    this.#end = { failure };
+    this.#machine.send("ended");
+  }
+
+  /** Action: sends the request to the upstream. */
+  run(): void {
+    this.#sent = this.#gate.sendUpstream(this);
+  }
+
+  /** Action: takes the request out of the queue. */
+  leaveQueue(): void {
+    this.#gate.leaveQueue(this);
+  }
+
+  /** Action: gives back the slot. */
+  leaveSlot(): void {
+    this.#gate.leaveSlot(this, this.#result());
+  }
+
+  /** Action: ends the exchange with the upstream. */
+  abort(): void {
+    this.#sent?.cancel();
+  }
+
+  /** Action: reports a refusal. */
+  reportRefusal(kind: ErrorKind): void {
+    clearTimeout(this.#timer);
+    this.#receiver.onFailure({ kind, isNotRun: true, hasReached: false });
+  }
+
+  /** Action: reports that the time ran out in the queue. */
+  reportExpired(): void {
+    this.#receiver.onFailure({
+      kind: "deadline_exceeded",
+      isNotRun: true,
+      hasReached: false,
+    });
+  }
+
+  /** Action: reports that the time ran out at the upstream. */
+  reportOverdue(): void {
+    this.#receiver.onFailure({
+      kind: "deadline_exceeded",
+      isNotRun: false,
+      hasReached: true,
+    });
+  }
+
+  /** Action: passes the result on. */
+  reportEnd(): void {
+    clearTimeout(this.#timer);
+    const end = this.#end as End;
+    if ("answer" in end) {
+      this.#receiver.onAnswer(end.answer);
+    } else {
+      this.#receiver.onFailure(end.failure);
+    }
+  }
+
+  #result(): ServedResult {
+    const end = this.#end;
+    if (end === undefined) {
+      return performance.now() >= this.expiresAtMs ? "overdue" : "cancelled";
+    }
+    if ("answer" in end) {
+      return "answered";
+    }
+    if (end.failure.kind === "no_upstream") {
+      return "unreachable";
+    }
+    return end.failure.isNotRun ? "refused" : "failed";
+  }
+}
+
+const SERVED_CHART = loadChart("served_request", ServedRequest.prototype);
--- /dev/null
+++ b/src/fleet/small_listener.ts
@@ -0,0 +1,71 @@
+/** HTTP listener for short control calls. */
+import { createServer, type Server } from "node:http";
+import type { Address } from "../schemas/common_schema.ts";
+
+/** A control call with its whole body. */
+export type ControlCall = {
+  readonly method: string;
+  readonly url: string;
+  readonly body: string;
+};
+
+/** Answer to a control call. */
+export type ControlAnswer = {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly body: string;
+};
+
+const BODY_MAX_BYTES = 65_536;
+
+/** Serves one function over HTTP. */
+export class SmallListener {
+  readonly #server: Server;
+
+  /**
+   * @param handle Answers one call.
+   */
+  constructor(
+    handle: (call: ControlCall) => ControlAnswer | Promise<ControlAnswer>,
+  ) {
+    this.#server = createServer(async (message, response) => {
+      let body = "";
+      for await (const chunk of message) {
+        body += chunk;
+        if (body.length > BODY_MAX_BYTES) {
+          message.destroy();
+          return;
+        }
+      }
+      const { method = "GET", url = "/" } = message;
+      const answer = await handle({ method, url, body });
+      response.writeHead(answer.status, {
+        "content-type": answer.contentType ?? "application/json",
+        "content-length": Buffer.byteLength(answer.body),
+      });
+      response.end(answer.body);
+    });
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address Address to bind.
+   * @throws When the address cannot be bound.
+   */
+  listen({ host, port }: Address): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Stops listening and ends all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/src/fleet/upstream_gate.ts
@@ -0,0 +1,232 @@
+/** Admits requests to the upstream beside the daemon. */
+import type { CallObserver } from "../decisions/call_graph.ts";
+import { MovingAverage } from "../decisions/moving_average.ts";
+import { SlotQueue } from "../decisions/slot_queue.ts";
+import type { LoadReport } from "../schemas/link_schema.ts";
+import type { LocalUpstream } from "./local_upstream.ts";
+import {
+  ServedRequest,
+  type ServedResult,
+  type ServingGate,
+} from "./served_request.ts";
+import type { UpstreamHttp } from "./upstream_http.ts";
+import type {
+  ForwardedRequest,
+  ResultReceiver,
+  SentRequest,
+} from "./upstream_path.ts";
+
+/**
+ * Share of the slots that is used. Upstreams become slower when nearly all of
+ * their slots are taken.
+ */
+const SLOTS_USED_RATIO = 0.95;
+/** Share of the remaining latency goal that a refusable request may wait. */
+const WAIT_MAX_GOAL_RATIO = 0.5;
+const RUN_TIME_WEIGHT = 0.05;
+const FAILURE_WEIGHT = 0.05;
+/** Before the first answer. */
+const INITIAL_RUN_MS = 50;
+/** Requests in a row without an answer after which the upstream is lost. */
+const SILENT_REQUESTS_MAX_COUNT = 5;
+/** Collisions of expiries that are resolved by shortening the deadline. */
+const EXPIRY_STEPS_MAX_COUNT = 4;
+
+/** Options of {@link UpstreamGate}. */
+export type UpstreamGateOptions = {
+  upstream: LocalUpstream;
+  http: UpstreamHttp;
+  /** Interval of heartbeats, in ms. */
+  heartbeatMs: number;
+  /** Learns which routes are run. */
+  observer: CallObserver;
+};
+
+/** Slots and queue in front of the upstream. */
+export class UpstreamGate implements ServingGate {
+  readonly #options: UpstreamGateOptions;
+  readonly #slots = new SlotQueue<ServedRequest>();
+  readonly #runMs = new MovingAverage(RUN_TIME_WEIGHT, INITIAL_RUN_MS);
+  readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
+  readonly #byExpiry = new Map<number, ServedRequest>();
+  #silentCount = 0;
+  #isStopping = false;
+
+  /**
+   * @param options Belief about the upstream and its client.
+   */
+  constructor(options: UpstreamGateOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that run at once at most. */
+  get limitCount(): number {
+    return this.#slots.limitCount;
+  }
+
+  /** Requests that run or wait. */
+  get openCount(): number {
+    return this.#slots.runningCount + this.#slots.waitingCount;
+  }
+
+  /** Load for the reports on answers. */
+  get load(): LoadReport {
+    return [
+      this.openCount,
+      Math.round(this.#runMs.value),
+      Math.round(this.#failures.value * 255),
+    ];
+  }
+
+  /** Wait of a request that arrives now at the end of the queue, in ms. */
+  get queueWaitMs(): number {
+    const { waitingCount, limitCount } = this.#slots;
+    return limitCount === 0 ? 0 : waitingCount * this.#runMs.value / limitCount;
+  }
+
+  /** Takes over the upstream's slots and starts what waits. */
+  open(): void {
+    const slotsCount = this.#options.upstream.report?.slotsCount ?? 0;
+    this.#silentCount = 0;
+    this.#slots.setLimit(
+      Math.max(1, Math.floor(slotsCount * SLOTS_USED_RATIO)),
+    );
+    this.#startWaiting();
+  }
+
+  /** Hands back what waits; running requests continue. */
+  shut(): void {
+    for (const request of this.#slots.clear()) {
+      request.turnAway("draining");
+    }
+  }
+
+  /** Refuses new requests because the process stops. */
+  stop(): void {
+    this.#isStopping = true;
+    this.shut();
+  }
+
+  /**
+   * Runs a request when a slot is free, or makes it wait.
+   *
+   * @param request Request for the upstream.
+   * @param receiver Receives the result.
+   * @returns Handle to cancel it.
+   */
+  serve(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
+    const nowMs = performance.now();
+    const served = new ServedRequest(request, receiver, { gate: this, nowMs });
+    const { upstream } = this.#options;
+    if (this.#isStopping || upstream.isLeaving) {
+      served.turnAway("draining");
+    } else if (
+      !upstream.isServing ||
+      upstream.report?.upstreamId !== request.upstreamId
+    ) {
+      served.turnAway("no_upstream");
+    } else if (
+      request.isRefusable &&
+      this.queueWaitMs > Math.max(0, request.goalLeftMs) * WAIT_MAX_GOAL_RATIO
+    ) {
+      served.turnAway("queue_full");
+    } else if (this.#slots.enter(served)) {
+      served.admit();
+    } else {
+      served.queue();
+    }
+    return served;
+  }
+
+  /**
+   * Finds the running request that a call of the upstream belongs to. Calls
+   * expire with the request that makes them, and expiries are kept distinct.
+   *
+   * @param expiresAtMs Monotonic time at which the call expires, in ms.
+   * @returns The running request; undefined when none expires about then.
+   */
+  findParent(expiresAtMs: number): ServedRequest | undefined {
+    const key = Math.round(expiresAtMs);
+    for (const offset of [0, 1, -1, 2, -2]) {
+      const parent = this.#byExpiry.get(key + offset);
+      if (parent !== undefined) {
+        return parent;
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Detects an upstream that neither answers nor sends heartbeats.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  tick(nowMs: number): void {
+    const { upstream, heartbeatMs } = this.#options;
+    const isQuiet = nowMs - upstream.reportedAtMs > 2 * heartbeatMs;
+    if (
+      upstream.isServing && isQuiet &&
+      this.#silentCount >= SILENT_REQUESTS_MAX_COUNT
+    ) {
+      upstream.lose();
+    }
+  }
+
+  /** @inheritdoc */
+  sendUpstream(served: ServedRequest): SentRequest {
+    const nowMs = performance.now();
+    served.runningSinceMs = nowMs;
+    let expiryMs = Math.floor(served.expiresAtMs);
+    for (
+      let step = 0;
+      step < EXPIRY_STEPS_MAX_COUNT && this.#byExpiry.has(expiryMs);
+      step++
+    ) {
+      expiryMs--;
+    }
+    served.handedExpiryMs = expiryMs;
+    this.#byExpiry.set(expiryMs, served);
+    const remainingMs = expiryMs - nowMs;
+    return this.#options.http.send({ ...served.request, remainingMs }, served);
+  }
+
+  /** @inheritdoc */
+  leaveQueue(served: ServedRequest): void {
+    this.#slots.remove(served);
+  }
+
+  /** @inheritdoc */
+  leaveSlot(served: ServedRequest, result: ServedResult): void {
+    this.#slots.leave();
+    if (this.#byExpiry.get(served.handedExpiryMs) === served) {
+      this.#byExpiry.delete(served.handedExpiryMs);
+    }
+    this.#record(served, result);
+    if (result === "unreachable") {
+      this.#options.upstream.lose();
+    }
+    this.#startWaiting();
+  }
+
+  #record(served: ServedRequest, result: ServedResult): void {
+    if (result === "cancelled") {
+      return;
+    }
+    this.#failures.add(result === "answered" ? 0 : 1);
+    this.#silentCount = result === "overdue" ? this.#silentCount + 1 : 0;
+    if (result === "answered" || result === "overdue") {
+      this.#options.observer.recordRun(served.request.routeName);
+      this.#runMs.add(performance.now() - served.runningSinceMs);
+    }
+  }
+
+  #startWaiting(): void {
+    for (;;) {
+      const next = this.#slots.takeNext();
+      if (next === undefined) {
+        return;
+      }
+      next.admit();
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/upstream_http.ts
@@ -0,0 +1,302 @@
+/** Requests to the upstream beside the daemon, over kept connections. */
+import { type Dispatcher, Pool } from "undici";
+import type { Address } from "../schemas/common_schema.ts";
+import { type EdgeHeaders, passHeaders } from "./edge_headers.ts";
+import type {
+  ForwardedRequest,
+  ForwardFailure,
+  ResultReceiver,
+  SentRequest,
+  UpstreamAnswer,
+} from "./upstream_path.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const HEALTH_TIMEOUT_MS = 1_000;
+/** Larger answers are cut, so that slow callers cannot exhaust the memory. */
+const ANSWER_MAX_BYTES = 67_108_864;
+const STATUS_SERVICE_UNAVAILABLE = 503;
+const STATUS_TOO_MANY = 429;
+const STATUS_MISDIRECTED = 421;
+const REFUSAL_STATUSES: readonly number[] = [
+  STATUS_SERVICE_UNAVAILABLE,
+  STATUS_TOO_MANY,
+  STATUS_MISDIRECTED,
+];
+
+/** Result of a health check. */
+export type HealthResult = {
+  readonly upstreamId: string;
+  readonly slotsCount: number;
+};
+
+type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/** Reports that another upstream has the address. */
+export type MisdirectedHandler = () => void;
+
+/** One exchange by undici whose answer is kept until it is complete. */
+class UpstreamExchange implements Dispatcher.DispatchHandler, SentRequest {
+  readonly #receiver: ResultReceiver;
+  readonly #names: EdgeHeaders;
+  readonly #requestId: string | undefined;
+  readonly #onMisdirected: MisdirectedHandler;
+  #controller: Dispatcher.DispatchController | undefined;
+  #isDone = false;
+  #status = 0;
+  #headers: string[] = [];
+  #chunks: Buffer[] = [];
+  #bodyBytes = 0;
+  #startedMs = performance.now();
+
+  constructor(
+    receiver: ResultReceiver,
+    names: EdgeHeaders,
+    requestId: string | undefined,
+    onMisdirected: MisdirectedHandler,
+  ) {
+    this.#receiver = receiver;
+    this.#names = names;
+    this.#requestId = requestId;
+    this.#onMisdirected = onMisdirected;
+  }
+
+  /** @inheritdoc */
+  cancel(): void {
+    this.#isDone = true;
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  /** Called by undici when the request is about to be written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    this.#startedMs = performance.now();
+    if (this.#isDone) {
+      controller.abort(new Error("Cancelled before it was sent"));
+    }
+  }
+
+  /** Called by undici for the head of the answer. */
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (this.#isDone || status < 200) {
+      return;
+    }
+    this.#status = status;
+    if (this.#isForeign(status, headers)) {
+      this.#fail({
+        kind: "upstream_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+      controller.abort(new Error("The answer belongs to no open request"));
+      return;
+    }
+    if (
+      REFUSAL_STATUSES.includes(status) &&
+      (headers[this.#names.notRun] !== undefined ||
+        status === STATUS_MISDIRECTED)
+    ) {
+      this.#refuse(status);
+      return;
+    }
+    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[])
+      .map(String);
+    this.#headers = passHeaders(raw, [this.#names.load]);
+  }
+
+  /** Called by undici for each part of the body. */
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#isDone) {
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#bodyBytes += chunk.length;
+    if (this.#bodyBytes > ANSWER_MAX_BYTES) {
+      controller.abort(new Error("The answer is too large"));
+    }
+  }
+
+  /** Called by undici at the clean end of the body. */
+  onResponseEnd(): void {
+    if (this.#isDone) {
+      return;
+    }
+    this.#isDone = true;
+    this.#receiver.onAnswer({
+      status: this.#status,
+      headers: this.#headers,
+      body: this.#body(),
+      runMs: performance.now() - this.#startedMs,
+    });
+  }
+
+  /** Called by undici when the exchange fails at any point. */
+  onResponseError(): void {
+    // undici starts a request only on an open connection, so a failure before
+    // the start proves that no byte was written.
+    const isSent = this.#controller !== undefined;
+    this.#fail({
+      kind: isSent ? "upstream_failed" : "no_upstream",
+      isNotRun: !isSent,
+      hasReached: isSent,
+    });
+  }
+
+  /** Tells whether an answer is not the one to this request. */
+  #isForeign(status: number, headers: AnswerHeaders): boolean {
+    const echoed = headers[this.#names.requestId];
+    if (this.#requestId !== undefined && echoed !== undefined) {
+      return echoed !== this.#requestId;
+    }
+    return status < 300 && headers[this.#names.seal] === undefined;
+  }
+
+  #refuse(status: number): void {
+    if (status === STATUS_MISDIRECTED) {
+      this.#onMisdirected();
+    }
+    // The short body is read and dropped, so that the connection stays usable.
+    this.#fail({
+      kind: "upstream_refused",
+      isNotRun: true,
+      hasReached: true,
+    });
+  }
+
+  #fail(failure: ForwardFailure): void {
+    if (this.#isDone) {
+      return;
+    }
+    this.#isDone = true;
+    this.#receiver.onFailure(failure);
+  }
+
+  #body(): UpstreamAnswer["body"] {
+    if (this.#bodyBytes === 0) {
+      return null;
+    }
+    return this.#chunks.length === 1
+      ? this.#chunks[0] as Buffer
+      : Buffer.concat(this.#chunks, this.#bodyBytes);
+  }
+}
+
+/** Client of one upstream. */
+export class UpstreamHttp {
+  readonly #pool: Pool;
+  readonly #names: EdgeHeaders;
+  readonly #onMisdirected: MisdirectedHandler;
+
+  /**
+   * @param address Address of the upstream.
+   * @param names Header names.
+   * @param options Connections at most, and the report of a foreign upstream.
+   */
+  constructor(
+    address: Address,
+    names: EdgeHeaders,
+    options: {
+      connectionsMaxCount: number;
+      onMisdirected: MisdirectedHandler;
+    },
+  ) {
+    this.#names = names;
+    this.#onMisdirected = options.onMisdirected;
+    this.#pool = new Pool(`http://${address.host}:${address.port}`, {
+      connections: options.connectionsMaxCount,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request Request whose remaining time is up to date.
+   * @param receiver Receives the result.
+   * @returns Handle to cancel it.
+   */
+  send(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
+    const names = this.#names;
+    const exchange = new UpstreamExchange(
+      receiver,
+      names,
+      findHeader(request.headers, names.requestId),
+      this.#onMisdirected,
+    );
+    this.#pool.dispatch({
+      method: request.method as "GET",
+      path: request.path,
+      headers: [
+        ...request.headers,
+        names.deadlineMs,
+        String(Math.max(1, Math.floor(request.remainingMs))),
+        names.targetUpstream,
+        request.upstreamId,
+        names.callerPool,
+        request.callerPool,
+      ],
+      body: request.body as Buffer | null,
+    }, exchange);
+    return exchange;
+  }
+
+  /**
+   * Asks for the upstream's health.
+   *
+   * @param healthPath Path of the health check.
+   * @returns Id and slots; undefined when it is not healthy or not known.
+   */
+  async checkHealth(healthPath: string): Promise<HealthResult | undefined> {
+    try {
+      const answer = await this.#pool.request({
+        method: "GET",
+        path: healthPath,
+        signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      const upstreamId = answer.headers[this.#names.upstreamId];
+      const slots = String(answer.headers[this.#names.load]).split(",")[2];
+      const slotsCount = Number(slots);
+      const isUsable = answer.statusCode === 200 &&
+        typeof upstreamId === "string" && slotsCount > 0;
+      return isUsable ? { upstreamId, slotsCount } : undefined;
+    } catch {
+      // An upstream that does not answer is treated like an unhealthy one; its
+      // next heartbeat decides.
+      return undefined;
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
+
+/**
+ * Reads one header.
+ *
+ * @param headers Names and values in turn.
+ * @param name Name in lower case.
+ * @returns Its value; undefined when it is absent.
+ */
+export function findHeader(
+  headers: readonly string[],
+  name: string,
+): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if ((headers[index] as string).toLowerCase() === name) {
+      return headers[index + 1];
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/fleet/wire_fleet.ts
@@ -0,0 +1,469 @@
+/** Constructs the parts of a daemon on a platform and connects them. */
+import type { Stream } from "most";
+import { EventLoop } from "../core/event_loop.ts";
+import type { StoredObject } from "../core/platform_client.ts";
+import type { RandomSource } from "../core/random.ts";
+import { timerStream } from "../core/timer_stream.ts";
+import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
+import { EntryLevels } from "../decisions/entry_levels.ts";
+import { RepeatBudget } from "../decisions/repeat_budget.ts";
+import { LinkServer, type LinkServerHost } from "../link/link_server.ts";
+import type { LinkHost, PeerLink } from "../link/peer_link.ts";
+import type {
+  FleetConfig,
+  FleetSettings,
+  MemberRecord,
+  UpstreamReport,
+} from "../schemas/fleet_schema.ts";
+import type { UpstreamState } from "../schemas/link_schema.ts";
+import { errorFields, type Logger } from "../telemetry/logger.ts";
+import { ConfigFollower } from "./config_follower.ts";
+import { DecisionLog } from "./decision_log.ts";
+import type { EdgeHeaders } from "./edge_headers.ts";
+import { FleetLife, type FleetLifeEvent } from "./fleet_life.ts";
+import { LevelControl } from "./level_control.ts";
+import { LocalPath } from "./local_path.ts";
+import { LocalUpstream } from "./local_upstream.ts";
+import { MemberDirectory, type MemberStore } from "./member_directory.ts";
+import { OutboundListener } from "./outbound_listener.ts";
+import { OutboundService } from "./outbound_service.ts";
+import { PathTable } from "./path_table.ts";
+import {
+  type ControlAnswer,
+  type ControlCall,
+  SmallListener,
+} from "./small_listener.ts";
+import { UpstreamGate } from "./upstream_gate.ts";
+import { UpstreamHttp } from "./upstream_http.ts";
+
+const TICK_MS = 100;
+/** A tick that is later than this shows that the process stood still. */
+const STALL_MIN_MS = 250;
+/** Queue wait from which the admission at the entries is lowered. */
+const WAIT_TARGET_MS = 12;
+/** Change of the queue wait that peers are told. */
+const WAIT_STEP_MS = 4;
+/**
+ * Time after SIGTERM for which callers still come: the platform asks for
+ * readiness once a second and takes the instance out after two misses.
+ */
+const LINGER_MS = 2_300;
+/** Time before the end of the grace period at which the process ends itself. */
+const GRACE_RESERVE_MS = 300;
+/** A configuration is asked for at most once in this time per peer answer. */
+const CONFIG_QUERY_PAUSE_MS = 300;
+/** The slots bound the open requests; this only guards the descriptors. */
+const CONNECTIONS_MAX_COUNT = 2_000;
+
+/** What the platform's adapter supplies. */
+export type FleetPlatform = {
+  headers: EdgeHeaders;
+  store: MemberStore;
+  configObjects: Stream<StoredObject>;
+  configName: string;
+  decodeConfig: (value: unknown) => FleetConfig;
+  /** Decodes a call of the upstream; undefined for an unknown one. */
+  decodeAnnouncement: (call: ControlCall) => Announcement | undefined;
+};
+
+/** What an upstream announces. */
+export type Announcement =
+  | { readonly kind: "heartbeat"; readonly report: UpstreamReport }
+  | { readonly kind: "leave"; readonly upstreamId: string };
+
+/** Options of {@link wireFleet}. */
+export type WireFleetOptions = {
+  platform: FleetPlatform;
+  log: Logger;
+  random: RandomSource;
+  signals: Stream<FleetLifeEvent>;
+};
+
+/** A running daemon. */
+export class FleetDaemon {
+  readonly #settings: FleetSettings;
+  readonly #options: WireFleetOptions;
+  readonly #loop: EventLoop;
+  readonly #life: FleetLife;
+  readonly #config: ConfigFollower;
+  readonly #upstream: LocalUpstream;
+  readonly #http: UpstreamHttp;
+  readonly #gate: UpstreamGate;
+  readonly #directory: MemberDirectory;
+  readonly #paths: PathTable;
+  readonly #levels: LevelControl;
+  readonly #graph = new CallGraph();
+  readonly #observer = new CallObserver();
+  readonly #links: LinkServer;
+  readonly #outbound: OutboundListener;
+  readonly #readiness: SmallListener;
+  readonly #announcements: SmallListener;
+  #lastState: UpstreamState | undefined;
+  #lastTickMs = performance.now();
+  #configQueriedMs = -Infinity;
+
+  /**
+   * @param settings Checked settings.
+   * @param options Platform, log, random numbers and signals.
+   */
+  constructor(settings: FleetSettings, options: WireFleetOptions) {
+    const { platform, log, random, signals } = options;
+    this.#settings = settings;
+    this.#options = options;
+    this.#loop = new EventLoop((part, error) =>
+      log.error("Control part failed", { part, ...errorFields(error) })
+    );
+    this.#life = new FleetLife({
+      log,
+      signals,
+      onStop: () => this.#stopWork(),
+      onReload: () => {},
+      openCount: () => this.#openCount,
+    });
+    this.#config = new ConfigFollower({
+      objects: platform.configObjects,
+      objectName: platform.configName,
+      decode: platform.decodeConfig,
+      log,
+      onApplied: () => this.#onConfig(),
+    });
+    this.#upstream = new LocalUpstream({
+      log,
+      listener: {
+        onServing: () => {
+          this.#gate.open();
+          this.#publishState();
+        },
+        onNotServing: () => {
+          this.#gate.shut();
+          this.#publishState();
+        },
+      },
+    });
+    this.#http = new UpstreamHttp(settings.upstream, platform.headers, {
+      connectionsMaxCount: CONNECTIONS_MAX_COUNT,
+      onMisdirected: () => this.#upstream.markUnfit(),
+    });
+    this.#gate = new UpstreamGate({
+      upstream: this.#upstream,
+      http: this.#http,
+      heartbeatMs: settings.heartbeatMs,
+      observer: this.#observer,
+    });
+    this.#paths = new PathTable({
+      ownDataCentre: settings.dataCentre,
+      random,
+    });
+    const ownRecord: MemberRecord = {
+      name: settings.instanceName,
+      dataCentre: settings.dataCentre,
+      pool: settings.pool,
+      link: settings.listeners.link,
+    };
+    this.#paths.add(
+      new LocalPath({
+        member: ownRecord,
+        gate: this.#gate,
+        readState: () => this.#ownState(),
+      }),
+    );
+    this.#directory = new MemberDirectory({
+      store: platform.store,
+      ownRecord,
+      paths: this.#paths,
+      link: { host: this.#linkHost(), log, random },
+      log,
+      onOwnRecord: ({ leftUpstreamId }) => {
+        if (leftUpstreamId !== undefined) {
+          this.#upstream.rememberLeft(leftUpstreamId);
+        }
+      },
+    });
+    this.#links = new LinkServer(this.#linkHost(), log);
+    const levels = new EntryLevels({ waitTargetMs: WAIT_TARGET_MS });
+    this.#levels = new LevelControl({ paths: this.#paths, levels, log });
+    this.#outbound = new OutboundListener(
+      new OutboundService({
+        names: platform.headers,
+        config: this.#config,
+        gate: this.#gate,
+        observer: this.#observer,
+        graph: this.#graph,
+        levels,
+        random,
+        exchange: {
+          paths: this.#paths,
+          budget: new RepeatBudget({
+            ratio: settings.repeatRatio,
+            windowMs: settings.repeatWindowMs,
+            slackCount: settings.repeatSlackCount,
+          }),
+          decisions: new DecisionLog(log),
+          callerPool: settings.pool,
+          daemonsCount: () => this.#directory.membersCount,
+          runsPerRequest: (routeName) => this.#runsPerRequest(routeName),
+          onEnd: () => {},
+        },
+      }),
+    );
+    this.#readiness = new SmallListener(() => ({
+      status: this.#life.isReady ? 200 : 503,
+      body: JSON.stringify({ state: this.#life.stateName }),
+    }));
+    this.#announcements = new SmallListener((call) => this.#announce(call));
+    this.#registerParts();
+  }
+
+  /** Resolves when the process should end. */
+  get ended(): Promise<void> {
+    return this.#life.ended;
+  }
+
+  /**
+   * Binds all listeners and starts the loop.
+   *
+   * @throws When an address cannot be bound.
+   */
+  async start(): Promise<void> {
+    const { listeners, instanceName } = this.#settings;
+    this.#loop.start();
+    await Promise.all([
+      this.#links.listen(listeners.link),
+      this.#outbound.listen(listeners.outbound),
+      this.#readiness.listen(listeners.readiness),
+      this.#announcements.listen(listeners.announcements),
+    ]);
+    this.#options.log.info("Started", { instanceName });
+  }
+
+  /** Ends all listeners, links and calls. */
+  async close(): Promise<void> {
+    await this.#loop.stop();
+    this.#outbound.close();
+    this.#readiness.close();
+    this.#announcements.close();
+    this.#links.close();
+    this.#directory.close();
+    await Promise.all([this.#http.close()]);
+  }
+
+  get #openCount(): number {
+    return this.#outbound.openCount + this.#gate.openCount;
+  }
+
+  #registerParts(): void {
+    this.#loop.register(this.#life);
+    this.#loop.register(this.#config);
+    this.#loop.register(this.#directory);
+    this.#loop.register({
+      name: "tick",
+      inputs: timerStream(TICK_MS),
+      handle: (nowMs: number) => this.#tick(nowMs),
+    });
+  }
+
+  /** What links need, read at the time of use. */
+  #linkHost(): LinkHost & LinkServerHost {
+    const readOwnRecord = () => this.#directory.ownRecord;
+    const readOwnState = () => this.#ownState();
+    const readOwnLoad = () => this.#gate.load;
+    const readConfig = () => this.#config.routes?.config;
+    return {
+      get ownRecord() {
+        return readOwnRecord();
+      },
+      get ownState() {
+        return readOwnState();
+      },
+      get ownLoad() {
+        return readOwnLoad();
+      },
+      get config() {
+        return readConfig();
+      },
+      serve: (request, receiver) => this.#gate.serve(request, receiver),
+      onGreeted: (record) => this.#directory.learn(record),
+      onPeerVersion: (version) => {
+        if (version > this.#config.version) {
+          this.#queryConfig(undefined);
+        }
+      },
+      onConfigVersion: (version, link) => {
+        if (version > this.#config.version) {
+          this.#queryConfig(link);
+        }
+      },
+      onState: (state, link) =>
+        this.#graph.update(link.member.name, state.calls),
+      onConfig: (config) => this.#config.receive(config),
+    };
+  }
+
+  /** Asks a peer that has a newer configuration, at a bounded rate. */
+  #queryConfig(link: PeerLink | undefined): void {
+    const nowMs = performance.now();
+    if (nowMs - this.#configQueriedMs < CONFIG_QUERY_PAUSE_MS) {
+      return;
+    }
+    const source = link ??
+      [...this.#directory.links].find((candidate) =>
+        (candidate.state?.configVersion ?? 0) > this.#config.version
+      );
+    if (source !== undefined) {
+      this.#configQueriedMs = nowMs;
+      source.queryConfig();
+    }
+  }
+
+  #ownState(): UpstreamState {
+    const upstream = this.#upstream;
+    const isStopping = this.#life.stoppingSinceMs !== undefined;
+    return {
+      upstreamId: upstream.report?.upstreamId ?? "",
+      isServing: upstream.isServing && !isStopping,
+      limitCount: this.#gate.limitCount,
+      isCold: (upstream.report?.coldRemainingMs ?? 0) > 0,
+      queueWaitMs: Math.round(this.#gate.queueWaitMs),
+      configVersion: this.#config.version,
+      calls: this.#lastState?.calls ?? [],
+    };
+  }
+
+  #publishState(): void {
+    const state = this.#ownState();
+    this.#lastState = state;
+    this.#links.broadcast(state);
+  }
+
+  #tick(nowMs: number): void {
+    const lateMs = nowMs - this.#lastTickMs - TICK_MS;
+    const stalledMs = lateMs > STALL_MIN_MS ? lateMs : 0;
+    this.#lastTickMs = nowMs;
+    this.#directory.tick(nowMs, stalledMs);
+    this.#links.tick(nowMs, stalledMs);
+    this.#gate.tick(nowMs);
+    if (this.#config.routes !== undefined) {
+      this.#levels.step(this.#config.routes);
+    }
+    this.#publishChange();
+    this.#checkStop(nowMs);
+  }
+
+  #publishChange(): void {
+    const last = this.#lastState;
+    const calls = this.#observer.edges();
+    const state = { ...this.#ownState(), calls };
+    const isChanged = last === undefined ||
+      Math.abs(last.queueWaitMs - state.queueWaitMs) >= WAIT_STEP_MS ||
+      last.isCold !== state.isCold ||
+      JSON.stringify(last.calls) !== JSON.stringify(calls);
+    if (isChanged) {
+      this.#lastState = state;
+      this.#graph.update(this.#settings.instanceName, calls);
+      this.#links.broadcast(state);
+    }
+  }
+
+  #onConfig(): void {
+    const routes = this.#config.routes;
+    if (routes === undefined) {
+      return;
+    }
+    this.#outbound.applyLimits(routes.config.limits);
+    this.#life.notify("configured");
+    if (this.#upstream.report === undefined) {
+      this.#checkUpstream().catch((error) =>
+        this.#options.log.warn("Health check failed", errorFields(error))
+      );
+    }
+  }
+
+  /** Finds the upstream of a restarted daemon before its next heartbeat. */
+  async #checkUpstream(): Promise<void> {
+    const { pool } = this.#settings;
+    const healthPath = this.#config.routes?.config.pools
+      .find(({ name }) => name === pool)?.healthPath;
+    if (healthPath === undefined) {
+      return;
+    }
+    const health = await this.#http.checkHealth(healthPath);
+    if (health !== undefined && this.#upstream.report === undefined) {
+      this.#upstream.heartbeat({
+        ...health,
+        pool,
+        state: "ready",
+        sequence: 0,
+        startedEpochMs: 0,
+        coldRemainingMs: 0,
+      });
+    }
+  }
+
+  #announce(call: ControlCall): ControlAnswer {
+    const announcement = this.#options.platform.decodeAnnouncement(call);
+    if (announcement === undefined) {
+      this.#options.log.warn("Announcement is not readable", { url: call.url });
+      return { status: 400, body: "{}" };
+    }
+    if (announcement.kind === "heartbeat") {
+      this.#upstream.heartbeat(announcement.report);
+    } else {
+      this.#upstream.leave(announcement.upstreamId);
+    }
+    if (this.#upstream.isLeaving) {
+      this.#rememberLeft();
+    }
+    return { status: 200, body: "{}" };
+  }
+
+  #rememberLeft(): void {
+    const upstreamId = this.#upstream.report?.upstreamId;
+    if (
+      upstreamId !== undefined &&
+      this.#directory.ownRecord.leftUpstreamId !== upstreamId
+    ) {
+      this.#directory.rememberLeft(upstreamId);
+    }
+  }
+
+  #runsPerRequest(routeName: string): number {
+    let sum = 0;
+    for (const runs of this.#graph.runsByRoute(routeName).values()) {
+      sum += runs;
+    }
+    return sum;
+  }
+
+  #stopWork(): void {
+    this.#outbound.stop();
+    this.#gate.stop();
+    this.#publishState();
+  }
+
+  #checkStop(nowMs: number): void {
+    const sinceMs = this.#life.stoppingSinceMs;
+    if (sinceMs === undefined) {
+      return;
+    }
+    const stoppedMs = nowMs - sinceMs;
+    if (stoppedMs >= this.#settings.stopGraceMs - GRACE_RESERVE_MS) {
+      this.#life.notify("graceOver");
+    } else if (stoppedMs >= LINGER_MS && this.#openCount === 0) {
+      this.#life.notify("idle");
+    }
+  }
+}
+
+/**
+ * Builds a daemon.
+ *
+ * @param settings Checked settings.
+ * @param options Platform, log, random numbers and signals.
+ * @returns Daemon that is not started yet.
+ */
+export function wireFleet(
+  settings: FleetSettings,
+  options: WireFleetOptions,
+): FleetDaemon {
+  return new FleetDaemon(settings, options);
+}
--- /dev/null
+++ b/src/link/link_server.ts
@@ -0,0 +1,220 @@
+/** Accepts links from other daemons and runs their requests. */
+import { createServer, type Server, type Socket } from "node:net";
+import type {
+  ForwardedRequest,
+  ResultReceiver,
+  SentRequest,
+} from "../fleet/upstream_path.ts";
+import type { Address } from "../schemas/common_schema.ts";
+import type { MemberRecord } from "../schemas/fleet_schema.ts";
+import {
+  FRAME,
+  helloFrameSchema,
+  type LoadReport,
+  type RequestFrame,
+  type UpstreamState,
+} from "../schemas/link_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
+import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
+
+/** A peer pings an idle link every 2 s; a longer silence means that it is gone. */
+const SILENCE_MAX_MS = 10_000;
+
+/** What the server needs of the daemon. */
+export interface LinkServerHost {
+  readonly ownRecord: MemberRecord;
+  readonly ownState: UpstreamState;
+  /** Load of the upstream beside this daemon. */
+  readonly ownLoad: LoadReport;
+  /** Runs a request at the upstream beside this daemon. */
+  serve(request: ForwardedRequest, receiver: ResultReceiver): SentRequest;
+  /** Learns of a peer by its greeting. */
+  onGreeted(record: MemberRecord): void;
+  /** Learns that a peer has another configuration version. */
+  onPeerVersion(version: number, peerName: string): void;
+  /** Configuration in force for a peer that asks; undefined before the first. */
+  readonly config: unknown;
+}
+
+/** The accepting side of one link. */
+class AcceptedLink implements FrameReceiver {
+  readonly #host: LinkServerHost;
+  readonly #running = new Map<number, SentRequest>();
+  readonly #onEnd: (link: AcceptedLink) => void;
+  #peerName = "";
+  readonly socket: LinkSocket;
+
+  constructor(
+    tcp: Socket,
+    host: LinkServerHost,
+    onEnd: (link: AcceptedLink) => void,
+  ) {
+    this.#host = host;
+    this.#onEnd = onEnd;
+    this.socket = new LinkSocket(tcp, this);
+    this.socket.send([FRAME.hello, host.ownRecord, host.ownState]);
+  }
+
+  /** @inheritdoc */
+  onFrame(frame: unknown[]): void {
+    switch (frame[0]) {
+      case FRAME.request:
+        return this.#onRequest(frame as RequestFrame);
+      case FRAME.cancel:
+        return this.#onCancel(frame[1] as number);
+      case FRAME.ping:
+        return this.socket.send([FRAME.pong]);
+      case FRAME.configQuery:
+        return this.socket.send([FRAME.config, this.#host.config ?? null]);
+      case FRAME.hello: {
+        const [, record, state] = helloFrameSchema.parse(frame);
+        this.#peerName = record.name;
+        this.#host.onGreeted(record);
+        return this.#host.onPeerVersion(state.configVersion, record.name);
+      }
+      default:
+        return;
+    }
+  }
+
+  /** @inheritdoc */
+  onClosed(): void {
+    for (const sent of this.#running.values()) {
+      sent.cancel();
+    }
+    this.#running.clear();
+    this.#onEnd(this);
+  }
+
+  #onCancel(exchange: number): void {
+    this.#running.get(exchange)?.cancel();
+    this.#running.delete(exchange);
+  }
+
+  #onRequest(frame: RequestFrame): void {
+    const exchange = frame[1];
+    this.#host.onPeerVersion(frame[12], this.#peerName);
+    let isDone = false;
+    const finish = (
+      answer: (load: LoadReport, version: number) => unknown[],
+    ) => {
+      isDone = true;
+      this.#running.delete(exchange);
+      const { ownLoad, ownState } = this.#host;
+      this.socket.send(answer(ownLoad, ownState.configVersion));
+    };
+    const sent = this.#host.serve({
+      upstreamId: frame[2],
+      method: frame[3],
+      path: frame[4],
+      headers: frame[5],
+      body: frame[6],
+      remainingMs: frame[7],
+      routeName: frame[8],
+      goalLeftMs: frame[9],
+      isRefusable: frame[10],
+      callerPool: frame[11],
+    }, {
+      onAnswer: ({ status, headers, body, runMs }) =>
+        finish((load, version) => [
+          FRAME.answer,
+          exchange,
+          status,
+          headers,
+          body,
+          Math.round(runMs),
+          load,
+          version,
+        ]),
+      onFailure: ({ kind, isNotRun, hasReached }) =>
+        finish((load, version) => [
+          FRAME.refusal,
+          exchange,
+          kind,
+          isNotRun,
+          hasReached,
+          load,
+          version,
+        ]),
+    });
+    if (!isDone) {
+      this.#running.set(exchange, sent);
+    }
+  }
+}
+
+/** Listens for links of other daemons. */
+export class LinkServer {
+  readonly #server: Server;
+  readonly #links = new Set<AcceptedLink>();
+
+  /**
+   * @param host The daemon's parts that links need.
+   * @param log Logger.
+   */
+  constructor(host: LinkServerHost, log: Logger) {
+    this.#server = createServer((tcp) => {
+      this.#links.add(
+        new AcceptedLink(tcp, host, (link) => this.#links.delete(link)),
+      );
+    });
+    this.#server.on("error", (error) => {
+      log.error("Link listener failed", { error: error.message });
+    });
+  }
+
+  /** Links that are open. */
+  get linksCount(): number {
+    return this.#links.size;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address Address to bind.
+   * @throws When the address cannot be bound.
+   */
+  listen({ host, port }: Address): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Tells all peers the state of the upstream beside this daemon.
+   *
+   * @param state New state.
+   */
+  broadcast(state: UpstreamState): void {
+    for (const link of this.#links) {
+      link.socket.send([FRAME.state, state]);
+    }
+  }
+
+  /**
+   * Drops links whose peer has been silent for too long.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param stalledMs Time by which this process itself was late.
+   */
+  tick(nowMs: number, stalledMs: number): void {
+    for (const link of this.#links) {
+      link.socket.lastReceivedMs += stalledMs;
+      if (nowMs - link.socket.lastReceivedMs > SILENCE_MAX_MS) {
+        link.socket.close("The peer is silent");
+      }
+    }
+  }
+
+  /** Stops listening and drops all links. */
+  close(): void {
+    this.#server.close();
+    for (const link of this.#links) {
+      link.socket.close("The daemon stops");
+    }
+  }
+}
--- /dev/null
+++ b/src/link/link_socket.ts
@@ -0,0 +1,89 @@
+/** One TCP connection that carries frames in both directions. */
+import type { Socket } from "node:net";
+import { encodeFrame, FrameReader } from "./frame_codec.ts";
+
+/** Receives what happens on a connection. */
+export interface FrameReceiver {
+  /** A frame has arrived. */
+  onFrame(frame: unknown[]): void;
+  /** The connection is gone; called once. */
+  onClosed(reason: string): void;
+}
+
+/** Bytes that may wait for a peer that does not read. */
+const UNSENT_MAX_BYTES = 33_554_432;
+
+/** Frames over a socket; frames of one turn of the loop are sent together. */
+export class LinkSocket {
+  readonly #socket: Socket;
+  readonly #receiver: FrameReceiver;
+  readonly #reader = new FrameReader();
+  #isCorked = false;
+  #isClosed = false;
+  /** Monotonic time of the last received bytes, in ms. */
+  lastReceivedMs = performance.now();
+
+  /**
+   * @param socket Connected or connecting socket.
+   * @param receiver Receives frames and the end.
+   */
+  constructor(socket: Socket, receiver: FrameReceiver) {
+    this.#socket = socket;
+    this.#receiver = receiver;
+    socket.setNoDelay(true);
+    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    socket.on("error", (error) => this.close(error.message));
+    socket.on("end", () => this.close("Closed by the peer"));
+    socket.on("close", () => this.close("Connection closed"));
+  }
+
+  /**
+   * Sends a frame.
+   *
+   * @param frame Array of the schemas in `link_schema.ts`.
+   */
+  send(frame: readonly unknown[]): void {
+    if (this.#isClosed) {
+      return;
+    }
+    if (!this.#isCorked) {
+      this.#isCorked = true;
+      this.#socket.cork();
+      setImmediate(() => {
+        this.#isCorked = false;
+        this.#socket.uncork();
+      });
+    }
+    this.#socket.write(encodeFrame(frame));
+    if (this.#socket.writableLength > UNSENT_MAX_BYTES) {
+      this.close("The peer does not read");
+    }
+  }
+
+  /**
+   * Ends the connection.
+   *
+   * @param reason Sentence for logs.
+   */
+  close(reason: string): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#isClosed = true;
+    this.#socket.destroy();
+    this.#receiver.onClosed(reason);
+  }
+
+  #receive(chunk: Buffer): void {
+    this.lastReceivedMs = performance.now();
+    try {
+      this.#reader.push(chunk, (frame) => {
+        if (!this.#isClosed) {
+          this.#receiver.onFrame(frame);
+        }
+      });
+    } catch (error) {
+      this.close((error as Error).message);
+    }
+  }
+}
--- /dev/null
+++ b/src/link/peer_link.ts
@@ -0,0 +1,358 @@
+/** Link to the daemon beside another upstream. */
+import { connect } from "node:net";
+import { loadChart } from "../charts/load_chart.ts";
+import { StateMachine } from "../charts/state_machine.ts";
+import type { RandomSource } from "../core/random.ts";
+import { type ErrorKind, isErrorKind } from "../errors/error_kinds.ts";
+import {
+  type ForwardedRequest,
+  PathLoad,
+  type ResultReceiver,
+  type SentRequest,
+  type UpstreamPath,
+} from "../fleet/upstream_path.ts";
+import type { MemberRecord } from "../schemas/fleet_schema.ts";
+import {
+  type AnswerFrame,
+  FRAME,
+  helloFrameSchema,
+  type RefusalFrame,
+  type RequestFrame,
+  stateFrameSchema,
+  type UpstreamState,
+} from "../schemas/link_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
+import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
+
+const DIAL_TIMEOUT_MS = 1_000;
+const REDIAL_BASE_MS = 150;
+const REDIAL_MAX_MS = 1_000;
+/** Silence after which a link with open requests is asked for a sign of life. */
+const BUSY_SILENCE_MS = 300;
+/** The same for a link without open requests. */
+const IDLE_SILENCE_MS = 2_000;
+/** Time that the answer to a ping may take; covers a stalled processor. */
+const PONG_TIMEOUT_MS = 900;
+
+/** What a link needs of the daemon. */
+export interface LinkHost {
+  /** Entry of this daemon. */
+  readonly ownRecord: MemberRecord;
+  /** State of the upstream beside this daemon. */
+  readonly ownState: UpstreamState;
+  /** Learns which instance answers at an address. */
+  onGreeted(record: MemberRecord): void;
+  /** Learns the configuration version of a peer. */
+  onConfigVersion(version: number, link: PeerLink): void;
+  /** Learns a changed state of a peer's upstream. */
+  onState(state: UpstreamState, link: PeerLink): void;
+  /** Receives a configuration that was asked for. */
+  onConfig(config: unknown): void;
+}
+
+/** Options of {@link PeerLink}. */
+export type PeerLinkOptions = {
+  host: LinkHost;
+  log: Logger;
+  random: RandomSource;
+};
+
+/** The dialling side of a link, with its open exchanges. */
+export class PeerLink implements UpstreamPath, FrameReceiver {
+  /** @inheritdoc */
+  readonly load = new PathLoad();
+  #member: MemberRecord;
+  #state: UpstreamState | undefined;
+  readonly #options: PeerLinkOptions;
+  readonly #machine: StateMachine;
+  readonly #pending = new Map<number, ResultReceiver>();
+  #socket: LinkSocket | undefined;
+  #nextExchange = 1;
+  #failuresCount = 0;
+  #dialAtMs = 0;
+  #dialledMs = 0;
+  #pingSentMs: number | undefined;
+  /** Monotonic time since which the peer was not reached, in ms. */
+  downSinceMs = performance.now();
+
+  /**
+   * @param member Instance to reach.
+   * @param options Daemon, log and jitter.
+   */
+  constructor(member: MemberRecord, options: PeerLinkOptions) {
+    this.#member = member;
+    this.#options = options;
+    this.#machine = new StateMachine(LINK_CHART, this);
+  }
+
+  /** @inheritdoc */
+  get member(): MemberRecord {
+    return this.#member;
+  }
+
+  /** @inheritdoc */
+  get state(): UpstreamState | undefined {
+    return this.#state;
+  }
+
+  /** Whether the peer is connected. */
+  get isUp(): boolean {
+    return this.#machine.is("up");
+  }
+
+  /**
+   * Drives dialling and the detection of silent connections.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param stalledMs Time by which this process itself was late.
+   */
+  tick(nowMs: number, stalledMs: number): void {
+    if (this.#machine.is("idle") && nowMs >= this.#dialAtMs) {
+      this.#machine.send("dialDue", nowMs);
+      return;
+    }
+    const socket = this.#socket;
+    if (socket === undefined) {
+      return;
+    }
+    if (stalledMs > 0) {
+      socket.lastReceivedMs += stalledMs;
+      this.#dialledMs += stalledMs;
+    }
+    if (this.#machine.is("dialling")) {
+      this.#checkDial(nowMs);
+      return;
+    }
+    this.#checkSilence(socket, nowMs);
+  }
+
+  /** Dials at the next tick, for a peer that was just heard of. */
+  dialSoon(): void {
+    this.#dialAtMs = 0;
+  }
+
+  /**
+   * Changes the entry of the member.
+   *
+   * @param member New entry under the same name.
+   */
+  update(member: MemberRecord): void {
+    const isMoved = member.link.host !== this.#member.link.host ||
+      member.link.port !== this.#member.link.port;
+    this.#member = member;
+    if (isMoved) {
+      this.#machine.send("broken", "The peer has another address");
+      this.#dialAtMs = 0;
+    }
+  }
+
+  /** Ends the link for good. */
+  remove(): void {
+    this.#machine.send("removed", "The peer was removed");
+  }
+
+  /** Asks the peer for its configuration. */
+  queryConfig(): void {
+    this.#socket?.send([FRAME.configQuery]);
+  }
+
+  /** @inheritdoc */
+  send(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
+    const socket = this.#socket;
+    if (socket === undefined || !this.isUp) {
+      receiver.onFailure({
+        kind: "no_upstream",
+        isNotRun: true,
+        hasReached: false,
+      });
+      return { cancel: () => {} };
+    }
+    const exchange = this.#nextExchange++;
+    this.#pending.set(exchange, receiver);
+    this.load.ownCount++;
+    this.load.sentSinceReportCount++;
+    const frame: RequestFrame = [
+      FRAME.request,
+      exchange,
+      request.upstreamId,
+      request.method,
+      request.path,
+      request.headers as string[],
+      request.body,
+      Math.round(request.remainingMs),
+      request.routeName,
+      Math.round(request.goalLeftMs),
+      request.isRefusable,
+      request.callerPool,
+      this.#options.host.ownState.configVersion,
+    ];
+    socket.send(frame);
+    return { cancel: () => this.#cancel(exchange) };
+  }
+
+  /** @inheritdoc */
+  onFrame(frame: unknown[]): void {
+    this.#pingSentMs = undefined;
+    switch (frame[0]) {
+      case FRAME.answer:
+        return this.#onAnswer(frame as AnswerFrame);
+      case FRAME.refusal:
+        return this.#onRefusal(frame as RefusalFrame);
+      case FRAME.hello:
+        return this.#onHello(frame);
+      case FRAME.state:
+        return this.#onState(stateFrameSchema.parse(frame)[1]);
+      case FRAME.config:
+        return this.#options.host.onConfig(frame[1]);
+      default:
+        return;
+    }
+  }
+
+  /** @inheritdoc */
+  onClosed(reason: string): void {
+    this.#machine.send("broken", reason);
+  }
+
+  /** Action: opens a connection. */
+  dial(nowMs: number): void {
+    const { host, port } = this.#member.link;
+    this.#dialledMs = nowMs;
+    this.#pingSentMs = undefined;
+    const tcp = connect({ host, port });
+    const socket: LinkSocket = new LinkSocket(tcp, {
+      onFrame: (frame) => this.onFrame(frame),
+      onClosed: (reason) => {
+        if (this.#socket === socket) {
+          this.onClosed(reason);
+        }
+      },
+    });
+    this.#socket = socket;
+    const { ownRecord, ownState } = this.#options.host;
+    socket.send([FRAME.hello, ownRecord, ownState]);
+  }
+
+  /** Action: drops the connection. */
+  hangUp(reason: string): void {
+    const socket = this.#socket;
+    this.#socket = undefined;
+    this.#state = undefined;
+    socket?.close(reason);
+  }
+
+  /** Action: plans the next dial with jittered back-off. */
+  scheduleDial(): void {
+    const boundMs = Math.min(
+      REDIAL_MAX_MS,
+      REDIAL_BASE_MS * 2 ** this.#failuresCount,
+    );
+    this.#failuresCount++;
+    this.#dialAtMs = performance.now() +
+      boundMs * (0.5 + this.#options.random.nextFloat() / 2);
+  }
+
+  /** Action: logs a link that is up. */
+  reportUp(): void {
+    this.#failuresCount = 0;
+    this.#options.log.info("Link up", {
+      peer: this.#member.name,
+      downMs: Math.round(performance.now() - this.downSinceMs),
+    });
+  }
+
+  /** Action: logs a link that was lost. */
+  reportDown(reason: string): void {
+    this.downSinceMs = performance.now();
+    this.#options.log.warn("Link down", { peer: this.#member.name, reason });
+  }
+
+  /** Action: fails the open exchanges; their requests may have run. */
+  failPending(): void {
+    const receivers = [...this.#pending.values()];
+    this.#pending.clear();
+    this.load.ownCount = 0;
+    for (const receiver of receivers) {
+      receiver.onFailure({
+        kind: "peer_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+    }
+  }
+
+  #onHello(frame: unknown[]): void {
+    const [, record, state] = helloFrameSchema.parse(frame);
+    this.#options.host.onGreeted(record);
+    if (record.name !== this.#member.name) {
+      this.#machine.send("mismatched", `${record.name} has the address`);
+      return;
+    }
+    this.#onState(state);
+    this.#machine.send("greeted");
+  }
+
+  #onState(state: UpstreamState): void {
+    this.#state = state;
+    this.#options.host.onState(state, this);
+    this.#options.host.onConfigVersion(state.configVersion, this);
+  }
+
+  #onAnswer(frame: AnswerFrame): void {
+    const [, exchange, status, headers, body, runMs, load, version] = frame;
+    const receiver = this.#take(exchange);
+    this.load.update(load);
+    this.#options.host.onConfigVersion(version, this);
+    receiver?.onAnswer({ status, headers, body, runMs });
+  }
+
+  #onRefusal(frame: RefusalFrame): void {
+    const [, exchange, kind, isNotRun, hasReached, load, version] = frame;
+    const receiver = this.#take(exchange);
+    this.load.update(load);
+    this.#options.host.onConfigVersion(version, this);
+    const knownKind: ErrorKind = isErrorKind(kind) ? kind : "peer_failed";
+    receiver?.onFailure({ kind: knownKind, isNotRun, hasReached });
+  }
+
+  #take(exchange: number): ResultReceiver | undefined {
+    const receiver = this.#pending.get(exchange);
+    if (receiver !== undefined) {
+      this.#pending.delete(exchange);
+      this.load.ownCount--;
+    }
+    return receiver;
+  }
+
+  #cancel(exchange: number): void {
+    if (this.#take(exchange) !== undefined) {
+      this.#socket?.send([FRAME.cancel, exchange]);
+    }
+  }
+
+  #checkDial(nowMs: number): void {
+    if (nowMs - this.#dialledMs > DIAL_TIMEOUT_MS) {
+      this.#machine.send("broken", "No greeting in time");
+    }
+  }
+
+  #checkSilence(socket: LinkSocket, nowMs: number): void {
+    const limitMs = this.#pending.size > 0 ? BUSY_SILENCE_MS : IDLE_SILENCE_MS;
+    if (nowMs - socket.lastReceivedMs < limitMs) {
+      return;
+    }
+    if (this.#pingSentMs === undefined) {
+      this.#pingSentMs = nowMs;
+      socket.send([FRAME.ping]);
+      return;
+    }
+    if (
+      nowMs - Math.max(this.#pingSentMs, socket.lastReceivedMs) >
+        PONG_TIMEOUT_MS
+    ) {
+      this.#machine.send("broken", "The peer is silent");
+    }
+  }
+}
+
+const LINK_CHART = loadChart("link", PeerLink.prototype);
--- a/src/reference_pages/error_advice.ts
+++ b/src/reference_pages/error_advice.ts
@@ -4,6 +4,7 @@
 /** Advice by error kind. */
 export const ERROR_ADVICE: Readonly<Record<ErrorKind, string>> = {
   bad_request: "Correct the caller",
+  header_timeout: "Send the headers of a request without pauses",
   header_too_large: "Correct the caller; headers may take 16,384 bytes",
   body_too_large: "Raise the route's `bodyMaxBytes` or correct the caller",
   tenant_denied: "Compare the caller's token with the tenant's `tokenSha256`",
--- /dev/null
+++ b/src/schemas/link_schema.ts
@@ -0,0 +1,110 @@
+/**
+ * Schemas of the frames between daemons. A frame is an array whose first
+ * element is its kind; arrays keep field names off the wire.
+ */
+import { z } from "zod";
+import { memberRecordSchema } from "./fleet_schema.ts";
+
+/** Kinds of frames. */
+export const FRAME = {
+  hello: 0,
+  request: 1,
+  answer: 2,
+  refusal: 3,
+  cancel: 4,
+  ping: 5,
+  pong: 6,
+  state: 7,
+  configQuery: 8,
+  config: 9,
+  answerHead: 10,
+  answerPart: 11,
+} as const;
+
+/** Schema of what a daemon says of the upstream beside it. */
+export const upstreamStateSchema = z.object({
+  upstreamId: z.string().describe("Empty while the upstream is not known"),
+  isServing: z.boolean().describe("Whether the upstream takes new requests"),
+  limitCount: z.number().describe("Requests that run at once at most"),
+  isCold: z.boolean().describe("Whether the upstream is slow after its start"),
+  queueWaitMs: z.number().describe("Wait of a request that arrives now"),
+  configVersion: z.number(),
+  calls: z.array(z.tuple([z.string(), z.string(), z.number()]))
+    .describe("Route, route that it calls, calls per run"),
+});
+
+/** What a daemon says of the upstream beside it. */
+export type UpstreamState = z.infer<typeof upstreamStateSchema>;
+
+/** Schema of the first frame in each direction. */
+export const helloFrameSchema = z.tuple([
+  z.literal(FRAME.hello),
+  memberRecordSchema,
+  upstreamStateSchema,
+]);
+
+/** Schema of a changed upstream state. */
+export const stateFrameSchema = z.tuple([
+  z.literal(FRAME.state),
+  upstreamStateSchema,
+]);
+
+/** Schema of a forwarded request. */
+export const requestFrameSchema = z.tuple([
+  z.literal(FRAME.request),
+  z.number().describe("Exchange number on this link"),
+  z.string().describe("Upstream that the sender chose"),
+  z.string().describe("Method"),
+  z.string().describe("Path with query"),
+  z.array(z.string()).describe("Header names and values in turn"),
+  z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).nullable()
+    .describe("Body"),
+  z.number().describe("Remaining time in ms"),
+  z.string().describe("Route"),
+  z.number().describe("Latency goal that is left, in ms; orders the queue"),
+  z.boolean().describe("Whether the daemon may refuse because of load"),
+  z.string().describe("Pool of the instance where the request began"),
+  z.number().describe("Configuration version of the sender"),
+]);
+
+/** A forwarded request. */
+export type RequestFrame = z.infer<typeof requestFrameSchema>;
+
+/** Schema of the load of an upstream, carried on every answer. */
+export const loadReportSchema = z.tuple([
+  z.number().describe("Requests that run or wait"),
+  z.number().describe("Mean time at the upstream in ms"),
+  z.number().describe("Share of failed requests in 1/255"),
+]);
+
+/** Load of an upstream. */
+export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/** Schema of a whole answer. */
+export const answerFrameSchema = z.tuple([
+  z.literal(FRAME.answer),
+  z.number(),
+  z.number().describe("Status"),
+  z.array(z.string()).describe("Header names and values in turn"),
+  z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).nullable(),
+  z.number().describe("Time at the upstream in ms"),
+  loadReportSchema,
+  z.number().describe("Configuration version of the answering daemon"),
+]);
+
+/** A whole answer. */
+export type AnswerFrame = z.infer<typeof answerFrameSchema>;
+
+/** Schema of a failed exchange. */
+export const refusalFrameSchema = z.tuple([
+  z.literal(FRAME.refusal),
+  z.number(),
+  z.string().describe("Error kind"),
+  z.boolean().describe("Whether the request is proved not to have run"),
+  z.boolean().describe("Whether it reached the upstream"),
+  loadReportSchema,
+  z.number().describe("Configuration version of the answering daemon"),
+]);
+
+/** A failed exchange. */
+export type RefusalFrame = z.infer<typeof refusalFrameSchema>;
