--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -7,7 +7,8 @@
 const RUNS_MIN_COUNT = 10;
 /** Older observations are halved at this count, so that changes are followed. */
 const RUNS_HALVING_COUNT = 1_000;
-const CALLS_PER_RUN_MIN = 0.05;
+/** Fewer calls per run are taken for calls that were linked wrongly. */
+const CALLS_PER_RUN_MIN = 0.4;
 const DEPTH_MAX = 24;
 
 type RouteRuns = { runsCount: number; calls: Map<string, number> };
@@ -57,7 +58,7 @@
       for (const [called, count] of calls) {
         const perRun = count / runsCount;
         if (perRun >= CALLS_PER_RUN_MIN) {
-          edges.push([routeName, called, Math.max(0.5, Math.round(perRun))]);
+          edges.push([routeName, called, Math.max(1, Math.round(perRun))]);
         }
       }
     }
--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -1,105 +1,102 @@
-/** Admission of requests where they enter, by what their calls will load. */
+/** Admission levels of the pools, from their load and the offered requests. */
+import { MovingAverage } from "./moving_average.ts";
 
-/** Options of {@link EntryLevels}. */
-export type EntryLevelsOptions = {
-  /** Queue wait of a pool above which less is admitted, in ms. */
-  waitTargetMs: number;
-};
-
-/** State of one pool that requests run at. */
-export type PoolPressure = {
-  /** Mean queue wait over the pool's upstreams, in ms. */
-  readonly queueWaitMs: number;
-  /** Share of the pool's slots that is taken. */
+/** Load of a pool and what this daemon's callers offer to it. */
+export type PoolLoad = {
+  /** Running and waiting requests per slot; over 1 when requests wait. */
   readonly busyRatio: number;
+  /** Offered runs per class of priority, in any common unit. */
+  readonly offered: readonly number[];
 };
 
-/** Share of each class that is admitted in any case. */
-const ADMITTED_MIN_RATIO = 0.25;
-/** Largest decrease of a level in one step, in classes. */
-const DECREASE_MAX = 0.16;
-const DECREASE_PER_EXCESS = 0.04;
-/** Increase of a level in one step while the pool has room, in classes. */
-const INCREASE = 0.03;
-/** Busy share above which a level is not increased. */
-const INCREASE_BUSY_RATIO = 0.9;
+/** Share of the slots that should be busy. */
+const BUSY_TARGET_RATIO = 0.88;
+/**
+ * Weight of one step in the mean level that the present load is put down to:
+ * calls reach the deepest pools within about 0.8 s of the admission.
+ */
+const LEVEL_WEIGHT = 0.15;
+/** Bounds of one correction relative to the mean of the last moments. */
+const CORRECTION_MIN = 0.5;
+const CORRECTION_MAX = 1.25;
+/** Increase without any offered requests to correct by. */
+const IDLE_INCREASE = 0.1;
+
+/** Runs that a level admits of what is offered. */
+function admittedRuns(level: number, offered: readonly number[]): number {
+  return offered.reduce(
+    (sum, runs, priority) =>
+      sum + runs * Math.min(1, Math.max(0, level - priority)),
+    0,
+  );
+}
+
+/** Level that admits a number of runs of what is offered. */
+function levelFor(runs: number, offered: readonly number[]): number {
+  let left = runs;
+  for (let priority = 0; priority < offered.length; priority++) {
+    const classRuns = offered[priority] as number;
+    if (left < classRuns) {
+      return priority + left / classRuns;
+    }
+    left -= classRuns;
+  }
+  return offered.length;
+}
 
 /**
- * Keeps one admission level per pool. A request of priority `p` with random
- * key `u` in `[0, 1)` enters while `p + u` is below the level of every pool
- * that it or its calls run at, so that less important classes are shed first
- * and gradually.
+ * Keeps one level per pool: the number of classes, counted from the most
+ * important one, that enter. The admitted runs of the last moments are scaled
+ * by target over load, so that the level settles without hunting although the
+ * load follows the admission late.
  *
  * @example
- * levels.step("plates", { queueWaitMs: 40, busyRatio: 1 }, 3);
- * levels.admits({ priority: 2, key: 0.7, pools: ["plates"] });
+ * levels.step("plates", { busyRatio: 1.4, offered: [10, 4, 30] });
+ * levels.level("plates"); // less than 3
  */
 export class EntryLevels {
-  readonly #options: EntryLevelsOptions;
+  readonly #means = new Map<string, MovingAverage>();
   readonly #levels = new Map<string, number>();
 
   /**
-   * @param options Target of the queue wait.
-   */
-  constructor(options: EntryLevelsOptions) {
-    this.#options = options;
-  }
-
-  /**
-   * Adjusts the level of a pool; called once per control interval.
+   * Adjusts the level of a pool; called once per control interval of 100 ms.
    *
    * @param pool Name of the pool.
-   * @param pressure Present state of the pool.
-   * @param classesCount Priorities that exist; the level admits all of them
-   *   at this value.
+   * @param load Load and offered runs.
    * @returns The new level.
    */
-  step(pool: string, pressure: PoolPressure, classesCount: number): number {
-    const level = Math.min(
-      this.#levels.get(pool) ?? classesCount,
-      classesCount,
+  step(pool: string, { busyRatio, offered }: PoolLoad): number {
+    const classesCount = offered.length;
+    const mean = this.#meanOf(pool, classesCount);
+    const correction = Math.min(
+      CORRECTION_MAX,
+      Math.max(CORRECTION_MIN, BUSY_TARGET_RATIO / Math.max(busyRatio, 0.01)),
     );
-    const excess = pressure.queueWaitMs / this.#options.waitTargetMs - 1;
-    let next = level;
-    if (excess > 0) {
-      next = level - Math.min(DECREASE_MAX, DECREASE_PER_EXCESS * excess);
-    } else if (pressure.busyRatio < INCREASE_BUSY_RATIO) {
-      next = level + INCREASE;
-    }
-    next = Math.min(classesCount, Math.max(0, next));
-    this.#levels.set(pool, next);
-    return next;
+    const runs = admittedRuns(mean.value, offered);
+    const level = runs === 0
+      ? Math.min(classesCount, mean.value + IDLE_INCREASE)
+      : levelFor(runs * correction, offered);
+    mean.add(level);
+    this.#levels.set(pool, level);
+    return level;
   }
 
   /**
    * Level of a pool.
    *
    * @param pool Name of the pool.
-   * @returns Classes that are admitted; undefined before the first step.
+   * @returns Classes that enter; undefined before the first step.
    */
   level(pool: string): number | undefined {
     return this.#levels.get(pool);
   }
 
-  /**
-   * Decides on a request that enters.
-   *
-   * @param request Priority (0 is shed last), random key in `[0, 1)`, and the
-   *   pools that it and its calls run at.
-   * @returns The pool that has no room; undefined when the request enters.
-   */
-  refusingPool(
-    request: { priority: number; key: number; pools: Iterable<string> },
-  ): string | undefined {
-    if (request.key < ADMITTED_MIN_RATIO) {
-      return undefined;
-    }
-    for (const pool of request.pools) {
-      const level = this.#levels.get(pool);
-      if (level !== undefined && request.priority + request.key >= level) {
-        return pool;
-      }
+  #meanOf(pool: string, classesCount: number): MovingAverage {
+    let mean = this.#means.get(pool);
+    if (mean === undefined) {
+      mean = new MovingAverage(LEVEL_WEIGHT, classesCount);
+      this.#means.set(pool, mean);
     }
-    return undefined;
+    return mean;
   }
 }
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -51,6 +51,8 @@
   budget: RepeatBudget;
   decisions: DecisionLog;
   callerPool: string;
+  /** Name of the header with the caller's request id. */
+  requestIdHeader: string;
   /** Daemons that share the repeat budget. */
   daemonsCount: () => number;
   /** Runs that a repeat of a route causes altogether. */
@@ -187,7 +189,12 @@
     const path = this.#path as UpstreamPath;
     this.#parts.paths.recordRun(path, this.#request.route.name, answer.runMs);
     this.#end(`answered ${answer.status}`);
-    this.#reply.answer(answer);
+    // The id was checked beside the upstream and does not travel back.
+    const { requestId } = this.#request;
+    const headers = requestId === ""
+      ? answer.headers
+      : [...answer.headers, this.#parts.requestIdHeader, requestId];
+    this.#reply.answer({ ...answer, headers });
   }
 
   /** Action: answers with the failure of the last attempt. */
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,10 +1,10 @@
 /** Routes, admits and forwards what callers and the upstream send. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
-import type { EntryLevels } from "../decisions/entry_levels.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ConfigFollower } from "./config_follower.ts";
+import type { EntryAdmission } from "./entry_admission.ts";
 import { type EdgeHeaders, passHeaders } from "./edge_headers.ts";
 import {
   type ExchangeParts,
@@ -33,7 +33,7 @@
   gate: UpstreamGate;
   observer: CallObserver;
   graph: CallGraph;
-  levels: EntryLevels;
+  admission: EntryAdmission;
   random: RandomSource;
   exchange: ExchangeParts;
 };
@@ -42,6 +42,7 @@
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
   readonly #dropped: readonly string[];
+  #isStopped = false;
 
   /**
    * @param parts Decisions and shared parts.
@@ -52,6 +53,11 @@
     this.#dropped = [deadlineMs, targetUpstream, callerPool];
   }
 
+  /** Refuses new requests, but not the calls of running ones. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** @inheritdoc */
   handle(received: ReceivedRequest, reply: ReplySink): () => void {
     const { message } = received;
@@ -65,11 +71,14 @@
       return this.#refuse(received, "no_route", reply);
     }
     const request = this.#incoming(received, route, routes.choosePool(route));
-    const refusingPool = request.isCall
-      ? undefined
-      : this.#refusingPool(request);
-    if (refusingPool !== undefined) {
-      return this.#refuse(received, "shed", reply, { request, refusingPool });
+    if (!request.isCall) {
+      if (this.#isStopped) {
+        return this.#refuse(received, "draining", reply);
+      }
+      const refusingPool = this.#parts.admission.refusingPool(route);
+      if (refusingPool !== undefined) {
+        return this.#refuse(received, "shed", reply, { request, refusingPool });
+      }
     }
     const exchange = new ForwardedExchange(
       request,
@@ -117,36 +126,20 @@
     };
   }
 
-  #refusingPool({ route }: IncomingRequest): string | undefined {
-    const { graph, levels, random, config } = this.#parts;
-    const pools = new Set<string>();
-    for (const routeName of graph.runsByRoute(route.name).keys()) {
-      const called = config.routes?.route(routeName) ?? route;
-      for (const { pool } of called.targets) {
-        pools.add(pool);
-      }
-    }
-    return levels.refusingPool({
-      priority: route.priority,
-      key: random.nextFloat(),
-      pools,
-    });
-  }
-
   #refuse(
     received: ReceivedRequest,
     kind: ErrorKind,
     reply: ReplySink,
     cause?: { request: IncomingRequest; refusingPool: string },
   ): () => void {
-    const { names, exchange, levels, config } = this.#parts;
+    const { names, exchange, admission, config } = this.#parts;
     const { headers, url } = received.message;
     exchange.decisions.record("refused", String(headers[names.requestId]), {
       kind,
       path: url,
       route: cause?.request.route.name,
       pool: cause?.refusingPool,
-      level: cause && levels.level(cause.refusingPool),
+      admittedClasses: cause && admission.level(cause.refusingPool),
       configVersion: config.version,
     });
     if (cause !== undefined) {
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -9,7 +9,7 @@
  * Cost of a request to another data centre, as a time: bytes between data
  * centres are paid for, and the way there and back takes longer.
  */
-const REMOTE_PENALTY_MS = 15;
+const REMOTE_PENALTY_MS = 30;
 
 /** Options of {@link PathTable}. */
 export type PathTableOptions = {
@@ -74,16 +74,17 @@
     pool: string,
     options: { routeName: string; tried: ReadonlySet<string> },
   ): UpstreamPath | undefined {
-    const paths: UpstreamPath[] = [];
-    const views: PathView[] = [];
+    const serving: UpstreamPath[] = [];
     for (const path of this.pathsOf(pool)) {
       if (
         path.state?.isServing === true && !options.tried.has(path.member.name)
       ) {
-        paths.push(path);
-        views.push(this.#view(path, options.routeName));
+        serving.push(path);
       }
     }
+    const lasting = serving.filter(({ state }) => state?.isStopping !== true);
+    const paths = lasting.length > 0 ? lasting : serving;
+    const views = paths.map((path) => this.#view(path, options.routeName));
     const index = choosePath(views, {
       random: this.#options.random,
       remotePenaltyMs: REMOTE_PENALTY_MS,
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -25,6 +25,8 @@
 const WAIT_MAX_GOAL_RATIO = 0.5;
 const RUN_TIME_WEIGHT = 0.05;
 const FAILURE_WEIGHT = 0.05;
+/** Weight of one control interval of 100 ms. */
+const BUSY_WEIGHT = 0.35;
 /** Before the first answer. */
 const INITIAL_RUN_MS = 50;
 /** Requests in a row without an answer after which the upstream is lost. */
@@ -49,8 +51,9 @@
   readonly #runMs = new MovingAverage(RUN_TIME_WEIGHT, INITIAL_RUN_MS);
   readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
   readonly #byExpiry = new Map<number, ServedRequest>();
+  readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   #silentCount = 0;
-  #isStopping = false;
+  #isStopped = false;
 
   /**
    * @param options Belief about the upstream and its client.
@@ -64,6 +67,11 @@
     return this.#slots.limitCount;
   }
 
+  /** Whether new requests are refused because the process ends. */
+  get isStopped(): boolean {
+    return this.#isStopped;
+  }
+
   /** Requests that run or wait. */
   get openCount(): number {
     return this.#slots.runningCount + this.#slots.waitingCount;
@@ -78,6 +86,11 @@
     ];
   }
 
+  /** Running and waiting requests per slot, over the last moments. */
+  get busyRatio(): number {
+    return this.#busy.value;
+  }
+
   /** Wait of a request that arrives now at the end of the queue, in ms. */
   get queueWaitMs(): number {
     const { waitingCount, limitCount } = this.#slots;
@@ -103,7 +116,7 @@
 
   /** Refuses new requests because the process stops. */
   stop(): void {
-    this.#isStopping = true;
+    this.#isStopped = true;
     this.shut();
   }
 
@@ -118,7 +131,7 @@
     const nowMs = performance.now();
     const served = new ServedRequest(request, receiver, { gate: this, nowMs });
     const { upstream } = this.#options;
-    if (this.#isStopping || upstream.isLeaving) {
+    if (this.#isStopped || upstream.isLeaving) {
       served.turnAway("draining");
     } else if (
       !upstream.isServing ||
@@ -157,12 +170,14 @@
   }
 
   /**
-   * Detects an upstream that neither answers nor sends heartbeats.
+   * Measures the load, and detects an upstream that neither answers nor sends
+   * heartbeats. Called once per control interval.
    *
    * @param nowMs Monotonic time, in ms.
    */
   tick(nowMs: number): void {
     const { upstream, heartbeatMs } = this.#options;
+    this.#busy.add(this.openCount / Math.max(1, this.limitCount));
     const isQuiet = nowMs - upstream.reportedAtMs > 2 * heartbeatMs;
     if (
       upstream.isServing && isQuiet &&
--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -104,7 +104,7 @@
     }
     const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[])
       .map(String);
-    this.#headers = passHeaders(raw, [this.#names.load]);
+    this.#headers = passHeaders(raw, [this.#names.load, this.#names.requestId]);
   }
 
   /** Called by undici for each part of the body. */
--- a/src/fleet/upstream_path.ts
+++ b/src/fleet/upstream_path.ts
@@ -27,7 +27,7 @@
 /** An answer of an upstream. */
 export type UpstreamAnswer = {
   readonly status: number;
-  /** Names and values in turn, without hop-by-hop headers. */
+  /** Names and values in turn, without hop-by-hop headers and request id. */
   readonly headers: readonly string[];
   readonly body: Uint8Array | null;
   /** Time at the upstream, in ms. */
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -5,7 +5,6 @@
 import type { RandomSource } from "../core/random.ts";
 import { timerStream } from "../core/timer_stream.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
-import { EntryLevels } from "../decisions/entry_levels.ts";
 import { RepeatBudget } from "../decisions/repeat_budget.ts";
 import { LinkServer, type LinkServerHost } from "../link/link_server.ts";
 import type { LinkHost, PeerLink } from "../link/peer_link.ts";
@@ -20,8 +19,8 @@
 import { ConfigFollower } from "./config_follower.ts";
 import { DecisionLog } from "./decision_log.ts";
 import type { EdgeHeaders } from "./edge_headers.ts";
+import { EntryAdmission } from "./entry_admission.ts";
 import { FleetLife, type FleetLifeEvent } from "./fleet_life.ts";
-import { LevelControl } from "./level_control.ts";
 import { LocalPath } from "./local_path.ts";
 import { LocalUpstream } from "./local_upstream.ts";
 import { MemberDirectory, type MemberStore } from "./member_directory.ts";
@@ -39,15 +38,18 @@
 const TICK_MS = 100;
 /** A tick that is later than this shows that the process stood still. */
 const STALL_MIN_MS = 250;
-/** Queue wait from which the admission at the entries is lowered. */
-const WAIT_TARGET_MS = 12;
-/** Change of the queue wait that peers are told. */
-const WAIT_STEP_MS = 4;
+/** Change of the busy share that peers are told. */
+const BUSY_STEP_RATIO = 0.06;
 /**
  * Time after SIGTERM for which callers still come: the platform asks for
  * readiness once a second and takes the instance out after two misses.
  */
 const LINGER_MS = 2_300;
+/**
+ * Time after SIGTERM for which new requests are accepted. Callers go on coming
+ * when half of a data centre's daemons are not ready.
+ */
+const ACCEPT_MS = 3_000;
 /** Time before the end of the grace period at which the process ends itself. */
 const GRACE_RESERVE_MS = 300;
 /** A configuration is asked for at most once in this time per peer answer. */
@@ -91,10 +93,11 @@
   readonly #gate: UpstreamGate;
   readonly #directory: MemberDirectory;
   readonly #paths: PathTable;
-  readonly #levels: LevelControl;
+  readonly #admission: EntryAdmission;
   readonly #graph = new CallGraph();
   readonly #observer = new CallObserver();
   readonly #links: LinkServer;
+  readonly #service: OutboundService;
   readonly #outbound: OutboundListener;
   readonly #readiness: SmallListener;
   readonly #announcements: SmallListener;
@@ -180,32 +183,36 @@
       },
     });
     this.#links = new LinkServer(this.#linkHost(), log);
-    const levels = new EntryLevels({ waitTargetMs: WAIT_TARGET_MS });
-    this.#levels = new LevelControl({ paths: this.#paths, levels, log });
-    this.#outbound = new OutboundListener(
-      new OutboundService({
-        names: platform.headers,
-        config: this.#config,
-        gate: this.#gate,
-        observer: this.#observer,
-        graph: this.#graph,
-        levels,
-        random,
-        exchange: {
-          paths: this.#paths,
-          budget: new RepeatBudget({
-            ratio: settings.repeatRatio,
-            windowMs: settings.repeatWindowMs,
-            slackCount: settings.repeatSlackCount,
-          }),
-          decisions: new DecisionLog(log),
-          callerPool: settings.pool,
-          daemonsCount: () => this.#directory.membersCount,
-          runsPerRequest: (routeName) => this.#runsPerRequest(routeName),
-          onEnd: () => {},
-        },
-      }),
-    );
+    this.#admission = new EntryAdmission({
+      paths: this.#paths,
+      graph: this.#graph,
+      random,
+      log,
+    });
+    this.#service = new OutboundService({
+      names: platform.headers,
+      config: this.#config,
+      gate: this.#gate,
+      observer: this.#observer,
+      graph: this.#graph,
+      admission: this.#admission,
+      random,
+      exchange: {
+        paths: this.#paths,
+        budget: new RepeatBudget({
+          ratio: settings.repeatRatio,
+          windowMs: settings.repeatWindowMs,
+          slackCount: settings.repeatSlackCount,
+        }),
+        decisions: new DecisionLog(log),
+        callerPool: settings.pool,
+        requestIdHeader: platform.headers.requestId,
+        daemonsCount: () => this.#directory.membersCount,
+        runsPerRequest: (routeName) => this.#runsPerRequest(routeName),
+        onEnd: () => {},
+      },
+    });
+    this.#outbound = new OutboundListener(this.#service);
     this.#readiness = new SmallListener(() => ({
       status: this.#life.isReady ? 200 : 503,
       body: JSON.stringify({ state: this.#life.stateName }),
@@ -219,6 +226,16 @@
     return this.#life.ended;
   }
 
+  /** Whether the daemon takes new clients. */
+  get isReady(): boolean {
+    return this.#life.isReady;
+  }
+
+  /** Links to other daemons that are up. */
+  get linksUpCount(): number {
+    return [...this.#directory.links].filter(({ isUp }) => isUp).length;
+  }
+
   /**
    * Binds all listeners and starts the loop.
    *
@@ -320,10 +337,11 @@
     const isStopping = this.#life.stoppingSinceMs !== undefined;
     return {
       upstreamId: upstream.report?.upstreamId ?? "",
-      isServing: upstream.isServing && !isStopping,
+      isServing: upstream.isServing && !this.#gate.isStopped,
+      isStopping,
       limitCount: this.#gate.limitCount,
       isCold: (upstream.report?.coldRemainingMs ?? 0) > 0,
-      queueWaitMs: Math.round(this.#gate.queueWaitMs),
+      busyRatio: Math.round(this.#gate.busyRatio * 100) / 100,
       configVersion: this.#config.version,
       calls: this.#lastState?.calls ?? [],
     };
@@ -343,7 +361,7 @@
     this.#links.tick(nowMs, stalledMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
-      this.#levels.step(this.#config.routes);
+      this.#admission.step(this.#config.routes);
     }
     this.#publishChange();
     this.#checkStop(nowMs);
@@ -354,7 +372,7 @@
     const calls = this.#observer.edges();
     const state = { ...this.#ownState(), calls };
     const isChanged = last === undefined ||
-      Math.abs(last.queueWaitMs - state.queueWaitMs) >= WAIT_STEP_MS ||
+      Math.abs(last.busyRatio - state.busyRatio) >= BUSY_STEP_RATIO ||
       last.isCold !== state.isCold ||
       JSON.stringify(last.calls) !== JSON.stringify(calls);
     if (isChanged) {
@@ -434,9 +452,9 @@
     return sum;
   }
 
+  /** Others are preferred from now on; work continues until the callers left. */
   #stopWork(): void {
     this.#outbound.stop();
-    this.#gate.stop();
     this.#publishState();
   }
 
@@ -446,6 +464,11 @@
       return;
     }
     const stoppedMs = nowMs - sinceMs;
+    if (stoppedMs >= ACCEPT_MS && !this.#gate.isStopped) {
+      this.#gate.stop();
+      this.#service.stop();
+      this.#publishState();
+    }
     if (stoppedMs >= this.#settings.stopGraceMs - GRACE_RESERVE_MS) {
       this.#life.notify("graceOver");
     } else if (stoppedMs >= LINGER_MS && this.#openCount === 0) {
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -103,24 +103,25 @@
       const { ownLoad, ownState } = this.#host;
       this.socket.send(answer(ownLoad, ownState.configVersion));
     };
+    const { encoder, decoder } = this.socket;
     const sent = this.#host.serve({
-      upstreamId: frame[2],
-      method: frame[3],
+      upstreamId: decoder.decode(frame[2]),
+      method: decoder.decode(frame[3]),
       path: frame[4],
-      headers: frame[5],
+      headers: decoder.decodeAll(frame[5]),
       body: frame[6],
       remainingMs: frame[7],
-      routeName: frame[8],
+      routeName: decoder.decode(frame[8]),
       goalLeftMs: frame[9],
       isRefusable: frame[10],
-      callerPool: frame[11],
+      callerPool: decoder.decode(frame[11]),
     }, {
       onAnswer: ({ status, headers, body, runMs }) =>
         finish((load, version) => [
           FRAME.answer,
           exchange,
           status,
-          headers,
+          encoder.encodeAll(headers),
           body,
           Math.round(runMs),
           load,
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -1,6 +1,7 @@
 /** One TCP connection that carries frames in both directions. */
 import type { Socket } from "node:net";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import { StringDecoder, StringEncoder } from "./string_table.ts";
 
 /** Receives what happens on a connection. */
 export interface FrameReceiver {
@@ -18,6 +19,10 @@
   readonly #socket: Socket;
   readonly #receiver: FrameReceiver;
   readonly #reader = new FrameReader();
+  /** Strings that this side has made known. */
+  readonly encoder = new StringEncoder();
+  /** Strings that the peer has made known. */
+  readonly decoder = new StringDecoder();
   #isCorked = false;
   #isClosed = false;
   /** Monotonic time of the last received bytes, in ms. */
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -171,19 +171,20 @@
     this.#pending.set(exchange, receiver);
     this.load.ownCount++;
     this.load.sentSinceReportCount++;
+    const { encoder } = socket;
     const frame: RequestFrame = [
       FRAME.request,
       exchange,
-      request.upstreamId,
-      request.method,
+      encoder.encode(request.upstreamId),
+      encoder.encode(request.method),
       request.path,
-      request.headers as string[],
+      encoder.encodeAll(request.headers),
       request.body,
       Math.round(request.remainingMs),
-      request.routeName,
+      encoder.encode(request.routeName),
       Math.round(request.goalLeftMs),
       request.isRefusable,
-      request.callerPool,
+      encoder.encode(request.callerPool),
       this.#options.host.ownState.configVersion,
     ];
     socket.send(frame);
@@ -299,7 +300,8 @@
   }
 
   #onAnswer(frame: AnswerFrame): void {
-    const [, exchange, status, headers, body, runMs, load, version] = frame;
+    const [, exchange, status, wireHeaders, body, runMs, load, version] = frame;
+    const headers = this.#socket?.decoder.decodeAll(wireHeaders) ?? [];
     const receiver = this.#take(exchange);
     this.load.update(load);
     this.#options.host.onConfigVersion(version, this);
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -5,6 +5,13 @@
 import { z } from "zod";
 import { memberRecordSchema } from "./fleet_schema.ts";
 
+/** A string that repeats travels as a number; see `string_table.ts`. */
+const wireStringSchema = z.union([
+  z.string(),
+  z.number(),
+  z.tuple([z.string()]).readonly(),
+]);
+
 /** Kinds of frames. */
 export const FRAME = {
   hello: 0,
@@ -25,9 +32,12 @@
 export const upstreamStateSchema = z.object({
   upstreamId: z.string().describe("Empty while the upstream is not known"),
   isServing: z.boolean().describe("Whether the upstream takes new requests"),
+  isStopping: z.boolean()
+    .describe("Whether the daemon stops soon; others are preferred"),
   limitCount: z.number().describe("Requests that run at once at most"),
   isCold: z.boolean().describe("Whether the upstream is slow after its start"),
-  queueWaitMs: z.number().describe("Wait of a request that arrives now"),
+  busyRatio: z.number()
+    .describe("Running and waiting requests per slot, over the last moments"),
   configVersion: z.number(),
   calls: z.array(z.tuple([z.string(), z.string(), z.number()]))
     .describe("Route, route that it calls, calls per run"),
@@ -53,17 +63,17 @@
 export const requestFrameSchema = z.tuple([
   z.literal(FRAME.request),
   z.number().describe("Exchange number on this link"),
-  z.string().describe("Upstream that the sender chose"),
-  z.string().describe("Method"),
+  wireStringSchema.describe("Upstream that the sender chose"),
+  wireStringSchema.describe("Method"),
   z.string().describe("Path with query"),
-  z.array(z.string()).describe("Header names and values in turn"),
+  z.array(wireStringSchema).describe("Header names and values in turn"),
   z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).nullable()
     .describe("Body"),
   z.number().describe("Remaining time in ms"),
-  z.string().describe("Route"),
+  wireStringSchema.describe("Route"),
   z.number().describe("Latency goal that is left, in ms; orders the queue"),
   z.boolean().describe("Whether the daemon may refuse because of load"),
-  z.string().describe("Pool of the instance where the request began"),
+  wireStringSchema.describe("Pool of the instance where the request began"),
   z.number().describe("Configuration version of the sender"),
 ]);
 
@@ -85,7 +95,7 @@
   z.literal(FRAME.answer),
   z.number(),
   z.number().describe("Status"),
-  z.array(z.string()).describe("Header names and values in turn"),
+  z.array(wireStringSchema).describe("Header names and values in turn"),
   z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).nullable(),
   z.number().describe("Time at the upstream in ms"),
   loadReportSchema,
