--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -1,5 +1,5 @@
 /** Requests to the upstream beside the daemon, over kept connections. */
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Address } from "../schemas/common_schema.ts";
 import { type EdgeHeaders, passHeaders } from "./edge_headers.ts";
 import type {
@@ -34,30 +34,59 @@
 /** Reports that another upstream has the address. */
 export type MisdirectedHandler = () => void;
 
+/** Tells whether a connection of the upstream is being reset right now. */
+class ResetWatch {
+  /** True only while the handlers of a connection's error run. */
+  isResetting = false;
+
+  /**
+   * Opens a connection and observes its errors before undici does.
+   *
+   * @param connector Connector of undici.
+   * @returns Connector that is observed.
+   */
+  observe(connector: buildConnector.connector): buildConnector.connector {
+    return (options, callback) =>
+      connector(options, (...result) => {
+        const [, socket] = result;
+        socket?.prependListener("error", () => {
+          this.isResetting = true;
+          queueMicrotask(() => {
+            this.isResetting = false;
+          });
+        });
+        callback(...result);
+      });
+  }
+}
+
 /** One exchange by undici whose answer is kept until it is complete. */
 class UpstreamExchange implements Dispatcher.DispatchHandler, SentRequest {
   readonly #receiver: ResultReceiver;
   readonly #names: EdgeHeaders;
   readonly #requestId: string | undefined;
   readonly #onMisdirected: MisdirectedHandler;
+  readonly #resets: ResetWatch;
   #controller: Dispatcher.DispatchController | undefined;
   #isDone = false;
   #status = 0;
+  #isUnframed = false;
   #headers: string[] = [];
   #chunks: Buffer[] = [];
   #bodyBytes = 0;
   #startedMs = performance.now();
 
-  constructor(
-    receiver: ResultReceiver,
-    names: EdgeHeaders,
-    requestId: string | undefined,
-    onMisdirected: MisdirectedHandler,
-  ) {
+  constructor(receiver: ResultReceiver, options: {
+    names: EdgeHeaders;
+    requestId: string | undefined;
+    onMisdirected: MisdirectedHandler;
+    resets: ResetWatch;
+  }) {
     this.#receiver = receiver;
-    this.#names = names;
-    this.#requestId = requestId;
-    this.#onMisdirected = onMisdirected;
+    this.#names = options.names;
+    this.#requestId = options.requestId;
+    this.#onMisdirected = options.onMisdirected;
+    this.#resets = options.resets;
   }
 
   /** @inheritdoc */
@@ -85,6 +114,8 @@
       return;
     }
     this.#status = status;
+    this.#isUnframed = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
     if (this.#isForeign(status, headers)) {
       this.#fail({
         kind: "upstream_failed",
@@ -127,6 +158,15 @@
     if (this.#isDone) {
       return;
     }
+    // undici takes a reset for the end of an answer without a length.
+    if (this.#isUnframed && this.#resets.isResetting) {
+      this.#fail({
+        kind: "upstream_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+      return;
+    }
     this.#isDone = true;
     this.#receiver.onAnswer({
       status: this.#status,
@@ -190,6 +230,7 @@
 /** Client of one upstream. */
 export class UpstreamHttp {
   readonly #pool: Pool;
+  readonly #resets = new ResetWatch();
   readonly #names: EdgeHeaders;
   readonly #onMisdirected: MisdirectedHandler;
 
@@ -213,7 +254,9 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: this.#resets.observe(
+        buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
+      ),
     });
   }
 
@@ -226,12 +269,12 @@
    */
   send(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
     const names = this.#names;
-    const exchange = new UpstreamExchange(
-      receiver,
+    const exchange = new UpstreamExchange(receiver, {
       names,
-      findHeader(request.headers, names.requestId),
-      this.#onMisdirected,
-    );
+      requestId: findHeader(request.headers, names.requestId),
+      onMisdirected: this.#onMisdirected,
+      resets: this.#resets,
+    });
     this.#pool.dispatch({
       method: request.method as "GET",
       path: request.path,
