Store an upstream's leaving before it is acknowledged

The id alone is not enough, since an endpoint may start again under its id. Change: the entry in the store names id and start; the acknowledgement waits for the store for at most 400 ms.

--- /dev/null
+++ b/src/decisions/call_graph_test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CallGraph, CallObserver } from "./call_graph.ts";
+
+test("calls are counted per run, and calls that were linked wrongly drop out", () => {
+  const observer = new CallObserver();
+  for (let index = 0; index < 20; index++) {
+    observer.recordRun("read");
+    observer.recordCall("read", "tally");
+    observer.recordCall("read", "tally");
+  }
+  observer.recordCall("read", "stray");
+  assert.deepEqual(observer.edges(), [["read", "tally", 2]]);
+});
+
+test("runs multiply along the chain, and a cycle ends", () => {
+  const graph = new CallGraph();
+  graph.update("one", [["read", "tally", 2]]);
+  graph.update("two", [["tally", "index", 1], ["index", "roster", 4]]);
+  const runs = graph.runsByRoute("read");
+  assert.equal(runs.get("roster"), 8);
+  assert.equal(graph.isCalled("roster"), true);
+  assert.equal(graph.isCalled("read"), false);
+  graph.update("three", [["roster", "tally", 0.1]]);
+  assert.ok(graph.runsByRoute("read").size > 0);
+});
--- /dev/null
+++ b/src/decisions/entry_levels_test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EntryLevels } from "./entry_levels.ts";
+
+const INTERVAL_MS = 100;
+/** Time from the admission of a request to its load on the deepest pool. */
+const LOAD_DELAY_MS = 700;
+
+/** Offered runs per interval whose admitted part loads the pool later. */
+function simulate(
+  levels: EntryLevels,
+  options: { offered: number[]; capacity: number; stepsCount: number },
+) {
+  const { offered, capacity, stepsCount } = options;
+  const delaySteps = LOAD_DELAY_MS / INTERVAL_MS;
+  const admitted: number[] = [];
+  let backlog = 0;
+  const history: { level: number; busyRatio: number }[] = [];
+  for (let step = 0; step < stepsCount; step++) {
+    const arriving = admitted[step - delaySteps] ?? 0;
+    backlog = Math.max(0, backlog + arriving - capacity);
+    const busyRatio = Math.min(1, arriving / capacity) + backlog / capacity;
+    const level = levels.step("plates", { busyRatio, offered });
+    admitted.push(
+      offered.reduce(
+        (sum, runs, priority) =>
+          sum + runs * Math.min(1, Math.max(0, level - priority)),
+        0,
+      ),
+    );
+    history.push({ level, busyRatio });
+  }
+  return history;
+}
+
+test("the level settles under twice the capacity and spares the first classes", () => {
+  const history = simulate(new EntryLevels(), {
+    offered: [50, 10, 140],
+    capacity: 100,
+    stepsCount: 200,
+  });
+  const settled = history.slice(100);
+  for (const { level, busyRatio } of settled) {
+    assert.ok(level >= 2, `level ${level} sheds an important class`);
+    assert.ok(busyRatio < 1.1, `load ${busyRatio}`);
+  }
+  const mean = settled.reduce((sum, { busyRatio }) => sum + busyRatio, 0) /
+    settled.length;
+  assert.ok(mean > 0.8, `the capacity is used: ${mean}`);
+});
+
+test("all classes enter again after the load has gone", () => {
+  const levels = new EntryLevels();
+  simulate(levels, { offered: [50, 10, 140], capacity: 100, stepsCount: 100 });
+  const after = simulate(levels, {
+    offered: [20, 5, 50],
+    capacity: 100,
+    stepsCount: 60,
+  });
+  assert.equal(after.at(-1)?.level, 3);
+});
--- /dev/null
+++ b/src/decisions/path_selector_test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../core/random.ts";
+import { choosePath, type PathView } from "./path_selector.ts";
+
+const IDLE: PathView = {
+  isOwnDataCentre: true,
+  isCold: false,
+  limitCount: 30,
+  openCount: 0,
+  meanRunMs: 30,
+  routeRunMs: 30,
+  failureRatio: 0,
+};
+const options = { random: new SeededRandom(1), remotePenaltyMs: 15 };
+
+test("the own data centre is used until its upstream is nearly full", () => {
+  const remote = { ...IDLE, isOwnDataCentre: false };
+  assert.equal(choosePath([{ ...IDLE, openCount: 15 }, remote], options), 0);
+  assert.equal(choosePath([{ ...IDLE, openCount: 45 }, remote], options), 1);
+});
+
+test("a faster upstream is preferred at equal load", () => {
+  const fast = { ...IDLE, routeRunMs: 15 };
+  assert.equal(choosePath([IDLE, fast], options), 1);
+});
+
+test("an upstream that fails part of its requests is avoided", () => {
+  const grey = { ...IDLE, routeRunMs: 20, failureRatio: 0.4 };
+  assert.equal(choosePath([grey, IDLE], options), 1);
+});
+
+test("there is a choice whenever there is an upstream", () => {
+  assert.equal(choosePath([], options), -1);
+  const many = Array.from(
+    { length: 200 },
+    () => ({ ...IDLE, isOwnDataCentre: false }),
+  );
+  for (let index = 0; index < 100; index++) {
+    assert.ok(choosePath(many, options) >= 0);
+  }
+});
--- /dev/null
+++ b/src/decisions/slot_queue_test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { SlotQueue } from "./slot_queue.ts";
+
+const request = (goalAtMs: number) => ({ goalAtMs, expiresAtMs: 1_000 });
+
+test("a waiting request with a nearer goal runs first", () => {
+  const slots = new SlotQueue<ReturnType<typeof request>>();
+  slots.setLimit(1);
+  assert.equal(slots.enter(request(900)), true);
+  const late = request(500);
+  const soon = request(100);
+  assert.equal(slots.enter(late), false);
+  assert.equal(slots.enter(soon), false);
+  assert.equal(slots.takeNext(), undefined);
+  slots.leave();
+  assert.equal(slots.takeNext(), soon);
+});
+
+test("never more requests run than the limit, and none is lost", () => {
+  const step = fc.oneof(
+    fc.record({ kind: fc.constant("enter"), goal: fc.nat(1_000) }),
+    fc.record({ kind: fc.constant("leave"), goal: fc.constant(0) }),
+    fc.record({
+      kind: fc.constant("limit"),
+      goal: fc.integer({ min: 0, max: 6 }),
+    }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+      const slots = new SlotQueue<ReturnType<typeof request>>();
+      slots.setLimit(3);
+      let open = 0;
+      for (const { kind, goal } of steps) {
+        if (kind === "enter") {
+          open++;
+          slots.enter(request(goal));
+        } else if (kind === "leave" && slots.runningCount > 0) {
+          open--;
+          slots.leave();
+          slots.takeNext();
+        } else if (kind === "limit") {
+          slots.setLimit(goal);
+        }
+        assert.equal(slots.runningCount + slots.waitingCount, open);
+      }
+    }),
+    { seed: 7, numRuns: 200 },
+  );
+});
--- a/src/fleet/local_upstream.ts
+++ b/src/fleet/local_upstream.ts
@@ -1,7 +1,7 @@
 /** What the daemon believes of the upstream beside it. */
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { UpstreamReport } from "../schemas/fleet_schema.ts";
+import type { LeftUpstream, UpstreamReport } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 
 /** What follows from a changed belief. */
@@ -16,8 +16,6 @@
 export type LocalUpstreamOptions = {
   listener: UpstreamListener;
   log: Logger;
-  /** Upstream whose leaving an earlier process here has acknowledged. */
-  leftUpstreamId?: string;
 };
 
 /** Runs the chart `local_upstream`. */
@@ -25,18 +23,15 @@
   readonly #options: LocalUpstreamOptions;
   readonly #machine: StateMachine;
   #report: UpstreamReport | undefined;
-  /** Identity of the start that has left, to tell a later start from it. */
-  #leftStartMs = -Infinity;
-  #leftId: string | undefined;
+  #left: LeftUpstream | undefined;
   /** Monotonic time of the last report, in ms. */
   reportedAtMs = -Infinity;
 
   /**
-   * @param options Listener, log and what the store remembers.
+   * @param options Listener and log.
    */
   constructor(options: LocalUpstreamOptions) {
     this.#options = options;
-    this.#leftId = options.leftUpstreamId;
     this.#machine = new StateMachine(LOCAL_UPSTREAM_CHART, this);
   }
 
@@ -55,6 +50,11 @@
     return this.#machine.is("leaving");
   }
 
+  /** Upstream whose leaving was acknowledged; undefined without one. */
+  get left(): LeftUpstream | undefined {
+    return this.#left;
+  }
+
   /** Name of the chart's state, for logs and metrics. */
   get stateName(): string {
     return this.#machine.state;
@@ -64,11 +64,14 @@
    * Remembers an upstream whose leaving was acknowledged before this process
    * started, so that a late heartbeat does not bring it back.
    *
-   * @param upstreamId Upstream that has left.
+   * @param left Upstream that has left.
    */
-  rememberLeft(upstreamId: string): void {
-    this.#leftId = upstreamId;
-    if (this.#report?.upstreamId === upstreamId && this.isServing) {
+  rememberLeft(left: LeftUpstream): void {
+    this.#left ??= left;
+    const report = this.#report;
+    if (
+      this.isServing && report !== undefined && !this.isLaterStart(report)
+    ) {
       this.#machine.send("left");
     }
   }
@@ -106,7 +109,7 @@
     if (report !== undefined && report.upstreamId !== upstreamId) {
       return;
     }
-    this.#leftId = upstreamId;
+    this.#left = { upstreamId, startedEpochMs: report?.startedEpochMs ?? 0 };
     this.#machine.send("left");
   }
 
@@ -122,8 +125,8 @@
 
   /** Guard: the report is of a start after the one that has left. */
   isLaterStart(report: UpstreamReport): boolean {
-    return report.upstreamId !== this.#leftId ||
-      report.startedEpochMs > this.#leftStartMs;
+    return report.upstreamId !== this.#left?.upstreamId ||
+      report.startedEpochMs > this.#left.startedEpochMs;
   }
 
   /** Action: the upstream takes requests. */
@@ -155,8 +158,8 @@
   stopServing(): void {
     const report = this.#report;
     if (this.isLeaving && report !== undefined) {
-      this.#leftId = report.upstreamId;
-      this.#leftStartMs = report.startedEpochMs;
+      const { upstreamId, startedEpochMs } = report;
+      this.#left = { upstreamId, startedEpochMs };
     }
     this.#options.log.info("Upstream takes no new requests", {
       upstreamId: report?.upstreamId,
@@ -167,11 +170,8 @@
 
   #isOutdated(report: UpstreamReport): boolean {
     const last = this.#report;
-    if (report.upstreamId === this.#leftId && last === undefined) {
-      return report.state === "ready";
-    }
     if (last === undefined) {
-      return false;
+      return report.state === "ready" && !this.isLaterStart(report);
     }
     if (report.startedEpochMs !== last.startedEpochMs) {
       return report.startedEpochMs < last.startedEpochMs;
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -4,6 +4,7 @@
 import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
 import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
 import {
+  type LeftUpstream,
   type MemberRecord,
   memberRecordSchema,
 } from "../schemas/fleet_schema.ts";
@@ -38,7 +39,8 @@
 function isSameEntry(a: MemberRecord, b: MemberRecord): boolean {
   return a.pool === b.pool && a.dataCentre === b.dataCentre &&
     a.link.host === b.link.host && a.link.port === b.link.port &&
-    a.leftUpstreamId === b.leftUpstreamId;
+    a.leftUpstream?.upstreamId === b.leftUpstream?.upstreamId &&
+    a.leftUpstream?.startedEpochMs === b.leftUpstream?.startedEpochMs;
 }
 
 /** Follows the members' entries and keeps a link to each member. */
@@ -125,13 +127,14 @@
    * Remembers in the store that the upstream's leaving was acknowledged, so
    * that a restarted daemon does not send to it again.
    *
-   * @param upstreamId Upstream that leaves.
+   * @param left Upstream that leaves.
+   * @returns Resolves when the store has it, or the attempt has failed; it is
+   *   then repeated.
    */
-  rememberLeft(upstreamId: string): void {
-    this.#ownRecord = { ...this.#ownRecord, leftUpstreamId: upstreamId };
+  async rememberLeft(left: LeftUpstream): Promise<void> {
+    this.#ownRecord = { ...this.#ownRecord, leftUpstream: left };
     this.#isRegistered = false;
-    this.#registerAtMs = 0;
-    this.#register();
+    await this.#register();
   }
 
   /**
@@ -148,7 +151,7 @@
       }
     }
     if (!this.#isRegistered && nowMs >= this.#registerAtMs) {
-      this.#register();
+      void this.#register();
     }
   }
 
@@ -209,30 +212,30 @@
     this.#ownVersion = version;
     this.#options.onOwnRecord(record);
     if (
-      record.leftUpstreamId !== undefined &&
-      this.#ownRecord.leftUpstreamId === undefined
+      record.leftUpstream !== undefined &&
+      this.#ownRecord.leftUpstream === undefined
     ) {
       this.#ownRecord = {
         ...this.#ownRecord,
-        leftUpstreamId: record.leftUpstreamId,
+        leftUpstream: record.leftUpstream,
       };
     }
     this.#isRegistered = isSameEntry(record, this.#ownRecord);
   }
 
-  #register(): void {
+  async #register(): Promise<void> {
     if (this.#isRegistering) {
       return;
     }
     this.#isRegistering = true;
     this.#registerAtMs = performance.now() + REGISTER_RETRY_MS;
-    this.#writeOwn()
-      .catch((error) => {
-        this.#options.log.warn("Own entry was not written", errorFields(error));
-      })
-      .finally(() => {
-        this.#isRegistering = false;
-      });
+    try {
+      await this.#writeOwn();
+    } catch (error) {
+      this.#options.log.warn("Own entry was not written", errorFields(error));
+    } finally {
+      this.#isRegistering = false;
+    }
   }
 
   async #writeOwn(): Promise<void> {
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -1,4 +1,5 @@
 /** Constructs the parts of a daemon on a platform and connects them. */
+import { setTimeout as delay } from "node:timers/promises";
 import type { Stream } from "most";
 import { EventLoop } from "../core/event_loop.ts";
 import type { StoredObject } from "../core/platform_client.ts";
@@ -51,7 +52,9 @@
  */
 const ACCEPT_MS = 3_000;
 /** Time before the end of the grace period at which the process ends itself. */
-const GRACE_RESERVE_MS = 300;
+const GRACE_RESERVE_MS = 700;
+/** Longest wait for the store before an upstream's leaving is acknowledged. */
+const ACKNOWLEDGE_WAIT_MS = 400;
 /** A configuration is asked for at most once in this time per peer answer. */
 const CONFIG_QUERY_PAUSE_MS = 300;
 /** The slots bound the open requests; this only guards the descriptors. */
@@ -104,6 +107,7 @@
   #lastState: UpstreamState | undefined;
   #lastTickMs = performance.now();
   #configQueriedMs = -Infinity;
+  #idleTicksCount = 0;
 
   /**
    * @param settings Checked settings.
@@ -176,9 +180,9 @@
       paths: this.#paths,
       link: { host: this.#linkHost(), log, random },
       log,
-      onOwnRecord: ({ leftUpstreamId }) => {
-        if (leftUpstreamId !== undefined) {
-          this.#upstream.rememberLeft(leftUpstreamId);
+      onOwnRecord: ({ leftUpstream }) => {
+        if (leftUpstream !== undefined) {
+          this.#upstream.rememberLeft(leftUpstream);
         }
       },
     });
@@ -231,9 +235,10 @@
     return this.#life.isReady;
   }
 
-  /** Links to other daemons that are up. */
-  get linksUpCount(): number {
-    return [...this.#directory.links].filter(({ isUp }) => isUp).length;
+  /** Upstreams of other daemons that are connected and take requests. */
+  get servingPeersCount(): number {
+    return [...this.#directory.links]
+      .filter(({ isUp, state }) => isUp && state?.isServing === true).length;
   }
 
   /**
@@ -417,7 +422,7 @@
     }
   }
 
-  #announce(call: ControlCall): ControlAnswer {
+  async #announce(call: ControlCall): Promise<ControlAnswer> {
     const announcement = this.#options.platform.decodeAnnouncement(call);
     if (announcement === undefined) {
       this.#options.log.warn("Announcement is not readable", { url: call.url });
@@ -428,20 +433,25 @@
     } else {
       this.#upstream.leave(announcement.upstreamId);
     }
-    if (this.#upstream.isLeaving) {
-      this.#rememberLeft();
-    }
+    await this.#rememberLeft();
     return { status: 200, body: "{}" };
   }
 
-  #rememberLeft(): void {
-    const upstreamId = this.#upstream.report?.upstreamId;
+  /** Stores an upstream's leaving before it is acknowledged, if the store can. */
+  async #rememberLeft(): Promise<void> {
+    const { left } = this.#upstream;
+    const stored = this.#directory.ownRecord.leftUpstream;
     if (
-      upstreamId !== undefined &&
-      this.#directory.ownRecord.leftUpstreamId !== upstreamId
+      left === undefined ||
+      (left.upstreamId === stored?.upstreamId &&
+        left.startedEpochMs === stored.startedEpochMs)
     ) {
-      this.#directory.rememberLeft(upstreamId);
+      return;
     }
+    await Promise.race([
+      this.#directory.rememberLeft(left),
+      delay(ACKNOWLEDGE_WAIT_MS, undefined, { ref: false }),
+    ]);
   }
 
   #runsPerRequest(routeName: string): number {
@@ -471,7 +481,11 @@
     }
     if (stoppedMs >= this.#settings.stopGraceMs - GRACE_RESERVE_MS) {
       this.#life.notify("graceOver");
-    } else if (stoppedMs >= LINGER_MS && this.#openCount === 0) {
+      return;
+    }
+    // The second idle tick shows that the last answers have been flushed.
+    this.#idleTicksCount = this.#openCount === 0 ? this.#idleTicksCount + 1 : 0;
+    if (stoppedMs >= LINGER_MS && this.#idleTicksCount >= 2) {
       this.#life.notify("idle");
     }
   }
--- /dev/null
+++ b/src/link/string_table_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  StringDecoder,
+  StringEncoder,
+  type WireString,
+} from "./string_table.ts";
+
+test("every string arrives as it was sent", () => {
+  const texts = fc.array(
+    fc.oneof(fc.constantFrom("host", "accept", "r-1"), fc.string()),
+    { maxLength: 300 },
+  );
+  fc.assert(
+    fc.property(texts, (sent) => {
+      const encoder = new StringEncoder();
+      const decoder = new StringDecoder();
+      assert.deepEqual(decoder.decodeAll(encoder.encodeAll(sent)), sent);
+    }),
+    { seed: 3, numRuns: 100 },
+  );
+});
+
+test("a number that was not made known is an error", () => {
+  const unknown: WireString = 4;
+  assert.throws(() => new StringDecoder().decode(unknown), /not known/);
+});
--- a/src/schemas/fleet_schema.ts
+++ b/src/schemas/fleet_schema.ts
@@ -74,14 +74,23 @@
 /** A whole configuration. */
 export type FleetConfig = z.infer<typeof fleetConfigSchema>;
 
+/** Schema of an upstream whose leaving its daemon has acknowledged. */
+export const leftUpstreamSchema = z.object({
+  upstreamId: z.string().min(1),
+  startedEpochMs: z.number()
+    .describe("Its start; the same id may serve again after a later one"),
+});
+
+/** An upstream whose leaving its daemon has acknowledged. */
+export type LeftUpstream = z.infer<typeof leftUpstreamSchema>;
+
 /** Schema of a daemon's entry in the store. */
 export const memberRecordSchema = z.object({
   name: z.string().min(1),
   dataCentre: z.string().min(1),
   pool: z.string().min(1),
   link: addressSchema,
-  leftUpstreamId: z.string().optional()
-    .describe("Upstream whose leaving this daemon has acknowledged"),
+  leftUpstream: leftUpstreamSchema.optional(),
 });
 
 /** A daemon's entry in the store. */
