--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -10,7 +10,7 @@
 };
 
 /** Share of the slots that should be busy. */
-const BUSY_TARGET_RATIO = 0.88;
+const BUSY_TARGET_RATIO = 0.97;
 /**
  * Weight of one step in the mean level that the present load is put down to:
  * calls reach the deepest pools within about 0.8 s of the admission.
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -21,6 +21,10 @@
 
 /** Store that can also remove entries. */
 export interface MemberStore extends PlatformClient {
+  /** Whether the last call was answered. */
+  readonly isReachable: boolean;
+  /** Calls since the start. */
+  readonly callsCount: number;
   /** Removes an object if it is still at a version. Throws {@link PlatformError}. */
   remove(kind: string, name: string, version: number): Promise<void>;
 }
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -32,7 +32,12 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
-type SocketState = { openCount: number; isClosing: boolean };
+type SocketState = {
+  /** Number of the newest request. */
+  newest: number;
+  /** Whether the answer that ends the connection has been written. */
+  isClosing: boolean;
+};
 
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
@@ -44,7 +49,6 @@
   readonly #server: Server;
   readonly #handler: OutboundHandler;
   readonly #sockets = new WeakMap<Socket, SocketState>();
-  readonly #open = new Set<Socket>();
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
   #isStopping = false;
@@ -61,9 +65,7 @@
       noDelay: true,
     }, (message, response) => this.#receive(message, response));
     this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.set(socket, { openCount: 0, isClosing: false });
-      this.#open.add(socket);
-      socket.once("close", () => this.#open.delete(socket));
+      this.#sockets.set(socket, { newest: 0, isClosing: false });
     });
     this.#server.on("clientError", answerParserError);
   }
@@ -100,9 +102,13 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Closes each connection after its last open answer from now on. */
+  /** Closes each connection after its newest answer from now on. */
   stop(): void {
     this.#isStopping = true;
+  }
+
+  /** Closes the connections without an open request. */
+  closeIdle(): void {
     this.#server.closeIdleConnections();
   }
 
@@ -121,15 +127,15 @@
       message.resume();
       return;
     }
-    state.openCount++;
+    const number = ++state.newest;
     this.#openCount++;
-    const reply = new HttpReply(response, this.#handler, () => {
-      this.#endsConnection(state);
-      return state.isClosing;
-    });
+    const reply = new HttpReply(
+      response,
+      this.#handler,
+      () => this.#endsConnection(state, number),
+    );
     let onLeft = () => {};
     response.once("close", () => {
-      state.openCount--;
       this.#openCount--;
       if (!reply.isSent) {
         onLeft();
@@ -146,11 +152,15 @@
     }
   }
 
-  /** While stopping, the last open answer of a connection closes it. */
-  #endsConnection(state: SocketState): void {
-    if (this.#isStopping && state.openCount <= 1) {
+  /**
+   * While stopping, the answer to the newest request closes the connection.
+   * Answers are sent in order, so that the earlier ones still precede it.
+   */
+  #endsConnection(state: SocketState, number: number): boolean {
+    if (this.#isStopping && number === state.newest) {
       state.isClosing = true;
     }
+    return state.isClosing && number === state.newest;
   }
 
   #readBody(
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -72,6 +72,16 @@
     return this.#isStopped;
   }
 
+  /** Requests that run. */
+  get runningCount(): number {
+    return this.#slots.runningCount;
+  }
+
+  /** Requests that wait. */
+  get waitingCount(): number {
+    return this.#slots.waitingCount;
+  }
+
   /** Requests that run or wait. */
   get openCount(): number {
     return this.#slots.runningCount + this.#slots.waitingCount;
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -7,6 +7,7 @@
 import { timerStream } from "../core/timer_stream.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { RepeatBudget } from "../decisions/repeat_budget.ts";
+import { type FleetGauges, FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { LinkServer, type LinkServerHost } from "../link/link_server.ts";
 import type { LinkHost, PeerLink } from "../link/peer_link.ts";
 import type {
@@ -37,6 +38,8 @@
 import { UpstreamHttp } from "./upstream_http.ts";
 
 const TICK_MS = 100;
+/** Interval of the latency quantiles. */
+const METRICS_INTERVAL_MS = 30_000;
 /** A tick that is later than this shows that the process stood still. */
 const STALL_MIN_MS = 250;
 /** Change of the busy share that peers are told. */
@@ -67,6 +70,8 @@
   configObjects: Stream<StoredObject>;
   configName: string;
   decodeConfig: (value: unknown) => FleetConfig;
+  /** Log lines that nobody read in time. */
+  droppedLinesCount: () => number;
   /** Decodes a call of the upstream; undefined for an unknown one. */
   decodeAnnouncement: (call: ControlCall) => Announcement | undefined;
 };
@@ -104,10 +109,13 @@
   readonly #outbound: OutboundListener;
   readonly #readiness: SmallListener;
   readonly #announcements: SmallListener;
+  readonly #metricsListener: SmallListener;
+  readonly #metrics: FleetMetrics;
   #lastState: UpstreamState | undefined;
   #lastTickMs = performance.now();
   #configQueriedMs = -Infinity;
   #idleTicksCount = 0;
+  #rotatedMs = performance.now();
 
   /**
    * @param settings Checked settings.
@@ -213,7 +221,12 @@
         requestIdHeader: platform.headers.requestId,
         daemonsCount: () => this.#directory.membersCount,
         runsPerRequest: (routeName) => this.#runsPerRequest(routeName),
-        onEnd: () => {},
+        onEnd: ({ route, arrivedMs }, outcome) =>
+          this.#metrics.record(
+            route.name,
+            outcome,
+            performance.now() - arrivedMs,
+          ),
       },
     });
     this.#outbound = new OutboundListener(this.#service);
@@ -222,6 +235,12 @@
       body: JSON.stringify({ state: this.#life.stateName }),
     }));
     this.#announcements = new SmallListener((call) => this.#announce(call));
+    this.#metrics = new FleetMetrics(() => this.#readGauges());
+    this.#metricsListener = new SmallListener(async () => ({
+      status: 200,
+      contentType: "text/plain; version=0.0.4",
+      body: await this.#metrics.text(),
+    }));
     this.#registerParts();
   }
 
@@ -254,6 +273,7 @@
       this.#outbound.listen(listeners.outbound),
       this.#readiness.listen(listeners.readiness),
       this.#announcements.listen(listeners.announcements),
+      this.#metricsListener.listen(listeners.metrics),
     ]);
     this.#options.log.info("Started", { instanceName });
   }
@@ -264,6 +284,7 @@
     this.#outbound.close();
     this.#readiness.close();
     this.#announcements.close();
+    this.#metricsListener.close();
     this.#links.close();
     this.#directory.close();
     await Promise.all([this.#http.close()]);
@@ -284,6 +305,26 @@
     });
   }
 
+  #readGauges(): FleetGauges {
+    const nowMs = performance.now();
+    const { store, droppedLinesCount } = this.#options.platform;
+    const { runningCount, waitingCount, limitCount } = this.#gate;
+    return {
+      configVersion: this.#config.version,
+      configAgeMs: Math.round(nowMs - this.#config.appliedAtMs),
+      upstreamReportAgeMs: Math.round(nowMs - this.#upstream.reportedAtMs),
+      linksUpCount: [...this.#directory.links]
+        .filter(({ isUp }) => isUp).length,
+      membersCount: this.#directory.membersCount,
+      runningCount,
+      waitingCount,
+      slotsLimitCount: limitCount,
+      storeReachable: store.isReachable ? 1 : 0,
+      storeCallsCount: store.callsCount,
+      logLinesDroppedCount: droppedLinesCount(),
+    };
+  }
+
   /** What links need, read at the time of use. */
   #linkHost(): LinkHost & LinkServerHost {
     const readOwnRecord = () => this.#directory.ownRecord;
@@ -369,6 +410,10 @@
       this.#admission.step(this.#config.routes);
     }
     this.#publishChange();
+    if (nowMs - this.#rotatedMs >= METRICS_INTERVAL_MS) {
+      this.#rotatedMs = nowMs;
+      this.#metrics.rotate();
+    }
     this.#checkStop(nowMs);
   }
 
@@ -474,6 +519,7 @@
       return;
     }
     const stoppedMs = nowMs - sinceMs;
+    this.#outbound.closeIdle();
     if (stoppedMs >= ACCEPT_MS && !this.#gate.isStopped) {
       this.#gate.stop();
       this.#service.stop();
--- /dev/null
+++ b/src/telemetry/fleet_metrics.ts
@@ -0,0 +1,151 @@
+/** Metrics of a daemon on a platform, in Prometheus text format. */
+import { Counter, Gauge, Registry } from "prom-client";
+import { LatencyHistogram } from "./latency_histogram.ts";
+
+/** Present values of a daemon. */
+export type FleetGauges = {
+  readonly configVersion: number;
+  readonly configAgeMs: number;
+  readonly upstreamReportAgeMs: number;
+  readonly linksUpCount: number;
+  readonly membersCount: number;
+  readonly runningCount: number;
+  readonly waitingCount: number;
+  readonly slotsLimitCount: number;
+  readonly storeReachable: number;
+  readonly storeCallsCount: number;
+  readonly logLinesDroppedCount: number;
+};
+
+const GAUGE_HELP: Readonly<Record<keyof FleetGauges, string>> = {
+  configVersion: "Version of the configuration in force",
+  configAgeMs: "Time since the configuration was applied",
+  upstreamReportAgeMs: "Age of the upstream's last heartbeat",
+  linksUpCount: "Links to other daemons that are up",
+  membersCount: "Known members, this one included",
+  runningCount: "Requests that run at the own upstream",
+  waitingCount: "Requests that wait for the own upstream",
+  slotsLimitCount: "Requests that may run at the own upstream",
+  storeReachable: "1 when the last call to the store was answered",
+  storeCallsCount: "Calls to the store since the start",
+  logLinesDroppedCount: "Log lines that nobody read in time",
+};
+
+/** Routes with a histogram of their own; further ones share one. */
+const ROUTES_MAX_COUNT = 64;
+const OTHER_ROUTES = "other_routes";
+
+function gaugeName(field: string): string {
+  const words = field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+  return `goldcrest_fleet_${words}`;
+}
+
+/**
+ * Counts finished requests by route and outcome, and their latency.
+ *
+ * @example
+ * metrics.record("r-1", "answered 200", 31.2);
+ * await metrics.text();
+ */
+export class FleetMetrics {
+  readonly #registry = new Registry();
+  readonly #counts = new Map<string, Map<string, number>>();
+  readonly #latencies = new Map<string, LatencyHistogram>();
+  readonly #readGauges: () => FleetGauges;
+  readonly #gauges = new Map<keyof FleetGauges, Gauge>();
+
+  /**
+   * @param readGauges Reads the present values.
+   */
+  constructor(readGauges: () => FleetGauges) {
+    this.#readGauges = readGauges;
+    for (const field of Object.keys(GAUGE_HELP) as (keyof FleetGauges)[]) {
+      const gauge = new Gauge({
+        name: gaugeName(field),
+        help: GAUGE_HELP[field],
+        registers: [this.#registry],
+      });
+      this.#gauges.set(field, gauge);
+    }
+    const counts = this.#counts;
+    new Counter({
+      name: "goldcrest_fleet_requests_total",
+      help: "Finished requests that began at this daemon",
+      labelNames: ["route", "outcome"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [route, outcomes] of counts) {
+          for (const [outcome, count] of outcomes) {
+            this.inc({ route, outcome }, count);
+          }
+        }
+      },
+    });
+  }
+
+  /**
+   * Counts a finished request.
+   *
+   * @param routeName Its route.
+   * @param outcome Status of the answer or kind of the error.
+   * @param tookMs Time from arrival to end, in ms.
+   */
+  record(routeName: string, outcome: string, tookMs: number): void {
+    const route = this.#label(routeName);
+    const outcomes = this.#counts.get(route) ?? new Map<string, number>();
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+    this.#counts.set(route, outcomes);
+    const latency = this.#latencies.get(route) ?? new LatencyHistogram();
+    latency.record(tookMs);
+    this.#latencies.set(route, latency);
+  }
+
+  /** Starts a new interval of the latency quantiles. */
+  rotate(): void {
+    for (const latency of this.#latencies.values()) {
+      latency.rotate();
+    }
+  }
+
+  /**
+   * Writes all metrics.
+   *
+   * @returns Prometheus text format.
+   */
+  async text(): Promise<string> {
+    const values = this.#readGauges();
+    for (const [field, gauge] of this.#gauges) {
+      gauge.set(values[field]);
+    }
+    const registered = await this.#registry.metrics();
+    return `${registered}\n${this.#summaries()}`;
+  }
+
+  #summaries(): string {
+    const name = "goldcrest_fleet_request_latency_ms";
+    const lines = [
+      `# HELP ${name} Time from arrival to end`,
+      `# TYPE ${name} summary`,
+    ];
+    for (const [route, latency] of this.#latencies) {
+      const { quantiles, totalCount, sumMs } = latency.summary();
+      for (const { quantile, valueMs } of quantiles) {
+        lines.push(
+          `${name}{route="${route}",quantile="${quantile}"} ${valueMs}`,
+        );
+      }
+      lines.push(
+        `${name}_sum{route="${route}"} ${sumMs}`,
+        `${name}_count{route="${route}"} ${totalCount}`,
+      );
+    }
+    return `${lines.join("\n")}\n`;
+  }
+
+  #label(routeName: string): string {
+    return this.#counts.has(routeName) || this.#counts.size < ROUTES_MAX_COUNT
+      ? routeName
+      : OTHER_ROUTES;
+  }
+}
--- /dev/null
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FleetMetrics } from "./fleet_metrics.ts";
+
+test("requests are counted by route and outcome, with bounded routes", async () => {
+  const metrics = new FleetMetrics(() => ({
+    configVersion: 7,
+    configAgeMs: 1,
+    upstreamReportAgeMs: 1,
+    linksUpCount: 1,
+    membersCount: 2,
+    runningCount: 0,
+    waitingCount: 0,
+    slotsLimitCount: 8,
+    storeReachable: 1,
+    storeCallsCount: 3,
+    logLinesDroppedCount: 0,
+  }));
+  for (let index = 0; index < 200; index++) {
+    metrics.record(`r-${index}`, "answered 200", 20);
+  }
+  const text = await metrics.text();
+  assert.match(text, /goldcrest_fleet_config_version 7/);
+  assert.match(
+    text,
+    /goldcrest_fleet_requests_total\{route="r-0",outcome="answered 200"\} 1/,
+  );
+  assert.match(text, /route="other_routes",outcome="answered 200"\} 136/);
+  assert.match(
+    text,
+    /goldcrest_fleet_request_latency_ms_count\{route="r-0"\} 1/,
+  );
+});
