Let admission levels settle, and tell peers the load in small frames

State frames went to all peers up to ten times a second. Change: decrease by 0.1 per waiting request and slot, slower mean, faster growth only below 0.7; load in frames of a few bytes at most each 200 ms; remote penalty 80 ms instead of 30.

--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -15,13 +15,30 @@
  * Weight of one step in the mean level that the present load is put down to:
  * calls reach the deepest pools within about 0.8 s of the admission.
  */
-const LEVEL_WEIGHT = 0.15;
-/** Bounds of one correction relative to the mean of the last moments. */
+const LEVEL_WEIGHT = 0.1;
+/** Decrease per waiting request per slot; a larger one made the level hunt. */
+const WAITING_GAIN = 0.1;
 const CORRECTION_MIN = 0.5;
-const CORRECTION_MAX = 1.25;
+/** Largest increase near the target, where noise would overshoot. */
+const CORRECTION_MAX = 1.15;
+/** Busy share below which the level may grow faster, to recover in time. */
+const RECOVERY_RATIO = 0.7;
+const RECOVERY_CORRECTION_MAX = 1.6;
 /** Increase without any offered requests to correct by. */
 const IDLE_INCREASE = 0.1;
 
+/** Factor from the runs that caused a load to those that cause the target. */
+function correctionFor(busyRatio: number): number {
+  if (busyRatio > 1) {
+    const factor = BUSY_TARGET_RATIO / (1 + WAITING_GAIN * (busyRatio - 1));
+    return Math.max(CORRECTION_MIN, factor);
+  }
+  const max = busyRatio < RECOVERY_RATIO
+    ? RECOVERY_CORRECTION_MAX
+    : CORRECTION_MAX;
+  return Math.min(max, BUSY_TARGET_RATIO / Math.max(busyRatio, 0.01));
+}
+
 /** Runs that a level admits of what is offered. */
 function admittedRuns(level: number, offered: readonly number[]): number {
   return offered.reduce(
@@ -68,14 +85,10 @@
   step(pool: string, { busyRatio, offered }: PoolLoad): number {
     const classesCount = offered.length;
     const mean = this.#meanOf(pool, classesCount);
-    const correction = Math.min(
-      CORRECTION_MAX,
-      Math.max(CORRECTION_MIN, BUSY_TARGET_RATIO / Math.max(busyRatio, 0.01)),
-    );
     const runs = admittedRuns(mean.value, offered);
     const level = runs === 0
       ? Math.min(classesCount, mean.value + IDLE_INCREASE)
-      : levelFor(runs * correction, offered);
+      : levelFor(runs * correctionFor(busyRatio), offered);
     mean.add(level);
     this.#levels.set(pool, level);
     return level;
--- a/src/decisions/fleet_routes.ts
+++ b/src/decisions/fleet_routes.ts
@@ -44,12 +44,12 @@
    * @returns The route; undefined without a match.
    */
   match(host: string, path: string): FleetRoute | undefined {
-    const name = host.toLowerCase().replace(/:\d+$/, "");
+    // Callers mostly send the plain name, which needs no normalization.
+    const routes = this.#byHost.get(host) ??
+      this.#byHost.get(host.toLowerCase().replace(/:\d+$/, ""));
     const query = path.indexOf("?");
     const plainPath = query < 0 ? path : path.slice(0, query);
-    return this.#byHost.get(name)?.find(({ pathPrefix }) =>
-      plainPath.startsWith(pathPrefix)
-    );
+    return routes?.find(({ pathPrefix }) => plainPath.startsWith(pathPrefix));
   }
 
   /**
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -9,7 +9,7 @@
  * Cost of a request to another data centre, as a time: bytes between data
  * centres are paid for, and the way there and back takes longer.
  */
-const REMOTE_PENALTY_MS = 30;
+const REMOTE_PENALTY_MS = 80;
 
 /** Options of {@link PathTable}. */
 export type PathTableOptions = {
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -43,7 +43,12 @@
 /** A tick that is later than this shows that the process stood still. */
 const STALL_MIN_MS = 250;
 /** Change of the busy share that peers are told. */
-const BUSY_STEP_RATIO = 0.06;
+const BUSY_STEP_RATIO = 0.08;
+/** Below this share no entry sheds, so that changes are not told. */
+const BUSY_TOLD_MIN_RATIO = 0.75;
+const BUSY_INTERVAL_MS = 200;
+/** Interval at which learned calls are compared with what peers know. */
+const CALLS_INTERVAL_MS = 1_000;
 /**
  * Time after SIGTERM for which callers still come: the platform asks for
  * readiness once a second and takes the instance out after two misses.
@@ -115,6 +120,9 @@
   #lastTickMs = performance.now();
   #configQueriedMs = -Infinity;
   #idleTicksCount = 0;
+  #callsComparedMs = -Infinity;
+  #toldBusyRatio = 0;
+  #toldBusyMs = -Infinity;
   #rotatedMs = performance.now();
 
   /**
@@ -409,7 +417,7 @@
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
     }
-    this.#publishChange();
+    this.#publishChange(nowMs);
     if (nowMs - this.#rotatedMs >= METRICS_INTERVAL_MS) {
       this.#rotatedMs = nowMs;
       this.#metrics.rotate();
@@ -417,19 +425,35 @@
     this.#checkStop(nowMs);
   }
 
-  #publishChange(): void {
+  #publishChange(nowMs: number): void {
+    const state = this.#ownState();
+    if (nowMs - this.#callsComparedMs >= CALLS_INTERVAL_MS) {
+      this.#callsComparedMs = nowMs;
+      const calls = this.#observer.edges();
+      if (JSON.stringify(state.calls) !== JSON.stringify(calls)) {
+        this.#graph.update(this.#settings.instanceName, calls);
+        state.calls = calls;
+      }
+    }
     const last = this.#lastState;
-    const calls = this.#observer.edges();
-    const state = { ...this.#ownState(), calls };
-    const isChanged = last === undefined ||
-      Math.abs(last.busyRatio - state.busyRatio) >= BUSY_STEP_RATIO ||
-      last.isCold !== state.isCold ||
-      JSON.stringify(last.calls) !== JSON.stringify(calls);
-    if (isChanged) {
+    if (last?.isCold !== state.isCold || last.calls !== state.calls) {
       this.#lastState = state;
-      this.#graph.update(this.#settings.instanceName, calls);
       this.#links.broadcast(state);
     }
+    this.#publishBusy(state.busyRatio, nowMs);
+  }
+
+  #publishBusy(busyRatio: number, nowMs: number): void {
+    const told = this.#toldBusyRatio;
+    const isRelevant = Math.max(told, busyRatio) > BUSY_TOLD_MIN_RATIO;
+    if (
+      isRelevant && Math.abs(busyRatio - told) >= BUSY_STEP_RATIO &&
+      nowMs - this.#toldBusyMs >= BUSY_INTERVAL_MS
+    ) {
+      this.#toldBusyRatio = busyRatio;
+      this.#toldBusyMs = nowMs;
+      this.#links.broadcastBusy(busyRatio);
+    }
   }
 
   #onConfig(): void {
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -196,6 +196,17 @@
     }
   }
 
+  /**
+   * Tells all peers the load of the upstream beside this daemon.
+   *
+   * @param busyRatio Running and waiting requests per slot.
+   */
+  broadcastBusy(busyRatio: number): void {
+    for (const link of this.#links) {
+      link.socket.send([FRAME.busy, Math.round(busyRatio * 100)]);
+    }
+  }
+
   /**
    * Drops links whose peer has been silent for too long.
    *
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -14,6 +14,7 @@
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import {
   type AnswerFrame,
+  busyFrameSchema,
   FRAME,
   helloFrameSchema,
   type RefusalFrame,
@@ -203,6 +204,8 @@
         return this.#onHello(frame);
       case FRAME.state:
         return this.#onState(stateFrameSchema.parse(frame)[1]);
+      case FRAME.busy:
+        return this.#onBusy(busyFrameSchema.parse(frame)[1]);
       case FRAME.config:
         return this.#options.host.onConfig(frame[1]);
       default:
@@ -299,6 +302,12 @@
     this.#options.host.onConfigVersion(state.configVersion, this);
   }
 
+  #onBusy(percent: number): void {
+    if (this.#state !== undefined) {
+      this.#state = { ...this.#state, busyRatio: percent / 100 };
+    }
+  }
+
   #onAnswer(frame: AnswerFrame): void {
     const [, exchange, status, wireHeaders, body, runMs, load, version] = frame;
     const headers = this.#socket?.decoder.decodeAll(wireHeaders) ?? [];
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -24,8 +24,7 @@
   state: 7,
   configQuery: 8,
   config: 9,
-  answerHead: 10,
-  answerPart: 11,
+  busy: 10,
 } as const;
 
 /** Schema of what a daemon says of the upstream beside it. */
@@ -59,6 +58,12 @@
   upstreamStateSchema,
 ]);
 
+/** Schema of a changed load; sent far more often than a state. */
+export const busyFrameSchema = z.tuple([
+  z.literal(FRAME.busy),
+  z.number().describe("Running and waiting requests per 100 slots"),
+]);
+
 /** Schema of a forwarded request. */
 export const requestFrameSchema = z.tuple([
   z.literal(FRAME.request),
