Ask the peer that named a newer configuration for it

Cause: a daemon that the store turns away looked for a peer whose last state frame had the newer version; state frames have become rare, so it never asked (test 'a daemon that the store turns away ...' did not end). Change: the peer whose request carried the version is asked. Also: the command 'trace', and a log line for each request that fails beside its upstream.

--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -12,6 +12,7 @@
   SetEntryCommand,
   ShowCommand,
 } from "./table_commands.ts";
+import { TraceCommand } from "./trace_command.ts";
 import { ValidateCommand } from "./validate_command.ts";
 
 const COMMANDS: CommandClass[] = [
@@ -26,6 +27,7 @@
   ShowCommand,
   StatusCommand,
   TopCommand,
+  TraceCommand,
   ValidateCommand,
 ];
 
--- /dev/null
+++ b/src/cli/trace_command.ts
@@ -0,0 +1,44 @@
+/** `trace`: tells from log files what happened to a request. */
+import { Command, Option } from "clipanion";
+import { readInput } from "./apply_command.ts";
+import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
+import { CommandError, RelayCommand } from "./relay_command.ts";
+import { formatLine, parseLog, tellStory } from "./request_story.ts";
+
+/** Command `trace`. */
+export class TraceCommand extends RelayCommand {
+  static override paths = [["trace"]];
+  static override usage = Command.Usage({
+    description: "Tell from logs what happened to a request",
+    details: `
+      Reads the log files of any number of daemons and prints what they say of
+      the request and of its calls in the order of time, and the cause.
+
+      Exit codes: 0 found, 1 no line names the request, 2 bad input.
+    `,
+    examples: [[
+      "Explain a failed request",
+      "goldcrestrelay trace 4ee9978fe8e5985a logs/*.log",
+    ]],
+  });
+
+  requestId = Option.String({ name: "REQUEST_ID" });
+  files = Option.Rest({ required: 1, name: "FILE" });
+
+  /** @inheritdoc */
+  override async run(): Promise<ExitCode> {
+    const texts = await Promise.all(this.files.map(readInput));
+    const story = tellStory(texts.flatMap(parseLog), this.requestId);
+    if (story.lines.length === 0) {
+      throw new CommandError(
+        EXIT_CODES.error,
+        `No line names the request ${this.requestId}; its daemon may have left it out to bound the log`,
+      );
+    }
+    this.print(story, [
+      ...story.lines.map(formatLine),
+      `Cause: ${story.cause}`,
+    ]);
+    return EXIT_CODES.applied;
+  }
+}
--- a/src/fleet/decision_log.ts
+++ b/src/fleet/decision_log.ts
@@ -46,8 +46,8 @@
    */
   record(kind: DecisionKind, requestId: string, fields: LogFields): void {
     this.#startSecond();
-    const isTrouble = kind === "attempt failed" || kind === "refused" ||
-      (kind === "ended" && !String(fields["outcome"]).startsWith("answered 2"));
+    const isTrouble = kind !== "routed" &&
+      !String(fields["outcome"]).startsWith("answered 2");
     if (isTrouble ? this.#troubleLeft-- <= 0 : this.#ordinaryLeft-- <= 0) {
       this.#omittedCount++;
       return;
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -74,6 +74,16 @@
     return this.#links.values();
   }
 
+  /**
+   * Finds the link to a member.
+   *
+   * @param name Name of the member.
+   * @returns The link; undefined when the member is not known.
+   */
+  link(name: string): PeerLink | undefined {
+    return this.#links.get(name);
+  }
+
   /** Members including this one. */
   get membersCount(): number {
     return this.#links.size + 1;
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -2,14 +2,16 @@
 import type { CallObserver } from "../decisions/call_graph.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import { SlotQueue } from "../decisions/slot_queue.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { LoadReport } from "../schemas/link_schema.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import {
   ServedRequest,
   type ServedResult,
   type ServingGate,
 } from "./served_request.ts";
-import type { UpstreamHttp } from "./upstream_http.ts";
+import { findHeader, type UpstreamHttp } from "./upstream_http.ts";
 import type {
   ForwardedRequest,
   ResultReceiver,
@@ -42,6 +44,9 @@
   heartbeatMs: number;
   /** Learns which routes are run. */
   observer: CallObserver;
+  decisions: DecisionLog;
+  /** Name of the header with the caller's request id, in lower case. */
+  requestIdHeader: string;
 };
 
 /** Slots and queue in front of the upstream. */
@@ -140,19 +145,10 @@
   serve(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
     const nowMs = performance.now();
     const served = new ServedRequest(request, receiver, { gate: this, nowMs });
-    const { upstream } = this.#options;
-    if (this.#isStopped || upstream.isLeaving) {
-      served.turnAway("draining");
-    } else if (
-      !upstream.isServing ||
-      upstream.report?.upstreamId !== request.upstreamId
-    ) {
-      served.turnAway("no_upstream");
-    } else if (
-      request.isRefusable &&
-      this.queueWaitMs > Math.max(0, request.goalLeftMs) * WAIT_MAX_GOAL_RATIO
-    ) {
-      served.turnAway("queue_full");
+    const refusal = this.#refusalOf(request);
+    if (refusal !== undefined) {
+      this.#recordDecision(served, refusal);
+      served.turnAway(refusal);
     } else if (this.#slots.enter(served)) {
       served.admit();
     } else {
@@ -233,11 +229,51 @@
     this.#startWaiting();
   }
 
+  /** Why a request is refused on arrival; undefined when it is not. */
+  #refusalOf(request: ForwardedRequest): ErrorKind | undefined {
+    const { upstream } = this.#options;
+    if (this.#isStopped || upstream.isLeaving) {
+      return "draining";
+    }
+    if (
+      !upstream.isServing || upstream.report?.upstreamId !== request.upstreamId
+    ) {
+      return "no_upstream";
+    }
+    const waitMaxMs = Math.max(0, request.goalLeftMs) * WAIT_MAX_GOAL_RATIO;
+    return request.isRefusable && this.queueWaitMs > waitMaxMs
+      ? "queue_full"
+      : undefined;
+  }
+
+  #recordDecision({ request }: ServedRequest, outcome: string): void {
+    const { decisions, upstream, requestIdHeader } = this.#options;
+    decisions.record(
+      "served",
+      findHeader(request.headers, requestIdHeader) ?? "",
+      {
+        outcome,
+        route: request.routeName,
+        chosenUpstream: request.upstreamId,
+        upstream: upstream.report?.upstreamId,
+        upstreamState: upstream.stateName,
+        reportAgeMs: Math.round(performance.now() - upstream.reportedAtMs),
+        runningCount: this.runningCount,
+        waitingCount: this.waitingCount,
+        limitCount: this.limitCount,
+        queueWaitMs: Math.round(this.queueWaitMs),
+      },
+    );
+  }
+
   #record(served: ServedRequest, result: ServedResult): void {
     if (result === "cancelled") {
       return;
     }
     this.#failures.add(result === "answered" ? 0 : 1);
+    if (result !== "answered") {
+      this.#recordDecision(served, result);
+    }
     this.#silentCount = result === "overdue" ? this.#silentCount + 1 : 0;
     if (result === "answered" || result === "overdue") {
       this.#options.observer.recordRun(served.request.routeName);
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -131,6 +131,7 @@
    */
   constructor(settings: FleetSettings, options: WireFleetOptions) {
     const { platform, log, random, signals } = options;
+    const decisions = new DecisionLog(log);
     this.#settings = settings;
     this.#options = options;
     this.#loop = new EventLoop((part, error) =>
@@ -172,6 +173,8 @@
       http: this.#http,
       heartbeatMs: settings.heartbeatMs,
       observer: this.#observer,
+      decisions,
+      requestIdHeader: platform.headers.requestId,
     });
     this.#paths = new PathTable({
       ownDataCentre: settings.dataCentre,
@@ -224,7 +227,7 @@
           windowMs: settings.repeatWindowMs,
           slackCount: settings.repeatSlackCount,
         }),
-        decisions: new DecisionLog(log),
+        decisions,
         callerPool: settings.pool,
         requestIdHeader: platform.headers.requestId,
         daemonsCount: () => this.#directory.membersCount,
@@ -354,9 +357,10 @@
       },
       serve: (request, receiver) => this.#gate.serve(request, receiver),
       onGreeted: (record) => this.#directory.learn(record),
-      onPeerVersion: (version) => {
-        if (version > this.#config.version) {
-          this.#queryConfig(undefined);
+      onPeerVersion: (version, peerName) => {
+        const link = this.#directory.link(peerName);
+        if (version > this.#config.version && link !== undefined) {
+          this.#queryConfig(link);
         }
       },
       onConfigVersion: (version, link) => {
@@ -371,18 +375,11 @@
   }
 
   /** Asks a peer that has a newer configuration, at a bounded rate. */
-  #queryConfig(link: PeerLink | undefined): void {
+  #queryConfig(link: PeerLink): void {
     const nowMs = performance.now();
-    if (nowMs - this.#configQueriedMs < CONFIG_QUERY_PAUSE_MS) {
-      return;
-    }
-    const source = link ??
-      [...this.#directory.links].find((candidate) =>
-        (candidate.state?.configVersion ?? 0) > this.#config.version
-      );
-    if (source !== undefined) {
+    if (link.isUp && nowMs - this.#configQueriedMs >= CONFIG_QUERY_PAUSE_MS) {
       this.#configQueriedMs = nowMs;
-      source.queryConfig();
+      link.queryConfig();
     }
   }
 
