--- a/scripts/check_layers.mjs
+++ b/scripts/check_layers.mjs
@@ -20,6 +20,8 @@
   membership: [...DECISIONS_BELOW, "decisions", "telemetry"],
   config: [...DECISIONS_BELOW, "decisions", "telemetry"],
   proxy: [...DECISIONS_BELOW, "decisions", "telemetry"],
+  link: [...DECISIONS_BELOW, "decisions", "telemetry"],
+  fleet: [...DECISIONS_BELOW, "decisions", "telemetry", "link"],
   operator: [...DECISIONS_BELOW, "decisions", "telemetry"],
   cli: [
     ...DECISIONS_BELOW,
@@ -45,12 +47,18 @@
   if (layer === "decisions" && TRANSPORT_PACKAGES.test(specifier)) {
     return `${file}: decisions may not import "${specifier}"`;
   }
-  if (!specifier.startsWith(".") || allowed === undefined) {
+  if (!specifier.startsWith(".")) {
     return undefined;
   }
   const target = relative("src", resolve(dirname(file), specifier));
+  if (target.startsWith("../platform")) {
+    return `${file}: nothing under src may import from platform/`;
+  }
   const targetLayer = target.split("/")[0];
-  if (targetLayer === layer || allowed.includes(targetLayer)) {
+  if (
+    allowed === undefined || targetLayer === layer ||
+    allowed.includes(targetLayer)
+  ) {
     return undefined;
   }
   return `${file}: layer "${layer}" may not import "${targetLayer}"`;
--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -105,6 +105,20 @@
     return runs;
   }
 
+  /**
+   * Counts the runs that one request of a route causes.
+   *
+   * @param routeName Route of the request.
+   * @returns Runs at all routes, at least 1.
+   */
+  runsOf(routeName: string): number {
+    let sum = 0;
+    for (const runs of this.runsByRoute(routeName).values()) {
+      sum += runs;
+    }
+    return sum;
+  }
+
   /**
    * Tells whether a route is called by another one.
    *
--- a/src/fleet/fleet_life.ts
+++ b/src/fleet/fleet_life.ts
@@ -20,8 +20,6 @@
   signals: Stream<FleetLifeEvent>;
   /** Stops taking new work. */
   onStop: () => void;
-  /** Re-reads the settings that may change at run time. */
-  onReload: () => void;
   /** Requests without an answer. */
   openCount: () => number;
 };
@@ -78,10 +76,9 @@
     this.#options.log.info("Ready");
   }
 
-  /** Action: reports and applies changed settings. */
+  /** Action: reports a reload; no setting changes at run time. */
   reportReload(): void {
-    this.#options.log.info("Reload asked for");
-    this.#options.onReload();
+    this.#options.log.info("Reload asked for; nothing changes at run time");
   }
 
   /** Action: stops taking new work. */
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -12,7 +12,7 @@
   SentRequest,
   UpstreamAnswer,
   UpstreamPath,
-} from "./upstream_path.ts";
+} from "../link/upstream_path.ts";
 
 /** Daemons that one request is offered to at most. */
 const OFFERS_MAX_COUNT = 4;
--- a/src/fleet/local_path.ts
+++ b/src/fleet/local_path.ts
@@ -8,7 +8,7 @@
   type ResultReceiver,
   type SentRequest,
   type UpstreamPath,
-} from "./upstream_path.ts";
+} from "../link/upstream_path.ts";
 
 /** Options of {@link LocalPath}. */
 export type LocalPathOptions = {
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -10,7 +10,7 @@
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { ReplySink } from "./forwarded_exchange.ts";
-import type { UpstreamAnswer } from "./upstream_path.ts";
+import type { UpstreamAnswer } from "../link/upstream_path.ts";
 
 /** Bounds until a configuration states others. */
 const INITIAL_HEADER_MAX_BYTES = 65_536;
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from "../core/random.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import { choosePath, type PathView } from "../decisions/path_selector.ts";
-import type { UpstreamPath } from "./upstream_path.ts";
+import type { UpstreamPath } from "../link/upstream_path.ts";
 
 const RUN_TIME_WEIGHT = 0.1;
 /**
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -9,7 +9,7 @@
   ResultReceiver,
   SentRequest,
   UpstreamAnswer,
-} from "./upstream_path.ts";
+} from "../link/upstream_path.ts";
 
 /** What a served request needs of the gate that admitted it. */
 export interface ServingGate {
--- /dev/null
+++ b/src/fleet/upstream_announcements.ts
@@ -0,0 +1,92 @@
+/** Answers the heartbeats of the upstream beside the daemon. */
+import { setTimeout as delay } from "node:timers/promises";
+import type { Logger } from "../telemetry/logger.ts";
+import type { FleetPlatform } from "./fleet_platform.ts";
+import type { LocalUpstream } from "./local_upstream.ts";
+import type { MemberDirectory } from "./member_directory.ts";
+import type { ControlAnswer, ControlCall } from "./small_listener.ts";
+import type { UpstreamHttp } from "./upstream_http.ts";
+
+/** Longest wait for the store before an upstream's leaving is acknowledged. */
+const ACKNOWLEDGE_WAIT_MS = 400;
+
+/** Options of {@link UpstreamAnnouncements}. */
+export type UpstreamAnnouncementsOptions = {
+  decode: FleetPlatform["decodeAnnouncement"];
+  upstream: LocalUpstream;
+  http: UpstreamHttp;
+  directory: MemberDirectory;
+  log: Logger;
+};
+
+/** Takes announcements, and stores a leaving before it is acknowledged. */
+export class UpstreamAnnouncements {
+  readonly #options: UpstreamAnnouncementsOptions;
+
+  /**
+   * @param options Decoder, belief, directory and log.
+   */
+  constructor(options: UpstreamAnnouncementsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Handles one call of the upstream.
+   *
+   * @param call Method, path and body.
+   * @returns Acknowledgement, or 400 for a call that is not readable.
+   */
+  async handle(call: ControlCall): Promise<ControlAnswer> {
+    const { decode, upstream, log } = this.#options;
+    const announcement = decode(call);
+    if (announcement === undefined) {
+      log.warn("Announcement is not readable", { url: call.url });
+      return { status: 400, body: "{}" };
+    }
+    if (announcement.kind === "heartbeat") {
+      upstream.heartbeat(announcement.report);
+    } else {
+      upstream.leave(announcement.upstreamId);
+    }
+    await this.#storeLeft();
+    return { status: 200, body: "{}" };
+  }
+
+  /**
+   * Finds the upstream of a restarted daemon before its next heartbeat.
+   *
+   * @param pool Pool of the upstream.
+   * @param healthPath Path of the pool's health check.
+   */
+  async checkHealth(pool: string, healthPath: string): Promise<void> {
+    const { http, upstream } = this.#options;
+    const health = await http.checkHealth(healthPath);
+    if (health !== undefined && upstream.report === undefined) {
+      upstream.heartbeat({
+        ...health,
+        pool,
+        state: "ready",
+        sequence: 0,
+        startedEpochMs: 0,
+        coldRemainingMs: 0,
+      });
+    }
+  }
+
+  async #storeLeft(): Promise<void> {
+    const { upstream, directory } = this.#options;
+    const { left } = upstream;
+    const stored = directory.ownRecord.leftUpstream;
+    if (
+      left === undefined ||
+      (left.upstreamId === stored?.upstreamId &&
+        left.startedEpochMs === stored.startedEpochMs)
+    ) {
+      return;
+    }
+    await Promise.race([
+      directory.rememberLeft(left),
+      delay(ACKNOWLEDGE_WAIT_MS, undefined, { ref: false }),
+    ]);
+  }
+}
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -16,7 +16,7 @@
   ForwardedRequest,
   ResultReceiver,
   SentRequest,
-} from "./upstream_path.ts";
+} from "../link/upstream_path.ts";
 
 /**
  * Share of the slots that is used. Upstreams become slower when nearly all of
--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -8,7 +8,7 @@
   ResultReceiver,
   SentRequest,
   UpstreamAnswer,
-} from "./upstream_path.ts";
+} from "../link/upstream_path.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const HEALTH_TIMEOUT_MS = 1_000;
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -4,7 +4,7 @@
   ForwardedRequest,
   ResultReceiver,
   SentRequest,
-} from "../fleet/upstream_path.ts";
+} from "./upstream_path.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import {
@@ -24,6 +24,8 @@
 export interface LinkServerHost {
   readonly ownRecord: MemberRecord;
   readonly ownState: UpstreamState;
+  /** Version of the configuration in force here. */
+  readonly configVersion: number;
   /** Load of the upstream beside this daemon. */
   readonly ownLoad: LoadReport;
   /** Runs a request at the upstream beside this daemon. */
@@ -100,8 +102,8 @@
     ) => {
       isDone = true;
       this.#running.delete(exchange);
-      const { ownLoad, ownState } = this.#host;
-      this.socket.send(answer(ownLoad, ownState.configVersion));
+      const { ownLoad, configVersion } = this.#host;
+      this.socket.send(answer(ownLoad, configVersion));
     };
     const { encoder, decoder } = this.socket;
     const sent = this.#host.serve({
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -10,7 +10,7 @@
   type ResultReceiver,
   type SentRequest,
   type UpstreamPath,
-} from "../fleet/upstream_path.ts";
+} from "./upstream_path.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import {
   type AnswerFrame,
@@ -41,6 +41,8 @@
   readonly ownRecord: MemberRecord;
   /** State of the upstream beside this daemon. */
   readonly ownState: UpstreamState;
+  /** Version of the configuration in force here. */
+  readonly configVersion: number;
   /** Learns which instance answers at an address. */
   onGreeted(record: MemberRecord): void;
   /** Learns the configuration version of a peer. */
@@ -186,7 +188,7 @@
       Math.round(request.goalLeftMs),
       request.isRefusable,
       encoder.encode(request.callerPool),
-      this.#options.host.ownState.configVersion,
+      this.#options.host.configVersion,
     ];
     socket.send(frame);
     return { cancel: () => this.#cancel(exchange) };
