--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -4,7 +4,7 @@
 export type CallEdge = [string, string, number];
 
 /** Runs after which the observed ratio is told to others. */
-const RUNS_MIN_COUNT = 10;
+const RUNS_MIN_COUNT = 4;
 /** Older observations are halved at this count, so that changes are followed. */
 const RUNS_HALVING_COUNT = 1_000;
 /** Fewer calls per run are taken for calls that were linked wrongly. */
@@ -18,13 +18,18 @@
   readonly #byRoute = new Map<string, RouteRuns>();
 
   /**
-   * Counts a finished run.
+   * Counts a finished run with its calls, so that the ratio is right from the
+   * first runs on.
    *
    * @param routeName Route of the request.
+   * @param calledRouteNames Route of each call that it made.
    */
-  recordRun(routeName: string): void {
+  recordRun(routeName: string, calledRouteNames: readonly string[]): void {
     const runs = this.#runsOf(routeName);
     runs.runsCount++;
+    for (const called of calledRouteNames) {
+      runs.calls.set(called, (runs.calls.get(called) ?? 0) + 1);
+    }
     if (runs.runsCount >= RUNS_HALVING_COUNT) {
       runs.runsCount /= 2;
       for (const [called, count] of runs.calls) {
@@ -33,17 +38,6 @@
     }
   }
 
-  /**
-   * Counts a call.
-   *
-   * @param routeName Route of the running request.
-   * @param calledRouteName Route of the call.
-   */
-  recordCall(routeName: string, calledRouteName: string): void {
-    const { calls } = this.#runsOf(routeName);
-    calls.set(calledRouteName, (calls.get(calledRouteName) ?? 0) + 1);
-  }
-
   /**
    * Lists what was learned, rounded so that it rarely changes.
    *
--- a/src/decisions/call_graph_test.ts
+++ b/src/decisions/call_graph_test.ts
@@ -5,11 +5,9 @@
 test("calls are counted per run, and calls that were linked wrongly drop out", () => {
   const observer = new CallObserver();
   for (let index = 0; index < 20; index++) {
-    observer.recordRun("read");
-    observer.recordCall("read", "tally");
-    observer.recordCall("read", "tally");
+    observer.recordRun("read", ["tally", "tally"]);
   }
-  observer.recordCall("read", "stray");
+  observer.recordRun("read", ["tally", "tally", "stray"]);
   assert.deepEqual(observer.edges(), [["read", "tally", 2]]);
 });
 
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,6 +1,6 @@
 /** Routes, admits and forwards what callers and the upstream send. */
 import type { RandomSource } from "../core/random.ts";
-import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
+import type { CallGraph } from "../decisions/call_graph.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ConfigFollower } from "./config_follower.ts";
@@ -31,7 +31,6 @@
   names: EdgeHeaders;
   config: ConfigFollower;
   gate: UpstreamGate;
-  observer: CallObserver;
   graph: CallGraph;
   admission: EntryAdmission;
   random: RandomSource;
@@ -105,12 +104,12 @@
     route: FleetRoute,
     pool: string,
   ): IncomingRequest {
-    const { names, gate, observer, graph } = this.#parts;
+    const { names, gate, graph } = this.#parts;
     const statedMs = Number(message.headers[names.deadlineMs] ?? Infinity);
     const callerMs = Number.isFinite(statedMs) ? statedMs : Infinity;
     const parent = gate.findParent(arrivedMs + callerMs);
     if (parent !== undefined) {
-      observer.recordCall(parent.request.routeName, route.name);
+      parent.calledRouteNames.push(route.name);
     }
     return {
       requestId: String(message.headers[names.requestId] ?? ""),
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -39,12 +39,15 @@
   readonly expiresAtMs: number;
   /** Time at the upstream so far, from when it was sent. */
   runningSinceMs = 0;
+  /** Routes of the calls that the upstream has made for it. */
+  readonly calledRouteNames: string[] = [];
   /** Expiry that was handed to the upstream, as a whole monotonic ms. */
   handedExpiryMs = 0;
   readonly #gate: ServingGate;
   readonly #receiver: ResultReceiver;
   readonly #machine: StateMachine;
   readonly #timer: NodeJS.Timeout;
+  #queueTimer: NodeJS.Timeout | undefined;
   #sent: SentRequest | undefined;
   #end: End | undefined;
 
@@ -75,9 +78,19 @@
     this.#machine.send("admitted");
   }
 
-  /** Records that the request waits. */
-  queue(): void {
+  /**
+   * Records that the request waits.
+   *
+   * @param waitMaxMs Time after which it is refused, in ms.
+   */
+  queue(waitMaxMs: number): void {
     this.#machine.send("queued");
+    if (waitMaxMs < this.request.remainingMs) {
+      this.#queueTimer = setTimeout(
+        () => this.turnAway("queue_timeout"),
+        waitMaxMs,
+      );
+    }
   }
 
   /**
@@ -109,11 +122,13 @@
 
   /** Action: sends the request to the upstream. */
   run(): void {
+    clearTimeout(this.#queueTimer);
     this.#sent = this.#gate.sendUpstream(this);
   }
 
   /** Action: takes the request out of the queue. */
   leaveQueue(): void {
+    clearTimeout(this.#queueTimer);
     this.#gate.leaveQueue(this);
   }
 
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -10,7 +10,7 @@
 const BUSY_TOLD_MIN_RATIO = 0.75;
 const BUSY_INTERVAL_MS = 200;
 /** Interval at which learned calls are compared with what peers know. */
-const CALLS_INTERVAL_MS = 1_000;
+const CALLS_INTERVAL_MS = 300;
 
 /** Sends frames to all peers. */
 export interface StateAudience {
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -25,6 +25,8 @@
 const SLOTS_USED_RATIO = 0.95;
 /** Share of the remaining latency goal that a refusable request may wait. */
 const WAIT_MAX_GOAL_RATIO = 0.5;
+/** Share of the remaining time that a request may wait in any case. */
+const WAIT_MIN_RATIO = 0.5;
 const RUN_TIME_WEIGHT = 0.05;
 const FAILURE_WEIGHT = 0.05;
 /** Weight of one control interval of 100 ms. */
@@ -152,7 +154,7 @@
     } else if (this.#slots.enter(served)) {
       served.admit();
     } else {
-      served.queue();
+      served.queue(this.#waitMaxMs(request));
     }
     return served;
   }
@@ -246,6 +248,16 @@
       : undefined;
   }
 
+  /**
+   * Longest wait of a request: one that may be refused gives up while there is
+   * still time for a run, and can then be repeated elsewhere.
+   */
+  #waitMaxMs({ isRefusable, remainingMs }: ForwardedRequest): number {
+    return isRefusable
+      ? Math.max(remainingMs * WAIT_MIN_RATIO, remainingMs - this.#runMs.value)
+      : remainingMs;
+  }
+
   #recordDecision({ request }: ServedRequest, outcome: string): void {
     const { decisions, upstream, requestIdHeader } = this.#options;
     decisions.record(
@@ -276,7 +288,10 @@
     }
     this.#silentCount = result === "overdue" ? this.#silentCount + 1 : 0;
     if (result === "answered" || result === "overdue") {
-      this.#options.observer.recordRun(served.request.routeName);
+      this.#options.observer.recordRun(
+        served.request.routeName,
+        served.calledRouteNames,
+      );
       this.#runMs.add(performance.now() - served.runningSinceMs);
     }
   }
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -296,7 +296,6 @@
       names: platform.headers,
       config: this.#config,
       gate: this.#gate,
-      observer: this.#observer,
       graph: this.#graph,
       admission: this.#admission,
       random,
