Accept an answer without a length only with an orderly close, and spend less per request

Change: only a connection's 'end' completes the answer; one write per turn and link; timers in steps of 20 ms; one log line a request; one pass over paths.

--- a/src/fleet/decision_log.ts
+++ b/src/fleet/decision_log.ts
@@ -3,7 +3,6 @@
 
 /** What was decided. */
 export type DecisionKind =
-  | "routed"
   | "attempt failed"
   | "ended"
   | "refused"
@@ -46,8 +45,7 @@
    */
   record(kind: DecisionKind, requestId: string, fields: LogFields): void {
     this.#startSecond();
-    const isTrouble = kind !== "routed" &&
-      !String(fields["outcome"]).startsWith("answered 2");
+    const isTrouble = !String(fields["outcome"]).startsWith("answered 2");
     if (isTrouble ? this.#troubleLeft-- <= 0 : this.#ordinaryLeft-- <= 0) {
       this.#omittedCount++;
       return;
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -1,4 +1,5 @@
 /** A request in the daemon where it began, until its answer. */
+import { coarseTimeout } from "../core/coarse_timer.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { RepeatBudget } from "../decisions/repeat_budget.ts";
@@ -89,21 +90,15 @@
     this.#reply = reply;
     this.#parts = parts;
     this.#machine = new StateMachine(FORWARDED_CHART, this);
-    this.#timer = setTimeout(
+    this.#timer = coarseTimeout(
       () => this.#machine.send("expired"),
-      Math.max(1, request.expiresAtMs - performance.now()),
+      request.expiresAtMs - performance.now(),
     );
   }
 
   /** Chooses the first upstream. */
   start(): void {
-    const { pool, route, requestId, isCall } = this.#request;
-    this.#parts.budget.recordRequest(pool, performance.now());
-    this.#parts.decisions.record("routed", requestId, {
-      route: route.name,
-      pool,
-      isCall,
-    });
+    this.#parts.budget.recordRequest(this.#request.pool, performance.now());
     this.chooseUpstream();
   }
 
@@ -245,10 +240,12 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
-    const { requestId, arrivedMs, route } = this.#request;
+    const { requestId, arrivedMs, route, pool, isCall } = this.#request;
     this.#parts.onEnd(this.#request, outcome);
     this.#parts.decisions.record("ended", requestId, {
       route: route.name,
+      pool,
+      isCall,
       outcome,
       upstream: this.#path?.member.name,
       offersCount: this.#offersCount,
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -74,16 +74,22 @@
     pool: string,
     options: { routeName: string; tried: ReadonlySet<string> },
   ): UpstreamPath | undefined {
-    const serving: UpstreamPath[] = [];
+    let paths: UpstreamPath[] = [];
+    let areStopping = true;
     for (const path of this.pathsOf(pool)) {
-      if (
-        path.state?.isServing === true && !options.tried.has(path.member.name)
-      ) {
-        serving.push(path);
+      const { state } = path;
+      if (state?.isServing !== true || options.tried.has(path.member.name)) {
+        continue;
+      }
+      // A daemon that stops soon is used only when no other one is left.
+      if (areStopping && !state.isStopping) {
+        areStopping = false;
+        paths = [];
+      }
+      if (state.isStopping === areStopping) {
+        paths.push(path);
       }
     }
-    const lasting = serving.filter(({ state }) => state?.isStopping !== true);
-    const paths = lasting.length > 0 ? lasting : serving;
     const views = paths.map((path) => this.#view(path, options.routeName));
     const index = choosePath(views, {
       random: this.#options.random,
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -1,4 +1,5 @@
 /** One request at the upstream beside the daemon. */
+import { coarseTimeout } from "../core/coarse_timer.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { SlotRequest } from "../decisions/slot_queue.ts";
@@ -67,9 +68,9 @@
     this.goalAtMs = options.nowMs + request.goalLeftMs;
     this.expiresAtMs = options.nowMs + request.remainingMs;
     this.#machine = new StateMachine(SERVED_CHART, this);
-    this.#timer = setTimeout(
+    this.#timer = coarseTimeout(
       () => this.#machine.send("expired"),
-      Math.max(1, request.remainingMs),
+      request.remainingMs,
     );
   }
 
@@ -86,7 +87,7 @@
   queue(waitMaxMs: number): void {
     this.#machine.send("queued");
     if (waitMaxMs < this.request.remainingMs) {
-      this.#queueTimer = setTimeout(
+      this.#queueTimer = coarseTimeout(
         () => this.turnAway("queue_timeout"),
         waitMaxMs,
       );
--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -34,13 +34,13 @@
 /** Reports that another upstream has the address. */
 export type MisdirectedHandler = () => void;
 
-/** Tells whether a connection of the upstream is being reset right now. */
-class ResetWatch {
-  /** True only while the handlers of a connection's error run. */
-  isResetting = false;
+/** Tells whether an upstream is closing a connection in order right now. */
+class CloseWatch {
+  /** True only while the handlers of a connection's end run. */
+  isClosing = false;
 
   /**
-   * Opens a connection and observes its errors before undici does.
+   * Opens a connection and observes its end before undici does.
    *
    * @param connector Connector of undici.
    * @returns Connector that is observed.
@@ -49,10 +49,10 @@
     return (options, callback) =>
       connector(options, (...result) => {
         const [, socket] = result;
-        socket?.prependListener("error", () => {
-          this.isResetting = true;
+        socket?.prependListener("end", () => {
+          this.isClosing = true;
           queueMicrotask(() => {
-            this.isResetting = false;
+            this.isClosing = false;
           });
         });
         callback(...result);
@@ -66,7 +66,7 @@
   readonly #names: EdgeHeaders;
   readonly #requestId: string | undefined;
   readonly #onMisdirected: MisdirectedHandler;
-  readonly #resets: ResetWatch;
+  readonly #closes: CloseWatch;
   #controller: Dispatcher.DispatchController | undefined;
   #isDone = false;
   #status = 0;
@@ -80,13 +80,13 @@
     names: EdgeHeaders;
     requestId: string | undefined;
     onMisdirected: MisdirectedHandler;
-    resets: ResetWatch;
+    closes: CloseWatch;
   }) {
     this.#receiver = receiver;
     this.#names = options.names;
     this.#requestId = options.requestId;
     this.#onMisdirected = options.onMisdirected;
-    this.#resets = options.resets;
+    this.#closes = options.closes;
   }
 
   /** @inheritdoc */
@@ -158,8 +158,9 @@
     if (this.#isDone) {
       return;
     }
-    // undici takes a reset for the end of an answer without a length.
-    if (this.#isUnframed && this.#resets.isResetting) {
+    // undici takes any end of the connection for the end of an answer without
+    // a length; only an orderly close is one.
+    if (this.#isUnframed && !this.#closes.isClosing) {
       this.#fail({
         kind: "upstream_failed",
         isNotRun: false,
@@ -230,7 +231,7 @@
 /** Client of one upstream. */
 export class UpstreamHttp {
   readonly #pool: Pool;
-  readonly #resets = new ResetWatch();
+  readonly #closes = new CloseWatch();
   readonly #names: EdgeHeaders;
   readonly #onMisdirected: MisdirectedHandler;
 
@@ -254,7 +255,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: this.#resets.observe(
+      connect: this.#closes.observe(
         buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
       ),
     });
@@ -273,7 +274,7 @@
       names,
       requestId: findHeader(request.headers, names.requestId),
       onMisdirected: this.#onMisdirected,
-      resets: this.#resets,
+      closes: this.#closes,
     });
     this.#pool.dispatch({
       method: request.method as "GET",
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -23,7 +23,7 @@
   readonly encoder = new StringEncoder();
   /** Strings that the peer has made known. */
   readonly decoder = new StringDecoder();
-  #isCorked = false;
+  #unsent: Buffer[] = [];
   #isClosed = false;
   /** Monotonic time of the last received bytes, in ms. */
   lastReceivedMs = performance.now();
@@ -51,17 +51,8 @@
     if (this.#isClosed) {
       return;
     }
-    if (!this.#isCorked) {
-      this.#isCorked = true;
-      this.#socket.cork();
-      setImmediate(() => {
-        this.#isCorked = false;
-        this.#socket.uncork();
-      });
-    }
-    this.#socket.write(encodeFrame(frame));
-    if (this.#socket.writableLength > UNSENT_MAX_BYTES) {
-      this.close("The peer does not read");
+    if (this.#unsent.push(encodeFrame(frame)) === 1) {
+      setImmediate(() => this.#flush());
     }
   }
 
@@ -79,6 +70,21 @@
     this.#receiver.onClosed(reason);
   }
 
+  #flush(): void {
+    const frames = this.#unsent;
+    this.#unsent = [];
+    if (this.#isClosed) {
+      return;
+    }
+    const [first] = frames;
+    this.#socket.write(
+      frames.length === 1 ? first as Buffer : Buffer.concat(frames),
+    );
+    if (this.#socket.writableLength > UNSENT_MAX_BYTES) {
+      this.close("The peer does not read");
+    }
+  }
+
   #receive(chunk: Buffer): void {
     this.lastReceivedMs = performance.now();
     try {
