Configure a restarted daemon from its peers while the store is down

Cause: the greeting of a peer named its configuration version before the link counted as up, so that the configuration was not asked for; the new test did not end before the change.

--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -294,8 +294,8 @@
       this.#machine.send("mismatched", `${record.name} has the address`);
       return;
     }
-    this.#onState(state);
     this.#machine.send("greeted");
+    this.#onState(state);
   }
 
   #onState(state: UpstreamState): void {
