--- /dev/null
+++ b/src/core/hop_by_hop_headers.ts
@@ -0,0 +1,15 @@
+/** Headers that concern one connection and are never passed on. */
+
+/** Names in lower case. */
+export const HOP_BY_HOP_HEADERS = [
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+] as const;
--- a/src/fleet/edge_headers.ts
+++ b/src/fleet/edge_headers.ts
@@ -1,4 +1,5 @@
 /** Header names that callers and upstreams use, under the names of this project. */
+import { HOP_BY_HOP_HEADERS } from "../core/hop_by_hop_headers.ts";
 
 /** Names of headers, in lower case. The platform's adapter supplies them. */
 export type EdgeHeaders = {
@@ -20,17 +21,8 @@
   readonly upstreamId: string;
 };
 
-const HOP_BY_HOP = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP_HEADERS,
   "content-length",
 ]);
 
@@ -52,7 +44,7 @@
     if (name === "connection") {
       named = (rawHeaders[index + 1] as string).toLowerCase().split(/\s*,\s*/);
     }
-    if (!HOP_BY_HOP.has(name) && !dropped.includes(name)) {
+    if (!DROPPED_HEADERS.has(name) && !dropped.includes(name)) {
       kept.push(rawHeaders[index] as string, rawHeaders[index + 1] as string);
     }
   }
--- a/src/proxy/header_filter.ts
+++ b/src/proxy/header_filter.ts
@@ -1,16 +1,8 @@
 /** Removes headers that belong to one connection or to the daemons. */
+import { HOP_BY_HOP_HEADERS } from "../core/hop_by_hop_headers.ts";
 
-const HOP_BY_HOP_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP_HEADERS,
   "host",
 ]);
 
@@ -40,7 +32,7 @@
     const name = rawHeaders[index] as string;
     const lowerName = name.toLowerCase();
     if (
-      HOP_BY_HOP_HEADERS.has(lowerName) ||
+      DROPPED_HEADERS.has(lowerName) ||
       lowerName.startsWith(INTERNAL_PREFIX) || named.includes(lowerName)
     ) {
       continue;
