--- /dev/null
+++ b/src/fleet/entry_admission_test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../core/random.ts";
+import { CallGraph } from "../decisions/call_graph.ts";
+import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { PathLoad, type UpstreamPath } from "../link/upstream_path.ts";
+import type { FleetConfig, FleetRoute } from "../schemas/fleet_schema.ts";
+import type { UpstreamState } from "../schemas/link_schema.ts";
+import { NullLogger } from "../telemetry/logger.ts";
+import { EntryAdmission } from "./entry_admission.ts";
+import { PathTable } from "./path_table.ts";
+
+function route(name: string, pool: string, priority: number): FleetRoute {
+  return {
+    name,
+    host: `${name}.example`,
+    pathPrefix: "/",
+    idempotent: true,
+    timeoutMs: 800,
+    latencyGoalMs: 500,
+    attemptsMax: 2,
+    priority,
+    targets: [{ pool, weight: 1 }],
+  };
+}
+
+const CONFIG: FleetConfig = {
+  version: 1,
+  routes: [
+    route("read", "logbook", 2),
+    route("vote", "certify", 0),
+    route("bundle", "mediatheque", 0),
+    route("roster", "inscription", 2),
+  ],
+  pools: ["logbook", "certify", "mediatheque", "inscription"].map((name) => ({
+    name,
+    healthPath: "/health",
+    connectionsMaxCount: 100,
+  })),
+  limits: {
+    headerMaxBytes: 1,
+    bodyMaxBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+};
+
+const SETTLING_STEPS_COUNT = 60;
+const COUNTED_STEPS_COUNT = 60;
+/** Requests of each kind in one control interval. */
+const OFFERED_COUNT = 10;
+/** Calls to the deep pool that a read or a vote makes. */
+const DEEP_CALLS_COUNT = 8;
+const LOAD_WEIGHT = 0.35;
+
+/**
+ * Admits requests whose calls load the pool `inscription`.
+ *
+ * @param capacityCount Calls that the pool can run in one control interval.
+ * @returns Shares that enter once the levels have settled.
+ */
+function admittedShares(capacityCount: number): Record<string, number> {
+  const random = new SeededRandom(1);
+  const paths = new PathTable({ ownDataCentre: "a", random });
+  const state: UpstreamState = {
+    upstreamId: "i-1",
+    isServing: true,
+    isStopping: false,
+    limitCount: 30,
+    isCold: false,
+    busyRatio: 0,
+    configVersion: 1,
+    calls: [],
+  };
+  const path: UpstreamPath = {
+    member: {
+      name: "one",
+      dataCentre: "a",
+      pool: "inscription",
+      link: { host: "127.0.0.1", port: 1 },
+    },
+    state,
+    load: new PathLoad(),
+    send: () => ({ cancel() {} }),
+  };
+  paths.add(path);
+  const graph = new CallGraph();
+  graph.update("two", [
+    ["read", "roster", DEEP_CALLS_COUNT],
+    ["vote", "roster", DEEP_CALLS_COUNT],
+  ]);
+  const log = new NullLogger();
+  const admission = new EntryAdmission({ paths, graph, random, log });
+  const routes = new FleetRoutes(CONFIG);
+  const admitted: Record<string, number> = { read: 0, vote: 0, bundle: 0 };
+  for (
+    let step = 0;
+    step < SETTLING_STEPS_COUNT + COUNTED_STEPS_COUNT;
+    step++
+  ) {
+    let deepCallsCount = 0;
+    for (const name of Object.keys(admitted)) {
+      for (let index = 0; index < OFFERED_COUNT; index++) {
+        const entered =
+          admission.refusingPool(routes.route(name) as FleetRoute) ===
+            undefined;
+        deepCallsCount += entered && name !== "bundle" ? DEEP_CALLS_COUNT : 0;
+        admitted[name]! += entered && step >= SETTLING_STEPS_COUNT
+          ? 1 / (COUNTED_STEPS_COUNT * OFFERED_COUNT)
+          : 0;
+      }
+    }
+    state.busyRatio += LOAD_WEIGHT *
+      (deepCallsCount / capacityCount - state.busyRatio);
+    admission.step(routes);
+  }
+  return admitted;
+}
+
+test("a full pool deep down sheds the least important requests where they enter", () => {
+  const shares = admittedShares(110);
+  assert.ok((shares["read"] ?? 1) < 0.5, `read ${shares["read"]}`);
+  assert.ok((shares["vote"] ?? 0) > 0.95, `vote ${shares["vote"]}`);
+});
+
+test("requests that do not touch the full pool are not shed", () => {
+  assert.ok((admittedShares(50)["bundle"] ?? 0) > 0.999);
+});
+
+test("no class is starved under any load", () => {
+  const shares = admittedShares(2);
+  assert.ok((shares["read"] ?? 0) > 0.05, `read ${shares["read"]}`);
+});
--- /dev/null
+++ b/src/fleet/stop_sequence_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { empty } from "most";
+import { NullLogger } from "../telemetry/logger.ts";
+import { FleetLife } from "./fleet_life.ts";
+import { StopSequence } from "./stop_sequence.ts";
+
+const TICK_MS = 100;
+const STOP_GRACE_MS = 6_000;
+
+/** Runs a stop and returns the time of its steps, in ms after SIGTERM. */
+function runStop(openCountAt: (stoppedMs: number) => number) {
+  let stoppedMs = 0;
+  const steps: { refusedMs?: number; endedMs?: number } = {};
+  const openCount = () => openCountAt(stoppedMs);
+  const life = new FleetLife({
+    log: new NullLogger(),
+    signals: empty(),
+    onStop: () => {},
+    openCount,
+  });
+  life.handle("terminate");
+  const startMs = life.stoppingSinceMs as number;
+  life.notify = (event) => {
+    steps.endedMs ??= stoppedMs;
+    life.handle(event);
+  };
+  const stop = new StopSequence({
+    life,
+    stopGraceMs: STOP_GRACE_MS,
+    openCount,
+    closeIdle: () => {},
+    refuseNew: () => {
+      steps.refusedMs = stoppedMs;
+    },
+  });
+  for (; stoppedMs < STOP_GRACE_MS; stoppedMs += TICK_MS) {
+    stop.tick(startMs + stoppedMs);
+  }
+  return steps;
+}
+
+test("an idle daemon stays until callers have been moved away, then ends", () => {
+  const { refusedMs, endedMs } = runStop(() => 0);
+  assert.equal(refusedMs, 3_000);
+  assert.equal(endedMs, 2_300);
+});
+
+test("a daemon whose callers keep coming refuses new requests and ends when the last is answered", () => {
+  const { refusedMs, endedMs } = runStop((stoppedMs) =>
+    stoppedMs < 3_400 ? 5 : 0
+  );
+  assert.equal(refusedMs, 3_000);
+  assert.equal(endedMs, 3_500);
+});
+
+test("a daemon with endless work ends before the platform kills it", () => {
+  const { endedMs } = runStop(() => 1);
+  assert.equal(endedMs, 5_300);
+});
