--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -146,9 +146,10 @@
 
   /** Action: chooses an upstream that was not tried yet. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
-    const { pool, route } = this.#request;
+    const { pool, route, expiresAtMs } = this.#request;
     const path = this.#parts.paths.choose(pool, {
       routeName: route.name,
+      remainingMs: expiresAtMs - performance.now(),
       tried: this.#tried,
     });
     if (path === undefined) {
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -6,10 +6,12 @@
 
 const RUN_TIME_WEIGHT = 0.1;
 /**
- * Cost of a request to another data centre, as a time: bytes between data
- * centres are paid for, and the way there and back takes longer.
+ * Cost of a request to another data centre as a share of the time that it has
+ * left: bytes between data centres are paid for, but a chain of calls that is
+ * late needs the fastest upstreams.
  */
-const REMOTE_PENALTY_MS = 80;
+const REMOTE_PENALTY_RATIO = 0.06;
+const REMOTE_PENALTY_MAX_MS = 60;
 
 /** Options of {@link PathTable}. */
 export type PathTableOptions = {
@@ -67,12 +69,17 @@
    * Chooses a path.
    *
    * @param pool Pool that runs the request.
-   * @param options Route, and members that were tried before.
+   * @param options Route, time that is left in ms, and members that were tried
+   *   before.
    * @returns The path; undefined when no untried upstream serves.
    */
   choose(
     pool: string,
-    options: { routeName: string; tried: ReadonlySet<string> },
+    options: {
+      routeName: string;
+      remainingMs: number;
+      tried: ReadonlySet<string>;
+    },
   ): UpstreamPath | undefined {
     let paths: UpstreamPath[] = [];
     let areStopping = true;
@@ -93,7 +100,10 @@
     const views = paths.map((path) => this.#view(path, options.routeName));
     const index = choosePath(views, {
       random: this.#options.random,
-      remotePenaltyMs: REMOTE_PENALTY_MS,
+      remotePenaltyMs: Math.min(
+        REMOTE_PENALTY_MAX_MS,
+        Math.max(0, options.remainingMs) * REMOTE_PENALTY_RATIO,
+      ),
     });
     return paths[index];
   }
