Detect a reset right behind the bytes of an answer without a length

Traced with debug lines on the bench: each such answer ended with 'end' after a part of its body. libuv reports POLLHUP after a partial read as an orderly end and drops the pending ECONNRESET. Change: at the end of such an answer an empty line is written; a write on a reset connection fails at once, and the answer counts as broken off.

--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -1,4 +1,6 @@
 /** Requests to the upstream beside the daemon, over kept connections. */
+import type { Socket } from "node:net";
+import process from "node:process";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Address } from "../schemas/common_schema.ts";
 import { type EdgeHeaders, passHeaders } from "./edge_headers.ts";
@@ -34,9 +36,14 @@
 /** Reports that another upstream has the address. */
 export type MisdirectedHandler = () => void;
 
+/** An empty line, which HTTP servers ignore between requests. */
+const PROBE_BYTES = "\r\n";
+
 /** Tells whether an upstream is closing a connection in order right now. */
 class CloseWatch {
-  /** True only while the handlers of a connection's end run. */
+  /** Exchanges whose answer ends with its connection. */
+  unframedCount = 0;
+  /** True only while the handlers of a connection's orderly end run. */
   isClosing = false;
 
   /**
@@ -49,15 +56,25 @@
     return (options, callback) =>
       connector(options, (...result) => {
         const [, socket] = result;
-        socket?.prependListener("end", () => {
-          this.isClosing = true;
-          queueMicrotask(() => {
-            this.isClosing = false;
-          });
-        });
+        socket?.prependListener("end", () => this.#onEnd(socket));
         callback(...result);
       });
   }
+
+  /**
+   * libuv reports a reset that arrives right behind bytes as an orderly end.
+   * Only a write shows it: on a reset connection it fails at once.
+   */
+  #onEnd(socket: Socket): void {
+    if (this.unframedCount === 0) {
+      return;
+    }
+    socket.write(PROBE_BYTES);
+    this.isClosing = socket.errored === null;
+    process.nextTick(() => {
+      this.isClosing = false;
+    });
+  }
 }
 
 /** One exchange by undici whose answer is kept until it is complete. */
@@ -116,6 +133,7 @@
     this.#status = status;
     this.#isUnframed = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
+    this.#closes.unframedCount += this.#isUnframed ? 1 : 0;
     if (this.#isForeign(status, headers)) {
       this.#fail({
         kind: "upstream_failed",
@@ -155,12 +173,14 @@
 
   /** Called by undici at the clean end of the body. */
   onResponseEnd(): void {
+    const wasUnframed = this.#isUnframed;
+    this.#leaveUnframed();
     if (this.#isDone) {
       return;
     }
     // undici takes any end of the connection for the end of an answer without
     // a length; only an orderly close is one.
-    if (this.#isUnframed && !this.#closes.isClosing) {
+    if (wasUnframed && !this.#closes.isClosing) {
       this.#fail({
         kind: "upstream_failed",
         isNotRun: false,
@@ -179,6 +199,7 @@
 
   /** Called by undici when the exchange fails at any point. */
   onResponseError(): void {
+    this.#leaveUnframed();
     // undici starts a request only on an open connection, so a failure before
     // the start proves that no byte was written.
     const isSent = this.#controller !== undefined;
@@ -189,6 +210,13 @@
     });
   }
 
+  #leaveUnframed(): void {
+    if (this.#isUnframed) {
+      this.#isUnframed = false;
+      this.#closes.unframedCount--;
+    }
+  }
+
   /** Tells whether an answer is not the one to this request. */
   #isForeign(status: number, headers: AnswerHeaders): boolean {
     const echoed = headers[this.#names.requestId];
