--- a/bench/overload/faults_test.ts
+++ b/bench/overload/faults_test.ts
@@ -108,5 +108,7 @@
   );
   const records = await Promise.all(calls);
   const outcomes = new Set(records.map(({ outcome }) => outcome));
+  const kinds = new Set(records.map(({ errorKind }) => errorKind));
+  t.diagnostic(`error kinds: ${[...kinds].join(" ")}`);
   assert.deepEqual([...outcomes], ["complete"]);
 });
