Bind the listeners of a daemon on a platform through one function

Three copies of the same promise stood in links, small listeners and the outbound listener. A getter that nothing read is removed. Behaviour is the same.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { ReplySink } from "./forwarded_exchange.ts";
@@ -15,6 +16,8 @@
 /** Bounds until a configuration states others. */
 const INITIAL_HEADER_MAX_BYTES = 65_536;
 const INITIAL_BODY_MAX_BYTES = 67_108_864;
+/** Callers that connect at once wait here while the loop is busy. */
+const ACCEPT_QUEUE_LENGTH = 1_024;
 
 /** A request with its whole body. */
 export type ReceivedRequest = {
@@ -81,14 +84,8 @@
    * @param address Address to bind.
    * @throws When the address cannot be bound.
    */
-  listen({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1024 }, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+  listen(address: Address): Promise<void> {
+    return listenOn(this.#server, { ...address, backlog: ACCEPT_QUEUE_LENGTH });
   }
 
   /**
--- a/src/fleet/small_listener.ts
+++ b/src/fleet/small_listener.ts
@@ -1,5 +1,6 @@
 /** HTTP listener for short control calls. */
 import { createServer, type Server } from "node:http";
+import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 
 /** A control call with its whole body. */
@@ -53,14 +54,8 @@
    * @param address Address to bind.
    * @throws When the address cannot be bound.
    */
-  listen({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+  listen(address: Address): Promise<void> {
+    return listenOn(this.#server, address);
   }
 
   /** Stops listening and ends all connections. */
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -5,6 +5,7 @@
   ResultReceiver,
   SentRequest,
 } from "./upstream_path.ts";
+import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import {
@@ -166,25 +167,14 @@
     });
   }
 
-  /** Links that are open. */
-  get linksCount(): number {
-    return this.#links.size;
-  }
-
   /**
    * Starts to listen.
    *
    * @param address Address to bind.
    * @throws When the address cannot be bound.
    */
-  listen({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+  listen(address: Address): Promise<void> {
+    return listenOn(this.#server, address);
   }
 
   /**
