Keep the owners of a new pool when its first member ages

Cause: while no member of a pool had reached the hand-over age, all members owned keys; when the first one reached it, that one alone owned all keys until the others followed. Each daemon saw this at another time, since it counts from when it learned of a member, so that for seconds two daemons could own a key and most keys were refused as unknown. Members that joined within the hand-over time of the longest-standing one own at once now. The rule of the property test states the new rule as strictly as the old.

--- a/src/decisions/eligible_owners.ts
+++ b/src/decisions/eligible_owners.ts
@@ -53,8 +53,8 @@
 /**
  * Keeps which members were eligible as owners at each time of the retention:
  * members that joined at least the hand-over time ago, and members that died
- * without confirmation less than the hand-over time ago. When no live member
- * joined that long ago, all live members are eligible.
+ * without confirmation less than the hand-over time ago. Members that joined
+ * within the hand-over time of the longest-standing one are eligible at once.
  *
  * @example
  * owners.record({ kind: "joined", instanceId: "plates-1", atMs: 0 });
@@ -203,13 +203,16 @@
     const live = this.#memberships.filter(({ joinedMs, lostMs }) =>
       joinedMs <= atMs && atMs < lostMs
     );
-    const aged = live.filter(({ joinedMs }) =>
-      joinedMs + this.#rules.handoverMs <= atMs
-    );
+    const { handoverMs } = this.#rules;
+    const eldestMs = Math.min(...live.map(({ joinedMs }) => joinedMs));
+    // The members of a new pool own from the start. Without this, all keys would
+    // move to its first member when that one reaches the hand-over age.
+    const joinedUntilMs = Math.max(atMs - handoverMs, eldestMs + handoverMs);
+    const settled = live.filter(({ joinedMs }) => joinedMs <= joinedUntilMs);
     const dead = this.#memberships.filter((membership) =>
       membership.lostMs <= atMs && atMs < this.#eligibleUntilMs(membership)
     );
-    const eligible = [...(aged.length > 0 ? aged : live), ...dead];
+    const eligible = [...settled, ...dead];
     return [...new Set(eligible.map(({ instanceId }) => instanceId))].sort();
   }
 }
--- a/src/decisions/eligible_owners_test.ts
+++ b/src/decisions/eligible_owners_test.ts
@@ -31,6 +31,17 @@
   assert.deepEqual(owners.current(30_000), ["a", "b", "c"]);
 });
 
+// Guards against all keys of a new pool moving to its first member, and back,
+// while the daemons still disagree about who joined when.
+test("a new pool keeps its owners when its first member reaches the hand-over", () => {
+  const owners = new EligibleOwners();
+  record(owners, joined("a", 0), joined("b", 1_500), joined("c", 3_000));
+  assert.deepEqual(owners.current(9_999), ["a", "b", "c"]);
+  assert.deepEqual(owners.current(10_000), ["a", "b", "c"]);
+  const lists = owners.history(30_000, { sinceMs: 3_000 });
+  assert.deepEqual(lists.map((list) => list.fromMs), [3_000]);
+});
+
 test("a death without confirmation keeps the member for the hand-over", () => {
   const owners = new EligibleOwners();
   record(owners, joined("a", 0), joined("b", 0), dead("b", 50_000));
@@ -90,15 +101,13 @@
 /** Eligible members at a time by the rule itself, over all events. */
 function listByRule(events: OwnerEvent[], atMs: number): string[] {
   const known = events.filter((event) => event.atMs <= atMs);
-  const live: string[] = [];
-  const aged: string[] = [];
+  const live: { id: string; joinedMs: number }[] = [];
   const waiting: string[] = [];
   for (const id of ["a", "b", "c", "d"]) {
     const own = known.filter((event) => event.instanceId === id);
     const last = own.at(-1);
     if (last?.kind === "joined") {
-      live.push(id);
-      if (last.atMs + HANDOVER_MS <= atMs) aged.push(id);
+      live.push({ id, joinedMs: last.atMs });
     }
     const lost = own.findLastIndex((event) => event.kind !== "joined");
     const death = own[lost];
@@ -110,8 +119,11 @@
       death.atMs + HANDOVER_MS > atMs
     ) waiting.push(id);
   }
-  const base = aged.length > 0 ? aged : live;
-  return [...new Set([...base, ...waiting])].sort();
+  const settled = live.filter(({ joinedMs }) =>
+    joinedMs + HANDOVER_MS <= atMs ||
+    live.every((other) => joinedMs <= other.joinedMs + HANDOVER_MS)
+  );
+  return [...new Set([...settled.map(({ id }) => id), ...waiting])].sort();
 }
 
 test("the computed lists agree with the rule over random events", () => {
