Refuse a request for the wait of those ahead of it only

Cause: the queue is ordered by latency goal, but the wait that decides on a refusal counted all that waits.

--- a/src/decisions/slot_queue.ts
+++ b/src/decisions/slot_queue.ts
@@ -107,17 +107,27 @@
     return this.#waiting.splice(0);
   }
 
-  #insert(request: R): void {
+  /**
+   * Counts the waiting requests that would run before a new one.
+   *
+   * @param goalAtMs Latency goal of the new one, as a monotonic time in ms.
+   * @returns Requests with the same or a nearer goal.
+   */
+  aheadCount(goalAtMs: number): number {
     let low = 0;
     let high = this.#waiting.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (this.#waiting[middle]!.goalAtMs <= request.goalAtMs) {
+      if (this.#waiting[middle]!.goalAtMs <= goalAtMs) {
         low = middle + 1;
       } else {
         high = middle;
       }
     }
-    this.#waiting.splice(low, 0, request);
+    return low;
+  }
+
+  #insert(request: R): void {
+    this.#waiting.splice(this.aheadCount(request.goalAtMs), 0, request);
   }
 }
--- a/src/decisions/slot_queue_test.ts
+++ b/src/decisions/slot_queue_test.ts
@@ -18,6 +18,16 @@
   assert.equal(slots.takeNext(), soon);
 });
 
+// Guards against refusals of requests that would overtake what waits.
+test("only requests with the same or a nearer goal are ahead", () => {
+  const slots = new SlotQueue<ReturnType<typeof request>>();
+  slots.setLimit(1);
+  [900, 300, 100, 200].forEach((goal) => slots.enter(request(goal)));
+  assert.equal(slots.aheadCount(50), 0);
+  assert.equal(slots.aheadCount(200), 2);
+  assert.equal(slots.aheadCount(1_000), 3);
+});
+
 test("never more requests run than the limit, and none is lost", () => {
   const step = fc.oneof(
     fc.record({ kind: fc.constant("enter"), goal: fc.nat(1_000) }),
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -108,10 +108,16 @@
     return this.#busy.value;
   }
 
-  /** Wait of a request that arrives now at the end of the queue, in ms. */
-  get queueWaitMs(): number {
-    const { waitingCount, limitCount } = this.#slots;
-    return limitCount === 0 ? 0 : waitingCount * this.#runMs.value / limitCount;
+  /**
+   * Estimates the wait of a request that arrives now.
+   *
+   * @param goalAtMs Its latency goal, as a monotonic time in ms.
+   * @returns Time until it has a slot, in ms.
+   */
+  queueWaitMs(goalAtMs: number): number {
+    const aheadCount = this.#slots.aheadCount(goalAtMs);
+    const { limitCount } = this.#slots;
+    return limitCount === 0 ? 0 : aheadCount * this.#runMs.value / limitCount;
   }
 
   /** Takes over the upstream's slots and starts what waits. */
@@ -147,7 +153,7 @@
   serve(request: ForwardedRequest, receiver: ResultReceiver): SentRequest {
     const nowMs = performance.now();
     const served = new ServedRequest(request, receiver, { gate: this, nowMs });
-    const refusal = this.#refusalOf(request);
+    const refusal = this.#refusalOf(served);
     if (refusal !== undefined) {
       this.#recordDecision(served, refusal);
       served.turnAway(refusal);
@@ -232,7 +238,7 @@
   }
 
   /** Why a request is refused on arrival; undefined when it is not. */
-  #refusalOf(request: ForwardedRequest): ErrorKind | undefined {
+  #refusalOf({ request, goalAtMs }: ServedRequest): ErrorKind | undefined {
     const { upstream } = this.#options;
     if (this.#isStopped || upstream.isLeaving) {
       return "draining";
@@ -243,7 +249,7 @@
       return "no_upstream";
     }
     const waitMaxMs = Math.max(0, request.goalLeftMs) * WAIT_MAX_GOAL_RATIO;
-    return request.isRefusable && this.queueWaitMs > waitMaxMs
+    return request.isRefusable && this.queueWaitMs(goalAtMs) > waitMaxMs
       ? "queue_full"
       : undefined;
   }
@@ -258,7 +264,10 @@
       : remainingMs;
   }
 
-  #recordDecision({ request }: ServedRequest, outcome: string): void {
+  #recordDecision(
+    { request, goalAtMs }: ServedRequest,
+    outcome: string,
+  ): void {
     const { decisions, upstream, requestIdHeader } = this.#options;
     decisions.record(
       "served",
@@ -273,7 +282,7 @@
         runningCount: this.runningCount,
         waitingCount: this.waitingCount,
         limitCount: this.limitCount,
-        queueWaitMs: Math.round(this.queueWaitMs),
+        queueWaitMs: Math.round(this.queueWaitMs(goalAtMs)),
       },
     );
   }
--- /dev/null
+++ b/src/fleet/upstream_gate_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CallObserver } from "../decisions/call_graph.ts";
+import type {
+  ForwardedRequest,
+  ForwardFailure,
+} from "../link/upstream_path.ts";
+import { NullLogger } from "../telemetry/logger.ts";
+import { DecisionLog } from "./decision_log.ts";
+import type { LocalUpstream } from "./local_upstream.ts";
+import { UpstreamGate } from "./upstream_gate.ts";
+import type { UpstreamHttp } from "./upstream_http.ts";
+
+const UPSTREAM_ID = "u-1";
+
+/** Gate of an upstream with one slot that never answers. */
+function createGate() {
+  const sentPaths: string[] = [];
+  const upstream = {
+    report: { upstreamId: UPSTREAM_ID, slotsCount: 1 },
+    isServing: true,
+    isLeaving: false,
+    reportedAtMs: 0,
+    stateName: "serving",
+  } as unknown as LocalUpstream;
+  const http = {
+    send: ({ path }: ForwardedRequest) => {
+      sentPaths.push(path);
+      return { cancel: () => {} };
+    },
+  } as unknown as UpstreamHttp;
+  const gate = new UpstreamGate({
+    upstream,
+    http,
+    heartbeatMs: 1_500,
+    observer: new CallObserver(),
+    decisions: new DecisionLog(new NullLogger()),
+    requestIdHeader: "request-id",
+  });
+  gate.open();
+  const failures: ForwardFailure[] = [];
+  const serve = (path: string, options: Partial<ForwardedRequest> = {}) =>
+    gate.serve({
+      upstreamId: UPSTREAM_ID,
+      method: "GET",
+      path,
+      headers: [],
+      body: null,
+      remainingMs: 600,
+      routeName: "r",
+      goalLeftMs: 300,
+      isRefusable: false,
+      callerPool: "p",
+      ...options,
+    }, {
+      onAnswer: () => {},
+      onFailure: (failure) => failures.push(failure),
+    });
+  return { serve, sentPaths, failures };
+}
+
+// Guards against refusals for a queue that the request would overtake.
+test("a request with a near goal is not refused for calls that wait behind it", () => {
+  const { serve, sentPaths, failures } = createGate();
+  const running = serve("/running");
+  const waiting = Array.from({ length: 20 }, () => serve("/call"));
+  const urgent = serve("/urgent", { goalLeftMs: 150, isRefusable: true });
+  assert.deepEqual(failures, []);
+  running.cancel();
+  assert.deepEqual(sentPaths, ["/running", "/urgent"]);
+  [urgent, ...waiting].forEach((sent) => sent.cancel());
+});
+
+// Guards against a queue that grows although nothing in it meets its goal.
+test("a request is refused when those ahead of it take half of its goal", () => {
+  const { serve, failures } = createGate();
+  const sent = Array.from(
+    { length: 20 },
+    () => serve("/read", { isRefusable: true }),
+  );
+  assert.ok(failures.length > 0);
+  assert.ok(
+    failures.every(({ kind, isNotRun }) => kind === "queue_full" && isNotRun),
+  );
+  sent.forEach((request) => request.cancel());
+});
