Let a call inherit the latency goal of the request that makes it

Cause: each call waited with a goal of its own, so that calls of new requests stood level with those of requests near their timeout, and reads of ten calls died at 800 ms one after the other.

--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -34,6 +34,8 @@
   readonly arrivedMs: number;
   /** Monotonic time by which the answer must be there, in ms. */
   readonly expiresAtMs: number;
+  /** Monotonic time by which the answer keeps its full value, in ms. */
+  readonly goalAtMs: number;
   /** Whether an upstream made it while it ran another request. */
   readonly isCall: boolean;
 };
@@ -162,7 +164,7 @@
 
   /** Action: hands the request over. */
   sendAttempt(path: UpstreamPath): void {
-    const { route, headers, arrivedMs, expiresAtMs, isCall } = this.#request;
+    const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
     this.#offersCount++;
     this.#tried.add(path.member.name);
@@ -174,7 +176,7 @@
       body: this.#request.body,
       remainingMs: expiresAtMs - nowMs,
       routeName: route.name,
-      goalLeftMs: arrivedMs + route.latencyGoalMs - nowMs,
+      goalLeftMs: goalAtMs - nowMs,
       isRefusable: !isCall,
       callerPool: this.#parts.callerPool,
     }, this);
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -121,6 +121,9 @@
       pool,
       arrivedMs,
       expiresAtMs: arrivedMs + Math.min(callerMs, route.timeoutMs),
+      // Calls of requests that have waited longest come first, so that what was
+      // begun is ended.
+      goalAtMs: parent?.goalAtMs ?? arrivedMs + route.latencyGoalMs,
       isCall: parent !== undefined || graph.isCalled(route.name),
     };
   }
--- /dev/null
+++ b/src/fleet/outbound_service_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
+import { test } from "node:test";
+import type { ForwardedRequest } from "../link/upstream_path.ts";
+import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import {
+  OutboundService,
+  type OutboundServiceParts,
+} from "./outbound_service.ts";
+
+const ROUTE = {
+  name: "r",
+  timeoutMs: 800,
+  latencyGoalMs: 300,
+  priority: 0,
+} as FleetRoute;
+
+/** Service whose requests are recorded instead of sent. */
+function createService(parent: { goalAtMs: number } | undefined) {
+  const sent: ForwardedRequest[] = [];
+  const path = {
+    member: { name: "m-1" },
+    state: { upstreamId: "u-1" },
+    send: (request: ForwardedRequest) => {
+      sent.push(request);
+      return { cancel: () => {} };
+    },
+  };
+  const ignore = () => {};
+  const parts = {
+    names: {
+      deadlineMs: "deadline",
+      requestId: "request-id",
+      targetUpstream: "target",
+      callerPool: "pool",
+    },
+    config: {
+      routes: { match: () => ROUTE, choosePool: () => "plates" },
+      version: 1,
+    },
+    gate: {
+      findParent: () => parent && { ...parent, calledRouteNames: [] },
+    },
+    graph: { isCalled: () => false },
+    admission: { refusingPool: ignore },
+    exchange: {
+      paths: { choose: () => path },
+      budget: { recordRequest: ignore },
+      decisions: { record: ignore },
+      onEnd: ignore,
+      callerPool: "plates",
+    },
+  } as unknown as OutboundServiceParts;
+  const service = new OutboundService(parts);
+  const receive = () => {
+    const message = {
+      method: "GET",
+      url: "/",
+      headers: {},
+      rawHeaders: [],
+    } as unknown as IncomingMessage;
+    const leave = service.handle(
+      { message, body: null, arrivedMs: performance.now() },
+      { answer: ignore, fail: ignore },
+    );
+    leave();
+  };
+  return { receive, sent };
+}
+
+// Guards against calls of new requests that overtake those of requests which
+// have waited longer, so that each of them meets its timeout.
+test("a call has the latency goal of the request that makes it", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const { receive, sent } = createService({ goalAtMs });
+  receive();
+  const [call] = sent as [ForwardedRequest];
+  assert.ok(call.goalLeftMs > ROUTE.latencyGoalMs);
+  assert.ok(call.goalLeftMs <= 1_200);
+  assert.equal(call.isRefusable, false);
+});
+
+test("a request of a caller has the latency goal of its route", () => {
+  const { receive, sent } = createService(undefined);
+  receive();
+  const [request] = sent as [ForwardedRequest];
+  assert.ok(request.goalLeftMs <= ROUTE.latencyGoalMs);
+  assert.equal(request.isRefusable, true);
+});
