Take no caller's request for a call of a running one by chance

Cause: a request that expires within 2 ms of a running one counted as its call. Once the calls of the running request's route are known, only routes that are called are calls.

--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -38,6 +38,16 @@
     }
   }
 
+  /**
+   * Tells whether the calls of a route are known.
+   *
+   * @param routeName Route of the request that makes calls.
+   * @returns True after enough of its runs.
+   */
+  hasLearned(routeName: string): boolean {
+    return (this.#byRoute.get(routeName)?.runsCount ?? 0) >= RUNS_MIN_COUNT;
+  }
+
   /**
    * Lists what was learned, rounded so that it rarely changes.
    *
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,6 +1,6 @@
 /** Routes, admits and forwards what callers and the upstream send. */
 import type { RandomSource } from "../core/random.ts";
-import type { CallGraph } from "../decisions/call_graph.ts";
+import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ConfigFollower } from "./config_follower.ts";
@@ -13,6 +13,7 @@
   type ReplySink,
 } from "./forwarded_exchange.ts";
 import type { OutboundHandler, ReceivedRequest } from "./outbound_listener.ts";
+import type { ServedRequest } from "./served_request.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 
 /** Time after which a caller comes back that met no room. */
@@ -32,6 +33,7 @@
   config: ConfigFollower;
   gate: UpstreamGate;
   graph: CallGraph;
+  observer: CallObserver;
   admission: EntryAdmission;
   random: RandomSource;
   exchange: ExchangeParts;
@@ -104,13 +106,15 @@
     route: FleetRoute,
     pool: string,
   ): IncomingRequest {
-    const { names, gate, graph } = this.#parts;
+    const { names, gate } = this.#parts;
     const statedMs = Number(message.headers[names.deadlineMs] ?? Infinity);
     const callerMs = Number.isFinite(statedMs) ? statedMs : Infinity;
     const parent = gate.findParent(arrivedMs + callerMs);
-    if (parent !== undefined) {
-      parent.calledRouteNames.push(route.name);
-    }
+    parent?.calledRouteNames.push(route.name);
+    const isCall = this.#isCall(route, parent);
+    // Calls of requests that have waited longest come first, so that what was
+    // begun is ended.
+    const inheritedMs = isCall ? parent?.goalAtMs : undefined;
     return {
       requestId: String(message.headers[names.requestId] ?? ""),
       method: message.method ?? "GET",
@@ -121,13 +125,21 @@
       pool,
       arrivedMs,
       expiresAtMs: arrivedMs + Math.min(callerMs, route.timeoutMs),
-      // Calls of requests that have waited longest come first, so that what was
-      // begun is ended.
-      goalAtMs: parent?.goalAtMs ?? arrivedMs + route.latencyGoalMs,
-      isCall: parent !== undefined || graph.isCalled(route.name),
+      goalAtMs: inheritedMs ?? arrivedMs + route.latencyGoalMs,
+      isCall,
     };
   }
 
+  /**
+   * A caller's request may expire together with a running one by chance. Once
+   * the calls of that one are known, only routes that are called are calls.
+   */
+  #isCall(route: FleetRoute, parent: ServedRequest | undefined): boolean {
+    const { graph, observer } = this.#parts;
+    return graph.isCalled(route.name) ||
+      (parent !== undefined && !observer.hasLearned(parent.request.routeName));
+  }
+
   #refuse(
     received: ReceivedRequest,
     kind: ErrorKind,
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
 import { test } from "node:test";
+import { CallObserver } from "../decisions/call_graph.ts";
 import type { ForwardedRequest } from "../link/upstream_path.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import {
@@ -15,8 +16,13 @@
   priority: 0,
 } as FleetRoute;
 
+const PARENT_ROUTE = "parent";
+
 /** Service whose requests are recorded instead of sent. */
-function createService(parent: { goalAtMs: number } | undefined) {
+function createService(
+  parent: { goalAtMs: number } | undefined,
+  observer = new CallObserver(),
+) {
   const sent: ForwardedRequest[] = [];
   const path = {
     member: { name: "m-1" },
@@ -39,8 +45,14 @@
       version: 1,
     },
     gate: {
-      findParent: () => parent && { ...parent, calledRouteNames: [] },
+      findParent: () =>
+        parent && {
+          ...parent,
+          calledRouteNames: [],
+          request: { routeName: PARENT_ROUTE },
+        },
     },
+    observer,
     graph: { isCalled: () => false },
     admission: { refusingPool: ignore },
     exchange: {
@@ -80,6 +92,21 @@
   assert.equal(call.isRefusable, false);
 });
 
+// Guards against callers' requests that wait behind everything, and cannot be
+// refused, because they expire together with a running request by chance.
+test("a route that the running request never calls is no call", () => {
+  const observer = new CallObserver();
+  for (let run = 0; run < 10; run++) {
+    observer.recordRun(PARENT_ROUTE, ["called"]);
+  }
+  const goalAtMs = performance.now() + 1_200;
+  const { receive, sent } = createService({ goalAtMs }, observer);
+  receive();
+  const [request] = sent as [ForwardedRequest];
+  assert.ok(request.goalLeftMs <= ROUTE.latencyGoalMs);
+  assert.equal(request.isRefusable, true);
+});
+
 test("a request of a caller has the latency goal of its route", () => {
   const { receive, sent } = createService(undefined);
   receive();
--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -297,6 +297,7 @@
       config: this.#config,
       gate: this.#gate,
       graph: this.#graph,
+      observer: this.#observer,
       admission: this.#admission,
       random,
       exchange: {
