Prefer other peers while one does not answer a ping

A peer whose ping is unanswered for 150 ms is now chosen only when no other one serves; its open requests still wait.

--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -80,6 +80,7 @@
       link: { host: "127.0.0.1", port: 1 },
     },
     state,
+    isSuspect: false,
     load: new PathLoad(),
     send: () => ({ cancel() {} }),
   };
--- a/src/fleet/local_path.ts
+++ b/src/fleet/local_path.ts
@@ -20,6 +20,8 @@
 /** Path without a link; its load is always up to date. */
 export class LocalPath implements UpstreamPath {
   readonly member: MemberRecord;
+  /** @inheritdoc */
+  readonly isSuspect = false;
   readonly #load = new PathLoad();
   readonly #options: LocalPathOptions;
 
--- a/src/fleet/path_table.ts
+++ b/src/fleet/path_table.ts
@@ -81,22 +81,19 @@
       tried: ReadonlySet<string>;
     },
   ): UpstreamPath | undefined {
-    let paths: UpstreamPath[] = [];
-    let areStopping = true;
+    const sound: UpstreamPath[] = [];
+    const avoided: UpstreamPath[] = [];
     for (const path of this.pathsOf(pool)) {
       const { state } = path;
       if (state?.isServing !== true || options.tried.has(path.member.name)) {
         continue;
       }
-      // A daemon that stops soon is used only when no other one is left.
-      if (areStopping && !state.isStopping) {
-        areStopping = false;
-        paths = [];
-      }
-      if (state.isStopping === areStopping) {
-        paths.push(path);
-      }
+      // A daemon that stops soon, or may be cut off, is used only when no other
+      // one is left.
+      const isAvoided = state.isStopping || path.isSuspect;
+      (isAvoided ? avoided : sound).push(path);
     }
+    const paths = sound.length > 0 ? sound : avoided;
     const views = paths.map((path) => this.#view(path, options.routeName));
     const index = choosePath(views, {
       random: this.#options.random,
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -32,6 +32,8 @@
 const BUSY_SILENCE_MS = 300;
 /** The same for a link without open requests. */
 const IDLE_SILENCE_MS = 2_000;
+/** Time without an answer to a ping after which other peers are preferred. */
+const SUSPECT_MS = 150;
 /** Time that the answer to a ping may take; covers a stalled processor. */
 const PONG_TIMEOUT_MS = 900;
 
@@ -75,6 +77,7 @@
   #dialAtMs = 0;
   #dialledMs = 0;
   #pingSentMs: number | undefined;
+  #isSuspect = false;
   /** Monotonic time since which the peer was not reached, in ms. */
   downSinceMs = performance.now();
 
@@ -98,6 +101,11 @@
     return this.#state;
   }
 
+  /** @inheritdoc */
+  get isSuspect(): boolean {
+    return this.#isSuspect;
+  }
+
   /** Whether the peer is connected. */
   get isUp(): boolean {
     return this.#machine.is("up");
@@ -197,6 +205,7 @@
   /** @inheritdoc */
   onFrame(frame: unknown[]): void {
     this.#pingSentMs = undefined;
+    this.#isSuspect = false;
     switch (frame[0]) {
       case FRAME.answer:
         return this.#onAnswer(frame as AnswerFrame);
@@ -225,6 +234,7 @@
     const { host, port } = this.#member.link;
     this.#dialledMs = nowMs;
     this.#pingSentMs = undefined;
+    this.#isSuspect = false;
     const tcp = connect({ host, port });
     const socket: LinkSocket = new LinkSocket(tcp, {
       onFrame: (frame) => this.onFrame(frame),
@@ -359,10 +369,9 @@
       socket.send([FRAME.ping]);
       return;
     }
-    if (
-      nowMs - Math.max(this.#pingSentMs, socket.lastReceivedMs) >
-        PONG_TIMEOUT_MS
-    ) {
+    const waitedMs = nowMs - Math.max(this.#pingSentMs, socket.lastReceivedMs);
+    this.#isSuspect = waitedMs > SUSPECT_MS;
+    if (waitedMs > PONG_TIMEOUT_MS) {
       this.#machine.send("broken", "The peer is silent");
     }
   }
--- /dev/null
+++ b/src/link/peer_link_test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { SeededRandom } from "../core/random.ts";
+import type { MemberRecord } from "../schemas/fleet_schema.ts";
+import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
+import { NullLogger } from "../telemetry/logger.ts";
+import { encodeFrame } from "./frame_codec.ts";
+import { type LinkHost, PeerLink } from "./peer_link.ts";
+
+const TICK_MS = 100;
+
+function memberAt(name: string, port: number): MemberRecord {
+  const link = { host: "127.0.0.1", port };
+  return { name, dataCentre: "a", pool: "plates", link };
+}
+
+const STATE: UpstreamState = {
+  upstreamId: "u-1",
+  isServing: true,
+  isStopping: false,
+  limitCount: 10,
+  isCold: false,
+  busyRatio: 0,
+  configVersion: 1,
+  calls: [],
+};
+
+function createHost(): LinkHost {
+  return {
+    ownRecord: memberAt("own", 1),
+    ownState: STATE,
+    configVersion: 1,
+    onGreeted: () => {},
+    onConfigVersion: () => {},
+    onState: () => {},
+    onConfig: () => {},
+  };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+/** Link to a peer that greets and then says nothing more by itself. */
+async function connectLink(t: TestContext) {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.write(encodeFrame([FRAME.hello, memberAt("two", 1), STATE]));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const link = new PeerLink(memberAt("two", port), {
+    host: createHost(),
+    log: new NullLogger(),
+    random: new SeededRandom(1),
+  });
+  t.after(() => {
+    link.remove();
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  link.tick(performance.now(), 0);
+  await until(() => link.isUp);
+  return { link, sockets };
+}
+
+// Guards against requests that are sent towards a machine that is cut off for
+// as long as it takes to be sure of it.
+test("a peer that does not answer a ping is suspect long before it is dropped", async (t) => {
+  const { link } = await connectLink(t);
+  const nowMs = performance.now();
+  link.send({
+    upstreamId: "u-1",
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: null,
+    remainingMs: 1_000,
+    routeName: "r",
+    goalLeftMs: 500,
+    isRefusable: true,
+    callerPool: "plates",
+  }, { onAnswer: () => {}, onFailure: () => {} });
+
+  const suspectAfterMs: number[] = [];
+  const downAfterMs: number[] = [];
+  for (let elapsedMs = 0; elapsedMs <= 2_000; elapsedMs += TICK_MS) {
+    link.tick(nowMs + elapsedMs, 0);
+    if (link.isSuspect) {
+      suspectAfterMs.push(elapsedMs);
+    }
+    if (!link.isUp) {
+      downAfterMs.push(elapsedMs);
+      break;
+    }
+  }
+  const [firstMs] = suspectAfterMs as [number];
+  assert.ok(firstMs <= 600, `suspect after ${firstMs} ms`);
+  assert.ok((downAfterMs[0] as number) >= firstMs + 500);
+});
+
+test("a frame from the peer ends the suspicion", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const nowMs = performance.now();
+  link.tick(nowMs + 2_100, 0);
+  link.tick(nowMs + 2_400, 0);
+  assert.equal(link.isSuspect, true);
+  sockets[0]?.write(encodeFrame([FRAME.pong]));
+  await until(() => !link.isSuspect);
+});
--- a/src/link/upstream_path.ts
+++ b/src/link/upstream_path.ts
@@ -63,6 +63,8 @@
   readonly member: MemberRecord;
   /** Last stated state of the upstream; undefined while there is no contact. */
   readonly state: UpstreamState | undefined;
+  /** Whether the other side may be cut off; it is used when no other is left. */
+  readonly isSuspect: boolean;
   /** Last load report, and requests that were sent since. */
   readonly load: PathLoad;
   /** Hands a request over; the receiver gets exactly one result. */
