--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -13,12 +13,12 @@
 const BUSY_TARGET_RATIO = 0.97;
 /**
  * Weight of one step in the mean level that the present load is put down to. A
- * request makes calls for about a second, and twice that keeps levels steady.
+ * request makes calls for about a second; the mean covers two, against hunting.
  */
 const LEVEL_WEIGHT = 0.05;
 /**
- * Decrease per waiting request per slot. With 0.1 a burst filled the queues for
- * 7 s, and reads met their timeouts; with 0.8 recovery is slower.
+ * Decrease per waiting request per slot. A smaller one leaves the queues full
+ * for seconds after a burst; a larger one makes the level hunt.
  */
 const WAITING_GAIN = 0.4;
 const CORRECTION_MIN = 0.5;
--- a/src/decisions/slot_queue.ts
+++ b/src/decisions/slot_queue.ts
@@ -4,8 +4,6 @@
 export type SlotRequest = {
   /** Monotonic time by which its answer keeps its full value, in ms. */
   readonly goalAtMs: number;
-  /** Monotonic time after which it is of no use, in ms. */
-  readonly expiresAtMs: number;
 };
 
 /**
--- a/src/decisions/slot_queue_test.ts
+++ b/src/decisions/slot_queue_test.ts
@@ -3,7 +3,7 @@
 import fc from "fast-check";
 import { SlotQueue } from "./slot_queue.ts";
 
-const request = (goalAtMs: number) => ({ goalAtMs, expiresAtMs: 1_000 });
+const request = (goalAtMs: number) => ({ goalAtMs });
 
 test("a waiting request with a nearer goal runs first", () => {
   const slots = new SlotQueue<ReturnType<typeof request>>();
