--- a/src/fleet/wire_fleet.ts
+++ b/src/fleet/wire_fleet.ts
@@ -260,13 +260,9 @@
 
   #createDirectory(host: LinkHost): MemberDirectory {
     const { platform, log, random } = this.#options;
-    const { instanceName, dataCentre, pool, listeners } = this.#settings;
-    const ownRecord: MemberRecord = {
-      name: instanceName,
-      dataCentre,
-      pool,
-      link: listeners.link,
-    };
+    const { instanceName: name, dataCentre, pool, listeners } = this.#settings;
+    const { link } = listeners;
+    const ownRecord: MemberRecord = { name, dataCentre, pool, link };
     this.#paths.add(
       new LocalPath({
         member: ownRecord,
