Use one copy of binding, raw headers and comparisons of left upstreams

Found in a read-through of the whole change. The bound address comes from listenOn, which the product's listeners and the stand-ins had written again; flattenRawHeaders moves to core, where both clients of undici call it; the own entry decides itself whether a leaving is already stored; the story of a request reads an outcome in one place. Behaviour is unchanged.

--- a/src/cli/request_story.ts
+++ b/src/cli/request_story.ts
@@ -93,8 +93,16 @@
   cancelled: ({ tookMs }) => `The caller left after ${tookMs} ms`,
 };
 
+/** Refusals state a kind, ends an outcome. */
+function outcomeOf({ fields }: LogLine): string {
+  return String(fields["kind"] ?? fields["outcome"]);
+}
+
 /** Names the cause from the line that decided the request's fate. */
-function explain(lines: readonly LogLine[], requestId: string) {
+function explain(
+  lines: readonly LogLine[],
+  requestId: string,
+): string | undefined {
   const own = lines.filter(({ fields }) => fields["requestId"] === requestId);
   const decisive =
     own.findLast(({ message }) =>
@@ -104,20 +112,18 @@
     return undefined;
   }
   const { fields } = decisive;
-  const outcome = String(fields["kind"] ?? fields["outcome"]);
+  const outcome = outcomeOf(decisive);
   if (!outcome.startsWith("answered ")) {
     return CAUSES[outcome]?.(fields) ?? outcome;
   }
-  const failedCall = lines.find(({ fields: other }) =>
-    other["requestId"] !== requestId &&
-    CAUSES[String(other["kind"] ?? other["outcome"])] !== undefined
+  const failedCall = lines.find((line) =>
+    line.fields["requestId"] !== requestId &&
+    CAUSES[outcomeOf(line)] !== undefined
   );
   if (failedCall === undefined || outcome.startsWith("answered 2")) {
     return `The upstream beside ${fields["upstream"]} ${outcome} itself`;
   }
-  const cause = String(
-    failedCall.fields["kind"] ?? failedCall.fields["outcome"],
-  );
+  const cause = outcomeOf(failedCall);
   const text = CAUSES[cause]?.(failedCall.fields) ?? cause;
   return `The upstream ${outcome} after its call ${
     failedCall.fields["requestId"]
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -40,11 +40,18 @@
   onOwnRecord: (record: MemberRecord) => void;
 };
 
+function isSameUpstream(
+  a: LeftUpstream | undefined,
+  b: LeftUpstream | undefined,
+): boolean {
+  return a?.upstreamId === b?.upstreamId &&
+    a?.startedEpochMs === b?.startedEpochMs;
+}
+
 function isSameEntry(a: MemberRecord, b: MemberRecord): boolean {
   return a.pool === b.pool && a.dataCentre === b.dataCentre &&
     a.link.host === b.link.host && a.link.port === b.link.port &&
-    a.leftUpstream?.upstreamId === b.leftUpstream?.upstreamId &&
-    a.leftUpstream?.startedEpochMs === b.leftUpstream?.startedEpochMs;
+    isSameUpstream(a.leftUpstream, b.leftUpstream);
 }
 
 /** Follows the members' entries and keeps a link to each member. */
@@ -139,13 +146,17 @@
 
   /**
    * Remembers in the store that the upstream's leaving was acknowledged, so
-   * that a restarted daemon does not send to it again.
+   * that a restarted daemon does not send to it again. An upstream that the own
+   * entry names already is not written again by this call.
    *
    * @param left Upstream that leaves.
    * @returns Resolves when the store has it, or the attempt has failed; it is
    *   then repeated.
    */
   async rememberLeft(left: LeftUpstream): Promise<void> {
+    if (isSameUpstream(left, this.#ownRecord.leftUpstream)) {
+      return;
+    }
     this.#ownRecord = { ...this.#ownRecord, leftUpstream: left };
     this.#isRegistered = false;
     await this.#register();
--- a/src/fleet/upstream_announcements.ts
+++ b/src/fleet/upstream_announcements.ts
@@ -76,12 +76,7 @@
   async #storeLeft(): Promise<void> {
     const { upstream, directory } = this.#options;
     const { left } = upstream;
-    const stored = directory.ownRecord.leftUpstream;
-    if (
-      left === undefined ||
-      (left.upstreamId === stored?.upstreamId &&
-        left.startedEpochMs === stored.startedEpochMs)
-    ) {
+    if (left === undefined) {
       return;
     }
     await Promise.race([
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -108,18 +108,6 @@
     return this.#busy.value;
   }
 
-  /**
-   * Estimates the wait of a request that arrives now.
-   *
-   * @param goalAtMs Its latency goal, as a monotonic time in ms.
-   * @returns Time until it has a slot, in ms.
-   */
-  queueWaitMs(goalAtMs: number): number {
-    const aheadCount = this.#slots.aheadCount(goalAtMs);
-    const { limitCount } = this.#slots;
-    return limitCount === 0 ? 0 : aheadCount * this.#runMs.value / limitCount;
-  }
-
   /** Takes over the upstream's slots and starts what waits. */
   open(): void {
     const slotsCount = this.#options.upstream.report?.slotsCount ?? 0;
@@ -249,11 +237,18 @@
       return "no_upstream";
     }
     const waitMaxMs = Math.max(0, request.goalLeftMs) * WAIT_MAX_GOAL_RATIO;
-    return request.isRefusable && this.queueWaitMs(goalAtMs) > waitMaxMs
+    return request.isRefusable && this.#queueWaitMs(goalAtMs) > waitMaxMs
       ? "queue_full"
       : undefined;
   }
 
+  /** Time until a request with a latency goal that arrives now has a slot, in ms. */
+  #queueWaitMs(goalAtMs: number): number {
+    const aheadCount = this.#slots.aheadCount(goalAtMs);
+    const { limitCount } = this.#slots;
+    return limitCount === 0 ? 0 : aheadCount * this.#runMs.value / limitCount;
+  }
+
   /**
    * Longest wait of a request: one that may be refused gives up while there is
    * still time for a run, and can then be repeated elsewhere.
@@ -282,7 +277,7 @@
         runningCount: this.runningCount,
         waitingCount: this.waitingCount,
         limitCount: this.limitCount,
-        queueWaitMs: Math.round(this.queueWaitMs(goalAtMs)),
+        queueWaitMs: Math.round(this.#queueWaitMs(goalAtMs)),
       },
     );
   }
--- a/src/fleet/upstream_http.ts
+++ b/src/fleet/upstream_http.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import process from "node:process";
 import { buildConnector, type Dispatcher, Pool } from "undici";
+import { flattenRawHeaders } from "../core/raw_headers.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import { type EdgeHeaders, passHeaders } from "./edge_headers.ts";
 import type {
@@ -151,9 +152,10 @@
       this.#refuse(status);
       return;
     }
-    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[])
-      .map(String);
-    this.#headers = passHeaders(raw, [this.#names.load, this.#names.requestId]);
+    this.#headers = passHeaders(flattenRawHeaders(controller.rawHeaders), [
+      this.#names.load,
+      this.#names.requestId,
+    ]);
   }
 
   /** Called by undici for each part of the body. */
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -171,9 +171,10 @@
    * Starts to listen.
    *
    * @param address Address to bind.
+   * @returns The bound address.
    * @throws When the address cannot be bound.
    */
-  listen(address: Address): Promise<void> {
+  listen(address: Address): Promise<Address> {
     return listenOn(this.#server, address);
   }
 
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { listenOn } from "../core/listen_on.ts";
 import { SeededRandom } from "../core/random.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
@@ -52,8 +53,7 @@
     socket.on("error", () => {});
     socket.write(encodeFrame([FRAME.hello, memberAt("two", 1), STATE]));
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
+  const { port } = await listenOn(server, { host: "127.0.0.1", port: 0 });
   const link = new PeerLink(memberAt("two", port), {
     host: createHost(),
     log: new NullLogger(),
--- a/src/operator/operator_server.ts
+++ b/src/operator/operator_server.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { listenOn } from "../core/listen_on.ts";
 import { InputError } from "../errors/input_error.ts";
 import { parseJsonc } from "../schemas/parse_jsonc.ts";
 import type { Address } from "../schemas/common_schema.ts";
@@ -78,14 +78,7 @@
    * @throws When the address cannot be bound.
    */
   listen(address: Address): Promise<Address> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, () => {
-        this.#server.removeListener("error", reject);
-        const { port } = this.#server.address() as AddressInfo;
-        resolve({ host: address.host, port });
-      });
-    });
+    return listenOn(this.#server, address);
   }
 
   /** Closes the listener and all its connections. */
--- a/src/proxy/http_answer_source.ts
+++ b/src/proxy/http_answer_source.ts
@@ -1,5 +1,6 @@
 /** Adapts undici's dispatch to the answer interfaces. */
 import type { Dispatcher } from "undici";
+import { flattenRawHeaders } from "../core/raw_headers.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import { RelayError } from "../errors/relay_error.ts";
 import type {
@@ -25,12 +26,6 @@
   interpretHead: HeadInterpreter;
 };
 
-function flattenRawHeaders(
-  rawHeaders: Dispatcher.DispatchController["rawHeaders"],
-): string[] {
-  return ((rawHeaders ?? []) as (Buffer | string)[]).map(String);
-}
-
 /** One HTTP exchange by undici, read as an {@link AnswerSource}. */
 export class HttpAnswerSource
   implements Dispatcher.DispatchHandler, AnswerSource {
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -5,7 +5,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
+import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 
 const HEADER_MAX_BYTES = 16_384;
@@ -60,14 +61,7 @@
    * @throws When the address cannot be bound.
    */
   listen(address: Address): Promise<Address> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, () => {
-        this.#server.removeListener("error", reject);
-        const { port } = this.#server.address() as AddressInfo;
-        resolve({ host: address.host, port });
-      });
-    });
+    return listenOn(this.#server, address);
   }
 
   /** Stops listening; resolves when the last request has ended. */
