--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -88,6 +88,7 @@
 export class EntryLevels {
   readonly #means = new Map<string, MovingAverage>();
   readonly #levels = new Map<string, number>();
+  readonly #sheddingPools = new Set<string>();
 
   /**
    * Adjusts the level of a pool; called once per control interval of 100 ms.
@@ -105,6 +106,11 @@
       : levelFor(runs * correctionFor(busyRatio), offered);
     mean.add(level);
     this.#levels.set(pool, level);
+    if (level < classesCount) {
+      this.#sheddingPools.add(pool);
+    } else {
+      this.#sheddingPools.delete(pool);
+    }
     return level;
   }
 
@@ -118,6 +124,16 @@
     return this.#levels.get(pool);
   }
 
+  /**
+   * Returns whether a pool admits only a part of the offered requests.
+   *
+   * @param pool Name of the pool.
+   * @returns True when its level is below the number of classes.
+   */
+  isShedding(pool: string): boolean {
+    return this.#sheddingPools.has(pool);
+  }
+
   #meanOf(pool: string, classesCount: number): MovingAverage {
     let mean = this.#means.get(pool);
     if (mean === undefined) {
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -97,6 +97,22 @@
     return undefined;
   }
 
+  /**
+   * Returns whether a pool that requests of a route use admits only a part of
+   * the offered requests.
+   *
+   * @param route Route of the request.
+   * @returns True while such a pool is overloaded.
+   */
+  isShedding(route: FleetRoute): boolean {
+    for (const pool of this.#runsByPool(route.name).keys()) {
+      if (this.#levels.isShedding(pool)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Adjusts the levels of all pools. Called once per control interval.
    *
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -320,6 +320,7 @@
         requestIdHeader: platform.headers.requestId,
         daemonsCount: () => this.#directory.membersCount,
         runsPerRequest: (routeName) => this.#callGraph.totalRunsOf(routeName),
+        isShedding: (route) => this.#admission.isShedding(route),
         onEnd: ({ route, arrivedAtMs }, outcome) => {
           const tookMs = performance.now() - arrivedAtMs;
           this.#metrics.record(route.name, outcome, tookMs);
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -25,6 +25,7 @@
  * before the deadline is unlikely.
  */
 const RETRY_REMAINING_MIN_MS = 30;
+const STATUS_SERVER_ERROR_MIN = 500;
 
 /** A received request for which a route and a pool have been found. */
 export type RoutedRequest = {
@@ -78,6 +79,8 @@
    * downstream calls.
    */
   runsPerRequest: (routeName: string) => number;
+  /** Whether a pool that requests of a route use admits only a part of them. */
+  isShedding: (route: FleetRoute) => boolean;
   /** Called at the end of each request, for metrics. */
   onEnd: (request: RoutedRequest, outcome: string) => void;
 };
@@ -98,6 +101,7 @@
   #sendsCount = 0;
   #reachedCount = 0;
   #mayHaveRun = false;
+  #errorAnswer: UpstreamAnswer | undefined;
 
   /**
    * @param request Admitted request.
@@ -134,6 +138,7 @@
 
   /** @inheritdoc */
   onAnswer(answer: UpstreamAnswer): void {
+    this.#reachedCount++;
     this.#machine.send("answered", answer);
   }
 
@@ -175,6 +180,26 @@
       this.#sendsCount < SENDS_MAX_COUNT && this.#reserveRetry();
   }
 
+  /**
+   * Guard: whether an error answer of an upstream is not passed on, but the
+   * request is retried. If so, the retry budget is charged. While a pool that
+   * the request uses sheds requests, the error is probably a refused downstream
+   * call, and a retry would repeat all calls.
+   */
+  mayRetryAnswer({ status }: UpstreamAnswer): boolean {
+    return status >= STATUS_SERVER_ERROR_MIN &&
+      this.#request.route.idempotent &&
+      !this.#parts.isShedding(this.#request.route) &&
+      this.#sendsCount < SENDS_MAX_COUNT && this.#reserveRetry();
+  }
+
+  /** Action: keeps an error answer in case no retry succeeds, and retries. */
+  retryAfterErrorAnswer(answer: UpstreamAnswer): void {
+    this.#errorAnswer = answer;
+    this.#mayHaveRun = true;
+    this.chooseUpstream();
+  }
+
   /** Action: chooses an upstream that has not been tried. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
     const { pool, route, expiresAtMs } = this.#request;
@@ -219,14 +244,7 @@
       this.#request.route.name,
       answer.runMs,
     );
-    this.#end(`answered ${answer.status}`);
-    // The daemon of the upstream compared the id in the answer with that of the
-    // request and removed the header, so it is added again.
-    const { requestId } = this.#request;
-    const headers = requestId === ""
-      ? answer.headers
-      : [...answer.headers, this.#parts.requestIdHeader, requestId];
-    this.#answerSender.answer({ ...answer, headers });
+    this.#sendAnswer(answer);
   }
 
   /**
@@ -280,11 +298,30 @@
       });
   }
 
+  /**
+   * Answers with an error answer of an upstream if there was one, which says
+   * more than the failure of the retry.
+   */
   #fail(kind: ErrorKind): void {
+    if (this.#errorAnswer !== undefined) {
+      this.#sendAnswer(this.#errorAnswer);
+      return;
+    }
     this.#end(kind);
     this.#answerSender.fail(kind);
   }
 
+  #sendAnswer(answer: UpstreamAnswer): void {
+    this.#end(`answered ${answer.status}`);
+    // The daemon of the upstream compared the id in the answer with that of the
+    // request and removed the header, so it is added again.
+    const { requestId } = this.#request;
+    const headers = requestId === ""
+      ? answer.headers
+      : [...answer.headers, this.#parts.requestIdHeader, requestId];
+    this.#answerSender.answer({ ...answer, headers });
+  }
+
   #end(outcome: string): void {
     clearTimeout(this.#timer);
     const { requestId, arrivedAtMs, route, pool, isCall } = this.#request;
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -22,9 +22,12 @@
   releaseSlot(request: ServedRequest, result: ServedResult): void;
 }
 
+const STATUS_SERVER_ERROR_MIN = 500;
+
 /** Result of a request that held a slot. */
 export type ServedResult =
   | "answered"
+  | "errorAnswered"
   | "refused"
   | "unreachable"
   | "failed"
@@ -190,7 +193,9 @@
       return performance.now() >= this.expiresAtMs ? "overdue" : "cancelled";
     }
     if ("answer" in result) {
-      return "answered";
+      return result.answer.status >= STATUS_SERVER_ERROR_MIN
+        ? "errorAnswered"
+        : "answered";
     }
     if (result.failure.kind === "no_upstream") {
       return "unreachable";
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -310,11 +310,12 @@
       return;
     }
     this.#failures.add(result === "answered" ? 0 : 1);
-    if (result !== "answered") {
+    const isAnswered = result === "answered" || result === "errorAnswered";
+    if (!isAnswered) {
       this.#recordDecision(served, result);
     }
     this.#overdueCount = result === "overdue" ? this.#overdueCount + 1 : 0;
-    if (result === "answered" || result === "overdue") {
+    if (isAnswered || result === "overdue") {
       this.#options.observer.recordRun(
         served.request.routeName,
         served.calledRouteNames,
