Bound the links of a daemon and elect the daemons that watch the store

Cause: each daemon linked to every other one, so pings and state frames of the fleet grew with the square of its size, and each kept a watch of 4 s at full price. On the large site store calls were the largest price.

Change: a daemon links to 16 reachable members of each pool, 12 of them in its own data centre, by rendezvous hashing; lost ones are replaced after 2 s. Two daemons of a data centre are elected to watch the configuration closely, the others watch it for 28 s with stale data and hear of new versions from their peers. Busy frames are limited to 200 a second for each daemon. A ping is answered with the configuration version.

While the store does not answer, a restarted daemon asks a peer for the members and for its own record, so a departure that was acknowledged without the store is not forgotten. A departure that is announced during a write is acknowledged only when it is stored.

Tests: link_subset_test (losses, data centre cuts, hops), watcher_election_test, own_registration_test, large_fleet_test, forwarding_test, store_client_test.

--- a/src/fleet/channel_table_test.ts
+++ b/src/fleet/channel_table_test.ts
@@ -27,6 +27,7 @@
       isCold: false,
       busyRatio: 0,
       configVersion: 1,
+      isWatching: false,
       calls: [],
     },
     isSuspect,
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -102,6 +102,16 @@
     this.#parts.graph.update(link.member.name, state.calls);
   }
 
+  /** @inheritdoc */
+  get members(): readonly MemberRecord[] {
+    return this.#parts.directory().records;
+  }
+
+  /** @inheritdoc */
+  onMembers(records: readonly MemberRecord[], link: PeerLink): void {
+    this.#parts.directory().handlePeerRecords(records, link.member.name);
+  }
+
   /** @inheritdoc */
   onConfig(config: unknown): void {
     this.#parts.config.applyFromPeer(config);
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -75,6 +75,7 @@
     isCold: false,
     busyRatio: 0,
     configVersion: 1,
+    isWatching: false,
     calls: [],
   };
   const channel: UpstreamChannel = {
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -77,6 +77,7 @@
   readonly #announcementListener: ControlListener;
   readonly #metricsListener: ControlListener;
   readonly #metrics: FleetMetrics;
+  #isElectedWatcher = true;
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
 
@@ -173,6 +174,16 @@
     return this.#lifecycle.isReady;
   }
 
+  /** Version of the configuration in force; 0 before the first. */
+  get configVersion(): number {
+    return this.#config.version;
+  }
+
+  /** Whether the daemon watches the store closely and reaches it. */
+  get isWatching(): boolean {
+    return this.#isElectedWatcher && this.#options.platform.store.isReachable;
+  }
+
   /** Number of connected peers whose local upstream takes requests. */
   get servingPeersCount(): number {
     return [...this.#directory.links]
@@ -265,6 +276,7 @@
       peers: () => this.#linkServer,
       configVersion: () => this.#config.version,
       isStopping: () => this.#lifecycle.stoppingSinceMs !== undefined,
+      isWatching: () => this.isWatching,
       onCalls: (calls) =>
         this.#callGraph.update(this.#settings.instanceName, calls),
     });
@@ -288,6 +300,7 @@
       channels: this.#channels,
       link: { host, log, random },
       log,
+      onOwnChange: (record) => this.#linkServer.broadcastOwnRecord(record),
       onOwnRecord: ({ leftUpstream }) => {
         if (leftUpstream !== undefined) {
           this.#upstream.restoreDeparture(leftUpstream);
@@ -366,6 +379,8 @@
     this.#lastTickAtMs = nowMs;
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
+    this.#isElectedWatcher = this.#directory.isElectedWatcher;
+    this.#options.platform.store.setCloseWatch(this.#isElectedWatcher);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
@@ -383,6 +398,7 @@
     if (config === undefined) {
       return;
     }
+    this.#linkServer.broadcastConfigVersion(config.version);
     this.#outboundListener.applyLimits(config.limits);
     this.#lifecycle.notify("configured");
     const { pool } = this.#settings;
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -1,7 +1,13 @@
-/** Links to the other members, and this daemon's member record in the store. */
+/** Known members, and the links to a bounded part of them. */
 import type { Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
 import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
+import { selectLinks } from "../decisions/link_subset.ts";
+import {
+  isElected,
+  rankCandidates,
+  type WatcherCandidate,
+} from "../decisions/watcher_election.ts";
 import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
 import {
   type MemberRecord,
@@ -10,14 +16,21 @@
 } from "../schemas/fleet_schema.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
+import { isSameRecord, MEMBER_KIND } from "./member_records.ts";
+import { OwnRegistration } from "./own_registration.ts";
 
-/** Kind of the store's objects that hold member records. */
-export const MEMBER_KIND = "goldcrest-members";
-
-/** Time between two attempts to write this daemon's record. */
-const REGISTER_RETRY_MS = 1_000;
 /** A member whose link is down for longer is removed, and so is its record. */
 const MEMBER_EXPIRY_MS = 600_000;
+/**
+ * A member whose link is down for longer is replaced by a further one. It is
+ * longer than the restart of a process.
+ */
+const LINK_DOWN_MAX_MS = 2_000;
+/**
+ * Time between two queries for the members of a peer, while the store has not
+ * answered.
+ */
+const MEMBER_QUERY_INTERVAL_MS = 1_000;
 
 /** Object store of the deployment platform. */
 export interface MemberStore extends PlatformClient {
@@ -27,6 +40,11 @@
   readonly callsCount: number;
   /** Removes an object of the given version. Throws {@link PlatformError}. */
   remove(kind: string, name: string, version: number): Promise<void>;
+  /**
+   * Chooses how the configuration is watched: closely, so that a change is
+   * noticed at once, or at a lower cost with data that may be seconds old.
+   */
+  setCloseWatch(isClose: boolean): void;
 }
 
 /** Options of {@link MemberDirectory}. */
@@ -41,37 +59,27 @@
    * have written.
    */
   onOwnRecord: (record: MemberRecord) => void;
+  /** Called with the record of this daemon when it has changed. */
+  onOwnChange: (record: MemberRecord) => void;
 };
 
-function isSameDeparture(
-  a: UpstreamDeparture | undefined,
-  b: UpstreamDeparture | undefined,
-): boolean {
-  return a?.upstreamId === b?.upstreamId &&
-    a?.startedEpochMs === b?.startedEpochMs;
-}
-
-function isSameRecord(a: MemberRecord, b: MemberRecord): boolean {
-  return a.pool === b.pool && a.dataCentre === b.dataCentre &&
-    a.link.host === b.link.host && a.link.port === b.link.port &&
-    isSameDeparture(a.leftUpstream, b.leftUpstream);
-}
-
 /**
- * Watches the member records in the store, keeps a link to each other member
- * and writes the record of this daemon.
+ * Watches the member records in the store, keeps links to a part of the members
+ * and registers this daemon. Members are also learned from the hello frames of
+ * peers and, while the store does not answer, from the lists of peers.
  */
 export class MemberDirectory implements ControlPart<StoredObject> {
   readonly name = "members";
   readonly inputs: Stream<StoredObject>;
   readonly #options: MemberDirectoryOptions;
-  readonly #links = new Map<string, PeerLink>();
+  readonly #registration: OwnRegistration;
+  readonly #records = new Map<string, MemberRecord>();
   readonly #versions = new Map<string, number>();
-  #ownRecord: MemberRecord;
-  #ownVersion: number | undefined;
-  #isRegistering = false;
-  #isRegistered = false;
-  #registerAtMs = 0;
+  readonly #links = new Map<string, PeerLink>();
+  #candidateNames: readonly string[] = [];
+  #hasChanged = false;
+  #downNames = new Set<string>();
+  #membersQueriedAtMs = -Infinity;
 
   /**
    * @param options Store, record of this daemon, channel table and options of
@@ -79,11 +87,16 @@
    */
   constructor(options: MemberDirectoryOptions) {
     this.#options = options;
-    this.#ownRecord = options.ownRecord;
+    this.#registration = new OwnRegistration({
+      store: options.store,
+      record: options.ownRecord,
+      log: options.log,
+      onStored: options.onOwnRecord,
+    });
     this.inputs = options.store.watch(MEMBER_KIND);
   }
 
-  /** Links to the other members. */
+  /** Links to other members. */
   get links(): Iterable<PeerLink> {
     return this.#links.values();
   }
@@ -92,20 +105,42 @@
    * Returns the link to a member.
    *
    * @param name Name of the member.
-   * @returns The link; undefined for an unknown member.
+   * @returns The link; undefined for a member without one.
    */
   link(name: string): PeerLink | undefined {
     return this.#links.get(name);
   }
 
-  /** Number of members, including this one. */
+  /** Number of known members, including this one. */
   get membersCount(): number {
-    return this.#links.size + 1;
+    return this.#records.size + 1;
   }
 
   /** Record of this daemon, which is also sent to peers. */
   get ownRecord(): MemberRecord {
-    return this.#ownRecord;
+    return this.#registration.record;
+  }
+
+  /** Resolves when this daemon knows its stored record, or after 800 ms. */
+  get ownRecordKnown(): Promise<void> {
+    return this.#registration.known;
+  }
+
+  /** Records of all known members, including this one. */
+  get records(): MemberRecord[] {
+    return [this.ownRecord, ...this.#records.values()];
+  }
+
+  /** Whether this daemon should watch the store closely. */
+  get isElectedWatcher(): boolean {
+    const ownRank = this.#candidateNames.indexOf(this.ownRecord.name);
+    const preferred = ownRank < 0
+      ? this.#candidateNames
+      : this.#candidateNames.slice(0, ownRank);
+    return isElected({
+      isCandidate: ownRank >= 0,
+      preferred: preferred.map((name) => this.#candidateOf(name)),
+    });
   }
 
   /** @inheritdoc */
@@ -119,8 +154,8 @@
       this.#options.log.warn("Entry of a member is not readable", { name });
       return;
     }
-    if (name === this.#ownRecord.name) {
-      this.#onOwnRecord(result.data, version);
+    if (name === this.ownRecord.name) {
+      this.#registration.handleStored(result.data, version);
       return;
     }
     this.#versions.set(name, version);
@@ -135,60 +170,79 @@
    *   daemon is ignored.
    */
   upsertMember(record: MemberRecord): void {
-    if (record.name === this.#ownRecord.name) {
+    const { name } = record;
+    if (name === this.ownRecord.name) {
       return;
     }
-    const link = this.#links.get(record.name);
-    if (link === undefined) {
-      this.#addLink(record);
-      return;
+    const known = this.#records.get(name);
+    // A member that has restarted without the store does not know the departure
+    // that its former process acknowledged; it asks its peers for it.
+    const leftUpstream = record.leftUpstream ?? known?.leftUpstream;
+    const merged = leftUpstream === undefined
+      ? record
+      : { ...record, leftUpstream };
+    this.#records.set(name, merged);
+    if (known === undefined || !isSameRecord(known, merged)) {
+      this.#hasChanged = true;
+      this.#updateLink(merged);
     }
-    if (!isSameRecord(link.member, record)) {
-      this.#options.channels.remove(link);
-      link.updateMember(record);
-      this.#options.channels.add(link);
-    }
-    if (!link.isUp) {
+    const link = this.#links.get(name);
+    if (link !== undefined && !link.isUp) {
       link.dialSoon();
     }
   }
 
   /**
-   * Writes the departure of the local upstream to this daemon's record, so that
-   * the daemon does not send it requests after a restart. Does nothing if the
-   * record has the departure already.
+   * Handles the members that a peer knows. Records of known members other than
+   * the peer itself are not replaced, because the peer's may be older.
    *
-   * @param departure Upstream that leaves.
-   * @returns Resolves when the record is written or the attempt has failed, or
-   *   at once while another write is in progress. Until the record is stored,
-   *   {@link tick} retries it.
+   * @param records Records of members.
+   * @param peerName Name of the peer.
    */
-  async storeDeparture(departure: UpstreamDeparture): Promise<void> {
-    if (isSameDeparture(departure, this.#ownRecord.leftUpstream)) {
-      return;
+  handlePeerRecords(records: readonly MemberRecord[], peerName: string): void {
+    for (const record of records) {
+      if (record.name === this.ownRecord.name) {
+        this.#registration.handlePeerCopy(record);
+      } else if (record.name === peerName || !this.#records.has(record.name)) {
+        this.upsertMember(record);
+      }
     }
-    this.#ownRecord = { ...this.#ownRecord, leftUpstream: departure };
-    this.#isRegistered = false;
-    await this.#register();
   }
 
   /**
-   * Calls `tick` of each link, removes expired members, and writes the record
-   * of this daemon if it is not stored.
+   * Stores the departure of the local upstream with this daemon's record; see
+   * {@link OwnRegistration.storeDeparture}.
+   *
+   * @param departure Upstream that leaves.
+   * @returns Resolves when it is written or the attempt has failed.
+   */
+  storeDeparture(departure: UpstreamDeparture): Promise<void> {
+    const isStored = this.#registration.storeDeparture(departure);
+    // Peers return the record to this daemon if it restarts without the store.
+    this.#options.onOwnChange(this.ownRecord);
+    return isStored;
+  }
+
+  /**
+   * Selects the members to link to, calls `tick` of each link, removes expired
+   * members, and writes the record of this daemon if it is not stored.
    *
    * @param nowMs Monotonic time, in ms.
    * @param stalledMs Time for which this process was stalled, in ms.
    */
   tick(nowMs: number, stalledMs: number): void {
+    this.#updateDownNames(nowMs);
+    if (this.#hasChanged) {
+      this.#hasChanged = !this.#selectLinks();
+    }
     for (const link of this.#links.values()) {
       link.tick(nowMs, stalledMs);
       if (!link.isUp && nowMs - link.downSinceMs > MEMBER_EXPIRY_MS) {
         this.#expire(link);
       }
     }
-    if (!this.#isRegistered && nowMs >= this.#registerAtMs) {
-      void this.#register();
-    }
+    this.#registration.tick(nowMs);
+    this.#queryMembersOnceDue(nowMs);
   }
 
   /** Closes all links permanently. */
@@ -198,11 +252,84 @@
     }
   }
 
+  #candidateOf(name: string): WatcherCandidate {
+    const link = this.#links.get(name);
+    return {
+      isUp: link?.isUp ?? false,
+      isWatching: link?.state?.isWatching ?? false,
+    };
+  }
+
+  #updateDownNames(nowMs: number): void {
+    for (const [name, link] of this.#links) {
+      const isDown = !link.isUp && nowMs - link.downSinceMs > LINK_DOWN_MAX_MS;
+      if (isDown === this.#downNames.has(name)) {
+        continue;
+      }
+      this.#hasChanged = true;
+      if (isDown) {
+        this.#downNames.add(name);
+      } else {
+        this.#downNames.delete(name);
+      }
+    }
+  }
+
+  /**
+   * Opens the links to newly selected members and closes those to members that
+   * are no longer selected. Returns false while such a link has open requests.
+   */
+  #selectLinks(): boolean {
+    const { name: ownName, dataCentre } = this.ownRecord;
+    this.#candidateNames = rankCandidates(
+      this.records.filter((record) => record.dataCentre === dataCentre)
+        .map(({ name }) => name),
+    );
+    const selected = selectLinks(
+      [...this.#records.values()].map((record) => ({
+        ...record,
+        isDown: this.#downNames.has(record.name),
+      })),
+      { ownName, ownDataCentre: dataCentre },
+    );
+    for (const name of this.#candidateNames) {
+      selected.add(name);
+    }
+    selected.delete(ownName);
+    for (const name of selected) {
+      if (!this.#links.has(name)) {
+        this.#addLink(this.#records.get(name) as MemberRecord);
+      }
+    }
+    let isComplete = true;
+    for (const [name, link] of this.#links) {
+      if (selected.has(name)) {
+        continue;
+      }
+      if (link.load.pendingCount > 0) {
+        isComplete = false;
+        continue;
+      }
+      this.#removeLink(link);
+    }
+    return isComplete;
+  }
+
+  #updateLink(record: MemberRecord): void {
+    const link = this.#links.get(record.name);
+    if (link === undefined) {
+      return;
+    }
+    this.#options.channels.remove(link);
+    link.updateMember(record);
+    this.#options.channels.add(link);
+  }
+
   #addLink(record: MemberRecord): void {
     const link = new PeerLink(record, this.#options.link);
     this.#links.set(record.name, link);
     this.#options.channels.add(link);
-    this.#options.log.info("Member seen", {
+    this.#options.log.info("Member linked", {
       member: record.name,
       pool: record.pool,
       dataCentre: record.dataCentre,
@@ -210,29 +337,40 @@
   }
 
   #onRemoved(name: string): void {
-    if (name === this.#ownRecord.name) {
-      this.#ownVersion = undefined;
-      this.#isRegistered = false;
+    if (name === this.ownRecord.name) {
+      this.#registration.handleRemoved();
       return;
     }
     // A connected member is alive, even if its record was removed.
     const link = this.#links.get(name);
-    if (link !== undefined && !link.isUp) {
+    if (link?.isUp === true) {
+      return;
+    }
+    this.#removeMember(name);
+  }
+
+  #removeMember(name: string): void {
+    const link = this.#links.get(name);
+    if (link !== undefined) {
       this.#removeLink(link);
     }
+    if (this.#records.delete(name)) {
+      this.#hasChanged = true;
+      this.#options.log.info("Member gone", { member: name });
+    }
   }
 
   #removeLink(link: PeerLink): void {
     link.remove();
     this.#links.delete(link.member.name);
+    this.#downNames.delete(link.member.name);
     this.#options.channels.remove(link);
-    this.#options.log.info("Member gone", { member: link.member.name });
   }
 
   #expire(link: PeerLink): void {
     const { name } = link.member;
     const version = this.#versions.get(name);
-    this.#removeLink(link);
+    this.#removeMember(name);
     if (version === undefined) {
       return;
     }
@@ -244,60 +382,23 @@
     });
   }
 
-  #onOwnRecord(record: MemberRecord, version: number): void {
-    this.#ownVersion = version;
-    this.#options.onOwnRecord(record);
+  /**
+   * Asks a connected peer for its members while this daemon could not register.
+   * After a restart without the store, it knows only the peers that dial it.
+   */
+  #queryMembersOnceDue(nowMs: number): void {
     if (
-      record.leftUpstream !== undefined &&
-      this.#ownRecord.leftUpstream === undefined
+      this.#registration.isRegistered ||
+      nowMs - this.#membersQueriedAtMs < MEMBER_QUERY_INTERVAL_MS
     ) {
-      this.#ownRecord = {
-        ...this.#ownRecord,
-        leftUpstream: record.leftUpstream,
-      };
-    }
-    this.#isRegistered = isSameRecord(record, this.#ownRecord);
-  }
-
-  async #register(): Promise<void> {
-    if (this.#isRegistering) {
       return;
     }
-    this.#isRegistering = true;
-    this.#registerAtMs = performance.now() + REGISTER_RETRY_MS;
-    try {
-      await this.#writeOwn();
-    } catch (error) {
-      this.#options.log.warn("Own entry was not written", errorFields(error));
-    } finally {
-      this.#isRegistering = false;
-    }
-  }
-
-  async #writeOwn(): Promise<void> {
-    const { store } = this.#options;
-    const { name } = this.#ownRecord;
-    if (this.#ownVersion === undefined) {
-      const stored = await store.get(MEMBER_KIND, name);
-      if (stored !== undefined) {
-        this.handle(stored);
-      }
-    }
-    if (this.#isRegistered) {
-      return;
-    }
-    const result = await store.put(
-      { kind: MEMBER_KIND, name, value: this.#ownRecord },
-      { expectedVersion: this.#ownVersion ?? "absent" },
-    );
-    if (result.kind === "written") {
-      this.#ownVersion = result.version;
-      this.#isRegistered = true;
+    const connected = [...this.#links.values()].filter(({ isUp }) => isUp);
+    if (connected.length === 0) {
       return;
     }
-    // The stored version has changed, perhaps by an earlier write of this
-    // daemon whose answer was lost. The next tick reads the record again.
-    this.#ownVersion = undefined;
-    this.#registerAtMs = 0;
+    this.#membersQueriedAtMs = nowMs;
+    const index = this.#options.link.random.nextInt(connected.length);
+    connected[index]?.queryMembers();
   }
 }
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -14,9 +14,15 @@
 /** Minimum time between two changes of the busy ratio that are sent. */
 const BUSY_INTERVAL_MIN_MS = 200;
 /**
- * Interval at which the observed calls are compared with the published ones.
+ * Time per peer that is added to that minimum, so that a daemon with many peers
+ * sends at most 200 such frames a second.
  */
-const CALLS_INTERVAL_MS = 300;
+const BUSY_INTERVAL_PER_PEER_MS = 5;
+/**
+ * Interval at which the observed calls, and whether this daemon watches the
+ * store, are compared with what was published.
+ */
+const COMPARE_INTERVAL_MS = 300;
 
 /** Sends frames to all peers. */
 export interface PeerBroadcaster {
@@ -24,6 +30,8 @@
   broadcastState(state: UpstreamState): void;
   /** Sends only the busy ratio. */
   broadcastBusyRatio(busyRatio: number): void;
+  /** Number of peers that receive these frames. */
+  readonly linksCount: number;
 }
 
 /** Options of {@link StatePublisher}. */
@@ -35,6 +43,8 @@
   peers: () => PeerBroadcaster;
   configVersion: () => number;
   isStopping: () => boolean;
+  /** Whether this daemon watches the store closely and reaches it. */
+  isWatching: () => boolean;
   /** Called with the downstream calls observed here when they have changed. */
   onCalls: (calls: CallEdge[]) => void;
 };
@@ -45,8 +55,9 @@
 export class StatePublisher {
   readonly #options: StatePublisherOptions;
   #calls: CallEdge[] = [];
-  #callsComparedAtMs = -Infinity;
+  #comparedAtMs = -Infinity;
   #sentIsCold = false;
+  #sentIsWatching = false;
   #sentBusyRatio = 0;
   #busySentAtMs = -Infinity;
 
@@ -59,7 +70,8 @@
 
   /** Current state. */
   get state(): UpstreamState {
-    const { upstream, gate, configVersion, isStopping } = this.#options;
+    const { upstream, gate, configVersion, isStopping, isWatching } =
+      this.#options;
     return {
       upstreamId: upstream.report?.upstreamId ?? "",
       isServing: upstream.isServing && !gate.isStopped,
@@ -68,6 +80,7 @@
       isCold: (upstream.report?.coldRemainingMs ?? 0) > 0,
       busyRatio: Math.round(gate.busyRatio * 100) / 100,
       configVersion: configVersion(),
+      isWatching: isWatching(),
       calls: this.#calls,
     };
   }
@@ -76,6 +89,7 @@
   publish(): void {
     const { state } = this;
     this.#sentIsCold = state.isCold;
+    this.#sentIsWatching = state.isWatching;
     this.#options.peers().broadcastState(state);
   }
 
@@ -85,20 +99,25 @@
    * @param nowMs Monotonic time, in ms.
    */
   tick(nowMs: number): void {
-    const hasNewCalls = this.#updateCalls(nowMs);
     const { state } = this;
-    if (hasNewCalls || state.isCold !== this.#sentIsCold) {
+    if (this.#compareWhenDue(nowMs) || state.isCold !== this.#sentIsCold) {
       this.publish();
     }
     this.#publishBusy(state.busyRatio, nowMs);
   }
 
-  /** Updates the published calls when due. Returns whether they changed. */
-  #updateCalls(nowMs: number): boolean {
-    if (nowMs - this.#callsComparedAtMs < CALLS_INTERVAL_MS) {
+  /** Returns whether a slowly changing part of the state is to be published. */
+  #compareWhenDue(nowMs: number): boolean {
+    if (nowMs - this.#comparedAtMs < COMPARE_INTERVAL_MS) {
       return false;
     }
-    this.#callsComparedAtMs = nowMs;
+    this.#comparedAtMs = nowMs;
+    const hasNewCalls = this.#updateCalls();
+    return hasNewCalls || this.#options.isWatching() !== this.#sentIsWatching;
+  }
+
+  /** Updates the published calls. Returns whether they changed. */
+  #updateCalls(): boolean {
     const calls = this.#options.observer.edges();
     if (JSON.stringify(calls) === JSON.stringify(this.#calls)) {
       return false;
@@ -110,14 +129,17 @@
 
   #publishBusy(busyRatio: number, nowMs: number): void {
     const sentRatio = this.#sentBusyRatio;
+    const peers = this.#options.peers();
+    const intervalMs = BUSY_INTERVAL_MIN_MS +
+      BUSY_INTERVAL_PER_PEER_MS * peers.linksCount;
     const isRelevant = Math.max(sentRatio, busyRatio) > BUSY_SENT_MIN_RATIO;
     if (
       isRelevant && Math.abs(busyRatio - sentRatio) >= BUSY_STEP_RATIO &&
-      nowMs - this.#busySentAtMs >= BUSY_INTERVAL_MIN_MS
+      nowMs - this.#busySentAtMs >= intervalMs
     ) {
       this.#sentBusyRatio = busyRatio;
       this.#busySentAtMs = nowMs;
-      this.#options.peers().broadcastBusyRatio(busyRatio);
+      peers.broadcastBusyRatio(busyRatio);
     }
   }
 }
--- a/src/fleet/upstream_announcements.ts
+++ b/src/fleet/upstream_announcements.ts
@@ -49,10 +49,13 @@
       log.warn("Announcement is not readable", { url: request.url });
       return { status: 400, body: "{}" };
     }
-    if (announcement.kind === "heartbeat") {
-      upstream.handleHeartbeat(announcement.report);
-    } else {
+    if (announcement.kind === "leave") {
       upstream.markLeaving(announcement.upstreamId);
+    } else {
+      // A late heartbeat of an upstream that has left must not be accepted
+      // before this process knows of the departure.
+      await this.#options.directory.ownRecordKnown;
+      upstream.handleHeartbeat(announcement.report);
     }
     await this.#storeDeparture();
     return { status: 200, body: "{}" };
@@ -68,6 +71,7 @@
    */
   async checkHealth(pool: string, healthPath: string): Promise<void> {
     const { client, upstream } = this.#options;
+    await this.#options.directory.ownRecordKnown;
     const health = await client.checkHealth(healthPath);
     if (health !== undefined && upstream.report === undefined) {
       upstream.handleHeartbeat({
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -42,6 +42,8 @@
   onPeerConfigVersion(version: number, peerName: string): void;
   /** Configuration in force, for a peer's query; undefined before the first. */
   readonly config: unknown;
+  /** Records of all known members, for a peer's query. */
+  readonly members: readonly MemberRecord[];
 }
 
 /** Accepting side of one link. Cancels its requests when the link closes. */
@@ -71,9 +73,13 @@
       case FRAME.cancel:
         return this.#onCancel(frame[1] as number);
       case FRAME.ping:
-        return this.socket.send([FRAME.pong]);
+        // The version lets a peer notice a configuration that it has missed.
+        this.socket.send([FRAME.configVersion, this.#host.configVersion]);
+        return;
       case FRAME.configQuery:
         return this.socket.send([FRAME.config, this.#host.config ?? null]);
+      case FRAME.memberQuery:
+        return this.socket.send([FRAME.members, this.#host.members]);
       case FRAME.hello: {
         const [, record, state] = helloFrameSchema.parse(frame);
         this.#peerName = record.name;
@@ -206,6 +212,33 @@
     }
   }
 
+  /**
+   * Sends the version of the configuration in force to all connected peers.
+   *
+   * @param version New version.
+   */
+  broadcastConfigVersion(version: number): void {
+    for (const link of this.#links) {
+      link.socket.send([FRAME.configVersion, version]);
+    }
+  }
+
+  /**
+   * Sends the record of this daemon, which has changed, to all connected peers.
+   *
+   * @param record New record.
+   */
+  broadcastOwnRecord(record: MemberRecord): void {
+    for (const link of this.#links) {
+      link.socket.send([FRAME.members, [record]]);
+    }
+  }
+
+  /** Number of connected peers. */
+  get linksCount(): number {
+    return this.#links.size;
+  }
+
   /**
    * Closes links on which nothing has been received for 10 s.
    *
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -15,8 +15,10 @@
 import {
   type AnswerFrame,
   busyFrameSchema,
+  configVersionFrameSchema,
   FRAME,
   helloFrameSchema,
+  membersFrameSchema,
   type RefusalFrame,
   type RequestFrame,
   stateFrameSchema,
@@ -65,6 +67,8 @@
   onState(state: UpstreamState, link: PeerLink): void;
   /** Called with the configuration that a peer returns to a query. */
   onConfig(config: unknown): void;
+  /** Called with the records of members that a peer sends. */
+  onMembers(records: readonly MemberRecord[], link: PeerLink): void;
 }
 
 /** Options of {@link PeerLink}. */
@@ -187,6 +191,11 @@
     this.#socket?.send([FRAME.configQuery]);
   }
 
+  /** Asks the peer for the members that it knows. */
+  queryMembers(): void {
+    this.#socket?.send([FRAME.memberQuery]);
+  }
+
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const socket = this.#socket;
@@ -239,6 +248,10 @@
         return this.#onBusy(busyFrameSchema.parse(frame)[1]);
       case FRAME.config:
         return this.#options.host.onConfig(frame[1]);
+      case FRAME.members:
+        return this.#onMembers(membersFrameSchema.parse(frame)[1]);
+      case FRAME.configVersion:
+        return this.#onConfigVersion(configVersionFrameSchema.parse(frame)[1]);
       default:
         return;
     }
@@ -337,6 +350,14 @@
     this.#options.host.onConfigVersion(state.configVersion, this);
   }
 
+  #onMembers(records: readonly MemberRecord[]): void {
+    this.#options.host.onMembers(records, this);
+  }
+
+  #onConfigVersion(version: number): void {
+    this.#options.host.onConfigVersion(version, this);
+  }
+
   #onBusy(percent: number): void {
     if (this.#state !== undefined) {
       this.#state = { ...this.#state, busyRatio: percent / 100 };
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -24,6 +24,7 @@
   isCold: false,
   busyRatio: 0,
   configVersion: 1,
+  isWatching: false,
   calls: [],
 };
 
@@ -36,6 +37,7 @@
     onConfigVersion: () => {},
     onState: () => {},
     onConfig: () => {},
+    onMembers: () => {},
   };
 }
 
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -23,11 +23,15 @@
   refusal: 3,
   cancel: 4,
   ping: 5,
+  /** Answer to a ping of earlier versions; now `configVersion`. */
   pong: 6,
   state: 7,
   configQuery: 8,
   config: 9,
   busy: 10,
+  memberQuery: 11,
+  members: 12,
+  configVersion: 13,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -41,6 +45,8 @@
   busyRatio: z.number()
     .describe("Running and waiting requests per slot, as a moving average"),
   configVersion: z.number(),
+  isWatching: z.boolean().default(false)
+    .describe("Whether the daemon watches the store closely and reaches it"),
   calls: z.array(z.tuple([z.string(), z.string(), z.number()]))
     .describe(
       "Calling route, called route, calls per run of the calling route",
@@ -72,6 +78,24 @@
   z.number().describe("Running and waiting requests per 100 slots"),
 ]);
 
+/**
+ * Schema of records of members: all that a daemon knows, including itself, as
+ * the answer to a query, or only its own one when it has changed.
+ */
+export const membersFrameSchema = z.tuple([
+  z.literal(FRAME.members),
+  z.array(memberRecordSchema),
+]);
+
+/**
+ * Schema of the version of the configuration in force, sent to peers when it
+ * changes.
+ */
+export const configVersionFrameSchema = z.tuple([
+  z.literal(FRAME.configVersion),
+  z.number(),
+]);
+
 /** Schema of a forwarded request. */
 export const requestFrameSchema = z.tuple([
   z.literal(FRAME.request),
