Recognize downstream calls by their ids, and keep known edges of the call graph

Change: the id of a call starts with the id of the request that makes it; the part before the last separator is looked up among the running requests. The match by deadline stays for ids without that form. Only successful runs count for the edges, a published edge is withdrawn at a lower ratio than it appears, and a route whose requests mostly have a parent is a called route.

--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -12,17 +12,81 @@
 const RUNS_HALVING_COUNT = 1_000;
 /** Lower ratios are taken for calls attributed to the wrong request. */
 const CALLS_PER_RUN_MIN = 0.4;
+/**
+ * Ratio below which a published edge is withdrawn. A daemon that is short of
+ * processor time attributes only a part of the calls.
+ */
+const CALLS_PER_RUN_KEPT_MIN = 0.1;
+/** Requests of a route after which it may be classified as called. */
+const RECEIVED_MIN_COUNT = 4;
+/** Requests of a route after which its counts are halved. */
+const RECEIVED_HALVING_COUNT = 64;
+/**
+ * Share of a route's requests with a parent from which the route is classified
+ * as called. Requests of callers have one by chance.
+ */
+const CALLED_MIN_RATIO = 0.5;
+/** Share below which that classification is withdrawn. */
+const CALLED_KEPT_MIN_RATIO = 0.1;
 const DEPTH_MAX = 24;
 
-type RouteRuns = { runsCount: number; calls: Map<string, number> };
+type RouteRuns = {
+  runsCount: number;
+  calls: Map<string, number>;
+  /** Called routes of the published edges. */
+  published: Set<string>;
+};
+
+type RouteRequests = {
+  receivedCount: number;
+  withParentCount: number;
+  isCalled: boolean;
+};
 
 /** Counts the runs at one upstream and the calls that they make. */
 export class CallObserver {
   readonly #byRoute = new Map<string, RouteRuns>();
+  readonly #received = new Map<string, RouteRequests>();
 
   /**
-   * Counts a finished run together with its calls, so that the ratio is correct
-   * from the first run on.
+   * Counts a request that callers or the local upstream have sent here.
+   *
+   * @param routeName Route of the request.
+   * @param hasParent Whether a running request has the deadline of this one.
+   */
+  recordReceived(routeName: string, hasParent: boolean): void {
+    const requests = this.#received.get(routeName) ??
+      { receivedCount: 0, withParentCount: 0, isCalled: false };
+    this.#received.set(routeName, requests);
+    requests.receivedCount++;
+    requests.withParentCount += hasParent ? 1 : 0;
+    if (requests.receivedCount < RECEIVED_MIN_COUNT) {
+      return;
+    }
+    const ratio = requests.withParentCount / requests.receivedCount;
+    requests.isCalled = ratio >=
+      (requests.isCalled ? CALLED_KEPT_MIN_RATIO : CALLED_MIN_RATIO);
+    if (requests.receivedCount >= RECEIVED_HALVING_COUNT) {
+      requests.receivedCount /= 2;
+      requests.withParentCount /= 2;
+    }
+  }
+
+  /**
+   * Returns whether the requests of a route are downstream calls of the local
+   * upstream, by the share of them that has the deadline of a running request.
+   *
+   * @param routeName Route of the requests.
+   * @returns True for a called route; false while too few were received.
+   */
+  isCalled(routeName: string): boolean {
+    return this.#received.get(routeName)?.isCalled ?? false;
+  }
+
+  /**
+   * Counts a successful run together with its calls, so that the ratio is correct
+   * from the first run on. A failed run may have ended before its last call, so
+   * it does not count.
    *
    * @param routeName Route of the request.
    * @param calledRouteNames Route of each call that it made.
@@ -58,14 +122,18 @@
    */
   edges(): CallEdge[] {
     const edges: CallEdge[] = [];
-    for (const [routeName, { runsCount, calls }] of this.#byRoute) {
-      if (runsCount < RUNS_MIN_COUNT) {
+    for (const [routeName, runs] of this.#byRoute) {
+      if (runs.runsCount < RUNS_MIN_COUNT) {
         continue;
       }
-      for (const [called, count] of calls) {
-        const perRun = count / runsCount;
-        if (perRun >= CALLS_PER_RUN_MIN) {
+      for (const [called, count] of runs.calls) {
+        const perRun = count / runs.runsCount;
+        const isKept = runs.published.has(called);
+        if (perRun >= (isKept ? CALLS_PER_RUN_KEPT_MIN : CALLS_PER_RUN_MIN)) {
+          runs.published.add(called);
           edges.push([routeName, called, Math.max(1, Math.round(perRun))]);
+        } else {
+          runs.published.delete(called);
         }
       }
     }
@@ -77,7 +145,7 @@
   #runsOf(routeName: string): RouteRuns {
     let runs = this.#byRoute.get(routeName);
     if (runs === undefined) {
-      runs = { runsCount: 0, calls: new Map() };
+      runs = { runsCount: 0, calls: new Map(), published: new Set() };
       this.#byRoute.set(routeName, runs);
     }
     return runs;
--- a/src/decisions/call_graph_test.ts
+++ b/src/decisions/call_graph_test.ts
@@ -11,6 +11,43 @@
   assert.deepEqual(observer.edges(), [["read", "tally", 2]]);
 });
 
+// A daemon that is short of processor time receives calls late, so that their
+// deadlines match those of few running requests. If the edge were withdrawn, the
+// calls would be refused at the entry as requests of callers.
+test("an edge stays while only a part of the calls is attributed", () => {
+  const observer = new CallObserver();
+  for (let index = 0; index < 20; index++) {
+    observer.recordRun("index", ["stock", "stock", "stock", "stock"]);
+  }
+  for (let index = 0; index < 4_000; index++) {
+    observer.recordRun("index", index % 4 === 0 ? ["stock"] : []);
+    observer.edges();
+  }
+  assert.deepEqual(observer.edges(), [["index", "stock", 1]]);
+  for (let index = 0; index < 4_000; index++) {
+    observer.recordRun("index", []);
+    observer.edges();
+  }
+  assert.deepEqual(observer.edges(), []);
+});
+
+test("a route is called when most of its requests have a parent, and stays so while some have", () => {
+  const observer = new CallObserver();
+  const receive = (routeName: string, parentEvery: number) => {
+    for (let index = 0; index < 200; index++) {
+      observer.recordReceived(routeName, index % parentEvery === 0);
+    }
+  };
+  receive("enrol", 4);
+  assert.equal(observer.isCalled("enrol"), false);
+  receive("stock", 1);
+  assert.equal(observer.isCalled("stock"), true);
+  receive("stock", 5);
+  assert.equal(observer.isCalled("stock"), true);
+  receive("stock", 1_000);
+  assert.equal(observer.isCalled("stock"), false);
+});
+
 test("runs multiply along a chain of calls, and the computation terminates for a cycle", () => {
   const graph = new CallGraph();
   graph.update("one", [["read", "tally", 2]]);
--- a/src/decisions/watcher_election.ts
+++ b/src/decisions/watcher_election.ts
@@ -9,14 +9,28 @@
   readonly isWatching: boolean;
 };
 
-/** Daemons of a data centre that watch the store closely. */
-export const WATCHERS_COUNT = 2;
+/**
+ * Daemons of all data centres that watch the store closely, so that a change is
+ * noticed although the connection of one is silent and another one is lost.
+ */
+const WATCHERS_MIN_COUNT = 3;
 /**
  * Daemons of a data centre that may be elected. It bounds the calls to a store
  * that answers nobody.
  */
 const CANDIDATES_COUNT = 4;
 
+/**
+ * Computes how many daemons of a data centre watch the store closely.
+ *
+ * @param dataCentresCount Number of data centres with members.
+ * @returns At least 1, so that a data centre that is cut off from the others
+ *   notices changes.
+ */
+export function watchersCount(dataCentresCount: number): number {
+  return Math.ceil(WATCHERS_MIN_COUNT / Math.max(1, dataCentresCount));
+}
+
 /**
  * Ranks the members of a data centre; all daemons compute the same order.
  *
@@ -40,11 +54,13 @@
    * it is not one itself.
    */
   preferred: readonly WatcherCandidate[];
+  /** Daemons of this data centre that should watch. */
+  wantedCount: number;
 };
 
 /**
  * Decides whether this daemon watches the store closely. A candidate does while
- * fewer than two preferred ones watch. Any other daemon does only while it is
+ * fewer preferred ones watch than are wanted. Any other daemon does only while it is
  * connected to no candidate, since nobody would notify it.
  *
  * Two daemons that decide on different views may both watch, or neither; a
@@ -53,11 +69,13 @@
  * @param view What this daemon knows of the candidates.
  * @returns True when it should watch.
  */
-export function isElected({ isCandidate, preferred }: ElectionView): boolean {
+export function isElected(
+  { isCandidate, preferred, wantedCount }: ElectionView,
+): boolean {
   if (!isCandidate) {
     return preferred.every(({ isUp }) => !isUp);
   }
   const watchingCount = preferred
     .filter(({ isUp, isWatching }) => isUp && isWatching).length;
-  return watchingCount < WATCHERS_COUNT;
+  return watchingCount < wantedCount;
 }
--- a/src/decisions/watcher_election_test.ts
+++ b/src/decisions/watcher_election_test.ts
@@ -4,13 +4,14 @@
   isElected,
   rankCandidates,
   type WatcherCandidate,
-  WATCHERS_COUNT,
+  watchersCount,
 } from "./watcher_election.ts";
 
 const WATCHING: WatcherCandidate = { isUp: true, isWatching: true };
 const CUT_OFF: WatcherCandidate = { isUp: true, isWatching: false };
 const LOST: WatcherCandidate = { isUp: false, isWatching: false };
 
+const WANTED_COUNT = 2;
 const NAMES = Array.from({ length: 39 }, (_, index) => `m-${index}`);
 
 /**
@@ -24,6 +25,7 @@
       reaches &&
       isElected({
         isCandidate: true,
+        wantedCount: WANTED_COUNT,
         preferred: isWatching.slice(0, index)
           .map((watching) => ({ isUp: true, isWatching: watching })),
       })
@@ -36,9 +38,17 @@
   assert.deepEqual(rankCandidates(NAMES), rankCandidates(NAMES.toReversed()));
 });
 
+test("each data centre has a watcher, and the fleet has at least three", () => {
+  for (let count = 1; count <= 30; count++) {
+    assert.ok(watchersCount(count) >= 1);
+    assert.ok(watchersCount(count) * count >= 3);
+  }
+  assert.equal(watchersCount(30), 1);
+});
+
 test("a daemon that is no candidate watches only while it is connected to none", () => {
   const view = (preferred: WatcherCandidate[]) =>
-    isElected({ isCandidate: false, preferred });
+    isElected({ isCandidate: false, preferred, wantedCount: WANTED_COUNT });
   assert.equal(view([CUT_OFF, LOST]), false);
   assert.equal(view([LOST, LOST]), true);
   assert.equal(view([]), true);
@@ -46,7 +56,7 @@
 
 test("a candidate takes over from a preferred one that is lost or does not reach the store", () => {
   const view = (preferred: WatcherCandidate[]) =>
-    isElected({ isCandidate: true, preferred });
+    isElected({ isCandidate: true, preferred, wantedCount: WANTED_COUNT });
   assert.equal(view([WATCHING, WATCHING]), false);
   assert.equal(view([WATCHING, LOST]), true);
   assert.equal(view([WATCHING, CUT_OFF]), true);
@@ -58,7 +68,7 @@
     const reachableCount = reachesStore.filter(Boolean).length;
     assert.equal(
       settle(reachesStore).filter(Boolean).length,
-      Math.min(WATCHERS_COUNT, reachableCount),
+      Math.min(WANTED_COUNT, reachableCount),
     );
   }
 });
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -36,6 +36,11 @@
 const TICK_MS = 100;
 /** Interval at which the latency histograms are rotated. */
 const METRICS_INTERVAL_MS = 30_000;
+/**
+ * Time after the start until which this daemon does not watch the store
+ * closely. Its links to the candidates of the election are not up yet.
+ */
+const ELECTION_DELAY_MS = 2_000;
 /** A tick that is later than this shows that the process was stalled. */
 const STALL_MIN_MS = 250;
 /**
@@ -77,7 +82,8 @@
   readonly #announcementListener: ControlListener;
   readonly #metricsListener: ControlListener;
   readonly #metrics: FleetMetrics;
-  #isElectedWatcher = true;
+  #isElectedWatcher = false;
+  readonly #startedAtMs = performance.now();
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
 
@@ -315,6 +321,7 @@
       this.#settings;
     return new OutboundService({
       names: platform.headers,
+      decodeParentId: platform.decodeParentId,
       config: this.#config,
       gate: this.#gate,
       graph: this.#callGraph,
@@ -379,7 +386,8 @@
     this.#lastTickAtMs = nowMs;
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
-    this.#isElectedWatcher = this.#directory.isElectedWatcher;
+    this.#isElectedWatcher = this.#directory.isElectedWatcher &&
+      nowMs - this.#startedAtMs >= ELECTION_DELAY_MS;
     this.#options.platform.store.setCloseWatch(this.#isElectedWatcher);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
--- a/src/fleet/fleet_platform.ts
+++ b/src/fleet/fleet_platform.ts
@@ -23,6 +23,11 @@
   decodeConfig: (value: unknown) => FleetConfig;
   /** Number of log lines that were dropped because their reader was slow. */
   droppedLinesCount: () => number;
+  /**
+   * Returns the id of the request that makes a downstream call with a given id;
+   * undefined when the id does not tell it.
+   */
+  decodeParentId: (requestId: string) => string | undefined;
   /** Decodes an announcement; undefined when the request is not a valid one. */
   decodeAnnouncement: (request: ControlRequest) => Announcement | undefined;
 };
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -7,6 +7,7 @@
   isElected,
   rankCandidates,
   type WatcherCandidate,
+  watchersCount,
 } from "../decisions/watcher_election.ts";
 import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
 import {
@@ -77,6 +78,7 @@
   readonly #versions = new Map<string, number>();
   readonly #links = new Map<string, PeerLink>();
   #candidateNames: readonly string[] = [];
+  #dataCentresCount = 1;
   #hasChanged = false;
   #downNames = new Set<string>();
   #membersQueriedAtMs = -Infinity;
@@ -140,6 +142,7 @@
     return isElected({
       isCandidate: ownRank >= 0,
       preferred: preferred.map((name) => this.#candidateOf(name)),
+      wantedCount: watchersCount(this.#dataCentresCount),
     });
   }
 
@@ -281,8 +284,12 @@
    */
   #selectLinks(): boolean {
     const { name: ownName, dataCentre } = this.ownRecord;
+    const { records } = this;
+    this.#dataCentresCount = new Set(
+      records.map((record) => record.dataCentre),
+    ).size;
     this.#candidateNames = rankCandidates(
-      this.records.filter((record) => record.dataCentre === dataCentre)
+      records.filter((record) => record.dataCentre === dataCentre)
         .map(({ name }) => name),
     );
     const selected = selectLinks(
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -31,6 +31,8 @@
 /** Parts of the daemon that {@link OutboundService} uses. */
 export type OutboundServiceParts = {
   names: HeaderNames;
+  /** Id of the request that makes a downstream call, if the id tells it. */
+  decodeParentId: (requestId: string) => string | undefined;
   config: ConfigFollower;
   gate: UpstreamGate;
   graph: CallGraph;
@@ -117,22 +119,26 @@
     route: FleetRoute,
     pool: string,
   ): RoutedRequest {
-    const { names, gate } = this.#parts;
+    const { names, gate, decodeParentId } = this.#parts;
     const deadlineHeaderMs = Number(
       message.headers[names.deadlineMs] ?? Infinity,
     );
     const callerTimeoutMs = Number.isFinite(deadlineHeaderMs)
       ? deadlineHeaderMs
       : Infinity;
-    const parent = gate.findParent(arrivedAtMs + callerTimeoutMs);
+    const requestId = String(message.headers[names.requestId] ?? "");
+    const namedParent = gate.findRunning(decodeParentId(requestId));
+    const parent = namedParent ??
+      gate.findParent(arrivedAtMs + callerTimeoutMs);
     parent?.calledRouteNames.push(route.name);
-    const isCall = this.#isCall(route, parent);
+    this.#parts.observer.recordReceived(route.name, parent !== undefined);
+    const isCall = namedParent !== undefined || this.#isCall(route, parent);
     // A downstream call inherits the latency goal of the request that makes it.
     // Queues are ordered by goal, so requests that have been running longest
     // are completed first.
     const inheritedGoalAtMs = isCall ? parent?.goalAtMs : undefined;
     return {
-      requestId: String(message.headers[names.requestId] ?? ""),
+      requestId,
       method: message.method ?? "GET",
       path: message.url ?? "/",
       headers: copyEndToEndHeaders(message.rawHeaders, this.#droppedHeaders),
@@ -147,15 +153,17 @@
   }
 
   /**
-   * Returns whether a request is a downstream call. A request of a route that
-   * is known to be called by others always counts as one. So does a request
-   * whose deadline matches that of a running request, its parent, until enough
-   * runs of the parent's route have been observed. After that, the deadline is
-   * not sufficient, because a caller's request may have the same one by chance.
+   * Returns whether a request whose id names no running request is a downstream
+   * call. A request of a route that
+   * is known to be called, here or by others, always counts as one. So does a
+   * request whose deadline matches that of a running request, its parent, until
+   * enough runs of the parent's route have been observed. After that, the
+   * deadline is not sufficient, because a caller's request may have the same one
+   * by chance.
    */
   #isCall(route: FleetRoute, parent: ServedRequest | undefined): boolean {
     const { graph, observer } = this.#parts;
-    return graph.isCalled(route.name) ||
+    return graph.isCalled(route.name) || observer.isCalled(route.name) ||
       (parent !== undefined &&
         !observer.hasEnoughRuns(parent.request.routeName));
   }
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -18,10 +18,13 @@
 
 const PARENT_ROUTE = "parent";
 
+const PARENT_ID = "9c41";
+
 /** Creates a service whose forwarded requests are recorded. */
 function createService(
   parent: { goalAtMs: number } | undefined,
   observer = new CallObserver(),
+  namedParent?: { goalAtMs: number },
 ) {
   const sent: ForwardedRequest[] = [];
   const channel = {
@@ -44,7 +47,10 @@
       routes: { match: () => ROUTE, choosePool: () => "plates" },
       version: 1,
     },
+    decodeParentId: () => namedParent && PARENT_ID,
     gate: {
+      findRunning: (id: string | undefined) =>
+        id === PARENT_ID ? { ...namedParent, calledRouteNames: [] } : undefined,
       findParent: () =>
         parent && {
           ...parent,
@@ -109,6 +115,20 @@
   assert.equal(request.isRefusable, true);
 });
 
+// The deadline of a call may differ from that of the request that makes it. A
+// call that is not recognized is refused like a request of a caller, and then
+// the work of the request that made it is lost.
+test("a request whose id names a running request is a downstream call, whatever its deadline", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const { receive, sent } = createService(undefined, new CallObserver(), {
+    goalAtMs,
+  });
+  receive();
+  const [call] = sent as [ForwardedRequest];
+  assert.equal(call.isRefusable, false);
+  assert.ok(call.goalRemainingMs > ROUTE.latencyGoalMs);
+});
+
 test("a request of a caller has the latency goal of its route", () => {
   const { receive, sent } = createService(undefined);
   receive();
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -72,6 +72,7 @@
   readonly #runMs = new MovingAverage(RUN_TIME_WEIGHT, INITIAL_RUN_MS);
   readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
   readonly #byExpiresAtMs = new Map<number, ServedRequest>();
+  readonly #byRequestId = new Map<string, ServedRequest>();
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   #overdueCount = 0;
   #isStopped = false;
@@ -168,6 +169,18 @@
     return served;
   }
 
+  /**
+   * Finds a running request by the id that its caller gave to it.
+   *
+   * @param requestId Id, if known.
+   * @returns The running request; undefined when none has the id.
+   */
+  findRunning(requestId: string | undefined): ServedRequest | undefined {
+    return requestId === undefined
+      ? undefined
+      : this.#byRequestId.get(requestId);
+  }
+
   /**
    * Finds the running request that makes a downstream call. A call carries the
    * deadline that was sent to the upstream with the request, and these
@@ -219,6 +232,7 @@
       expiryMs--;
     }
     served.sentExpiresAtMs = expiryMs;
+    this.#byRequestId.set(this.#requestIdOf(served), served);
     this.#byExpiresAtMs.set(expiryMs, served);
     const remainingMs = expiryMs - nowMs;
     return this.#options.client.send(
@@ -238,6 +252,10 @@
     if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
       this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
     }
+    const requestId = this.#requestIdOf(served);
+    if (this.#byRequestId.get(requestId) === served) {
+      this.#byRequestId.delete(requestId);
+    }
     this.#recordResult(served, result);
     if (result === "unreachable") {
       this.#options.upstream.markUnreachable();
@@ -282,14 +300,16 @@
       : remainingMs;
   }
 
-  #recordDecision(
-    { request, goalAtMs }: ServedRequest,
-    outcome: string,
-  ): void {
-    const { decisions, upstream, requestIdHeader } = this.#options;
+  #requestIdOf({ request }: ServedRequest): string {
+    return findHeader(request.headers, this.#options.requestIdHeader) ?? "";
+  }
+
+  #recordDecision(served: ServedRequest, outcome: string): void {
+    const { request, goalAtMs } = served;
+    const { decisions, upstream } = this.#options;
     decisions.record(
       "served",
-      findHeader(request.headers, requestIdHeader) ?? "",
+      this.#requestIdOf(served),
       {
         outcome,
         route: request.routeName,
@@ -315,11 +335,13 @@
       this.#recordDecision(served, result);
     }
     this.#overdueCount = result === "overdue" ? this.#overdueCount + 1 : 0;
-    if (isAnswered || result === "overdue") {
+    if (result === "answered") {
       this.#options.observer.recordRun(
         served.request.routeName,
         served.calledRouteNames,
       );
+    }
+    if (isAnswered || result === "overdue") {
       this.#runMs.add(performance.now() - served.sentAtMs);
     }
   }
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -20,9 +20,9 @@
 
 /**
  * Time without received bytes after which a link is closed. Peers ping an idle
- * link every 2 s.
+ * link at least every 5 s.
  */
-const SILENCE_MAX_MS = 10_000;
+const SILENCE_MAX_MS = 15_000;
 
 /** State and operations of the daemon that accepted links use. */
 export interface LinkServerHost {
@@ -240,7 +240,7 @@
   }
 
   /**
-   * Closes links on which nothing has been received for 10 s.
+   * Closes links on which nothing has been received for 15 s.
    *
    * @param nowMs Monotonic time, in ms.
    * @param stalledMs Time for which this process was stalled, in ms; it does
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -40,6 +40,11 @@
 const ACTIVE_SILENCE_MAX_MS = 300;
 /** Time without received bytes until a ping, while no request is open. */
 const IDLE_SILENCE_MAX_MS = 2_000;
+/**
+ * The same for a peer in another data centre, which gets few requests, while
+ * the traffic to it costs money.
+ */
+const REMOTE_IDLE_SILENCE_MAX_MS = 5_000;
 /**
  * Time without received bytes after a ping until the peer is suspect, so that
  * other upstreams are preferred.
@@ -404,10 +409,18 @@
     }
   }
 
+  #silenceMaxMs(): number {
+    if (this.#pendingReceivers.size > 0) {
+      return ACTIVE_SILENCE_MAX_MS;
+    }
+    const { ownRecord } = this.#options.host;
+    return this.#member.dataCentre === ownRecord.dataCentre
+      ? IDLE_SILENCE_MAX_MS
+      : REMOTE_IDLE_SILENCE_MAX_MS;
+  }
+
   #checkSilence(socket: LinkSocket, nowMs: number): void {
-    const silenceMaxMs = this.#pendingReceivers.size > 0
-      ? ACTIVE_SILENCE_MAX_MS
-      : IDLE_SILENCE_MAX_MS;
+    const silenceMaxMs = this.#silenceMaxMs();
     if (nowMs - socket.lastReceivedAtMs < silenceMaxMs) {
       return;
     }
