Bound the memory of answers without end, and survive broken control requests

Cause: each answer could buffer 64 MB, so six answers without end held 802 MB (endless_answer_test before the change: 801,773,786 bytes).

Change: all answers that are being received share 32 MB; the largest one is aborted when they exceed it. Control bodies are collected as bytes and their errors are caught.

--- a/src/fleet/control_listener.ts
+++ b/src/fleet/control_listener.ts
@@ -1,5 +1,10 @@
 /** HTTP listener for readiness checks, announcements and metrics. */
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 
@@ -20,6 +25,25 @@
 /** Maximum length of a body. The connection of a longer request is closed. */
 const BODY_MAX_BYTES = 65_536;
 
+/** Handles one control request. */
+type ControlHandler = (
+  request: ControlRequest,
+) => ControlAnswer | Promise<ControlAnswer>;
+
+/** Reads a body; undefined when it is too long. Throws when it is aborted. */
+async function readBody(message: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of message as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > BODY_MAX_BYTES) {
+      return undefined;
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks, bytes).toString();
+}
+
 /** Reads the body of each HTTP request and sends the answer of its handler. */
 export class ControlListener {
   readonly #server: Server;
@@ -27,25 +51,10 @@
   /**
    * @param handle Returns the answer to a request.
    */
-  constructor(
-    handle: (request: ControlRequest) => ControlAnswer | Promise<ControlAnswer>,
-  ) {
-    this.#server = createServer(async (message, response) => {
-      let body = "";
-      for await (const chunk of message) {
-        body += chunk;
-        if (body.length > BODY_MAX_BYTES) {
-          message.destroy();
-          return;
-        }
-      }
-      const { method = "GET", url = "/" } = message;
-      const answer = await handle({ method, url, body });
-      response.writeHead(answer.status, {
-        "content-type": answer.contentType ?? "application/json",
-        "content-length": Buffer.byteLength(answer.body),
-      });
-      response.end(answer.body);
+  constructor(handle: ControlHandler) {
+    this.#server = createServer((message, response) => {
+      // A caller that breaks off its request gets no answer.
+      respond(message, response, handle).catch(() => message.destroy());
     });
   }
 
@@ -66,3 +75,22 @@
     this.#server.closeAllConnections();
   }
 }
+
+async function respond(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handle: ControlHandler,
+): Promise<void> {
+  const body = await readBody(message);
+  if (body === undefined) {
+    message.destroy();
+    return;
+  }
+  const { method = "GET", url = "/" } = message;
+  const answer = await handle({ method, url, body });
+  response.writeHead(answer.status, {
+    "content-type": answer.contentType ?? "application/json",
+    "content-length": Buffer.byteLength(answer.body),
+  });
+  response.end(answer.body);
+}
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -4,6 +4,7 @@
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
 import type { Address } from "../schemas/common_schema.ts";
+import { type AnswerBuffer, AnswerMemory } from "./answer_memory.ts";
 import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
 import type {
   ForwardedRequest,
@@ -16,10 +17,16 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const HEALTH_TIMEOUT_MS = 1_000;
 /**
- * Larger answers are aborted. Answers are buffered until they are sent, so slow
- * callers could otherwise exhaust the memory.
+ * Maximum size of all answers that are being received. When it is exceeded, the
+ * largest one is aborted, so a server that sends without end does not exhaust
+ * the memory. An answer is copied on its way, and a process may have 250 MB.
  */
-const ANSWER_MAX_BYTES = 67_108_864;
+const ANSWERS_MAX_BYTES = 33_554_432;
+/**
+ * Maximum size of the body of a refusal, which is read and discarded so that the
+ * connection can be reused.
+ */
+const DISCARDED_MAX_BYTES = 65_536;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_MISDIRECTED_REQUEST = 421;
@@ -90,19 +97,23 @@
 }
 
 /** undici handler of one exchange; buffers the answer until it is complete. */
-class UpstreamExchange implements Dispatcher.DispatchHandler, RequestHandle {
+class UpstreamExchange
+  implements Dispatcher.DispatchHandler, RequestHandle, AnswerBuffer {
   readonly #receiver: ResultReceiver;
   readonly #names: HeaderNames;
   readonly #requestId: string | undefined;
   readonly #onMisdirected: MisdirectedHandler;
   readonly #closeDetector: CloseDetector;
+  readonly #memory: AnswerMemory;
   #controller: Dispatcher.DispatchController | undefined;
   #isDone = false;
   #status = 0;
   #isCloseDelimited = false;
   #headers: string[] = [];
+  #discardedBytes = 0;
   #chunks: Buffer[] = [];
-  #bodyBytes = 0;
+  /** @inheritdoc */
+  bodyBytes = 0;
   #startedAtMs = performance.now();
 
   constructor(receiver: ResultReceiver, options: {
@@ -110,20 +121,28 @@
     requestId: string | undefined;
     onMisdirected: MisdirectedHandler;
     closeDetector: CloseDetector;
+    memory: AnswerMemory;
   }) {
     this.#receiver = receiver;
     this.#names = options.names;
     this.#requestId = options.requestId;
     this.#onMisdirected = options.onMisdirected;
     this.#closeDetector = options.closeDetector;
+    this.#memory = options.memory;
   }
 
   /** @inheritdoc */
   cancel(): void {
     this.#isDone = true;
+    this.#releaseBody();
     this.#controller?.abort(new Error("Cancelled"));
   }
 
+  /** @inheritdoc */
+  discard(): void {
+    this.#controller?.abort(new Error("The answer is too large"));
+  }
+
   /** Called by undici when the request is about to be written. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
@@ -178,13 +197,14 @@
     chunk: Buffer,
   ): void {
     if (this.#isDone) {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > DISCARDED_MAX_BYTES) {
+        controller.abort(new Error("The body of a refusal is too large"));
+      }
       return;
     }
     this.#chunks.push(chunk);
-    this.#bodyBytes += chunk.length;
-    if (this.#bodyBytes > ANSWER_MAX_BYTES) {
-      controller.abort(new Error("The answer is too large"));
-    }
+    this.#memory.add(this, chunk.length);
   }
 
   /** Called by undici at the end of the body. */
@@ -205,10 +225,12 @@
       return;
     }
     this.#isDone = true;
+    const body = this.#body();
+    this.#releaseBody();
     this.#receiver.onAnswer({
       status: this.#status,
       headers: this.#headers,
-      body: this.#body(),
+      body,
       runMs: performance.now() - this.#startedAtMs,
     });
   }
@@ -264,16 +286,22 @@
       return;
     }
     this.#isDone = true;
+    this.#releaseBody();
     this.#receiver.onFailure(failure);
   }
 
+  #releaseBody(): void {
+    this.#memory.release(this);
+    this.#chunks = [];
+  }
+
   #body(): UpstreamAnswer["body"] {
-    if (this.#bodyBytes === 0) {
+    if (this.bodyBytes === 0) {
       return null;
     }
     return this.#chunks.length === 1
       ? this.#chunks[0] as Buffer
-      : Buffer.concat(this.#chunks, this.#bodyBytes);
+      : Buffer.concat(this.#chunks, this.bodyBytes);
   }
 }
 
@@ -281,6 +309,7 @@
 export class UpstreamHttpClient {
   readonly #pool: Pool;
   readonly #closeDetector = new CloseDetector();
+  readonly #memory = new AnswerMemory(ANSWERS_MAX_BYTES);
   readonly #names: HeaderNames;
   readonly #onMisdirected: MisdirectedHandler;
 
@@ -325,6 +354,7 @@
       requestId: findHeader(request.headers, names.requestId),
       onMisdirected: this.#onMisdirected,
       closeDetector: this.#closeDetector,
+      memory: this.#memory,
     });
     this.#pool.dispatch({
       method: request.method as "GET",
