--- a/src/fleet/control_listener_test.ts
+++ b/src/fleet/control_listener_test.ts
@@ -62,6 +62,7 @@
   socket.on("error", () => {});
   await once(socket, "connect");
   socket.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n");
+  socket.resume();
   socket.write("x".repeat(70_000));
   await once(socket, "close");
 });
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -375,6 +375,7 @@
       waitingCount,
       slotsLimitCount: limitCount,
       storeReachable: store.isReachable ? 1 : 0,
+      storeWatching: this.isWatching ? 1 : 0,
       storeCallsCount: store.callsCount,
       logLinesDroppedCount: droppedLinesCount(),
     };
@@ -386,9 +387,7 @@
     this.#lastTickAtMs = nowMs;
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
-    this.#isElectedWatcher = this.#directory.isElectedWatcher &&
-      nowMs - this.#startedAtMs >= ELECTION_DELAY_MS;
-    this.#options.platform.store.setCloseWatch(this.#isElectedWatcher);
+    this.#electWatcher(nowMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
@@ -401,6 +400,18 @@
     this.#stopSequence.tick(nowMs);
   }
 
+  /** Decides whether this daemon watches the store closely. */
+  #electWatcher(nowMs: number): void {
+    const isElected = this.#directory.isElectedWatcher &&
+      nowMs - this.#startedAtMs >= ELECTION_DELAY_MS;
+    if (isElected === this.#isElectedWatcher) {
+      return;
+    }
+    this.#isElectedWatcher = isElected;
+    this.#options.platform.store.setCloseWatch(isElected);
+    this.#options.log.info("Store watch changed", { isClose: isElected });
+  }
+
   #onConfig(): void {
     const config = this.#config.routes?.config;
     if (config === undefined) {
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -185,6 +185,13 @@
       ? record
       : { ...record, leftUpstream };
     this.#records.set(name, merged);
+    if (known === undefined) {
+      this.#options.log.info("Member seen", {
+        member: name,
+        pool: record.pool,
+        dataCentre: record.dataCentre,
+      });
+    }
     if (known === undefined || !isSameRecord(known, merged)) {
       this.#hasChanged = true;
       this.#updateLink(merged);
@@ -336,11 +343,6 @@
     const link = new PeerLink(record, this.#options.link);
     this.#links.set(record.name, link);
     this.#options.channels.add(link);
-    this.#options.log.info("Member linked", {
-      member: record.name,
-      pool: record.pool,
-      dataCentre: record.dataCentre,
-    });
   }
 
   #onRemoved(name: string): void {
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -14,6 +14,8 @@
   readonly slotsLimitCount: number;
   /** 1 when the last call to the store was answered, 0 otherwise. */
   readonly storeReachable: number;
+  /** 1 when the daemon watches the configuration closely, 0 otherwise. */
+  readonly storeWatching: number;
   readonly storeCallsCount: number;
   readonly logLinesDroppedCount: number;
 };
@@ -28,6 +30,7 @@
   waitingCount: "Requests that wait for the own upstream",
   slotsLimitCount: "Requests that may run at the own upstream",
   storeReachable: "1 when the last call to the store was answered",
+  storeWatching: "1 when the daemon watches the configuration closely",
   storeCallsCount: "Calls to the store since the start",
   logLinesDroppedCount: "Log lines that nobody read in time",
 };
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -13,6 +13,7 @@
     waitingCount: 0,
     slotsLimitCount: 8,
     storeReachable: 1,
+    storeWatching: 1,
     storeCallsCount: 3,
     logLinesDroppedCount: 0,
   }));
