Send requests that may run once on fresh connections, and close over-long control requests

Cause: endpoints forget idle connections. A control request over the limit was neither answered nor closed, since reading a part of the body detaches the message from its socket.

Change: such requests use connections that were idle for at most 200 ms.

--- a/src/fleet/control_listener.ts
+++ b/src/fleet/control_listener.ts
@@ -53,8 +53,13 @@
    */
   constructor(handle: ControlHandler) {
     this.#server = createServer((message, response) => {
-      // A caller that breaks off its request gets no answer.
-      respond(message, response, handle).catch(() => message.destroy());
+      // Reading a part of the body detaches the message from its socket.
+      const { socket } = message;
+      respond(message, response, handle).then(
+        (isAnswered) => isAnswered || socket.destroy(),
+        // A caller that breaks off its request gets no answer.
+        () => socket.destroy(),
+      );
     });
   }
 
@@ -76,15 +81,15 @@
   }
 }
 
+/** Answers a request. Returns false, without an answer, if it is too long. */
 async function respond(
   message: IncomingMessage,
   response: ServerResponse,
   handle: ControlHandler,
-): Promise<void> {
+): Promise<boolean> {
   const body = await readBody(message);
   if (body === undefined) {
-    message.destroy();
-    return;
+    return false;
   }
   const { method = "GET", url = "/" } = message;
   const answer = await handle({ method, url, body });
@@ -93,4 +98,5 @@
     "content-length": Buffer.byteLength(answer.body),
   });
   response.end(answer.body);
+  return true;
 }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -114,6 +114,8 @@
       platform.headers,
       {
         connectionsMaxCount: CONNECTIONS_MAX_COUNT,
+        isIdempotent: (routeName) =>
+          this.#config.routes?.route(routeName)?.idempotent ?? false,
         onMisdirected: () => this.#upstream.markReplaced(),
       },
     );
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -15,6 +15,12 @@
 } from "../link/upstream_channel.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/**
+ * Idle time after which a connection is not used again for a request that is
+ * not idempotent. If the upstream has dropped the connection meanwhile, the
+ * request fails and cannot be sent again.
+ */
+const UNSAFE_IDLE_MAX_MS = 200;
 const HEALTH_TIMEOUT_MS = 1_000;
 /**
  * Maximum size of all answers that are being received. When it is exceeded, the
@@ -308,6 +314,8 @@
 /** HTTP client for one upstream. */
 export class UpstreamHttpClient {
   readonly #pool: Pool;
+  readonly #unsafePool: Pool;
+  readonly #isIdempotent: (routeName: string) => boolean;
   readonly #closeDetector = new CloseDetector();
   readonly #memory = new AnswerMemory(ANSWERS_MAX_BYTES);
   readonly #names: HeaderNames;
@@ -316,20 +324,23 @@
   /**
    * @param address Address of the upstream.
    * @param names Header names.
-   * @param options Maximum number of connections, and the handler for answers
-   *   of another upstream.
+   * @param options Maximum number of connections, whether the requests of a
+   *   route are idempotent, and the handler for answers of another upstream.
    */
   constructor(
     address: Address,
     names: HeaderNames,
     options: {
       connectionsMaxCount: number;
+      isIdempotent: (routeName: string) => boolean;
       onMisdirected: MisdirectedHandler;
     },
   ) {
     this.#names = names;
     this.#onMisdirected = options.onMisdirected;
-    this.#pool = new Pool(`http://${address.host}:${address.port}`, {
+    this.#isIdempotent = options.isIdempotent;
+    const origin = `http://${address.host}:${address.port}`;
+    const poolOptions: Pool.Options = {
       connections: options.connectionsMaxCount,
       pipelining: 1,
       headersTimeout: 0,
@@ -337,6 +348,12 @@
       connect: this.#closeDetector.wrapConnector(
         buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
       ),
+    };
+    this.#pool = new Pool(origin, poolOptions);
+    this.#unsafePool = new Pool(origin, {
+      ...poolOptions,
+      keepAliveTimeout: UNSAFE_IDLE_MAX_MS,
+      keepAliveMaxTimeout: UNSAFE_IDLE_MAX_MS,
     });
   }
 
@@ -356,7 +373,10 @@
       closeDetector: this.#closeDetector,
       memory: this.#memory,
     });
-    this.#pool.dispatch({
+    const pool = this.#isIdempotent(request.routeName)
+      ? this.#pool
+      : this.#unsafePool;
+    pool.dispatch({
       method: request.method as "GET",
       path: request.path,
       headers: [
@@ -403,7 +423,7 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await this.#pool.destroy();
+    await Promise.all([this.#pool.destroy(), this.#unsafePool.destroy()]);
   }
 }
 
