Split the upstream client, the links of a daemon and the store calls by job

Change: moves only. One exchange and the detection of orderly closes have modules of their own; PeerLinks keeps the links, MemberDirectory the records; StoreCalls makes single calls, StoreClient the store's interface and watches.

--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -65,3 +65,22 @@
     !names.includes((headers[index & ~1] as string).toLowerCase())
   );
 }
+
+/**
+ * Finds the value of a header.
+ *
+ * @param headers Alternating names and values.
+ * @param name Name in lower case.
+ * @returns Value of the first header with the name; undefined without one.
+ */
+export function findHeader(
+  headers: readonly string[],
+  name: string,
+): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if ((headers[index] as string).toLowerCase() === name) {
+      return headers[index + 1];
+    }
+  }
+  return undefined;
+}
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -2,14 +2,12 @@
 import type { Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
 import type { PlatformClient, StoredObject } from "../core/platform_client.ts";
-import { selectLinks } from "../decisions/link_subset.ts";
 import {
   isElected,
   rankCandidates,
-  type WatcherCandidate,
   watchersCount,
 } from "../decisions/watcher_election.ts";
-import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
+import type { PeerLink, PeerLinkOptions } from "../link/peer_link.ts";
 import {
   type MemberRecord,
   memberRecordSchema,
@@ -19,14 +17,8 @@
 import type { ChannelTable } from "./channel_table.ts";
 import { isSameRecord, MEMBER_KIND } from "./member_records.ts";
 import { OwnRegistration } from "./own_registration.ts";
+import { PeerLinks } from "./peer_links.ts";
 
-/** A member whose link is down for longer is removed, and so is its record. */
-const MEMBER_EXPIRY_MS = 600_000;
-/**
- * A member whose link is down for longer is replaced by a further one. It is
- * longer than the restart of a process.
- */
-const LINK_DOWN_MAX_MS = 2_000;
 /**
  * Time between two queries for the members of a peer, while the store has not
  * answered.
@@ -76,11 +68,10 @@
   readonly #registration: OwnRegistration;
   readonly #records = new Map<string, MemberRecord>();
   readonly #versions = new Map<string, number>();
-  readonly #links = new Map<string, PeerLink>();
+  readonly #links: PeerLinks;
   #candidateNames: readonly string[] = [];
   #dataCentresCount = 1;
   #hasChanged = false;
-  #downNames = new Set<string>();
   #membersQueriedAtMs = -Infinity;
 
   /**
@@ -95,12 +86,13 @@
       log: options.log,
       onStored: options.onOwnRecord,
     });
+    this.#links = new PeerLinks(options);
     this.inputs = options.store.watch(MEMBER_KIND);
   }
 
   /** Links to other members. */
   get links(): Iterable<PeerLink> {
-    return this.#links.values();
+    return this.#links.all;
   }
 
   /**
@@ -141,7 +133,7 @@
       : this.#candidateNames.slice(0, ownRank);
     return isElected({
       isCandidate: ownRank >= 0,
-      preferred: preferred.map((name) => this.#candidateOf(name)),
+      preferred: preferred.map((name) => this.#links.watcherCandidate(name)),
       wantedCount: watchersCount(this.#dataCentresCount),
     });
   }
@@ -194,7 +186,7 @@
     }
     if (known === undefined || !isSameRecord(known, merged)) {
       this.#hasChanged = true;
-      this.#updateLink(merged);
+      this.#links.update(merged);
     }
     const link = this.#links.get(name);
     if (link !== undefined && !link.isUp) {
@@ -241,15 +233,13 @@
    * @param stalledMs Time for which this process was stalled, in ms.
    */
   tick(nowMs: number, stalledMs: number): void {
-    this.#updateDownNames(nowMs);
     if (this.#hasChanged) {
       this.#hasChanged = !this.#selectLinks();
     }
-    for (const link of this.#links.values()) {
-      link.tick(nowMs, stalledMs);
-      if (!link.isUp && nowMs - link.downSinceMs > MEMBER_EXPIRY_MS) {
-        this.#expire(link);
-      }
+    const { hasChanged, expired } = this.#links.tick(nowMs, stalledMs);
+    this.#hasChanged ||= hasChanged;
+    for (const name of expired) {
+      this.#expire(name);
     }
     this.#registration.tick(nowMs);
     this.#queryMembersOnceDue(nowMs);
@@ -257,40 +247,15 @@
 
   /** Closes all links permanently. */
   close(): void {
-    for (const link of this.#links.values()) {
-      link.remove();
-    }
-  }
-
-  #candidateOf(name: string): WatcherCandidate {
-    const link = this.#links.get(name);
-    return {
-      isUp: link?.isUp ?? false,
-      isWatching: link?.state?.isWatching ?? false,
-    };
-  }
-
-  #updateDownNames(nowMs: number): void {
-    for (const [name, link] of this.#links) {
-      const isDown = !link.isUp && nowMs - link.downSinceMs > LINK_DOWN_MAX_MS;
-      if (isDown === this.#downNames.has(name)) {
-        continue;
-      }
-      this.#hasChanged = true;
-      if (isDown) {
-        this.#downNames.add(name);
-      } else {
-        this.#downNames.delete(name);
-      }
-    }
+    this.#links.close();
   }
 
   /**
-   * Opens the links to newly selected members and closes those to members that
-   * are no longer selected. Returns false while such a link has open requests.
+   * Updates the candidates for watching the store and selects the links. Returns
+   * false while a link that is to be closed has open requests.
    */
   #selectLinks(): boolean {
-    const { name: ownName, dataCentre } = this.ownRecord;
+    const { dataCentre } = this.ownRecord;
     const { records } = this;
     this.#dataCentresCount = new Set(
       records.map((record) => record.dataCentre),
@@ -299,50 +264,10 @@
       records.filter((record) => record.dataCentre === dataCentre)
         .map(({ name }) => name),
     );
-    const selected = selectLinks(
-      [...this.#records.values()].map((record) => ({
-        ...record,
-        isDown: this.#downNames.has(record.name),
-      })),
-      { ownName, ownDataCentre: dataCentre },
-    );
-    for (const name of this.#candidateNames) {
-      selected.add(name);
-    }
-    selected.delete(ownName);
-    for (const name of selected) {
-      if (!this.#links.has(name)) {
-        this.#addLink(this.#records.get(name) as MemberRecord);
-      }
-    }
-    let isComplete = true;
-    for (const [name, link] of this.#links) {
-      if (selected.has(name)) {
-        continue;
-      }
-      if (link.load.pendingCount > 0) {
-        isComplete = false;
-        continue;
-      }
-      this.#removeLink(link);
-    }
-    return isComplete;
-  }
-
-  #updateLink(record: MemberRecord): void {
-    const link = this.#links.get(record.name);
-    if (link === undefined) {
-      return;
-    }
-    this.#options.channels.remove(link);
-    link.updateMember(record);
-    this.#options.channels.add(link);
-  }
-
-  #addLink(record: MemberRecord): void {
-    const link = new PeerLink(record, this.#options.link);
-    this.#links.set(record.name, link);
-    this.#options.channels.add(link);
+    return this.#links.select({
+      records: this.#records,
+      required: this.#candidateNames,
+    });
   }
 
   #onRemoved(name: string): void {
@@ -359,25 +284,14 @@
   }
 
   #removeMember(name: string): void {
-    const link = this.#links.get(name);
-    if (link !== undefined) {
-      this.#removeLink(link);
-    }
+    this.#links.remove(name);
     if (this.#records.delete(name)) {
       this.#hasChanged = true;
       this.#options.log.info("Member gone", { member: name });
     }
   }
 
-  #removeLink(link: PeerLink): void {
-    link.remove();
-    this.#links.delete(link.member.name);
-    this.#downNames.delete(link.member.name);
-    this.#options.channels.remove(link);
-  }
-
-  #expire(link: PeerLink): void {
-    const { name } = link.member;
+  #expire(name: string): void {
     const version = this.#versions.get(name);
     this.#removeMember(name);
     if (version === undefined) {
@@ -402,7 +316,7 @@
     ) {
       return;
     }
-    const connected = [...this.#links.values()].filter(({ isUp }) => isUp);
+    const connected = [...this.links].filter(({ isUp }) => isUp);
     if (connected.length === 0) {
       return;
     }
--- /dev/null
+++ b/src/fleet/upstream_exchange.ts
@@ -0,0 +1,248 @@
+/** One HTTP exchange with the local upstream. */
+import type { Dispatcher } from "undici";
+import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
+import type {
+  ForwardFailure,
+  RequestHandle,
+  ResultReceiver,
+  UpstreamAnswer,
+} from "../link/upstream_channel.ts";
+import type { AnswerBuffer, AnswerMemory } from "./answer_memory.ts";
+import type { CloseDetector } from "./close_detector.ts";
+import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
+
+/**
+ * Maximum size of the body of a refusal, which is read and discarded so that the
+ * connection can be reused.
+ */
+const DISCARDED_MAX_BYTES = 65_536;
+const STATUS_SERVICE_UNAVAILABLE = 503;
+const STATUS_TOO_MANY_REQUESTS = 429;
+const STATUS_MISDIRECTED_REQUEST = 421;
+const REFUSAL_STATUSES: readonly number[] = [
+  STATUS_SERVICE_UNAVAILABLE,
+  STATUS_TOO_MANY_REQUESTS,
+  STATUS_MISDIRECTED_REQUEST,
+];
+
+type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/** Called when an answer shows that another upstream has the address now. */
+export type MisdirectedHandler = () => void;
+
+/** Options of {@link UpstreamExchange}. */
+export type UpstreamExchangeOptions = {
+  names: HeaderNames;
+  /** Id that the caller gave to the request, if any. */
+  requestId: string | undefined;
+  onMisdirected: MisdirectedHandler;
+  closeDetector: CloseDetector;
+  memory: AnswerMemory;
+};
+
+/** undici handler of one exchange; buffers the answer until it is complete. */
+export class UpstreamExchange
+  implements Dispatcher.DispatchHandler, RequestHandle, AnswerBuffer {
+  readonly #receiver: ResultReceiver;
+  readonly #names: HeaderNames;
+  readonly #requestId: string | undefined;
+  readonly #onMisdirected: MisdirectedHandler;
+  readonly #closeDetector: CloseDetector;
+  readonly #memory: AnswerMemory;
+  #controller: Dispatcher.DispatchController | undefined;
+  #isDone = false;
+  #status = 0;
+  #isCloseDelimited = false;
+  #headers: string[] = [];
+  #discardedBytes = 0;
+  #chunks: Buffer[] = [];
+  /** @inheritdoc */
+  bodyBytes = 0;
+  #startedAtMs = performance.now();
+
+  /**
+   * @param receiver Receives the result.
+   * @param options Names, id of the request and parts of the client.
+   */
+  constructor(receiver: ResultReceiver, options: UpstreamExchangeOptions) {
+    this.#receiver = receiver;
+    this.#names = options.names;
+    this.#requestId = options.requestId;
+    this.#onMisdirected = options.onMisdirected;
+    this.#closeDetector = options.closeDetector;
+    this.#memory = options.memory;
+  }
+
+  /** @inheritdoc */
+  cancel(): void {
+    this.#isDone = true;
+    this.#releaseBody();
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  /** @inheritdoc */
+  discard(): void {
+    this.#controller?.abort(new Error("The answer is too large"));
+  }
+
+  /** Called by undici when the request is about to be written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    this.#startedAtMs = performance.now();
+    if (this.#isDone) {
+      controller.abort(new Error("Cancelled before it was sent"));
+    }
+  }
+
+  /** Called by undici with the head of the answer. */
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (this.#isDone || status < 200) {
+      return;
+    }
+    this.#status = status;
+    this.#isCloseDelimited = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
+    this.#closeDetector.closeDelimitedCount += this.#isCloseDelimited ? 1 : 0;
+    if (this.#isMismatched(status, headers)) {
+      this.#fail({
+        kind: "upstream_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+      controller.abort(new Error("The answer does not belong to the request"));
+      return;
+    }
+    if (
+      REFUSAL_STATUSES.includes(status) &&
+      (headers[this.#names.notRun] !== undefined ||
+        status === STATUS_MISDIRECTED_REQUEST)
+    ) {
+      this.#refuse(status);
+      return;
+    }
+    this.#headers = copyEndToEndHeaders(
+      decodeRawHeaders(controller.rawHeaders),
+      [
+        this.#names.load,
+        this.#names.requestId,
+      ],
+    );
+  }
+
+  /** Called by undici with each chunk of the body. */
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#isDone) {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > DISCARDED_MAX_BYTES) {
+        controller.abort(new Error("The body of a refusal is too large"));
+      }
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#memory.add(this, chunk.length);
+  }
+
+  /** Called by undici at the end of the body. */
+  onResponseEnd(): void {
+    const wasCloseDelimited = this.#isCloseDelimited;
+    this.#endCloseDelimited();
+    if (this.#isDone) {
+      return;
+    }
+    // undici completes an answer without a length at any end of the connection,
+    // but only an orderly close marks a complete answer.
+    if (wasCloseDelimited && !this.#closeDetector.isOrderlyClose) {
+      this.#fail({
+        kind: "upstream_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+      return;
+    }
+    this.#isDone = true;
+    const body = this.#body();
+    this.#releaseBody();
+    this.#receiver.onAnswer({
+      status: this.#status,
+      headers: this.#headers,
+      body,
+      runMs: performance.now() - this.#startedAtMs,
+    });
+  }
+
+  /** Called by undici when the exchange fails. */
+  onResponseError(): void {
+    this.#endCloseDelimited();
+    // undici starts a request only on an open connection. A failure before the
+    // start therefore proves that no byte was written.
+    const isSent = this.#controller !== undefined;
+    this.#fail({
+      kind: isSent ? "upstream_failed" : "no_upstream",
+      isNotRun: !isSent,
+      hasReached: isSent,
+    });
+  }
+
+  #endCloseDelimited(): void {
+    if (this.#isCloseDelimited) {
+      this.#isCloseDelimited = false;
+      this.#closeDetector.closeDelimitedCount--;
+    }
+  }
+
+  /**
+   * Returns whether an answer does not belong to this request. If both carry a
+   * request id, this is the case when the ids differ; otherwise, when the
+   * answer is a success without the upstream's signature.
+   */
+  #isMismatched(status: number, headers: AnswerHeaders): boolean {
+    const echoed = headers[this.#names.requestId];
+    if (this.#requestId !== undefined && echoed !== undefined) {
+      return echoed !== this.#requestId;
+    }
+    return status < 300 && headers[this.#names.answerSignature] === undefined;
+  }
+
+  #refuse(status: number): void {
+    if (status === STATUS_MISDIRECTED_REQUEST) {
+      this.#onMisdirected();
+    }
+    // The exchange is not aborted: the body, which is short, is read and
+    // discarded, so that the connection can be reused.
+    this.#fail({
+      kind: "upstream_refused",
+      isNotRun: true,
+      hasReached: true,
+    });
+  }
+
+  #fail(failure: ForwardFailure): void {
+    if (this.#isDone) {
+      return;
+    }
+    this.#isDone = true;
+    this.#releaseBody();
+    this.#receiver.onFailure(failure);
+  }
+
+  #releaseBody(): void {
+    this.#memory.release(this);
+    this.#chunks = [];
+  }
+
+  #body(): UpstreamAnswer["body"] {
+    if (this.bodyBytes === 0) {
+      return null;
+    }
+    return this.#chunks.length === 1
+      ? this.#chunks[0] as Buffer
+      : Buffer.concat(this.#chunks, this.bodyBytes);
+  }
+}
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -11,7 +11,8 @@
   type ServedResult,
   type ServingGate,
 } from "./served_request.ts";
-import { findHeader, type UpstreamHttpClient } from "./upstream_http_client.ts";
+import type { UpstreamHttpClient } from "./upstream_http_client.ts";
+import { findHeader } from "./header_names.ts";
 import type {
   ForwardedRequest,
   RequestHandle,
