Do not run requests whose deadline passed while the process was paused

Cause: a process that was paused reads from its connections before it runs timers. A request that had waited to be read began with the time that its sender gave it, and an answer that freed a slot admitted a waiting request although its deadline had passed (upstream_gate_test fails before).

Change: after a stall, requests from links get the time that is left, and one without time is refused as not run. An expired request is not admitted from the queue.

--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -17,6 +17,17 @@
 /** Minimum time between two queries for a configuration, to any peer. */
 const CONFIG_QUERY_INTERVAL_MIN_MS = 300;
 
+/**
+ * Time after a stall in which received requests may have waited for the process.
+ * They are read in the first iterations of the event loop.
+ */
+const STALE_WINDOW_MS = 20;
+/**
+ * Time without a tick from which the process counts as stalled. After a pause,
+ * the event loop reads from connections before it runs timers.
+ */
+const TICK_MISSING_MAX_MS = 350;
+
 /** Parts of the daemon that {@link DaemonLinkHost} uses. */
 export type DaemonLinkHostParts = {
   config: ConfigFollower;
@@ -34,6 +45,9 @@
 export class DaemonLinkHost implements LinkHost, LinkServerHost {
   readonly #parts: DaemonLinkHostParts;
   #configQueriedAtMs = -Infinity;
+  #tickedAtMs = Infinity;
+  #stallEndedAtMs = -Infinity;
+  #stalledMs = 0;
 
   /**
    * @param parts Parts of the daemon.
@@ -69,7 +83,46 @@
 
   /** @inheritdoc */
   serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
-    return this.#parts.gate.serve(request, receiver);
+    const waitedMs = this.#waitedMaxMs();
+    if (waitedMs === 0) {
+      return this.#parts.gate.serve(request, receiver);
+    }
+    const remainingMs = request.remainingMs - waitedMs;
+    if (remainingMs <= 0) {
+      receiver.onFailure({
+        kind: "deadline_exceeded",
+        isNotRun: true,
+        hasReached: false,
+      });
+      return { cancel: () => {} };
+    }
+    return this.#parts.gate.serve({ ...request, remainingMs }, receiver);
+  }
+
+  /**
+   * Records a control interval, to notice that the process was stalled. Requests
+   * carry their remaining time, which runs on while they wait to be read.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @param stalledMs Time for which the process was stalled before, in ms.
+   */
+  tick(nowMs: number, stalledMs: number): void {
+    this.#tickedAtMs = nowMs;
+    if (stalledMs > 0) {
+      this.#stallEndedAtMs = nowMs;
+      this.#stalledMs = stalledMs;
+    }
+  }
+
+  /** Longest time that a request read now may have waited, in ms. */
+  #waitedMaxMs(): number {
+    const nowMs = performance.now();
+    const sinceTickMs = nowMs - this.#tickedAtMs;
+    if (sinceTickMs > TICK_MISSING_MAX_MS) {
+      return sinceTickMs;
+    }
+    const sinceStallMs = nowMs - this.#stallEndedAtMs;
+    return sinceStallMs < STALE_WINDOW_MS ? this.#stalledMs : 0;
   }
 
   /** @inheritdoc */
--- /dev/null
+++ b/src/fleet/daemon_link_host_test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type {
+  ForwardedRequest,
+  ForwardFailure,
+} from "../link/upstream_channel.ts";
+import {
+  DaemonLinkHost,
+  type DaemonLinkHostParts,
+} from "./daemon_link_host.ts";
+
+const STALLED_MS = 3_000;
+
+function createHost() {
+  const served: ForwardedRequest[] = [];
+  const failures: ForwardFailure[] = [];
+  const gate = {
+    serve: (request: ForwardedRequest) => {
+      served.push(request);
+      return { cancel: () => {} };
+    },
+  };
+  const host = new DaemonLinkHost({ gate } as unknown as DaemonLinkHostParts);
+  const serve = (remainingMs: number) =>
+    host.serve({ remainingMs } as ForwardedRequest, {
+      onAnswer: () => {},
+      onFailure: (failure) => failures.push(failure),
+    });
+  return { host, served, failures, serve };
+}
+
+// A process that was paused reads requests that were sent before. Their callers
+// may have given up meanwhile.
+test("a request whose deadline passed while the process was paused is not run", () => {
+  const { host, served, failures, serve } = createHost();
+  host.tick(performance.now(), STALLED_MS);
+  serve(STALLED_MS - 500);
+  assert.equal(served.length, 0);
+  assert.deepEqual(failures, [
+    { kind: "deadline_exceeded", isNotRun: true, hasReached: false },
+  ]);
+});
+
+test("a request that may have waited during a pause gets the time that is left", () => {
+  const { host, served, serve } = createHost();
+  host.tick(performance.now(), STALLED_MS);
+  serve(STALLED_MS + 500);
+  assert.equal(served[0]?.remainingMs, 500);
+});
+
+test("a request that arrives after a pause keeps its time", async () => {
+  const { host, served, serve } = createHost();
+  host.tick(performance.now(), STALLED_MS);
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  serve(500);
+  assert.equal(served[0]?.remainingMs, 500);
+});
+
+test("a pause is noticed before the first tick after it", () => {
+  const { host, served, failures, serve } = createHost();
+  host.tick(performance.now() - STALLED_MS, 0);
+  serve(STALLED_MS - 500);
+  assert.equal(served.length, 0);
+  assert.equal(failures[0]?.isNotRun, true);
+});
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -74,6 +74,7 @@
   readonly #admission: EntryAdmission;
   readonly #callGraph = new CallGraph();
   readonly #callObserver = new CallObserver();
+  readonly #linkHost: DaemonLinkHost;
   readonly #linkServer: LinkServer;
   readonly #outboundService: OutboundService;
   readonly #outboundListener: OutboundListener;
@@ -132,15 +133,15 @@
       ownDataCentre: settings.dataCentre,
       random,
     });
-    const host = new DaemonLinkHost({
+    this.#linkHost = new DaemonLinkHost({
       config: this.#config,
       gate: this.#gate,
       graph: this.#callGraph,
       publisher: this.#publisher,
       directory: () => this.#directory,
     });
-    this.#directory = this.#createDirectory(host);
-    this.#linkServer = new LinkServer(host, log);
+    this.#directory = this.#createDirectory(this.#linkHost);
+    this.#linkServer = new LinkServer(this.#linkHost, log);
     this.#admission = new EntryAdmission({
       channels: this.#channels,
       graph: this.#callGraph,
@@ -387,6 +388,7 @@
     const lateMs = nowMs - this.#lastTickAtMs - TICK_MS;
     const stalledMs = lateMs > STALL_MIN_MS ? lateMs : 0;
     this.#lastTickAtMs = nowMs;
+    this.#linkHost.tick(nowMs, stalledMs);
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
     this.#electWatcher(nowMs);
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -78,7 +78,7 @@
     this.expiresAtMs = options.nowMs + request.remainingMs;
     this.#machine = new StateMachine(SERVED_REQUEST_CHART, this);
     this.#timer = coarseTimeout(
-      () => this.#machine.send("expired"),
+      () => this.expire(),
       request.remainingMs,
     );
   }
@@ -112,6 +112,12 @@
     this.#machine.send("turnedAway", kind);
   }
 
+  /** Ends the request because its deadline has passed. */
+  expire(): void {
+    clearTimeout(this.#timer);
+    this.#machine.send("expired");
+  }
+
   /** @inheritdoc */
   cancel(): void {
     clearTimeout(this.#timer);
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -354,7 +354,14 @@
       if (next === undefined) {
         return;
       }
-      next.admit();
+      if (performance.now() < next.expiresAtMs) {
+        next.admit();
+        continue;
+      }
+      // A process that was paused reads an answer, which frees a slot, before
+      // the timer of the waiting request fires.
+      this.#slots.release();
+      next.expire();
     }
   }
 }
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -85,3 +85,20 @@
   );
   sent.forEach((request) => request.cancel());
 });
+
+// A process that was paused reads the answer that frees a slot before its timers
+// fire.
+test("a waiting request whose deadline passed during a pause is not run when a slot becomes free", () => {
+  const { serve, sentPaths, failures } = createGate();
+  const running = serve("/running");
+  serve("/waiting", { remainingMs: 20 });
+  const pauseEndMs = performance.now() + 60;
+  while (performance.now() < pauseEndMs) {
+    // The event loop is blocked, as in a paused process.
+  }
+  running.cancel();
+  assert.deepEqual(sentPaths, ["/running"]);
+  assert.deepEqual(failures, [
+    { kind: "deadline_exceeded", isNotRun: true, hasReached: false },
+  ]);
+});
