--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -1,5 +1,6 @@
 /** A request in the daemon that received it, from admission to answer. */
 import { coarseTimeout } from "../core/coarse_timeout.ts";
+import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
@@ -25,7 +26,6 @@
  * before the deadline is unlikely.
  */
 const RETRY_REMAINING_MIN_MS = 30;
-const STATUS_SERVER_ERROR_MIN = 500;
 
 /** A received request for which a route and a pool have been found. */
 export type RoutedRequest = {
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -219,9 +219,12 @@
    * @returns Resolves when it is written or the attempt has failed.
    */
   storeDeparture(departure: UpstreamDeparture): Promise<void> {
+    const lastRecord = this.ownRecord;
     const isStored = this.#registration.storeDeparture(departure);
     // Peers return the record to this daemon if it restarts without the store.
-    this.#options.onOwnChange(this.ownRecord);
+    if (this.ownRecord !== lastRecord) {
+      this.#options.onOwnChange(this.ownRecord);
+    }
     return isStored;
   }
 
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -1,5 +1,6 @@
 /** A request to the local upstream, from arrival to result. */
 import { coarseTimeout } from "../core/coarse_timeout.ts";
+import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { SlotRequest } from "../decisions/slot_queue.ts";
@@ -22,8 +23,6 @@
   releaseSlot(request: ServedRequest, result: ServedResult): void;
 }
 
-const STATUS_SERVER_ERROR_MIN = 500;
-
 /** Result of a request that held a slot. */
 export type ServedResult =
   | "answered"
