--- a/src/fleet/own_registration.ts
+++ b/src/fleet/own_registration.ts
@@ -199,9 +199,15 @@
       MEMBER_KIND,
       this.#record.name,
     );
-    const result = memberRecordSchema.safeParse(stored?.value);
-    if (stored !== undefined && result.success) {
+    if (stored === undefined) {
+      return;
+    }
+    const result = memberRecordSchema.safeParse(stored.value);
+    if (result.success) {
       this.handleStored(result.data, stored.version);
+      return;
     }
+    // The next write replaces an entry that another writer has damaged.
+    this.#storedVersion = stored.version;
   }
 }
--- a/src/fleet/own_registration_test.ts
+++ b/src/fleet/own_registration_test.ts
@@ -115,3 +115,17 @@
     DEPARTURE,
   );
 });
+
+// If the version of such an entry were not used, each write would conflict, and
+// the daemon would call the store at every tick.
+test("a stored record that is not readable is replaced", async () => {
+  const store = new SlowStore();
+  store.stored = { kind: "k", name: "one", version: 7, value: { name: 3 } };
+  const { registration } = createRegistration(store);
+  registration.tick(performance.now());
+  await store.finishWrite();
+  registration.tick(performance.now());
+  await store.finishWrite();
+  assert.equal(registration.isRegistered, true);
+  assert.deepEqual(store.stored?.value, RECORD);
+});
