--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -8,7 +8,7 @@
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/peer_link.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
-import { type FleetGauges, FleetMetrics } from "../telemetry/fleet_metrics.ts";
+import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import { ConfigFollower } from "./config_follower.ts";
 import { DaemonLinkHost } from "./daemon_link_host.ts";
@@ -19,6 +19,7 @@
   FleetDaemonLifecycle,
 } from "./fleet_daemon_lifecycle.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
+import { readGauges } from "./read_gauges.ts";
 import { LocalUpstreamChannel } from "./local_upstream_channel.ts";
 import { LocalUpstream } from "./local_upstream.ts";
 import { MemberDirectory } from "./member_directory.ts";
@@ -31,16 +32,12 @@
 import { UpstreamAnnouncements } from "./upstream_announcements.ts";
 import { UpstreamGate } from "./upstream_gate.ts";
 import { UpstreamHttpClient } from "./upstream_http_client.ts";
+import { WatchElection } from "./watch_election.ts";
 
 /** Control interval. */
 const TICK_MS = 100;
 /** Interval at which the latency histograms are rotated. */
 const METRICS_INTERVAL_MS = 30_000;
-/**
- * Time after the start until which this daemon does not watch the store
- * closely. Its links to the candidates of the election are not up yet.
- */
-const ELECTION_DELAY_MS = 2_000;
 /** A tick that is later than this shows that the process was stalled. */
 const STALL_MIN_MS = 250;
 /**
@@ -70,6 +67,7 @@
   readonly #gate: UpstreamGate;
   readonly #publisher: StatePublisher;
   readonly #directory: MemberDirectory;
+  readonly #watchElection: WatchElection;
   readonly #channels: ChannelTable;
   readonly #admission: EntryAdmission;
   readonly #callGraph = new CallGraph();
@@ -83,8 +81,6 @@
   readonly #announcementListener: ControlListener;
   readonly #metricsListener: ControlListener;
   readonly #metrics: FleetMetrics;
-  #isElectedWatcher = false;
-  readonly #startedAtMs = performance.now();
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
 
@@ -128,6 +124,11 @@
       decisions,
       requestIdHeader: platform.headers.requestId,
     });
+    this.#watchElection = new WatchElection({
+      directory: () => this.#directory,
+      store: platform.store,
+      log,
+    });
     this.#publisher = this.#createPublisher();
     this.#channels = new ChannelTable({
       ownDataCentre: settings.dataCentre,
@@ -157,7 +158,16 @@
       directory: this.#directory,
       log,
     });
-    this.#metrics = new FleetMetrics(() => this.#readGauges());
+    this.#metrics = new FleetMetrics(() =>
+      readGauges({
+        config: this.#config,
+        upstream: this.#upstream,
+        directory: this.#directory,
+        gate: this.#gate,
+        watchElection: this.#watchElection,
+        platform,
+      })
+    );
     this.#readinessListener = new ControlListener(() => ({
       status: this.#lifecycle.isReady ? 200 : 503,
       body: JSON.stringify({ state: this.#lifecycle.stateName }),
@@ -190,7 +200,7 @@
 
   /** Whether the daemon watches the store closely and reaches it. */
   get isWatching(): boolean {
-    return this.#isElectedWatcher && this.#options.platform.store.isReachable;
+    return this.#watchElection.isWatching;
   }
 
   /** Number of connected peers whose local upstream takes requests. */
@@ -363,27 +373,6 @@
     });
   }
 
-  #readGauges(): FleetGauges {
-    const nowMs = performance.now();
-    const { store, droppedLinesCount } = this.#options.platform;
-    const { runningCount, waitingCount, limitCount } = this.#gate;
-    return {
-      configVersion: this.#config.version,
-      configAgeMs: Math.round(nowMs - this.#config.appliedAtMs),
-      upstreamReportAgeMs: Math.round(nowMs - this.#upstream.reportedAtMs),
-      linksUpCount: [...this.#directory.links]
-        .filter(({ isUp }) => isUp).length,
-      membersCount: this.#directory.membersCount,
-      runningCount,
-      waitingCount,
-      slotsLimitCount: limitCount,
-      storeReachable: store.isReachable ? 1 : 0,
-      storeWatching: this.isWatching ? 1 : 0,
-      storeCallsCount: store.callsCount,
-      logLinesDroppedCount: droppedLinesCount(),
-    };
-  }
-
   #tick(nowMs: number): void {
     const lateMs = nowMs - this.#lastTickAtMs - TICK_MS;
     const stalledMs = lateMs > STALL_MIN_MS ? lateMs : 0;
@@ -391,7 +380,7 @@
     this.#linkHost.tick(nowMs, stalledMs);
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
-    this.#electWatcher(nowMs);
+    this.#watchElection.tick(nowMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
@@ -404,18 +393,6 @@
     this.#stopSequence.tick(nowMs);
   }
 
-  /** Decides whether this daemon watches the store closely. */
-  #electWatcher(nowMs: number): void {
-    const isElected = this.#directory.isElectedWatcher &&
-      nowMs - this.#startedAtMs >= ELECTION_DELAY_MS;
-    if (isElected === this.#isElectedWatcher) {
-      return;
-    }
-    this.#isElectedWatcher = isElected;
-    this.#options.platform.store.setCloseWatch(isElected);
-    this.#options.log.info("Store watch changed", { isClose: isElected });
-  }
-
   #onConfig(): void {
     const config = this.#config.routes?.config;
     if (config === undefined) {
--- /dev/null
+++ b/src/fleet/read_gauges.ts
@@ -0,0 +1,43 @@
+/** Current values of the gauges of a daemon. */
+import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
+import type { ConfigFollower } from "./config_follower.ts";
+import type { FleetPlatform } from "./fleet_platform.ts";
+import type { LocalUpstream } from "./local_upstream.ts";
+import type { MemberDirectory } from "./member_directory.ts";
+import type { UpstreamGate } from "./upstream_gate.ts";
+import type { WatchElection } from "./watch_election.ts";
+
+/** Parts of the daemon whose state is measured. */
+export type MeasuredParts = {
+  config: ConfigFollower;
+  upstream: LocalUpstream;
+  directory: MemberDirectory;
+  gate: UpstreamGate;
+  watchElection: WatchElection;
+  platform: FleetPlatform;
+};
+
+/**
+ * Reads the gauges.
+ *
+ * @param parts Parts of the daemon.
+ * @returns Present values.
+ */
+export function readGauges(parts: MeasuredParts): FleetGauges {
+  const { config, upstream, directory, gate, watchElection, platform } = parts;
+  const nowMs = performance.now();
+  return {
+    configVersion: config.version,
+    configAgeMs: Math.round(nowMs - config.appliedAtMs),
+    upstreamReportAgeMs: Math.round(nowMs - upstream.reportedAtMs),
+    linksUpCount: [...directory.links].filter(({ isUp }) => isUp).length,
+    membersCount: directory.membersCount,
+    runningCount: gate.runningCount,
+    waitingCount: gate.waitingCount,
+    slotsLimitCount: gate.limitCount,
+    storeReachable: platform.store.isReachable ? 1 : 0,
+    storeWatching: watchElection.isWatching ? 1 : 0,
+    storeCallsCount: platform.store.callsCount,
+    logLinesDroppedCount: platform.droppedLinesCount(),
+  };
+}
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -26,6 +26,7 @@
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
+import { SilenceMonitor } from "./silence_monitor.ts";
 
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
@@ -36,26 +37,6 @@
 const REDIAL_BASE_MS = 150;
 /** Maximum of that bound. */
 const REDIAL_MAX_MS = 1_000;
-/** Time without received bytes until a ping, while requests are open. */
-const ACTIVE_SILENCE_MAX_MS = 300;
-/** Time without received bytes until a ping, while no request is open. */
-const IDLE_SILENCE_MAX_MS = 2_000;
-/**
- * The same for a peer in another data centre, which gets few requests, while
- * the traffic to it costs money.
- */
-const REMOTE_IDLE_SILENCE_MAX_MS = 5_000;
-/**
- * Time without received bytes after a ping until the peer is suspect, so that
- * other upstreams are preferred.
- */
-const SUSPECT_TIMEOUT_MS = 150;
-/**
- * Time without received bytes after a ping until the link is closed. A peer
- * whose process is stalled for a shorter time keeps its link.
- */
-const PONG_TIMEOUT_MS = 900;
-
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
   /** Member record of this daemon. */
@@ -100,8 +81,7 @@
   #failuresCount = 0;
   #dialAtMs = 0;
   #dialledAtMs = 0;
-  #pingSentAtMs: number | undefined;
-  #isSuspect = false;
+  readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
   downSinceMs = performance.now();
 
@@ -128,7 +108,7 @@
 
   /** @inheritdoc */
   get isSuspect(): boolean {
-    return this.#isSuspect;
+    return this.#silence.isSuspect;
   }
 
   /** Whether the peer is connected. */
@@ -238,8 +218,7 @@
 
   /** @inheritdoc */
   onFrame(frame: unknown[]): void {
-    this.#pingSentAtMs = undefined;
-    this.#isSuspect = false;
+    this.#silence.reset();
     switch (frame[0]) {
       case FRAME.answer:
         return this.#onAnswer(frame as AnswerFrame);
@@ -271,8 +250,7 @@
   dial(nowMs: number): void {
     const { host, port } = this.#member.link;
     this.#dialledAtMs = nowMs;
-    this.#pingSentAtMs = undefined;
-    this.#isSuspect = false;
+    this.#silence.reset();
     const tcp = connect({ host, port });
     const socket: LinkSocket = new LinkSocket(tcp, {
       onFrame: (frame) => this.onFrame(frame),
@@ -409,30 +387,17 @@
     }
   }
 
-  #silenceMaxMs(): number {
-    if (this.#pendingReceivers.size > 0) {
-      return ACTIVE_SILENCE_MAX_MS;
-    }
-    const { ownRecord } = this.#options.host;
-    return this.#member.dataCentre === ownRecord.dataCentre
-      ? IDLE_SILENCE_MAX_MS
-      : REMOTE_IDLE_SILENCE_MAX_MS;
-  }
-
   #checkSilence(socket: LinkSocket, nowMs: number): void {
-    const silenceMaxMs = this.#silenceMaxMs();
-    if (nowMs - socket.lastReceivedAtMs < silenceMaxMs) {
-      return;
-    }
-    if (this.#pingSentAtMs === undefined) {
-      this.#pingSentAtMs = nowMs;
+    const { ownRecord } = this.#options.host;
+    const action = this.#silence.check({
+      nowMs,
+      lastReceivedAtMs: socket.lastReceivedAtMs,
+      hasOpenRequests: this.#pendingReceivers.size > 0,
+      isRemote: this.#member.dataCentre !== ownRecord.dataCentre,
+    });
+    if (action === "ping") {
       socket.send([FRAME.ping]);
-      return;
-    }
-    const sincePingMs = nowMs -
-      Math.max(this.#pingSentAtMs, socket.lastReceivedAtMs);
-    this.#isSuspect = sincePingMs > SUSPECT_TIMEOUT_MS;
-    if (sincePingMs > PONG_TIMEOUT_MS) {
+    } else if (action === "close") {
       this.#machine.send("broken", "The peer is silent");
     }
   }
