--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -37,6 +37,7 @@
 const REDIAL_BASE_MS = 150;
 /** Maximum of that bound. */
 const REDIAL_MAX_MS = 1_000;
+
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
   /** Member record of this daemon. */
