--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -154,12 +154,11 @@
 
   /**
    * Returns whether a request whose id names no running request is a downstream
-   * call. A request of a route that
-   * is known to be called, here or by others, always counts as one. So does a
-   * request whose deadline matches that of a running request, its parent, until
-   * enough runs of the parent's route have been observed. After that, the
-   * deadline is not sufficient, because a caller's request may have the same one
-   * by chance.
+   * call. A request of a route that is known to be called, here or by others,
+   * always counts as one. So does a request whose deadline matches that of a
+   * running request, its parent, until enough runs of the parent's route have
+   * been observed. After that, the deadline is not sufficient, because a caller's
+   * request may have the same one by chance.
    */
   #isCall(route: FleetRoute, parent: ServedRequest | undefined): boolean {
     const { graph, observer } = this.#parts;
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -46,6 +46,8 @@
   readonly expiresAtMs: number;
   /** Monotonic time at which the request was sent to the upstream, in ms. */
   sentAtMs = 0;
+  /** Id that the caller gave to the request, read when it is sent. */
+  requestId = "";
   /** Route of each downstream call that the upstream has made for it. */
   readonly calledRouteNames: string[] = [];
   /**
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -233,7 +233,8 @@
       expiryMs--;
     }
     served.sentExpiresAtMs = expiryMs;
-    this.#byRequestId.set(this.#requestIdOf(served), served);
+    served.requestId = this.#requestIdOf(served);
+    this.#byRequestId.set(served.requestId, served);
     this.#byExpiresAtMs.set(expiryMs, served);
     const remainingMs = expiryMs - nowMs;
     return this.#options.client.send(
@@ -253,9 +254,8 @@
     if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
       this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
     }
-    const requestId = this.#requestIdOf(served);
-    if (this.#byRequestId.get(requestId) === served) {
-      this.#byRequestId.delete(requestId);
+    if (this.#byRequestId.get(served.requestId) === served) {
+      this.#byRequestId.delete(served.requestId);
     }
     this.#recordResult(served, result);
     if (result === "unreachable") {
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -196,9 +196,7 @@
    * @param state New state.
    */
   broadcastState(state: UpstreamState): void {
-    for (const link of this.#links) {
-      link.socket.send([FRAME.state, state]);
-    }
+    this.#broadcast([FRAME.state, state]);
   }
 
   /**
@@ -207,9 +205,7 @@
    * @param busyRatio Running and waiting requests per slot.
    */
   broadcastBusyRatio(busyRatio: number): void {
-    for (const link of this.#links) {
-      link.socket.send([FRAME.busy, Math.round(busyRatio * 100)]);
-    }
+    this.#broadcast([FRAME.busy, Math.round(busyRatio * 100)]);
   }
 
   /**
@@ -218,9 +214,7 @@
    * @param version New version.
    */
   broadcastConfigVersion(version: number): void {
-    for (const link of this.#links) {
-      link.socket.send([FRAME.configVersion, version]);
-    }
+    this.#broadcast([FRAME.configVersion, version]);
   }
 
   /**
@@ -229,9 +223,7 @@
    * @param record New record.
    */
   broadcastOwnRecord(record: MemberRecord): void {
-    for (const link of this.#links) {
-      link.socket.send([FRAME.members, [record]]);
-    }
+    this.#broadcast([FRAME.members, [record]]);
   }
 
   /** Number of connected peers. */
@@ -262,4 +254,10 @@
       link.socket.close("The daemon is stopping");
     }
   }
+
+  #broadcast(frame: readonly unknown[]): void {
+    for (const link of this.#links) {
+      link.socket.send(frame);
+    }
+  }
 }
