--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -168,6 +168,15 @@
     this.#merged = undefined;
   }
 
+  /** Number of pairs of a calling and a called route. */
+  get edgesCount(): number {
+    let count = 0;
+    for (const calls of this.#edges().values()) {
+      count += calls.size;
+    }
+    return count;
+  }
+
   /**
    * Computes the runs that one request of a route causes at each route.
    *
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -166,6 +166,7 @@
         gate: this.#gate,
         watchElection: this.#watchElection,
         platform,
+        graph: this.#callGraph,
       })
     );
     this.#readinessListener = new ControlListener(() => ({
@@ -296,8 +297,12 @@
       configVersion: () => this.#config.version,
       isStopping: () => this.#lifecycle.stoppingSinceMs !== undefined,
       isWatching: () => this.isWatching,
-      onCalls: (calls) =>
-        this.#callGraph.update(this.#settings.instanceName, calls),
+      onCalls: (calls) => {
+        this.#callGraph.update(this.#settings.instanceName, calls);
+        this.#options.log.info("Observed calls changed", {
+          calls: JSON.stringify(calls),
+        });
+      },
     });
   }
 
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,4 +1,5 @@
 /** Current values of the gauges of a daemon. */
+import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { ConfigFollower } from "./config_follower.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
@@ -15,6 +16,7 @@
   gate: UpstreamGate;
   watchElection: WatchElection;
   platform: FleetPlatform;
+  graph: CallGraph;
 };
 
 /**
@@ -24,7 +26,8 @@
  * @returns Present values.
  */
 export function readGauges(parts: MeasuredParts): FleetGauges {
-  const { config, upstream, directory, gate, watchElection, platform } = parts;
+  const { config, upstream, directory, gate, watchElection, platform, graph } =
+    parts;
   const nowMs = performance.now();
   return {
     configVersion: config.version,
@@ -38,6 +41,7 @@
     storeReachable: platform.store.isReachable ? 1 : 0,
     storeWatching: watchElection.isWatching ? 1 : 0,
     storeCallsCount: platform.store.callsCount,
+    callEdgesCount: graph.edgesCount,
     logLinesDroppedCount: platform.droppedLinesCount(),
   };
 }
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -14,6 +14,7 @@
     slotsLimitCount: 8,
     storeReachable: 1,
     storeWatching: 1,
+    callEdgesCount: 3,
     storeCallsCount: 3,
     logLinesDroppedCount: 0,
   }));
