Learn the calls of a route from failed runs too

Cause: calls were learned from successful runs only. After a restart they are unknown, so requests are not refused for the narrow pools that they load. These pools overflow, no run succeeds, and the calls stay unknown: the class of an overload that keeps itself up because its remedy depends on success.

Why it works: the calls that a failed run has made are a lower bound, which is enough to know what a request loads. The larger of both ratios is published, so failed runs do not lower the figure of successful ones.

--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -30,9 +30,16 @@
 const CALLED_KEPT_MIN_RATIO = 0.1;
 const DEPTH_MAX = 24;
 
-type RouteRuns = {
+/** Counted runs of one route and the calls that they made. */
+type RunCounts = {
   runsCount: number;
-  calls: Map<string, number>;
+  readonly calls: Map<string, number>;
+};
+
+type RouteRuns = {
+  readonly successful: RunCounts;
+  /** Successful runs and those that ended early. */
+  readonly all: RunCounts;
   /** Called routes of the published edges. */
   published: Set<string>;
 };
@@ -43,6 +50,32 @@
   isCalled: boolean;
 };
 
+/** A run that has ended at the local upstream. */
+export type ObservedRun = {
+  /** Route of each downstream call that the run has made. */
+  readonly calledRouteNames: readonly string[];
+  readonly isSuccessful: boolean;
+};
+
+function addRun(counts: RunCounts, calledRouteNames: readonly string[]): void {
+  counts.runsCount++;
+  for (const called of calledRouteNames) {
+    counts.calls.set(called, (counts.calls.get(called) ?? 0) + 1);
+  }
+  if (counts.runsCount < RUNS_HALVING_COUNT) {
+    return;
+  }
+  counts.runsCount /= 2;
+  for (const [called, count] of counts.calls) {
+    counts.calls.set(called, count / 2);
+  }
+}
+
+/** Calls per run; 0 while too few runs were observed. */
+function callsPerRun({ runsCount, calls }: RunCounts, called: string): number {
+  return runsCount < RUNS_MIN_COUNT ? 0 : (calls.get(called) ?? 0) / runsCount;
+}
+
 /** Counts the runs at one upstream and the calls that they make. */
 export class CallObserver {
   readonly #byRoute = new Map<string, RouteRuns>();
@@ -84,35 +117,34 @@
   }
 
   /**
-   * Counts a successful run together with its calls, so that the ratio is correct
-   * from the first run on. A failed run may have ended before its last call, so
-   * it does not count.
+   * Counts a run together with its calls, so that the ratio is correct from the
+   * first run on. A run that has failed may have ended before its last call, so
+   * its calls are a lower bound. They are counted because no run succeeds while
+   * the called pools are overloaded, and the calls must be known to end that.
    *
    * @param routeName Route of the request.
-   * @param calledRouteNames Route of each call that it made.
+   * @param run Route of each call that it made, and whether it succeeded.
    */
-  recordRun(routeName: string, calledRouteNames: readonly string[]): void {
-    const runs = this.#runsOf(routeName);
-    runs.runsCount++;
-    for (const called of calledRouteNames) {
-      runs.calls.set(called, (runs.calls.get(called) ?? 0) + 1);
-    }
-    if (runs.runsCount >= RUNS_HALVING_COUNT) {
-      runs.runsCount /= 2;
-      for (const [called, count] of runs.calls) {
-        runs.calls.set(called, count / 2);
-      }
+  recordRun(
+    routeName: string,
+    { calledRouteNames, isSuccessful }: ObservedRun,
+  ): void {
+    const { successful, all } = this.#runsOf(routeName);
+    addRun(all, calledRouteNames);
+    if (isSuccessful) {
+      addRun(successful, calledRouteNames);
     }
   }
 
   /**
-   * Returns whether enough runs were observed to know the calls of a route.
+   * Returns whether enough runs have succeeded to know all calls of a route.
    *
    * @param routeName Route of the request that makes calls.
-   * @returns True when the edges of the route are published.
+   * @returns True when a route without an edge is not called by it.
    */
   hasEnoughRuns(routeName: string): boolean {
-    return (this.#byRoute.get(routeName)?.runsCount ?? 0) >= RUNS_MIN_COUNT;
+    const runs = this.#byRoute.get(routeName);
+    return runs !== undefined && runs.successful.runsCount >= RUNS_MIN_COUNT;
   }
 
   /**
@@ -123,11 +155,11 @@
   edges(): CallEdge[] {
     const edges: CallEdge[] = [];
     for (const [routeName, runs] of this.#byRoute) {
-      if (runs.runsCount < RUNS_MIN_COUNT) {
-        continue;
-      }
-      for (const [called, count] of runs.calls) {
-        const perRun = count / runs.runsCount;
+      for (const called of runs.all.calls.keys()) {
+        const perRun = Math.max(
+          callsPerRun(runs.successful, called),
+          callsPerRun(runs.all, called),
+        );
         const isKept = runs.published.has(called);
         if (perRun >= (isKept ? CALLS_PER_RUN_KEPT_MIN : CALLS_PER_RUN_MIN)) {
           runs.published.add(called);
@@ -145,7 +177,11 @@
   #runsOf(routeName: string): RouteRuns {
     let runs = this.#byRoute.get(routeName);
     if (runs === undefined) {
-      runs = { runsCount: 0, calls: new Map(), published: new Set() };
+      runs = {
+        successful: { runsCount: 0, calls: new Map() },
+        all: { runsCount: 0, calls: new Map() },
+        published: new Set(),
+      };
       this.#byRoute.set(routeName, runs);
     }
     return runs;
--- a/src/decisions/call_graph_test.ts
+++ b/src/decisions/call_graph_test.ts
@@ -2,12 +2,40 @@
 import { test } from "node:test";
 import { CallGraph, CallObserver } from "./call_graph.ts";
 
+function observeSuccess(
+  observer: CallObserver,
+  routeName: string,
+  calledRouteNames: string[],
+) {
+  observer.recordRun(routeName, { calledRouteNames, isSuccessful: true });
+}
+
 test("calls are counted per run, and rare ones are dropped as wrongly attributed", () => {
   const observer = new CallObserver();
   for (let index = 0; index < 20; index++) {
-    observer.recordRun("read", ["tally", "tally"]);
+    observeSuccess(observer, "read", ["tally", "tally"]);
+  }
+  observeSuccess(observer, "read", ["tally", "tally", "stray"]);
+  assert.deepEqual(observer.edges(), [["read", "tally", 2]]);
+});
+
+// After a restart under load, no run may succeed until requests are refused for
+// the pools that they call, which needs the calls.
+test("calls are known although no run has succeeded", () => {
+  const observer = new CallObserver();
+  for (let index = 0; index < 8; index++) {
+    const calledRouteNames = index === 0 ? [] : ["tally"];
+    observer.recordRun("read", { calledRouteNames, isSuccessful: false });
+  }
+  assert.deepEqual(observer.edges(), [["read", "tally", 1]]);
+});
+
+test("failed runs do not lower the calls per successful run", () => {
+  const observer = new CallObserver();
+  for (let index = 0; index < 20; index++) {
+    observeSuccess(observer, "read", ["tally", "tally"]);
+    observer.recordRun("read", { calledRouteNames: [], isSuccessful: false });
   }
-  observer.recordRun("read", ["tally", "tally", "stray"]);
   assert.deepEqual(observer.edges(), [["read", "tally", 2]]);
 });
 
@@ -17,15 +45,15 @@
 test("an edge stays while only a part of the calls is attributed", () => {
   const observer = new CallObserver();
   for (let index = 0; index < 20; index++) {
-    observer.recordRun("index", ["stock", "stock", "stock", "stock"]);
+    observeSuccess(observer, "index", ["stock", "stock", "stock", "stock"]);
   }
   for (let index = 0; index < 4_000; index++) {
-    observer.recordRun("index", index % 4 === 0 ? ["stock"] : []);
+    observeSuccess(observer, "index", index % 4 === 0 ? ["stock"] : []);
     observer.edges();
   }
   assert.deepEqual(observer.edges(), [["index", "stock", 1]]);
   for (let index = 0; index < 4_000; index++) {
-    observer.recordRun("index", []);
+    observeSuccess(observer, "index", []);
     observer.edges();
   }
   assert.deepEqual(observer.edges(), []);
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -105,7 +105,10 @@
 test("a request of a route that the running request never calls is not treated as a downstream call", () => {
   const observer = new CallObserver();
   for (let run = 0; run < 10; run++) {
-    observer.recordRun(PARENT_ROUTE, ["called"]);
+    observer.recordRun(PARENT_ROUTE, {
+      calledRouteNames: ["called"],
+      isSuccessful: true,
+    });
   }
   const goalAtMs = performance.now() + 1_200;
   const { receive, sent } = createService({ goalAtMs }, observer);
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -327,6 +327,7 @@
   }
 
   #recordResult(served: ServedRequest, result: ServedResult): void {
+    this.#observeCalls(served, result);
     if (result === "cancelled") {
       return;
     }
@@ -336,17 +337,22 @@
       this.#recordDecision(served, result);
     }
     this.#overdueCount = result === "overdue" ? this.#overdueCount + 1 : 0;
-    if (result === "answered") {
-      this.#options.observer.recordRun(
-        served.request.routeName,
-        served.calledRouteNames,
-      );
-    }
     if (isAnswered || result === "overdue") {
       this.#runMs.add(performance.now() - served.sentAtMs);
     }
   }
 
+  /** Counts the calls of a request that has run. */
+  #observeCalls(served: ServedRequest, result: ServedResult): void {
+    if (result === "refused" || result === "unreachable") {
+      return;
+    }
+    this.#options.observer.recordRun(served.request.routeName, {
+      calledRouteNames: served.calledRouteNames,
+      isSuccessful: result === "answered",
+    });
+  }
+
   /** Runs waiting requests while slots are free. */
   #startWaiting(): void {
     for (;;) {
