Take the share that all classes get from the capacity of a pool

What callers saw: while callers repeat at once, votes of the most important class fail although their pools could run them, and reads do not succeed at all.

Cause: 12% of the requests of each class were admitted at any load, outside of the control. Callers that repeat raise the offered requests, so this share alone is more than a pool can run. Besides, the mean over the last levels, not over what they admit, held the control in a cycle.

Change: the share is 30% of what the pool admits, 12% of a class at the most, and part of what the control adjusts; the mean is taken over the admitted share.

Tried and dropped, without a gain: a shorter mean after a start, and a limit of the wait by the run time of the route.

Tests: the pool of entry_levels_test is now loaded by what admits() really admits; it was loaded by the level alone, which left out the fixed share. The test that reads get 5% at 80 times the capacity is replaced, because 5% of all are four times what the pool can run, so that nothing completes: no class gets less than a quarter of the share of all, and the pool gets between half and one and a half times its capacity. A new test does the same at fifty times.

--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -15,14 +15,31 @@
   readonly offered: readonly number[];
 };
 
+/** Admitted part of the offered requests of a pool. */
+type PoolAdmission = {
+  /** Number of admitted classes, with a fraction for a part of one. */
+  readonly level: number;
+  /** Share of each class that is admitted whatever the level is. */
+  readonly sharedRatio: number;
+};
+
+type PoolLevel = {
+  admission: PoolAdmission | undefined;
+  isShedding: boolean;
+  /** Mean share of the offered runs that was admitted. */
+  readonly meanAdmittedRatio: MovingAverage;
+};
+
 /** Target share of busy slots. */
 const BUSY_TARGET_RATIO = 0.97;
+/** Lower bound of the busy ratio by which the target is divided. */
+const BUSY_MIN_RATIO = 0.01;
 /**
- * Weight of the newest level in the mean level to which the load is attributed.
- * A request makes calls for about one second; the mean covers two seconds, so
- * that the level does not oscillate.
+ * Weight of the newest value in the mean admitted share to which the load is
+ * attributed. A request makes calls for about one second; the mean covers more,
+ * so that the level does not oscillate.
  */
-const LEVEL_WEIGHT = 0.05;
+const ADMITTED_WEIGHT = 0.08;
 /**
  * Gain of the decrease, per waiting request per slot. A smaller gain leaves the
  * queues full for seconds after a burst; a larger gain makes the level
@@ -30,16 +47,20 @@
  */
 const WAITING_GAIN = 0.4;
 const CORRECTION_MIN = 0.5;
-/** Largest factor near the target, where noise would cause an overshoot. */
+/** Largest factor; a larger one makes the level oscillate. */
 const CORRECTION_MAX = 1.15;
-/** Busy ratio below which the level may rise faster, to recover in time. */
-const RECOVERY_RATIO = 0.7;
-const RECOVERY_CORRECTION_MAX = 1.6;
 /**
- * Increase of the level while it admits none of the offered runs, because no
- * factor raises 0 runs.
+ * Smallest share of the offered runs that is admitted, because no factor raises
+ * 0 runs.
  */
-const IDLE_INCREASE = 0.1;
+const ADMITTED_MIN_RATIO = 0.01;
+/**
+ * Share of the admitted runs that all classes share evenly, so that no class is
+ * starved and each one shows when the pool can take more of it.
+ */
+const SHARED_CAPACITY_RATIO = 0.3;
+/** Largest share of each class that is admitted in this way. */
+const SHARED_MAX_RATIO = 0.12;
 
 /** Ratio of the runs for the target load to the runs that caused the load. */
 function correctionFor(busyRatio: number): number {
@@ -47,19 +68,27 @@
     const factor = BUSY_TARGET_RATIO / (1 + WAITING_GAIN * (busyRatio - 1));
     return Math.max(CORRECTION_MIN, factor);
   }
-  const max = busyRatio < RECOVERY_RATIO
-    ? RECOVERY_CORRECTION_MAX
-    : CORRECTION_MAX;
-  return Math.min(max, BUSY_TARGET_RATIO / Math.max(busyRatio, 0.01));
+  return Math.min(
+    CORRECTION_MAX,
+    BUSY_TARGET_RATIO / Math.max(busyRatio, BUSY_MIN_RATIO),
+  );
 }
 
-/** Number of the offered runs that a level admits. */
-function admittedRuns(level: number, offered: readonly number[]): number {
-  return offered.reduce(
-    (sum, runs, priority) =>
-      sum + runs * Math.min(1, Math.max(0, level - priority)),
-    0,
-  );
+function sumOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
+/** Admission that admits a given number of the offered runs. */
+function admissionFor(
+  runs: number,
+  offered: readonly number[],
+): PoolAdmission {
+  const total = sumOf(offered);
+  const sharedRatio = total === 0
+    ? SHARED_MAX_RATIO
+    : Math.min(SHARED_MAX_RATIO, SHARED_CAPACITY_RATIO * runs / total);
+  const byLevel = (runs - sharedRatio * total) / (1 - sharedRatio);
+  return { level: levelFor(byLevel, offered), sharedRatio };
 }
 
 /** Level that admits a given number of the offered runs. */
@@ -76,70 +105,96 @@
 }
 
 /**
- * Keeps one level per pool: the number of classes, counted from the most
- * important one, that are admitted. The recently admitted runs are scaled by
- * the ratio of target to load, so that the level settles without oscillation
- * although the load lags behind the admission.
+ * Keeps the admission of each pool: a level, the number of classes, counted from
+ * the most important one, that are admitted, and a small share of all classes.
+ * The recently admitted runs are scaled by the ratio of target to load, so that
+ * the level settles without oscillation although the load lags behind the
+ * admission.
  *
  * @example
  * levels.step("plates", { busyRatio: 1.4, offered: [10, 4, 30] });
  * levels.level("plates"); // less than 3
  */
 export class EntryLevels {
-  readonly #means = new Map<string, MovingAverage>();
-  readonly #levels = new Map<string, number>();
-  readonly #sheddingPools = new Set<string>();
+  readonly #pools = new Map<string, PoolLevel>();
 
   /**
-   * Adjusts the level of a pool; called once per control interval of 100 ms.
+   * Adjusts the admission of a pool; called once per control interval of 100 ms.
    *
-   * @param pool Name of the pool.
+   * @param name Name of the pool.
    * @param load Load and offered runs.
    * @returns The new level.
    */
-  step(pool: string, { busyRatio, offered }: PoolLoad): number {
+  step(name: string, { busyRatio, offered }: PoolLoad): number {
     const classesCount = offered.length;
-    const mean = this.#meanOf(pool, classesCount);
-    const runs = admittedRuns(mean.value, offered);
-    const level = runs === 0
-      ? Math.min(classesCount, mean.value + IDLE_INCREASE)
-      : levelFor(runs * correctionFor(busyRatio), offered);
-    mean.add(level);
-    this.#levels.set(pool, level);
-    if (level < classesCount) {
-      this.#sheddingPools.add(pool);
-    } else {
-      this.#sheddingPools.delete(pool);
+    const pool = this.#poolOf(name);
+    const admittedRatio = Math.min(
+      1,
+      Math.max(
+        ADMITTED_MIN_RATIO,
+        pool.meanAdmittedRatio.value * correctionFor(busyRatio),
+      ),
+    );
+    const admission = admissionFor(admittedRatio * sumOf(offered), offered);
+    pool.admission = admission;
+    pool.isShedding = admission.level < classesCount;
+    pool.meanAdmittedRatio.add(admittedRatio);
+    return admission.level;
+  }
+
+  /**
+   * Decides whether a pool admits a request.
+   *
+   * @param name Name of the pool.
+   * @param request Its class, and a random number in `[0, 1)` that is the same
+   *   for all pools that the request uses.
+   * @returns True when it is admitted, and before the first step.
+   */
+  admits(
+    name: string,
+    { priority, sample }: { priority: number; sample: number },
+  ): boolean {
+    const admission = this.#pools.get(name)?.admission;
+    if (admission === undefined || sample < admission.sharedRatio) {
+      return true;
     }
-    return level;
+    // The other requests get ranks that are uniformly distributed over the range
+    // of their class, [priority, priority + 1), so that a level with a fraction
+    // admits part of a class.
+    const { level, sharedRatio } = admission;
+    return priority + (sample - sharedRatio) / (1 - sharedRatio) < level;
   }
 
   /**
    * Returns the level of a pool.
    *
-   * @param pool Name of the pool.
+   * @param name Name of the pool.
    * @returns Number of admitted classes; undefined before the first step.
    */
-  level(pool: string): number | undefined {
-    return this.#levels.get(pool);
+  level(name: string): number | undefined {
+    return this.#pools.get(name)?.admission?.level;
   }
 
   /**
    * Returns whether a pool admits only a part of the offered requests.
    *
-   * @param pool Name of the pool.
+   * @param name Name of the pool.
    * @returns True when its level is below the number of classes.
    */
-  isShedding(pool: string): boolean {
-    return this.#sheddingPools.has(pool);
+  isShedding(name: string): boolean {
+    return this.#pools.get(name)?.isShedding ?? false;
   }
 
-  #meanOf(pool: string, classesCount: number): MovingAverage {
-    let mean = this.#means.get(pool);
-    if (mean === undefined) {
-      mean = new MovingAverage(LEVEL_WEIGHT, classesCount);
-      this.#means.set(pool, mean);
+  #poolOf(name: string): PoolLevel {
+    let pool = this.#pools.get(name);
+    if (pool === undefined) {
+      pool = {
+        admission: undefined,
+        isShedding: false,
+        meanAdmittedRatio: new MovingAverage(ADMITTED_WEIGHT, 1),
+      };
+      this.#pools.set(name, pool);
     }
-    return mean;
+    return pool;
   }
 }
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -7,11 +7,6 @@
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
 
-/**
- * Share of the requests of each priority class that is admitted at any load, so
- * that no class starves and a recovery of the pool is detected.
- */
-const ADMITTED_MIN_RATIO = 0.12;
 /**
  * Factor by which the counts of offered requests decay per control interval.
  */
@@ -80,17 +75,9 @@
       (this.#offeredByRoute.get(route.name) ?? 0) + 1,
     );
     const sample = this.#options.random.nextFloat();
-    if (sample < ADMITTED_MIN_RATIO) {
-      return undefined;
-    }
-    // The remaining requests get ranks that are uniformly distributed over the
-    // range of their class, [priority, priority + 1), so that a level with a
-    // fraction admits part of a class.
-    const rank = Math.min(route.priority, CLASSES_MAX_COUNT - 1) +
-      (sample - ADMITTED_MIN_RATIO) / (1 - ADMITTED_MIN_RATIO);
+    const priority = Math.min(route.priority, CLASSES_MAX_COUNT - 1);
     for (const pool of this.#runsByPool(route.name).keys()) {
-      const level = this.#levels.level(pool);
-      if (level !== undefined && rank >= level) {
+      if (!this.#levels.admits(pool, { priority, sample })) {
         return pool;
       }
     }
