Keep to the limit of requests a second that an endpoint names

Cause: the header was passed on and not read; only slots bounded the requests.

Change: the daemon beside the endpoint, the only way to it, reads the limit in each answer that belongs to its request, and starts requests from a token bucket of that rate. What cannot start soon is refused as not run, downstream calls too, so that another upstream gets it. The concurrency limit that peers see follows from the rate and the run time, so they choose others and the entry sheds. An answer without a limit lifts it.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -21,6 +21,10 @@
   FleetConfig,
   MemberRecord,
 } from "../../src/schemas/fleet_schema.ts";
+import type {
+  ForwardedRequest,
+  ResultReceiver,
+} from "../../src/link/upstream_channel.ts";
 import type { UpstreamState } from "../../src/schemas/link_schema.ts";
 import { NullLogger } from "../../src/telemetry/logger.ts";
 import type { EventQueue } from "../policy/event_queue.ts";
@@ -46,6 +50,7 @@
   load: "load",
   notRun: "not-run",
   callerPool: "caller-pool",
+  rateLimit: "limit",
   upstreamId: "upstream-id",
 };
 
@@ -121,10 +126,21 @@
     });
     this.gate = new UpstreamGate({
       upstream,
-      client: options.upstream as unknown as UpstreamHttpClient,
+      client: {
+        send: (request: ForwardedRequest, receiver: ResultReceiver) =>
+          options.upstream.send(request, {
+            onAnswer: (answer) => {
+              const { upstreamId } = request;
+              this.gate.applySignals({ upstreamId, limitPerS: undefined });
+              receiver.onAnswer(answer);
+            },
+            onFailure: (failure) => receiver.onFailure(failure),
+          }),
+      } as unknown as UpstreamHttpClient,
       heartbeatMs: HEARTBEAT_MS,
       observer,
       decisions,
+      log,
       requestIdHeader: REQUEST_ID_HEADER,
     });
     this.#publisher = new StatePublisher({
--- a/src/decisions/slot_queue.ts
+++ b/src/decisions/slot_queue.ts
@@ -56,10 +56,19 @@
       this.#runningCount++;
       return true;
     }
-    this.#insert(request);
+    this.wait(request);
     return false;
   }
 
+  /**
+   * Makes a request wait although a slot may be free.
+   *
+   * @param request Request that may not run yet.
+   */
+  wait(request: R): void {
+    this.#waiting.splice(this.countAhead(request.goalAtMs), 0, request);
+  }
+
   /** Releases the slot of a request that has ended. */
   release(): void {
     this.#runningCount--;
@@ -124,8 +133,4 @@
     }
     return low;
   }
-
-  #insert(request: R): void {
-    this.#waiting.splice(this.countAhead(request.goalAtMs), 0, request);
-  }
 }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -114,6 +114,7 @@
         isIdempotent: (routeName) =>
           this.#config.routes?.route(routeName)?.idempotent ?? false,
         onMisdirected: () => this.#upstream.markReplaced(),
+        onSignals: (signals) => this.#gate.applySignals(signals),
       },
     );
     this.#gate = new UpstreamGate({
@@ -122,6 +123,7 @@
       heartbeatMs: settings.heartbeatMs,
       observer: this.#callObserver,
       decisions,
+      log,
       requestIdHeader: platform.headers.requestId,
     });
     this.#watchElection = new WatchElection({
--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -20,6 +20,8 @@
   readonly notRun: string;
   /** Pool of the instance whose daemon received the request. */
   readonly callerPool: string;
+  /** Requests a second that an upstream in overload takes from all daemons. */
+  readonly rateLimit: string;
   /** Id of the upstream that answers a health check. */
   readonly upstreamId: string;
 };
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -19,7 +19,12 @@
  */
 const BUSY_INTERVAL_PER_PEER_MS = 5;
 /**
- * Interval at which the observed calls, and whether this daemon watches the
+ * Change of the concurrency limit that is sent, relative to the sent value. An
+ * upstream that names a limit of requests a second changes it with its run time.
+ */
+const LIMIT_STEP_RATIO = 0.2;
+/**
+ * Interval at which the observed calls, the limit, and whether this daemon watches the
  * store, are compared with what was published.
  */
 const COMPARE_INTERVAL_MS = 300;
@@ -58,6 +63,7 @@
   #comparedAtMs = -Infinity;
   #sentIsCold = false;
   #sentIsWatching = false;
+  #sentLimitCount = 0;
   #sentBusyRatio = 0;
   #busySentAtMs = -Infinity;
 
@@ -90,6 +96,7 @@
     const { state } = this;
     this.#sentIsCold = state.isCold;
     this.#sentIsWatching = state.isWatching;
+    this.#sentLimitCount = state.limitCount;
     this.#options.peers().broadcastState(state);
   }
 
@@ -113,7 +120,13 @@
     }
     this.#comparedAtMs = nowMs;
     const hasNewCalls = this.#updateCalls();
-    return hasNewCalls || this.#options.isWatching() !== this.#sentIsWatching;
+    const limitStep = Math.abs(
+      this.#options.gate.limitCount -
+        this.#sentLimitCount,
+    );
+    return hasNewCalls ||
+      this.#options.isWatching() !== this.#sentIsWatching ||
+      limitStep > LIMIT_STEP_RATIO * this.#sentLimitCount;
   }
 
   /** Updates the published calls. Returns whether they changed. */
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -10,6 +10,11 @@
 import type { AnswerBuffer, AnswerMemory } from "./answer_memory.ts";
 import type { CloseDetector } from "./close_detector.ts";
 import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
+import {
+  type AnswerHeaders,
+  readUpstreamSignals,
+  type SignalsHandler,
+} from "./upstream_signals.ts";
 
 /**
  * Maximum size of the body of a refusal, which is read and discarded so that the
@@ -25,8 +30,6 @@
   STATUS_MISDIRECTED_REQUEST,
 ];
 
-type AnswerHeaders = Record<string, string | string[] | undefined>;
-
 /** Called when an answer shows that another upstream has the address now. */
 export type MisdirectedHandler = () => void;
 
@@ -35,7 +38,10 @@
   names: HeaderNames;
   /** Id that the caller gave to the request, if any. */
   requestId: string | undefined;
+  /** Upstream to which the request is sent. */
+  upstreamId: string;
   onMisdirected: MisdirectedHandler;
+  onSignals: SignalsHandler;
   closeDetector: CloseDetector;
   memory: AnswerMemory;
 };
@@ -46,7 +52,9 @@
   readonly #receiver: ResultReceiver;
   readonly #names: HeaderNames;
   readonly #requestId: string | undefined;
+  readonly #upstreamId: string;
   readonly #onMisdirected: MisdirectedHandler;
+  readonly #onSignals: SignalsHandler;
   readonly #closeDetector: CloseDetector;
   readonly #memory: AnswerMemory;
   #controller: Dispatcher.DispatchController | undefined;
@@ -68,7 +76,9 @@
     this.#receiver = receiver;
     this.#names = options.names;
     this.#requestId = options.requestId;
+    this.#upstreamId = options.upstreamId;
     this.#onMisdirected = options.onMisdirected;
+    this.#onSignals = options.onSignals;
     this.#closeDetector = options.closeDetector;
     this.#memory = options.memory;
   }
@@ -116,6 +126,14 @@
       controller.abort(new Error("The answer does not belong to the request"));
       return;
     }
+    // Another upstream answers with this status, so its headers say nothing of
+    // the one that was meant.
+    if (status !== STATUS_MISDIRECTED_REQUEST) {
+      this.#onSignals(readUpstreamSignals(headers, {
+        upstreamId: this.#upstreamId,
+        names: this.#names,
+      }));
+    }
     if (
       REFUSAL_STATUSES.includes(status) &&
       (headers[this.#names.notRun] !== undefined ||
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -4,6 +4,7 @@
 import { SlotQueue } from "../decisions/slot_queue.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { LoadReport } from "../schemas/link_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import {
@@ -11,7 +12,9 @@
   type ServedResult,
   type ServingGate,
 } from "./served_request.ts";
+import { StartControl } from "./start_control.ts";
 import type { UpstreamHttpClient } from "./upstream_http_client.ts";
+import type { UpstreamSignals } from "./upstream_signals.ts";
 import { findHeader } from "./header_names.ts";
 import type {
   ForwardedRequest,
@@ -52,6 +55,7 @@
  * that downstream calls can be assigned to the request with their deadline.
  */
 const EXPIRY_STEPS_MAX_COUNT = 4;
+const MS_PER_S = 1_000;
 
 /** Options of {@link UpstreamGate}. */
 export type UpstreamGateOptions = {
@@ -62,6 +66,7 @@
   /** Receives the downstream calls of each run. */
   observer: CallObserver;
   decisions: DecisionLog;
+  log: Logger;
   /** Name of the header with the caller's request id, in lower case. */
   requestIdHeader: string;
 };
@@ -75,6 +80,7 @@
   readonly #byExpiresAtMs = new Map<number, ServedRequest>();
   readonly #byRequestId = new Map<string, ServedRequest>();
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
+  readonly #starts: StartControl;
   #overdueCount = 0;
   #isStopped = false;
 
@@ -84,11 +90,23 @@
    */
   constructor(options: UpstreamGateOptions) {
     this.#options = options;
+    this.#starts = new StartControl({
+      log: options.log,
+      onDue: () => this.#startWaiting(),
+    });
   }
 
-  /** Maximum number of requests that run at once. */
+  /**
+   * Number of requests that the upstream can run at once: its slots, or as many
+   * as its limit of requests a second keeps running.
+   */
   get limitCount(): number {
-    return this.#slots.limitCount;
+    const { limitCount } = this.#slots;
+    const { limitPerS } = this.#starts;
+    return limitPerS === undefined ? limitCount : Math.min(
+      limitCount,
+      Math.max(1, Math.round(limitPerS * this.#runMs.value / MS_PER_S)),
+    );
   }
 
   /** Whether new requests are refused because the process is stopping. */
@@ -127,14 +145,25 @@
 
   /** Applies the upstream's number of slots and starts waiting requests. */
   updateLimit(): void {
-    const slotsCount = this.#options.upstream.report?.slotsCount ?? 0;
+    const { upstreamId, slotsCount = 0 } = this.#options.upstream.report ?? {};
     this.#overdueCount = 0;
+    this.#starts.setUpstream(upstreamId);
     this.#slots.setLimit(
       Math.max(1, Math.floor(slotsCount * SLOTS_USED_RATIO)),
     );
     this.#startWaiting();
   }
 
+  /**
+   * Applies what the upstream has said of itself in an answer.
+   *
+   * @param signals Signals of the answer.
+   */
+  applySignals(signals: UpstreamSignals): void {
+    this.#starts.apply(signals);
+    this.#startWaiting();
+  }
+
   /** Refuses the waiting requests; running ones continue. */
   refuseWaiting(): void {
     for (const request of this.#slots.clear()) {
@@ -162,10 +191,11 @@
     if (refusal !== undefined) {
       this.#recordDecision(served, refusal);
       served.refuse(refusal);
-    } else if (this.#slots.enter(served)) {
+    } else if (this.#enterSlot(served)) {
       served.admit();
     } else {
       served.queue(this.#waitMaxMs(request));
+      this.#scheduleStart();
     }
     return served;
   }
@@ -224,6 +254,7 @@
   sendToUpstream(served: ServedRequest): RequestHandle {
     const nowMs = performance.now();
     served.sentAtMs = nowMs;
+    this.#starts.recordStart();
     let expiryMs = Math.floor(served.expiresAtMs);
     for (
       let step = 0;
@@ -279,16 +310,42 @@
     }
     const waitMaxMs = Math.max(0, request.goalRemainingMs) *
       WAIT_MAX_GOAL_RATIO;
-    return request.isRefusable && this.#queueWaitMs(goalAtMs) > waitMaxMs
+    // An upstream that has named a limit needs not be the only one of its pool,
+    // so downstream calls are refused as well, to be sent to another one.
+    const isRefusable = request.isRefusable ||
+      this.#starts.limitPerS !== undefined;
+    return isRefusable && this.#queueWaitMs(goalAtMs) > waitMaxMs
       ? "queue_full"
       : undefined;
   }
 
+  /** Takes a slot for a request, or makes it wait. */
+  #enterSlot(served: ServedRequest): boolean {
+    if (this.#starts.mayStart(this.runningCount)) {
+      return this.#slots.enter(served);
+    }
+    this.#slots.wait(served);
+    return false;
+  }
+
+  /** Starts waiting requests later if they wait although a slot is free. */
+  #scheduleStart(): void {
+    if (
+      this.waitingCount > 0 && this.runningCount < this.#slots.limitCount
+    ) {
+      this.#starts.schedule();
+    }
+  }
+
   /** Expected wait of a new request with the given latency goal, in ms. */
   #queueWaitMs(goalAtMs: number): number {
     const aheadCount = this.#slots.countAhead(goalAtMs);
     const { limitCount } = this.#slots;
-    return limitCount === 0 ? 0 : aheadCount * this.#runMs.value / limitCount;
+    const slotWaitMs = limitCount === 0
+      ? 0
+      : aheadCount * this.#runMs.value / limitCount;
+    const rateWaitMs = this.#starts.waitMs(aheadCount);
+    return Math.max(slotWaitMs, rateWaitMs);
   }
 
   /**
@@ -356,8 +413,11 @@
   /** Runs waiting requests while slots are free. */
   #startWaiting(): void {
     for (;;) {
-      const next = this.#slots.takeNext();
+      const next = this.#starts.mayStart(this.runningCount)
+        ? this.#slots.takeNext()
+        : undefined;
       if (next === undefined) {
+        this.#scheduleStart();
         return;
       }
       if (performance.now() < next.expiresAtMs) {
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -35,6 +35,7 @@
     heartbeatMs: 1_500,
     observer: new CallObserver(),
     decisions: new DecisionLog(new NullLogger()),
+    log: new NullLogger(),
     requestIdHeader: "request-id",
   });
   gate.updateLimit();
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -9,6 +9,7 @@
 import { AnswerMemory } from "./answer_memory.ts";
 import { CloseDetector } from "./close_detector.ts";
 import { findHeader, type HeaderNames } from "./header_names.ts";
+import type { SignalsHandler } from "./upstream_signals.ts";
 import {
   type MisdirectedHandler,
   UpstreamExchange,
@@ -43,12 +44,14 @@
   readonly #memory = new AnswerMemory(ANSWERS_MAX_BYTES);
   readonly #names: HeaderNames;
   readonly #onMisdirected: MisdirectedHandler;
+  readonly #onSignals: SignalsHandler;
 
   /**
    * @param address Address of the upstream.
    * @param names Header names.
    * @param options Maximum number of connections, whether the requests of a
-   *   route are idempotent, and the handler for answers of another upstream.
+   *   route are idempotent, and the handlers for answers of another upstream and
+   *   for what the upstream says of itself.
    */
   constructor(
     address: Address,
@@ -57,10 +60,12 @@
       connectionsMaxCount: number;
       isIdempotent: (routeName: string) => boolean;
       onMisdirected: MisdirectedHandler;
+      onSignals: SignalsHandler;
     },
   ) {
     this.#names = names;
     this.#onMisdirected = options.onMisdirected;
+    this.#onSignals = options.onSignals;
     this.#isIdempotent = options.isIdempotent;
     const origin = `http://${address.host}:${address.port}`;
     const poolOptions: Pool.Options = {
@@ -92,7 +97,9 @@
     const exchange = new UpstreamExchange(receiver, {
       names,
       requestId: findHeader(request.headers, names.requestId),
+      upstreamId: request.upstreamId,
       onMisdirected: this.#onMisdirected,
+      onSignals: this.#onSignals,
       closeDetector: this.#closeDetector,
       memory: this.#memory,
     });
@@ -131,8 +138,9 @@
         signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
       });
       await answer.body.dump();
-      const upstreamId = answer.headers[this.#names.upstreamId];
-      const slots = String(answer.headers[this.#names.load]).split(",")[2];
+      const names = this.#names;
+      const upstreamId = answer.headers[names.upstreamId];
+      const slots = String(answer.headers[names.load]).split(",")[2];
       const slotsCount = Number(slots);
       const isUsable = answer.statusCode === 200 &&
         typeof upstreamId === "string" && slotsCount > 0;
