Stop sending to an endpoint that says in an answer that it leaves

New on the users' pages: an endpoint that leaves says Server-Leaving: 1 in all its answers, also before or without an announcement. The header was passed on and not read, so requests went on until the announcement, and after a restart of the daemon the endpoint was in use again.

The daemon beside the endpoint, the only way to it, now takes the header of an answer that belongs to its request as a departure: it sends nothing more, tells its peers and stores the departure, as for an announcement. A health check that says so does not make the endpoint serve after a restart.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -51,6 +51,7 @@
   notRun: "not-run",
   callerPool: "caller-pool",
   rateLimit: "limit",
+  leaving: "leaving",
   upstreamId: "upstream-id",
 };
 
@@ -131,7 +132,11 @@
           options.upstream.send(request, {
             onAnswer: (answer) => {
               const { upstreamId } = request;
-              this.gate.applySignals({ upstreamId, limitPerS: undefined });
+              this.gate.applySignals({
+                upstreamId,
+                limitPerS: undefined,
+                isLeaving: false,
+              });
               receiver.onAnswer(answer);
             },
             onFailure: (failure) => receiver.onFailure(failure),
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -32,6 +32,7 @@
 import { UpstreamAnnouncements } from "./upstream_announcements.ts";
 import { UpstreamGate } from "./upstream_gate.ts";
 import { UpstreamHttpClient } from "./upstream_http_client.ts";
+import type { UpstreamSignals } from "./upstream_signals.ts";
 import { WatchElection } from "./watch_election.ts";
 
 /** Control interval. */
@@ -114,7 +115,7 @@
         isIdempotent: (routeName) =>
           this.#config.routes?.route(routeName)?.idempotent ?? false,
         onMisdirected: () => this.#upstream.markReplaced(),
-        onSignals: (signals) => this.#gate.applySignals(signals),
+        onSignals: (signals) => this.#onSignals(signals),
       },
     );
     this.#gate = new UpstreamGate({
@@ -400,6 +401,13 @@
     this.#stopSequence.tick(nowMs);
   }
 
+  #onSignals(signals: UpstreamSignals): void {
+    this.#gate.applySignals(signals);
+    if (signals.isLeaving) {
+      this.#announcements.markLeaving(signals.upstreamId);
+    }
+  }
+
   #onConfig(): void {
     const config = this.#config.routes?.config;
     if (config === undefined) {
--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -22,6 +22,8 @@
   readonly callerPool: string;
   /** Requests a second that an upstream in overload takes from all daemons. */
   readonly rateLimit: string;
+  /** `1` when the upstream leaves and wants no further requests. */
+  readonly leaving: string;
   /** Id of the upstream that answers a health check. */
   readonly upstreamId: string;
 };
--- a/src/fleet/start_control_test.ts
+++ b/src/fleet/start_control_test.ts
@@ -11,6 +11,14 @@
   return control;
 }
 
+function answer(
+  control: StartControl,
+  upstreamId: string,
+  limitPerS: number | undefined,
+) {
+  control.apply({ upstreamId, limitPerS, isLeaving: false });
+}
+
 /** Starts requests that do not end, up to a count. */
 function startedCount(control: StartControl, maxCount: number): number {
   let count = 0;
@@ -26,22 +34,22 @@
   const control = createControl();
   const count = startedCount(control, 100);
   assert.ok(count <= 16, `${count} started`);
-  control.apply({ upstreamId: UPSTREAM_ID, limitPerS: 10 });
+  answer(control, UPSTREAM_ID, 10);
   assert.ok(control.waitMs(0) > 1_000, `wait ${control.waitMs(0)} ms`);
 });
 
 test("an answer without a limit lifts it", () => {
   const control = createControl();
-  control.apply({ upstreamId: UPSTREAM_ID, limitPerS: 10 });
+  answer(control, UPSTREAM_ID, 10);
   assert.equal(startedCount(control, 100), 0);
-  control.apply({ upstreamId: UPSTREAM_ID, limitPerS: undefined });
+  answer(control, UPSTREAM_ID, undefined);
   assert.equal(startedCount(control, 100), 100);
 });
 
 test("a late answer of a former upstream does not limit its successor", () => {
   const control = createControl();
   control.setUpstream("u-2");
-  control.apply({ upstreamId: "u-2", limitPerS: undefined });
-  control.apply({ upstreamId: UPSTREAM_ID, limitPerS: 1 });
+  answer(control, "u-2", undefined);
+  answer(control, UPSTREAM_ID, 1);
   assert.equal(control.limitPerS, undefined);
 });
--- a/src/fleet/upstream_announcements.ts
+++ b/src/fleet/upstream_announcements.ts
@@ -1,6 +1,6 @@
 /** Handles the announcements of the local upstream. */
 import { setTimeout as delay } from "node:timers/promises";
-import type { Logger } from "../telemetry/logger.ts";
+import { errorFields, type Logger } from "../telemetry/logger.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { MemberDirectory } from "./member_directory.ts";
@@ -61,6 +61,23 @@
     return { status: 200, body: "{}" };
   }
 
+  /**
+   * Records that an upstream has said in an answer that it leaves. The departure
+   * is stored as that of an announcement.
+   *
+   * @param upstreamId Upstream that leaves.
+   */
+  markLeaving(upstreamId: string): void {
+    const { upstream } = this.#options;
+    if (upstream.isLeaving) {
+      return;
+    }
+    upstream.markLeaving(upstreamId);
+    this.#storeDeparture().catch((error) =>
+      this.#options.log.warn("Departure was not stored", errorFields(error))
+    );
+  }
+
   /**
    * Checks the upstream's health. A healthy upstream without a heartbeat so far
    * is treated as ready, so that a restarted daemon need not wait for the next
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -9,7 +9,10 @@
 import { AnswerMemory } from "./answer_memory.ts";
 import { CloseDetector } from "./close_detector.ts";
 import { findHeader, type HeaderNames } from "./header_names.ts";
-import type { SignalsHandler } from "./upstream_signals.ts";
+import {
+  readUpstreamSignals,
+  type SignalsHandler,
+} from "./upstream_signals.ts";
 import {
   type MisdirectedHandler,
   UpstreamExchange,
@@ -128,7 +131,7 @@
    *
    * @param healthPath Path of the health check.
    * @returns Id and number of slots; undefined when the upstream is not healthy,
-   *   does not answer, or does not report its id and slots.
+   *   leaves, does not answer, or does not report its id and slots.
    */
   async checkHealth(healthPath: string): Promise<HealthResult | undefined> {
     try {
@@ -142,9 +145,17 @@
       const upstreamId = answer.headers[names.upstreamId];
       const slots = String(answer.headers[names.load]).split(",")[2];
       const slotsCount = Number(slots);
-      const isUsable = answer.statusCode === 200 &&
-        typeof upstreamId === "string" && slotsCount > 0;
-      return isUsable ? { upstreamId, slotsCount } : undefined;
+      if (
+        answer.statusCode !== 200 || typeof upstreamId !== "string" ||
+        !(slotsCount > 0)
+      ) {
+        return undefined;
+      }
+      const signals = readUpstreamSignals(answer.headers, {
+        upstreamId,
+        names,
+      });
+      return signals.isLeaving ? undefined : { upstreamId, slotsCount };
     } catch {
       // An upstream that does not answer counts as unhealthy until its next
       // heartbeat.
--- a/src/fleet/upstream_signals.ts
+++ b/src/fleet/upstream_signals.ts
@@ -9,6 +9,8 @@
    * undefined when it names no limit.
    */
   readonly limitPerS: number | undefined;
+  /** Whether the upstream leaves and wants no further requests. */
+  readonly isLeaving: boolean;
 };
 
 /** Called with the signals of each answer that belongs to its request. */
@@ -17,6 +19,8 @@
 /** Headers of an answer, with names in lower case. */
 export type AnswerHeaders = Record<string, string | string[] | undefined>;
 
+const LEAVING_VALUE = "1";
+
 /**
  * Reads the signals in the headers of an answer.
  *
@@ -37,5 +41,6 @@
     limitPerS: Number.isFinite(limitPerS) && limitPerS >= 0
       ? limitPerS
       : undefined,
+    isLeaving: headers[names.leaving] === LEAVING_VALUE,
   };
 }
