Close a connection after a refusal without an id

Report of another operator: an endpoint wrote an earlier refusal once more on a kept connection, and requests that it ran were answered as not run, or ran at a second endpoint. It could happen here: refusals carry no id, so the repeated one was taken for that of the next request, which was sent to another endpoint or answered 503 while the first one ran it.

The connection is now closed after a refusal that does not name its request, so no later request can meet the second copy. A refusal with the id of its request leaves the connection open, since a copy of it is told by the id. The slots keep refusals rare, so few connections are opened for this.

Test: forwarding_test, a refusal that an endpoint sends once more; before, the request that followed it was answered 503 although it ran.

--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -140,6 +140,11 @@
         status === STATUS_MISDIRECTED_REQUEST)
     ) {
       this.#refuse(status);
+      // A faulty upstream may send a refusal once more. Without an id, it would
+      // be taken for that of the next request on the connection.
+      if (headers[this.#names.requestId] === undefined) {
+        controller.abort(new Error("A refusal without an id"));
+      }
       return;
     }
     this.#headers = copyEndToEndHeaders(
@@ -228,12 +233,11 @@
     return status < 300 && headers[this.#names.answerSignature] === undefined;
   }
 
+  /** Reports a refusal; a body on a connection that is kept is discarded. */
   #refuse(status: number): void {
     if (status === STATUS_MISDIRECTED_REQUEST) {
       this.#onMisdirected();
     }
-    // The exchange is not aborted: the body, which is short, is read and
-    // discarded, so that the connection can be reused.
     this.#fail({
       kind: "upstream_refused",
       isNotRun: true,
