Test that a stopping daemon refuses callers and serves the calls of running requests

Report of another operator: requests that came late in the grace period of a planned stop were passed on and cut at its end. A test now guards this.

--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -70,6 +70,7 @@
     },
   } as unknown as OutboundServiceParts;
   const service = new OutboundService(parts);
+  const failures: string[] = [];
   const receive = () => {
     const message = {
       method: "GET",
@@ -79,11 +80,11 @@
     } as unknown as IncomingMessage;
     const disconnect = service.handle(
       { message, body: null, arrivedAtMs: performance.now() },
-      { answer: ignore, fail: ignore },
+      { answer: ignore, fail: (kind) => failures.push(kind) },
     );
     disconnect();
   };
-  return { receive, sent };
+  return { receive, sent, failures, stop: () => service.stop() };
 }
 
 // With latency goals of their own, calls of new requests would overtake calls
@@ -139,3 +140,19 @@
   assert.ok(request.goalRemainingMs <= ROUTE.latencyGoalMs);
   assert.equal(request.isRefusable, true);
 });
+
+// Guards against requests that are accepted late in a planned stop and cut at
+// its end.
+test("after the stop, a request of a caller is refused, and a call of a running request is not", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const caller = createService(undefined);
+  caller.stop();
+  caller.receive();
+  assert.deepEqual(caller.failures, ["draining"]);
+  assert.deepEqual(caller.sent, []);
+
+  const upstream = createService(undefined, new CallObserver(), { goalAtMs });
+  upstream.stop();
+  upstream.receive();
+  assert.equal(upstream.sent.length, 1);
+});
