Send a fallen load to peers that have got a higher one with the whole state

The busy ratio is sent when it has changed since it was last sent, but the whole state, which holds it too, did not count as sent. If such a state goes out in a peak, for example because calls were learned after a start, and the load falls below 0.75 before the next frame, peers keep the value of the peak, refuse most requests for the pool, and so keep the load from rising until another part of the state changes.

--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -97,6 +97,7 @@
     this.#sentIsCold = state.isCold;
     this.#sentIsWatching = state.isWatching;
     this.#sentLimitCount = state.limitCount;
+    this.#sentBusyRatio = state.busyRatio;
     this.#options.peers().broadcastState(state);
   }
 
