--- /dev/null
+++ b/src/fleet/running_requests.ts
@@ -0,0 +1,80 @@
+/** Requests that run at the local upstream, to find the ones that make calls. */
+import type { ServedRequest } from "./served_request.ts";
+
+/**
+ * Maximum steps of 1 ms by which a deadline is shortened to make it unique, so
+ * that downstream calls can be assigned to the request with their deadline.
+ */
+const EXPIRY_STEPS_MAX_COUNT = 4;
+
+/** Distances at which the deadline of a call matches that of a request, in ms. */
+const EXPIRY_OFFSETS_MS = [0, 1, -1, 2, -2];
+
+/** Finds running requests by their ids and deadlines. */
+export class RunningRequests {
+  readonly #byExpiresAtMs = new Map<number, ServedRequest>();
+  readonly #byRequestId = new Map<string, ServedRequest>();
+
+  /**
+   * Adds a request that is sent to the upstream, and chooses the deadline that
+   * is sent with it, which is distinct where possible.
+   *
+   * @param served Request with its id.
+   */
+  add(served: ServedRequest): void {
+    let expiryMs = Math.floor(served.expiresAtMs);
+    for (
+      let step = 0;
+      step < EXPIRY_STEPS_MAX_COUNT && this.#byExpiresAtMs.has(expiryMs);
+      step++
+    ) {
+      expiryMs--;
+    }
+    served.sentExpiresAtMs = expiryMs;
+    this.#byRequestId.set(served.requestId, served);
+    this.#byExpiresAtMs.set(expiryMs, served);
+  }
+
+  /**
+   * Removes a request that no longer runs.
+   *
+   * @param served Request that was added.
+   */
+  remove(served: ServedRequest): void {
+    if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
+      this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
+    }
+    if (this.#byRequestId.get(served.requestId) === served) {
+      this.#byRequestId.delete(served.requestId);
+    }
+  }
+
+  /**
+   * Finds a request by the id that its caller gave to it.
+   *
+   * @param requestId Id.
+   * @returns The request; undefined when none has the id.
+   */
+  findById(requestId: string): ServedRequest | undefined {
+    return this.#byRequestId.get(requestId);
+  }
+
+  /**
+   * Finds the request that makes a downstream call. A call carries the deadline
+   * that was sent to the upstream with the request.
+   *
+   * @param expiresAtMs Deadline of the call, as a monotonic time in ms.
+   * @returns The request; undefined when none has a deadline that is within 2 ms
+   *   of this one.
+   */
+  findByExpiry(expiresAtMs: number): ServedRequest | undefined {
+    const key = Math.round(expiresAtMs);
+    for (const offsetMs of EXPIRY_OFFSETS_MS) {
+      const served = this.#byExpiresAtMs.get(key + offsetMs);
+      if (served !== undefined) {
+        return served;
+      }
+    }
+    return undefined;
+  }
+}
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "../telemetry/logger.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
+import { RunningRequests } from "./running_requests.ts";
 import {
   ServedRequest,
   type ServedResult,
@@ -50,11 +51,6 @@
  * of this many consecutive requests have passed.
  */
 const OVERDUE_MAX_COUNT = 5;
-/**
- * Maximum steps of 1 ms by which a deadline is shortened to make it unique, so
- * that downstream calls can be assigned to the request with their deadline.
- */
-const EXPIRY_STEPS_MAX_COUNT = 4;
 const MS_PER_S = 1_000;
 
 /** Options of {@link UpstreamGate}. */
@@ -77,8 +73,7 @@
   readonly #slots = new SlotQueue<ServedRequest>();
   readonly #runMs = new MovingAverage(RUN_TIME_WEIGHT, INITIAL_RUN_MS);
   readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
-  readonly #byExpiresAtMs = new Map<number, ServedRequest>();
-  readonly #byRequestId = new Map<string, ServedRequest>();
+  readonly #running = new RunningRequests();
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   readonly #starts: StartControl;
   #overdueCount = 0;
@@ -209,27 +204,18 @@
   findRunning(requestId: string | undefined): ServedRequest | undefined {
     return requestId === undefined
       ? undefined
-      : this.#byRequestId.get(requestId);
+      : this.#running.findById(requestId);
   }
 
   /**
-   * Finds the running request that makes a downstream call. A call carries the
-   * deadline that was sent to the upstream with the request, and these
-   * deadlines are made distinct where possible.
+   * Finds the running request that makes a downstream call; see
+   * {@link RunningRequests.findByExpiry}.
    *
    * @param expiresAtMs Deadline of the call, as a monotonic time in ms.
-   * @returns The running request; undefined when none has a deadline that is
-   *   within 2 ms of this one.
+   * @returns The running request; undefined when none matches.
    */
   findParent(expiresAtMs: number): ServedRequest | undefined {
-    const key = Math.round(expiresAtMs);
-    for (const offset of [0, 1, -1, 2, -2]) {
-      const parent = this.#byExpiresAtMs.get(key + offset);
-      if (parent !== undefined) {
-        return parent;
-      }
-    }
-    return undefined;
+    return this.#running.findByExpiry(expiresAtMs);
   }
 
   /**
@@ -255,19 +241,9 @@
     const nowMs = performance.now();
     served.sentAtMs = nowMs;
     this.#starts.recordStart();
-    let expiryMs = Math.floor(served.expiresAtMs);
-    for (
-      let step = 0;
-      step < EXPIRY_STEPS_MAX_COUNT && this.#byExpiresAtMs.has(expiryMs);
-      step++
-    ) {
-      expiryMs--;
-    }
-    served.sentExpiresAtMs = expiryMs;
     served.requestId = this.#requestIdOf(served);
-    this.#byRequestId.set(served.requestId, served);
-    this.#byExpiresAtMs.set(expiryMs, served);
-    const remainingMs = expiryMs - nowMs;
+    this.#running.add(served);
+    const remainingMs = served.sentExpiresAtMs - nowMs;
     return this.#options.client.send(
       { ...served.request, remainingMs },
       served,
@@ -282,12 +258,7 @@
   /** @inheritdoc */
   releaseSlot(served: ServedRequest, result: ServedResult): void {
     this.#slots.release();
-    if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
-      this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
-    }
-    if (this.#byRequestId.get(served.requestId) === served) {
-      this.#byRequestId.delete(served.requestId);
-    }
+    this.#running.remove(served);
     this.#recordResult(served, result);
     if (result === "unreachable") {
       this.#options.upstream.markUnreachable();
