Do not take a rounding error of the admission level for shedding

The pool then counted as shedding, and error answers of idempotent requests were not retried. Found when reading the change; the test fails without the fix.

--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -78,17 +78,24 @@
   return values.reduce((sum, value) => sum + value, 0);
 }
 
-/** Admission that admits a given number of the offered runs. */
+/** Admission that admits a given share of the offered runs. */
 function admissionFor(
-  runs: number,
+  admittedRatio: number,
   offered: readonly number[],
 ): PoolAdmission {
-  const total = sumOf(offered);
-  const sharedRatio = total === 0
-    ? SHARED_MAX_RATIO
-    : Math.min(SHARED_MAX_RATIO, SHARED_CAPACITY_RATIO * runs / total);
-  const byLevel = (runs - sharedRatio * total) / (1 - sharedRatio);
-  return { level: levelFor(byLevel, offered), sharedRatio };
+  // A rounding error of the level would count as shedding.
+  if (admittedRatio === 1) {
+    return { level: offered.length, sharedRatio: SHARED_MAX_RATIO };
+  }
+  const sharedRatio = Math.min(
+    SHARED_MAX_RATIO,
+    SHARED_CAPACITY_RATIO * admittedRatio,
+  );
+  const byLevelRatio = (admittedRatio - sharedRatio) / (1 - sharedRatio);
+  return {
+    level: levelFor(byLevelRatio * sumOf(offered), offered),
+    sharedRatio,
+  };
 }
 
 /** Level that admits a given number of the offered runs. */
@@ -135,7 +142,7 @@
         pool.meanAdmittedRatio.value * correctionFor(busyRatio),
       ),
     );
-    const admission = admissionFor(admittedRatio * sumOf(offered), offered);
+    const admission = admissionFor(admittedRatio, offered);
     pool.admission = admission;
     pool.isShedding = admission.level < classesCount;
     pool.meanAdmittedRatio.add(admittedRatio);
--- a/src/decisions/entry_levels_test.ts
+++ b/src/decisions/entry_levels_test.ts
@@ -109,3 +109,14 @@
   });
   assert.equal(after.at(-1)?.level, 3);
 });
+
+// Error answers are not retried while a pool sheds, so a rounding error would
+// cost retries.
+test("a pool that admits all does not count as shedding, whatever is offered", () => {
+  const levels = new EntryLevels();
+  for (let index = 1; index < 200; index++) {
+    const offered = [index / 7, index * 0.3, 100 / index];
+    levels.step("plates", { busyRatio: 0.1, offered });
+    assert.equal(levels.isShedding("plates"), false);
+  }
+});
