Notice within 3 s that a watch of the store is on a silent connection

What callers see: requests are handled by a configuration that was replaced seconds ago. When all connections go silent, or the store answers nobody for a while, the elected watchers' calls were given up after 6 s, and a call that was sent into the silence kept a daemon deaf for 6 s (or 29 s) after the store was back. All watches begin at the same moment, after each change, so all are deaf together.

The store holds a close watch open for 1.2 s now, and after a failed call a watch asks for the changes that there are before it waits again.

Calls at full price of three watchers rise from 0.6 to 2.4 a second (worked out).

--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -6,20 +6,28 @@
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 
 /**
- * Time that the store holds a close watch open without changes. It bounds how
- * long changes stay unnoticed on a dead connection.
+ * Time that the store holds a close watch open without changes. With the timeout
+ * margin and the first back-off it bounds how long a change stays unnoticed on a
+ * connection that has gone silent; all watches may have at the same moment.
  */
-const CLOSE_WATCH_WAIT_MS = 5_000;
+const CLOSE_WATCH_WAIT_MS = 1_200;
 /**
  * Time that the store holds any other watch open. The store allows 30 s; peers
  * pass on what such a watch misses on a dead connection.
  */
 const WATCH_WAIT_MS = 28_000;
+/** Wait of a call that returns the changes that there are. */
+const CATCH_UP_WAIT_MS = 1;
 /**
  * Pause between watches, so that one answer contains several changes when many
  * are written in a short time, for example while a fleet starts.
  */
 const WATCH_PAUSE_MS = 25;
+/**
+ * A waiting call fails when its answer is this much later than its wait. Answers
+ * take up to half a second while the store is slow.
+ */
+const WAIT_TIMEOUT_MARGIN_MS = 1_000;
 
 /** Objects of a list, or those that have changed since a revision. */
 export type ObjectPage = {
@@ -34,6 +42,8 @@
   revision: number;
   /** Time for which the store holds the call open without a change, in ms. */
   waitMs: number;
+  /** Time after which a call without an answer fails, in ms. */
+  timeoutMs: number;
   /** Whether the data may be seconds old, which costs less. */
   isStale: boolean;
 };
@@ -141,9 +151,11 @@
       return;
     }
     const isStale = isStaleKind || !this.#options.isClose();
+    const waitMs = this.#waitMs(isStale);
     const page = await source.waitForChanges(kind, {
       revision: this.#revision,
-      waitMs: isStale ? WATCH_WAIT_MS : CLOSE_WATCH_WAIT_MS,
+      waitMs,
+      timeoutMs: waitMs + WAIT_TIMEOUT_MARGIN_MS,
       isStale,
     });
     if (page === undefined) {
@@ -152,6 +164,13 @@
     }
     this.#machine.send("changed", page);
   }
+
+  #waitMs(isStale: boolean): number {
+    if (this.#machine.is("catchingUp")) {
+      return CATCH_UP_WAIT_MS;
+    }
+    return isStale ? WATCH_WAIT_MS : CLOSE_WATCH_WAIT_MS;
+  }
 }
 
 const OBJECT_WATCH_CHART = loadChart("object_watch", ObjectWatch.prototype);
--- /dev/null
+++ b/src/platform/object_watch_test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { PlatformError, type StoredObject } from "../core/platform_client.ts";
+import { NullLogger } from "../telemetry/logger.ts";
+import {
+  type ObjectPage,
+  type ObjectSource,
+  ObjectWatch,
+  type WaitOptions,
+} from "./object_watch.ts";
+
+/** Shortest time after a disturbance from which the users' bounds hold. */
+const STABILITY_WINDOW_MS = 3_000;
+/** Longest first pause of the store client after a failed call. */
+const FIRST_PAUSE_MAX_MS = 300;
+
+type Answer = ObjectPage | "lost" | "failed";
+
+/** Source whose calls end when the test answers them. */
+class FakeSource implements ObjectSource {
+  readonly lists: boolean[] = [];
+  readonly waits: WaitOptions[] = [];
+  #resolve: (answer: Answer) => void = () => {};
+  #onCall: () => void = () => {};
+
+  pauseMs(): number {
+    return 0;
+  }
+
+  async list(_kind: string, isStale: boolean): Promise<ObjectPage> {
+    this.lists.push(isStale);
+    return await this.#call() as ObjectPage;
+  }
+
+  async waitForChanges(
+    _kind: string,
+    options: WaitOptions,
+  ): Promise<ObjectPage | undefined> {
+    this.waits.push(options);
+    const answer = await this.#call();
+    return answer === "lost" ? undefined : answer as ObjectPage;
+  }
+
+  /** Answers the open call and waits for the next one. */
+  async answer(answer: Answer): Promise<void> {
+    const nextCall = new Promise<void>((resolve) => this.#onCall = resolve);
+    this.#resolve(answer);
+    await nextCall;
+  }
+
+  async #call(): Promise<Answer> {
+    const answer = new Promise<Answer>((resolve) => this.#resolve = resolve);
+    this.#onCall();
+    const result = await answer;
+    if (result === "failed") {
+      throw new PlatformError("unknown", "Not answered");
+    }
+    return result;
+  }
+}
+
+function startWatch(t: TestContext) {
+  const source = new FakeSource();
+  const emitted: StoredObject[] = [];
+  const abort = new AbortController();
+  t.after(() => abort.abort());
+  const watch = new ObjectWatch({
+    kind: "things",
+    source,
+    isStaleKind: false,
+    isClose: () => true,
+    emit: (object) => emitted.push(object),
+    log: new NullLogger(),
+  });
+  watch.run(abort.signal).catch(() => {});
+  return { source, emitted };
+}
+
+const page = (revision: number, objects: readonly StoredObject[] = []) => ({
+  revision,
+  objects,
+});
+
+test("a close watch whose connection goes silent is repeated before the users' bounds hold again", async (t) => {
+  const { source } = startWatch(t);
+  await source.answer(page(1));
+  const { timeoutMs, waitMs } = source.waits[0] as WaitOptions;
+  assert.ok(timeoutMs > waitMs);
+  assert.ok(timeoutMs + FIRST_PAUSE_MAX_MS < STABILITY_WINDOW_MS);
+});
+
+test("after a failed call the store is asked at once, without a wait on a store that may not answer", async (t) => {
+  const { source } = startWatch(t);
+  await source.answer(page(1));
+  await source.answer("failed");
+  const { timeoutMs, waitMs, revision } = source.waits[1] as WaitOptions;
+  assert.equal(revision, 1);
+  assert.ok(waitMs <= 1);
+  assert.ok(timeoutMs <= STABILITY_WINDOW_MS / 2);
+  await source.answer("failed");
+  assert.ok((source.waits[2] as WaitOptions).waitMs <= 1);
+  await source.answer(page(1));
+  assert.ok((source.waits[3] as WaitOptions).waitMs > 500);
+});
