Ask peers again for a configuration that has not arrived

What callers see: a daemon handles requests by an older configuration although its peers have told it of the newer one. A notice of a version comes once from each peer, and led to one query at most in 300 ms, to any peer. The query was lost with a peer that was killed or whose connection was silent, and the notices of the others, or of the last version of a storm, fell into the 300 ms and were forgotten; only the next frame with a version repaired that, up to 5.9 s later on an idle link.

ConfigQueries remembers who announced what and asks another peer each 300 ms until a version is in force. The new test of daemon_link_host_test.ts failed before (the second peer was asked 0 times) and passes now. The query is logged, so that a lost one can be told from a notice that never came.

--- /dev/null
+++ b/src/fleet/config_queries.ts
@@ -0,0 +1,100 @@
+/** Decides which peer is asked for a newer configuration, and when. */
+import type { Logger } from "../telemetry/logger.ts";
+
+/**
+ * Minimum time between two queries, to any peers. A configuration of several
+ * hundred KB needs as long to arrive over a slow link.
+ */
+const QUERY_INTERVAL_MIN_MS = 300;
+
+/** Peer that can be asked for its configuration. */
+export interface ConfigPeer {
+  /** Name for logs. */
+  readonly peerName: string;
+  /** Whether the peer is connected. */
+  readonly isUp: boolean;
+  /** Asks the peer for its configuration. */
+  queryConfig(): void;
+}
+
+/** Options of {@link ConfigQueries}. */
+export type ConfigQueriesOptions = {
+  /** Version of this daemon's configuration in force. */
+  version: () => number;
+  log: Logger;
+};
+
+/** Newer version that a peer has, and when the peer was last asked for it. */
+type Announcement = { readonly version: number; readonly askedAtMs: number };
+
+/**
+ * Remembers which peers have announced a newer configuration, and asks them in
+ * turn until it is in force. A query or its answer may be lost with the peer or
+ * the connection, and peers announce a version only once.
+ */
+export class ConfigQueries {
+  readonly #options: ConfigQueriesOptions;
+  readonly #announcements = new Map<ConfigPeer, Announcement>();
+  #queriedAtMs = -Infinity;
+
+  /**
+   * @param options Version in force and logger.
+   */
+  constructor(options: ConfigQueriesOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Handles the version that a peer has announced. Asks the peer for it if it is
+   * newer and no query was sent within the last 300 ms.
+   *
+   * @param version Version of the peer.
+   * @param peer Peer that has it.
+   * @param nowMs Monotonic time, in ms.
+   */
+  announce(version: number, peer: ConfigPeer, nowMs: number): void {
+    if (version <= this.#options.version()) {
+      return;
+    }
+    const askedAtMs = this.#announcements.get(peer)?.askedAtMs ?? -Infinity;
+    this.#announcements.set(peer, { version, askedAtMs });
+    this.#queryWhenDue(nowMs);
+  }
+
+  /**
+   * Asks the next peer if a newer version is still missing. Called once per
+   * control interval.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  tick(nowMs: number): void {
+    const ownVersion = this.#options.version();
+    for (const [peer, { version }] of this.#announcements) {
+      if (version <= ownVersion || !peer.isUp) {
+        this.#announcements.delete(peer);
+      }
+    }
+    this.#queryWhenDue(nowMs);
+  }
+
+  #queryWhenDue(nowMs: number): void {
+    if (nowMs - this.#queriedAtMs < QUERY_INTERVAL_MIN_MS) {
+      return;
+    }
+    const [next] = [...this.#announcements]
+      .filter(([peer]) => peer.isUp)
+      .sort(([, a], [, b]) => a.askedAtMs - b.askedAtMs);
+    if (next === undefined) {
+      return;
+    }
+    const [peer, { version }] = next;
+    this.#announcements.set(peer, { version, askedAtMs: nowMs });
+    this.#queriedAtMs = nowMs;
+    this.#options.log.info("Configuration asked for", {
+      version,
+      lastVersion: this.#options.version(),
+      peer: peer.peerName,
+    });
+    peer.queryConfig();
+  }
+}
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -9,14 +9,13 @@
 } from "../link/upstream_channel.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import type { LoadReport, UpstreamState } from "../schemas/link_schema.ts";
+import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigFollower } from "./config_follower.ts";
+import { ConfigQueries } from "./config_queries.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { StatePublisher } from "./state_publisher.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 
-/** Minimum time between two queries for a configuration, to any peer. */
-const CONFIG_QUERY_INTERVAL_MIN_MS = 300;
-
 /**
  * Time after a stall in which received requests may have waited for the process.
  * They are read in the first iterations of the event loop.
@@ -36,6 +35,7 @@
   publisher: StatePublisher;
   /** A function, because the directory is constructed later, with this host. */
   directory: () => MemberDirectory;
+  log: Logger;
 };
 
 /**
@@ -44,7 +44,7 @@
  */
 export class DaemonLinkHost implements LinkHost, LinkServerHost {
   readonly #parts: DaemonLinkHostParts;
-  #configQueriedAtMs = -Infinity;
+  readonly #configQueries: ConfigQueries;
   #tickedAtMs = Infinity;
   #stallEndedAtMs = -Infinity;
   #stalledMs = 0;
@@ -54,6 +54,10 @@
    */
   constructor(parts: DaemonLinkHostParts) {
     this.#parts = parts;
+    this.#configQueries = new ConfigQueries({
+      version: () => this.configVersion,
+      log: parts.log,
+    });
   }
 
   /** @inheritdoc */
@@ -101,13 +105,15 @@
 
   /**
    * Records a control interval, to notice that the process was stalled. Requests
-   * carry their remaining time, which runs on while they wait to be read.
+   * carry their remaining time, which runs on while they wait to be read. Asks
+   * peers again for a configuration that has not arrived.
    *
    * @param nowMs Monotonic time, in ms.
    * @param stalledMs Time for which the process was stalled before, in ms.
    */
   tick(nowMs: number, stalledMs: number): void {
     this.#tickedAtMs = nowMs;
+    this.#configQueries.tick(nowMs);
     if (stalledMs > 0) {
       this.#stallEndedAtMs = nowMs;
       this.#stalledMs = stalledMs;
@@ -140,14 +146,7 @@
 
   /** @inheritdoc */
   onConfigVersion(version: number, link: PeerLink): void {
-    if (version <= this.configVersion || !link.isUp) {
-      return;
-    }
-    const nowMs = performance.now();
-    if (nowMs - this.#configQueriedAtMs >= CONFIG_QUERY_INTERVAL_MIN_MS) {
-      this.#configQueriedAtMs = nowMs;
-      link.queryConfig();
-    }
+    this.#configQueries.announce(version, link, performance.now());
   }
 
   /** @inheritdoc */
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -4,6 +4,8 @@
   ForwardedRequest,
   ForwardFailure,
 } from "../link/upstream_channel.ts";
+import type { PeerLink } from "../link/peer_link.ts";
+import { NullLogger } from "../telemetry/logger.ts";
 import {
   DaemonLinkHost,
   type DaemonLinkHostParts,
@@ -20,7 +22,10 @@
       return { cancel: () => {} };
     },
   };
-  const host = new DaemonLinkHost({ gate } as unknown as DaemonLinkHostParts);
+  const config = { version: 1 };
+  const host = new DaemonLinkHost(
+    { gate, config, log: new NullLogger() } as unknown as DaemonLinkHostParts,
+  );
   const serve = (remainingMs: number) =>
     host.serve({ remainingMs } as ForwardedRequest, {
       onAnswer: () => {},
@@ -63,3 +68,25 @@
   assert.equal(served.length, 0);
   assert.equal(failures[0]?.isNotRun, true);
 });
+
+test("a newer configuration is asked for again when the peer that was asked is lost", () => {
+  const { host } = createHost();
+  const links = ["one", "two"].map((peerName) => ({
+    peerName,
+    isUp: true,
+    queriesCount: 0,
+    queryConfig() {
+      this.queriesCount++;
+    },
+  }));
+  const [one, two] = links as [typeof links[0], typeof links[0]];
+  for (const link of links) {
+    host.onConfigVersion(2, link as unknown as PeerLink);
+  }
+  one.isUp = false;
+  const nowMs = performance.now();
+  for (let passedMs = 100; passedMs <= 400; passedMs += 100) {
+    host.tick(nowMs + passedMs, 0);
+  }
+  assert.deepEqual([one.queriesCount, two.queriesCount], [1, 1]);
+});
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -143,6 +143,7 @@
       graph: this.#callGraph,
       publisher: this.#publisher,
       directory: () => this.#directory,
+      log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
     this.#linkServer = new LinkServer(this.#linkHost, log);
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -112,6 +112,11 @@
     return this.#silence.isSuspect;
   }
 
+  /** Name of the member, for logs. */
+  get peerName(): string {
+    return this.#member.name;
+  }
+
   /** Whether the peer is connected. */
   get isUp(): boolean {
     return this.#machine.is("up");
