Ask for a newer configuration on the connection that announced it

A daemon that heard of a newer version on a connection that a peer had opened asked on its own link to that peer. That link may be down, or silent and not yet noticed to be: up to 5.9 s for an idle link to another data centre, while the peer's connection works.

Either side of a link can now ask and answer. Earlier builds ignore the frames that are new on a side, and are asked again on another connection.

--- a/src/fleet/config_queries.ts
+++ b/src/fleet/config_queries.ts
@@ -1,4 +1,5 @@
 /** Decides which peer is asked for a newer configuration, and when. */
+import type { ConfigPeer } from "../link/config_peer.ts";
 import type { Logger } from "../telemetry/logger.ts";
 
 /**
@@ -7,16 +8,6 @@
  */
 const QUERY_INTERVAL_MIN_MS = 300;
 
-/** Peer that can be asked for its configuration. */
-export interface ConfigPeer {
-  /** Name for logs. */
-  readonly peerName: string;
-  /** Whether the peer is connected. */
-  readonly isUp: boolean;
-  /** Asks the peer for its configuration. */
-  queryConfig(): void;
-}
-
 /** Options of {@link ConfigQueries}. */
 export type ConfigQueriesOptions = {
   /** Version of this daemon's configuration in force. */
--- a/src/fleet/config_queries_test.ts
+++ b/src/fleet/config_queries_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { ConfigPeer } from "../link/config_peer.ts";
 import { NullLogger } from "../telemetry/logger.ts";
-import { type ConfigPeer, ConfigQueries } from "./config_queries.ts";
+import { ConfigQueries } from "./config_queries.ts";
 
 const TICK_MS = 100;
 
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -1,5 +1,6 @@
 /** Connects the links to the state and the services of the daemon. */
 import type { CallGraph } from "../decisions/call_graph.ts";
+import type { ConfigPeer } from "../link/config_peer.ts";
 import type { LinkServerHost } from "../link/link_server.ts";
 import type { LinkHost, PeerLink } from "../link/peer_link.ts";
 import type {
@@ -137,16 +138,8 @@
   }
 
   /** @inheritdoc */
-  onPeerConfigVersion(version: number, peerName: string): void {
-    const link = this.#parts.directory().link(peerName);
-    if (link !== undefined) {
-      this.onConfigVersion(version, link);
-    }
-  }
-
-  /** @inheritdoc */
-  onConfigVersion(version: number, link: PeerLink): void {
-    this.#configQueries.announce(version, link, performance.now());
+  onConfigVersion(version: number, peer: ConfigPeer): void {
+    this.#configQueries.announce(version, peer, performance.now());
   }
 
   /** @inheritdoc */
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -16,6 +16,7 @@
   type UpstreamState,
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
+import type { ConfigPeer } from "./config_peer.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 
 /**
@@ -39,7 +40,9 @@
   /** Called with the member record in a peer's hello frame. */
   onHello(record: MemberRecord): void;
   /** Called with the configuration version that a peer has sent. */
-  onPeerConfigVersion(version: number, peerName: string): void;
+  onConfigVersion(version: number, peer: ConfigPeer): void;
+  /** Called with the configuration that a peer returns to a query. */
+  onConfig(config: unknown): void;
   /** Configuration in force, for a peer's query; undefined before the first. */
   readonly config: unknown;
   /** Records of all known members, for a peer's query. */
@@ -47,11 +50,14 @@
 }
 
 /** Accepting side of one link. Cancels its requests when the link closes. */
-class AcceptedLink implements FrameReceiver {
+class AcceptedLink implements FrameReceiver, ConfigPeer {
   readonly #host: LinkServerHost;
   readonly #handles = new Map<number, RequestHandle>();
   readonly #onEnd: (link: AcceptedLink) => void;
-  #peerName = "";
+  /** @inheritdoc */
+  peerName = "";
+  /** @inheritdoc */
+  isUp = true;
   readonly socket: LinkSocket;
 
   constructor(
@@ -78,21 +84,29 @@
         return;
       case FRAME.configQuery:
         return this.socket.send([FRAME.config, this.#host.config ?? null]);
+      case FRAME.config:
+        return this.#host.onConfig(frame[1]);
       case FRAME.memberQuery:
         return this.socket.send([FRAME.members, this.#host.members]);
       case FRAME.hello: {
         const [, record, state] = helloFrameSchema.parse(frame);
-        this.#peerName = record.name;
+        this.peerName = record.name;
         this.#host.onHello(record);
-        return this.#host.onPeerConfigVersion(state.configVersion, record.name);
+        return this.#host.onConfigVersion(state.configVersion, this);
       }
       default:
         return;
     }
   }
 
+  /** @inheritdoc */
+  queryConfig(): void {
+    this.socket.send([FRAME.configQuery]);
+  }
+
   /** @inheritdoc */
   onClosed(): void {
+    this.isUp = false;
     for (const handle of this.#handles.values()) {
       handle.cancel();
     }
@@ -108,7 +122,7 @@
   #onRequest(frame: RequestFrame): void {
     const exchangeId = frame[1];
     // Field 12 is the configuration version of the sender.
-    this.#host.onPeerConfigVersion(frame[12], this.#peerName);
+    this.#host.onConfigVersion(frame[12], this);
     let isDone = false;
     const sendResult = (
       buildFrame: (load: LoadReport, configVersion: number) => unknown[],
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -25,6 +25,7 @@
   type UpstreamState,
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
+import type { ConfigPeer } from "./config_peer.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
@@ -46,10 +47,12 @@
   readonly ownState: UpstreamState;
   /** Version of this daemon's configuration in force. */
   readonly configVersion: number;
+  /** Configuration in force, for a peer's query; undefined before the first. */
+  readonly config: unknown;
   /** Called with the member record in the peer's hello frame. */
   onHello(record: MemberRecord): void;
   /** Called with the configuration version that a peer has sent. */
-  onConfigVersion(version: number, link: PeerLink): void;
+  onConfigVersion(version: number, peer: ConfigPeer): void;
   /** Called with the state of a peer's upstream, also when it first arrives. */
   onState(state: UpstreamState, link: PeerLink): void;
   /** Called with the configuration that a peer returns to a query. */
@@ -69,7 +72,7 @@
  * Link that this daemon opens to a member, as defined by the chart `link`. It
  * sends requests to the member's upstream and tracks those without a result.
  */
-export class PeerLink implements UpstreamChannel, FrameReceiver {
+export class PeerLink implements UpstreamChannel, ConfigPeer, FrameReceiver {
   /** @inheritdoc */
   readonly load = new UpstreamLoad();
   #member: MemberRecord;
@@ -112,7 +115,7 @@
     return this.#silence.isSuspect;
   }
 
-  /** Name of the member, for logs. */
+  /** @inheritdoc */
   get peerName(): string {
     return this.#member.name;
   }
@@ -177,7 +180,7 @@
     this.#machine.send("removed", "The peer was removed");
   }
 
-  /** Asks the peer for its configuration. */
+  /** @inheritdoc */
   queryConfig(): void {
     this.#socket?.send([FRAME.configQuery]);
   }
@@ -238,6 +241,9 @@
         return this.#onBusy(busyFrameSchema.parse(frame)[1]);
       case FRAME.config:
         return this.#options.host.onConfig(frame[1]);
+      case FRAME.configQuery:
+        this.#socket?.send([FRAME.config, this.#options.host.config ?? null]);
+        return;
       case FRAME.members:
         return this.#onMembers(membersFrameSchema.parse(frame)[1]);
       case FRAME.configVersion:
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -6,7 +6,7 @@
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
 import { NullLogger } from "../telemetry/logger.ts";
-import { encodeFrame } from "./frame_codec.ts";
+import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import { type LinkHost, PeerLink } from "./peer_link.ts";
 
 const TICK_MS = 100;
@@ -33,6 +33,7 @@
     ownRecord: memberAt("own", 1),
     ownState: STATE,
     configVersion: 1,
+    config: { version: 1 },
     onHello: () => {},
     onConfigVersion: () => {},
     onState: () => {},
@@ -116,3 +117,17 @@
   sockets[0]?.write(encodeFrame([FRAME.pong]));
   await until(() => !link.isSuspect);
 });
+
+test("a peer that asks for the configuration on the connection that it has accepted gets it", async (t) => {
+  const { sockets } = await connectLink(t);
+  const frames: unknown[][] = [];
+  const reader = new FrameReader();
+  sockets[0]?.on(
+    "data",
+    (chunk: Buffer) => reader.push(chunk, (frame) => frames.push(frame)),
+  );
+  sockets[0]?.write(encodeFrame([FRAME.configQuery]));
+  const isConfig = ([kind]: unknown[]) => kind === FRAME.config;
+  await until(() => frames.some(isConfig));
+  assert.deepEqual(frames.find(isConfig), [FRAME.config, { version: 1 }]);
+});
