--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -83,6 +83,7 @@
 
   #apply(config: FleetConfig, source: "store" | "peer"): void {
     if (config.version <= this.version) {
+      this.#reportOlder(config.version, source);
       return;
     }
     const lastVersion = this.version;
@@ -96,4 +97,14 @@
     });
     this.#options.onApplied(this.#routes);
   }
+
+  /** Logs an older configuration of the store, which shows that it lost one. */
+  #reportOlder(version: number, source: "store" | "peer"): void {
+    if (source === "store" && version < this.version) {
+      this.#options.log.warn("Configuration of the store is older", {
+        version,
+        lastVersion: this.version,
+      });
+    }
+  }
 }
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -31,6 +31,11 @@
   readonly isReachable: boolean;
   /** Number of calls to the store since the start. */
   readonly callsCount: number;
+  /**
+   * Rises each time that the store is restored from a copy and has lost what was
+   * written since the copy.
+   */
+  readonly era: number;
   /** Removes an object of the given version. Throws {@link PlatformError}. */
   remove(kind: string, name: string, version: number): Promise<void>;
   /**
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -41,6 +41,7 @@
     storeReachable: platform.store.isReachable ? 1 : 0,
     storeWatching: watchElection.isWatching ? 1 : 0,
     storeCallsCount: platform.store.callsCount,
+    storeEra: platform.store.era,
     callEdgesCount: graph.edgesCount,
     logLinesDroppedCount: platform.droppedLinesCount(),
   };
--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -159,6 +159,11 @@
       isStale,
     });
     if (page === undefined) {
+      this.#options.log.info("Store objects listed again", {
+        kind,
+        reason: "history_lost",
+        revision: this.#revision,
+      });
       this.#machine.send("historyLost");
       return;
     }
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -17,6 +17,8 @@
   /** 1 when the daemon watches the configuration closely, 0 otherwise. */
   readonly storeWatching: number;
   readonly storeCallsCount: number;
+  /** Number of restores of the store, as its answers name it. */
+  readonly storeEra: number;
   /** Pairs of a calling and a called route that are known, here or at peers. */
   readonly callEdgesCount: number;
   readonly logLinesDroppedCount: number;
@@ -34,6 +36,7 @@
   storeReachable: "1 when the last call to the store was answered",
   storeWatching: "1 when the daemon watches the configuration closely",
   storeCallsCount: "Calls to the store since the start",
+  storeEra: "Rises when the store is restored from a copy",
   callEdgesCount: "Known pairs of a calling and a called route",
   logLinesDroppedCount: "Log lines that nobody read in time",
 };
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -16,6 +16,7 @@
     storeWatching: 1,
     callEdgesCount: 3,
     storeCallsCount: 3,
+    storeEra: 1,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
