List objects again when the store was restored from a copy

What callers see: a change that was confirmed after a restore is not in force. The store gives revisions out again; a watch that comes back only when they have passed its own gets no 410 and never hears of what was written in between at lower revisions. The watch now compares the era of each answer (Store-Era) with that of its revision and lists again when it has risen; data of an earlier era is not used, and reads are exact for 10 s, since stale replicas may still be of the time before.

--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { StoredObject } from "../core/platform_client.ts";
+import { PlatformError, type StoredObject } from "../core/platform_client.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 
 /**
@@ -23,6 +23,11 @@
  * are written in a short time, for example while a fleet starts.
  */
 const WATCH_PAUSE_MS = 25;
+/**
+ * Time after a restore of the store for which reads are exact. Data that may be
+ * seconds old may be of the time before the restore.
+ */
+const EXACT_AFTER_RESTORE_MS = 10_000;
 /**
  * A waiting call fails when its answer is this much later than its wait. Answers
  * take up to half a second while the store is slow.
@@ -34,6 +39,8 @@
   readonly objects: readonly StoredObject[];
   /** Revision of the store from which further changes are asked for. */
   readonly revision: number;
+  /** Era of the store to which the revision belongs. */
+  readonly era: number;
 };
 
 /** Options of {@link ObjectSource.waitForChanges}. */
@@ -50,6 +57,11 @@
 
 /** Calls to a store that watches are built on. */
 export interface ObjectSource {
+  /**
+   * Highest era in the store's answers. It rises when the store is restored from
+   * a copy; revisions are then given out again, for other changes.
+   */
+  readonly era: number;
   /** Lists the objects of a kind. Throws {@link PlatformError}. */
   list(kind: string, isStale: boolean): Promise<ObjectPage>;
   /**
@@ -87,6 +99,9 @@
   readonly #machine: StateMachine;
   readonly #known = new Map<string, StoredObject>();
   #revision = 0;
+  /** Era of the revision; undefined before the first list. */
+  #era: number | undefined;
+  #exactUntilMs = -Infinity;
 
   /**
    * @param options Kind, calls to the store and receiver of the objects.
@@ -123,8 +138,9 @@
   }
 
   /** Action: emits all listed objects, and the removal of those not listed. */
-  replaceAll({ objects, revision }: ObjectPage): void {
-    const listed = new Set(objects.map(({ name }) => name));
+  replaceAll(page: ObjectPage): void {
+    this.#era = page.era;
+    const listed = new Set(page.objects.map(({ name }) => name));
     // No event has reported the removal of known objects that are not listed.
     for (const object of this.#known.values()) {
       if (!listed.has(object.name)) {
@@ -132,7 +148,7 @@
         this.#options.emit({ ...object, value: undefined });
       }
     }
-    this.applyChanges({ objects, revision });
+    this.applyChanges(page);
   }
 
   /** Action: emits changed objects. */
@@ -145,12 +161,27 @@
   }
 
   async #step(): Promise<void> {
-    const { kind, source, isStaleKind } = this.#options;
     if (this.#machine.is("listing")) {
-      this.#machine.send("listed", await source.list(kind, isStaleKind));
+      await this.#list();
+      return;
+    }
+    if (this.#options.source.era !== this.#era) {
+      this.#handleRestore();
       return;
     }
-    const isStale = isStaleKind || !this.#options.isClose();
+    await this.#wait();
+  }
+
+  async #list(): Promise<void> {
+    const { kind, source, isStaleKind } = this.#options;
+    const page = await source.list(kind, isStaleKind && this.#mayBeStale());
+    this.#checkEra(page);
+    this.#machine.send("listed", page);
+  }
+
+  async #wait(): Promise<void> {
+    const { kind, source, isStaleKind, isClose } = this.#options;
+    const isStale = (isStaleKind || !isClose()) && this.#mayBeStale();
     const waitMs = this.#waitMs(isStale);
     const page = await source.waitForChanges(kind, {
       revision: this.#revision,
@@ -158,18 +189,49 @@
       timeoutMs: waitMs + WAIT_TIMEOUT_MARGIN_MS,
       isStale,
     });
+    if (source.era !== this.#era) {
+      this.#handleRestore();
+      return;
+    }
     if (page === undefined) {
-      this.#options.log.info("Store objects listed again", {
-        kind,
-        reason: "history_lost",
-        revision: this.#revision,
-      });
+      this.#reportNewList("history_lost");
       this.#machine.send("historyLost");
       return;
     }
+    this.#checkEra(page);
     this.#machine.send("changed", page);
   }
 
+  #handleRestore(): void {
+    this.#exactUntilMs = performance.now() + EXACT_AFTER_RESTORE_MS;
+    this.#reportNewList("store_restored");
+    this.#machine.send("restored");
+  }
+
+  #reportNewList(reason: string): void {
+    this.#options.log.info("Store objects listed again", {
+      kind: this.#options.kind,
+      reason,
+      revision: this.#revision,
+    });
+  }
+
+  #mayBeStale(): boolean {
+    return performance.now() >= this.#exactUntilMs;
+  }
+
+  /** Rejects data of the time before a restore. */
+  #checkEra({ era }: ObjectPage): void {
+    const { source } = this.#options;
+    if (era !== source.era) {
+      this.#exactUntilMs = performance.now() + EXACT_AFTER_RESTORE_MS;
+      throw new PlatformError(
+        "not-applied",
+        `Answer is of era ${era}, the store is in era ${source.era}`,
+      );
+    }
+  }
+
   #waitMs(isStale: boolean): number {
     if (this.#machine.is("catchingUp")) {
       return CATCH_UP_WAIT_MS;
--- a/src/platform/object_watch_test.ts
+++ b/src/platform/object_watch_test.ts
@@ -18,6 +18,7 @@
 
 /** Source whose calls end when the test answers them. */
 class FakeSource implements ObjectSource {
+  era = 1;
   readonly lists: boolean[] = [];
   readonly waits: WaitOptions[] = [];
   #resolve: (answer: Answer) => void = () => {};
@@ -59,7 +60,7 @@
   }
 }
 
-function startWatch(t: TestContext) {
+function startWatch(t: TestContext, { isStaleKind = false } = {}) {
   const source = new FakeSource();
   const emitted: StoredObject[] = [];
   const abort = new AbortController();
@@ -67,7 +68,7 @@
   const watch = new ObjectWatch({
     kind: "things",
     source,
-    isStaleKind: false,
+    isStaleKind,
     isClose: () => true,
     emit: (object) => emitted.push(object),
     log: new NullLogger(),
@@ -76,10 +77,11 @@
   return { source, emitted };
 }
 
-const page = (revision: number, objects: readonly StoredObject[] = []) => ({
-  revision,
-  objects,
-});
+const page = (
+  revision: number,
+  objects: readonly StoredObject[] = [],
+  era = 1,
+) => ({ revision, objects, era });
 
 test("a close watch whose connection goes silent is repeated before the users' bounds hold again", async (t) => {
   const { source } = startWatch(t);
@@ -102,3 +104,14 @@
   await source.answer(page(1));
   assert.ok((source.waits[3] as WaitOptions).waitMs > 500);
 });
+
+test("data of the time before a restore is not used, and the next read is exact", async (t) => {
+  const { source, emitted } = startWatch(t, { isStaleKind: true });
+  await source.answer(page(5));
+  source.era = 2;
+  await source.answer(page(6));
+  const old = { kind: "things", name: "old", version: 4, value: 1 };
+  await source.answer(page(5, [old], 1));
+  assert.deepEqual(emitted, []);
+  assert.deepEqual(source.lists, [true, false, false]);
+});
