Do not report objects that the store has lost as removed

A list after a restore lacks what was written since the copy. The watch reported such members as removed; a daemon whose link to one was down at that moment then forgot it, with the departure of its upstream, which nobody could return to it after its restart. An object that is missing only because the store went back is now dropped without a removal; members that are really gone expire by their links, as before. The new test failed before (the object was emitted as removed).

--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -137,14 +137,22 @@
     }
   }
 
-  /** Action: emits all listed objects, and the removal of those not listed. */
+  /**
+   * Action: emits all listed objects, and the removal of those not listed. An
+   * object that the store has lost in a restore is not listed either, but it was
+   * not removed.
+   */
   replaceAll(page: ObjectPage): void {
+    const hasLostChanges = this.#era !== undefined && page.era !== this.#era;
     this.#era = page.era;
     const listed = new Set(page.objects.map(({ name }) => name));
     // No event has reported the removal of known objects that are not listed.
     for (const object of this.#known.values()) {
-      if (!listed.has(object.name)) {
-        this.#known.delete(object.name);
+      if (listed.has(object.name)) {
+        continue;
+      }
+      this.#known.delete(object.name);
+      if (!hasLostChanges) {
         this.#options.emit({ ...object, value: undefined });
       }
     }
