Write the own record again when the store was restored from a copy

What callers see: after a restore a daemon is unknown to those that start later, and gets no requests from them; and a departure that its endpoint had announced is unknown to the daemon itself after its own restart. The record counted as stored until a list showed otherwise, which needed a 410; a daemon that came back late got none. A write that was answered around the restore counted as well.

When the era of the store rises, a daemon reads its stored record and writes what is missing; a write that began before does not count.

--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -78,6 +78,8 @@
   #dataCentresCount = 1;
   #hasChanged = false;
   #membersQueriedAtMs = -Infinity;
+  /** Era of the store at the last tick; 0 before its first answer. */
+  #storeEra = 0;
 
   /**
    * @param options Store, record of this daemon, channel table and options of
@@ -249,10 +251,19 @@
     for (const name of expired) {
       this.#expire(name);
     }
+    this.#noticeRestore();
     this.#registration.tick(nowMs);
     this.#queryMembersOnceDue(nowMs);
   }
 
+  #noticeRestore(): void {
+    const { era } = this.#options.store;
+    if (this.#storeEra > 0 && era > this.#storeEra) {
+      this.#registration.handleStoreRestored();
+    }
+    this.#storeEra = era;
+  }
+
   /** Closes all links permanently. */
   close(): void {
     this.#links.close();
--- a/src/fleet/own_registration.ts
+++ b/src/fleet/own_registration.ts
@@ -44,6 +44,7 @@
   #writing: Promise<void> | undefined;
   #isRegistered = false;
   #mayExist = false;
+  #restoresCount = 0;
   #writeAtMs = 0;
   #resolveKnown = () => {};
   /**
@@ -108,6 +109,18 @@
     this.#isRegistered = false;
   }
 
+  /**
+   * Handles a restore of the store from a copy. What this daemon has written may
+   * be lost, so the stored record is read, and written if it differs.
+   */
+  handleStoreRestored(): void {
+    this.#restoresCount++;
+    this.#storedVersion = undefined;
+    this.#mayExist = true;
+    this.#isRegistered = false;
+    this.#writeAtMs = 0;
+  }
+
   /**
    * Adds the departure of the local upstream to the record, so that the daemon
    * does not send it requests after a restart. Does nothing if the record has
@@ -176,10 +189,15 @@
       return;
     }
     const record = this.#record;
+    const restoresCount = this.#restoresCount;
     const result = await this.#options.store.put(
       { kind: MEMBER_KIND, name: record.name, value: record },
       { expectedVersion: this.#storedVersion ?? "absent" },
     );
+    if (restoresCount !== this.#restoresCount) {
+      // The write may have been made before the restore and be lost.
+      return;
+    }
     if (result.kind === "written") {
       this.#storedVersion = result.version;
       this.#isRegistered = isSameRecord(record, this.#record);
--- a/src/fleet/own_registration_test.ts
+++ b/src/fleet/own_registration_test.ts
@@ -129,3 +129,29 @@
   assert.equal(registration.isRegistered, true);
   assert.deepEqual(store.stored?.value, RECORD);
 });
+
+test("a record that the store has lost in a restore is written again", async () => {
+  const store = new SlowStore();
+  const { registration } = createRegistration(store);
+  registration.tick(performance.now());
+  await store.finishWrite();
+  store.stored = undefined;
+  registration.handleStoreRestored();
+  registration.tick(performance.now());
+  await new Promise((resolve) => setImmediate(resolve));
+  await store.finishWrite();
+  assert.equal(registration.isRegistered, true);
+  assert.deepEqual(
+    (store.stored as StoredObject | undefined)?.value,
+    RECORD,
+  );
+});
+
+test("a write that was made before a restore and answered after it does not count as stored", async () => {
+  const store = new SlowStore();
+  const { registration } = createRegistration(store);
+  registration.tick(performance.now());
+  registration.handleStoreRestored();
+  await store.finishWrite();
+  assert.equal(registration.isRegistered, false);
+});
