Keep the start of an upstream that has left when its daemon has only a health check

What callers see: requests go to an endpoint that has left, after a restart of its daemon. The restarted daemon takes the endpoint as ready from a health check, which does not tell its start. When the departure is then returned by the store or a peer, it was replaced by one with start 0, and a late heartbeat counted as that of a later start. The larger start is kept now. The new test of local_upstream_test.ts failed before.

--- a/src/fleet/local_upstream.ts
+++ b/src/fleet/local_upstream.ts
@@ -122,10 +122,10 @@
     if (report !== undefined && report.upstreamId !== upstreamId) {
       return;
     }
-    this.#departure = {
+    this.#recordDeparture({
       upstreamId,
       startedEpochMs: report?.startedEpochMs ?? 0,
-    };
+    });
     this.#machine.send("left");
   }
 
@@ -183,8 +183,7 @@
   stopServing(): void {
     const report = this.#report;
     if (this.isLeaving && report !== undefined) {
-      const { upstreamId, startedEpochMs } = report;
-      this.#departure = { upstreamId, startedEpochMs };
+      this.#recordDeparture(report);
     }
     this.#options.log.info("Upstream takes no new requests", {
       upstreamId: report?.upstreamId,
@@ -193,6 +192,22 @@
     this.#options.listener.onNotServing();
   }
 
+  /**
+   * Records the departure of an upstream. The start of a report by the health
+   * check is not known; it must not replace a later one, after which heartbeats
+   * of the same start would count as those of a new one.
+   */
+  #recordDeparture({ upstreamId, startedEpochMs }: UpstreamDeparture): void {
+    const known = this.#departure;
+    const knownEpochMs = known?.upstreamId === upstreamId
+      ? known.startedEpochMs
+      : 0;
+    this.#departure = {
+      upstreamId,
+      startedEpochMs: Math.max(startedEpochMs, knownEpochMs),
+    };
+  }
+
   #isOutdated(report: UpstreamReport): boolean {
     const last = this.#report;
     if (last === undefined) {
--- a/src/fleet/local_upstream_test.ts
+++ b/src/fleet/local_upstream_test.ts
@@ -63,3 +63,11 @@
   upstream.markLeaving("i-0");
   assert.equal(upstream.isServing, true);
 });
+
+test("an upstream whose departure is restored after a health check does not serve again after a heartbeat of the same start", () => {
+  const upstream = createUpstream();
+  upstream.handleHeartbeat(report({ sequence: 0, startedEpochMs: 0 }));
+  upstream.restoreDeparture({ upstreamId: "i-1", startedEpochMs: 1_000 });
+  upstream.handleHeartbeat(report({ sequence: 7 }));
+  assert.equal(upstream.isServing, false);
+});
