Return a departure to a restarted member whose stored record has lost it

What callers see: after a restore of the store and a restart of a daemon, requests go to an endpoint that had announced that it leaves. The stored record of the daemon is the one of before the departure and equals its own, so the daemon counts as registered and asks no peer; its peers know the departure and did not say so.

A daemon that is greeted by a member without the departure that it knows of it sends it back at once. A departure that no peer knows, and that the store has lost, stays lost.

--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -133,8 +133,8 @@
   }
 
   /** @inheritdoc */
-  onHello(record: MemberRecord): void {
-    this.#parts.directory().upsertMember(record);
+  onHello(record: MemberRecord): MemberRecord {
+    return this.#parts.directory().upsertMember(record);
   }
 
   /** @inheritdoc */
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -170,15 +170,16 @@
    *
    * @param record Record from the store or from a hello frame; that of this
    *   daemon is ignored.
+   * @returns The known record of the member.
    */
-  upsertMember(record: MemberRecord): void {
+  upsertMember(record: MemberRecord): MemberRecord {
     const { name } = record;
     if (name === this.ownRecord.name) {
-      return;
+      return this.ownRecord;
     }
     const known = this.#records.get(name);
-    // A member that has restarted without the store does not know the departure
-    // that its former process acknowledged; it asks its peers for it.
+    // A member that has restarted without the store, or after the store has lost
+    // it, does not know the departure that its former process acknowledged.
     const leftUpstream = record.leftUpstream ?? known?.leftUpstream;
     const merged = leftUpstream === undefined
       ? record
@@ -199,6 +200,7 @@
     if (link !== undefined && !link.isUp) {
       link.dialSoon();
     }
+    return merged;
   }
 
   /**
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -37,8 +37,12 @@
   readonly ownLoad: LoadReport;
   /** Serves a request at the local upstream. */
   serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle;
-  /** Called with the member record in a peer's hello frame. */
-  onHello(record: MemberRecord): void;
+  /**
+   * Called with the member record in a peer's hello frame. Returns the record
+   * that this daemon knows, which may have a departure that the peer has
+   * forgotten in a restart.
+   */
+  onHello(record: MemberRecord): MemberRecord;
   /** Called with the configuration version that a peer has sent. */
   onConfigVersion(version: number, peer: ConfigPeer): void;
   /** Called with the configuration that a peer returns to a query. */
@@ -91,7 +95,7 @@
       case FRAME.hello: {
         const [, record, state] = helloFrameSchema.parse(frame);
         this.peerName = record.name;
-        this.#host.onHello(record);
+        this.#returnDeparture(record, this.#host.onHello(record));
         return this.#host.onConfigVersion(state.configVersion, this);
       }
       default:
@@ -114,6 +118,12 @@
     this.#onEnd(this);
   }
 
+  #returnDeparture(greeted: MemberRecord, known: MemberRecord): void {
+    if (greeted.leftUpstream === undefined && known.leftUpstream) {
+      this.socket.send([FRAME.members, [known]]);
+    }
+  }
+
   #onCancel(exchangeId: number): void {
     this.#handles.get(exchangeId)?.cancel();
     this.#handles.delete(exchangeId);
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -35,7 +35,7 @@
     config: { version: 1 },
     members: [],
     serve: () => ({ cancel: () => {} }),
-    onHello: () => {},
+    onHello: (record) => record,
     onConfigVersion: (version, peer) => {
       if (version > 1) {
         peer.queryConfig();
