Ignore a member's entry that stands under another name, and replace a spoiled own one

Report of operators of similar systems: one odd entry that another writer left ended the processes that read the list, or they stopped following it. Very deep nesting, numbers too large, ports out of range, port 0 and null do not stop a daemon here (tests, they passed at once). But an entry whose content names another member replaced that member's address, so requests no longer reached it, and a daemon whose own entry was spoiled did not write it again. The name is compared now, and a spoiled own entry is read and replaced.

--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -8,14 +8,17 @@
   watchersCount,
 } from "../decisions/watcher_election.ts";
 import type { PeerLink, PeerLinkOptions } from "../link/peer_link.ts";
-import {
-  type MemberRecord,
-  memberRecordSchema,
-  type UpstreamDeparture,
+import type {
+  MemberRecord,
+  UpstreamDeparture,
 } from "../schemas/fleet_schema.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
-import { isSameRecord, MEMBER_KIND } from "./member_records.ts";
+import {
+  decodeMemberRecord,
+  isSameRecord,
+  MEMBER_KIND,
+} from "./member_records.ts";
 import { OwnRegistration } from "./own_registration.ts";
 import { PeerLinks } from "./peer_links.ts";
 
@@ -151,17 +154,21 @@
       this.#onRemoved(name);
       return;
     }
-    const result = memberRecordSchema.safeParse(value);
-    if (!result.success) {
+    const isOwn = name === this.ownRecord.name;
+    const record = decodeMemberRecord(name, value);
+    if (record === undefined) {
       this.#options.log.warn("Entry of a member is not readable", { name });
+      if (isOwn) {
+        this.#registration.checkStored();
+      }
       return;
     }
-    if (name === this.ownRecord.name) {
-      this.#registration.handleStored(result.data, version);
+    if (isOwn) {
+      this.#registration.handleStored(record, version);
       return;
     }
     this.#versions.set(name, version);
-    this.upsertMember(result.data);
+    this.upsertMember(record);
   }
 
   /**
@@ -261,7 +268,7 @@
   #noticeRestore(): void {
     const { era } = this.#options.store;
     if (this.#storeEra > 0 && era > this.#storeEra) {
-      this.#registration.handleStoreRestored();
+      this.#registration.checkStored();
     }
     this.#storeEra = era;
   }
--- a/src/fleet/member_records.ts
+++ b/src/fleet/member_records.ts
@@ -1,12 +1,29 @@
 /** Comparison of member records. */
-import type {
-  MemberRecord,
-  UpstreamDeparture,
+import {
+  type MemberRecord,
+  memberRecordSchema,
+  type UpstreamDeparture,
 } from "../schemas/fleet_schema.ts";
 
 /** Kind of the store's objects that hold member records. */
 export const MEMBER_KIND = "goldcrest-members";
 
+/**
+ * Decodes a stored record. Another writer may have left one that is malformed or
+ * names another member.
+ *
+ * @param name Name of the stored object.
+ * @param value Its value.
+ * @returns The record; undefined when it is not one of that member.
+ */
+export function decodeMemberRecord(
+  name: string,
+  value: unknown,
+): MemberRecord | undefined {
+  const result = memberRecordSchema.safeParse(value);
+  return result.success && result.data.name === name ? result.data : undefined;
+}
+
 /**
  * Compares two departures.
  *
--- a/src/fleet/own_registration.ts
+++ b/src/fleet/own_registration.ts
@@ -1,12 +1,12 @@
 /** This daemon's member record in the store. */
 import type { PlatformClient } from "../core/platform_client.ts";
-import {
-  type MemberRecord,
-  memberRecordSchema,
-  type UpstreamDeparture,
+import type {
+  MemberRecord,
+  UpstreamDeparture,
 } from "../schemas/fleet_schema.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import {
+  decodeMemberRecord,
   isSameDeparture,
   isSameRecord,
   MEMBER_KIND,
@@ -44,7 +44,7 @@
   #writing: Promise<void> | undefined;
   #isRegistered = false;
   #mayExist = false;
-  #restoresCount = 0;
+  #checksCount = 0;
   #writeAtMs = 0;
   #resolveKnown = () => {};
   /**
@@ -110,11 +110,11 @@
   }
 
   /**
-   * Handles a restore of the store from a copy. What this daemon has written may
-   * be lost, so the stored record is read, and written if it differs.
+   * Reads the stored record again, and writes it if it differs: the store may
+   * have lost it in a restore, or another writer may have replaced it.
    */
-  handleStoreRestored(): void {
-    this.#restoresCount++;
+  checkStored(): void {
+    this.#checksCount++;
     this.#storedVersion = undefined;
     this.#mayExist = true;
     this.#isRegistered = false;
@@ -189,13 +189,13 @@
       return;
     }
     const record = this.#record;
-    const restoresCount = this.#restoresCount;
+    const checksCount = this.#checksCount;
     const result = await this.#options.store.put(
       { kind: MEMBER_KIND, name: record.name, value: record },
       { expectedVersion: this.#storedVersion ?? "absent" },
     );
-    if (restoresCount !== this.#restoresCount) {
-      // The write may have been made before the restore and be lost.
+    if (checksCount !== this.#checksCount) {
+      // What was written before the check may be lost already.
       return;
     }
     if (result.kind === "written") {
@@ -220,9 +220,9 @@
     if (stored === undefined) {
       return;
     }
-    const result = memberRecordSchema.safeParse(stored.value);
-    if (result.success) {
-      this.handleStored(result.data, stored.version);
+    const record = decodeMemberRecord(stored.name, stored.value);
+    if (record !== undefined) {
+      this.handleStored(record, stored.version);
       return;
     }
     // The next write replaces an entry that another writer has damaged.
--- a/src/fleet/own_registration_test.ts
+++ b/src/fleet/own_registration_test.ts
@@ -136,7 +136,7 @@
   registration.tick(performance.now());
   await store.finishWrite();
   store.stored = undefined;
-  registration.handleStoreRestored();
+  registration.checkStored();
   registration.tick(performance.now());
   await new Promise((resolve) => setImmediate(resolve));
   await store.finishWrite();
@@ -151,7 +151,7 @@
   const store = new SlowStore();
   const { registration } = createRegistration(store);
   registration.tick(performance.now());
-  registration.handleStoreRestored();
+  registration.checkStored();
   await store.finishWrite();
   assert.equal(registration.isRegistered, false);
 });
