--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -19,6 +19,7 @@
   FleetDaemonLifecycle,
 } from "./fleet_daemon_lifecycle.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
+import { FleetListeners } from "./fleet_listeners.ts";
 import { readGauges } from "./read_gauges.ts";
 import { LocalUpstreamChannel } from "./local_upstream_channel.ts";
 import { LocalUpstream } from "./local_upstream.ts";
@@ -78,9 +79,7 @@
   readonly #outboundService: OutboundService;
   readonly #outboundListener: OutboundListener;
   readonly #announcements: UpstreamAnnouncements;
-  readonly #readinessListener: ControlListener;
-  readonly #announcementListener: ControlListener;
-  readonly #metricsListener: ControlListener;
+  readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
@@ -173,18 +172,7 @@
         graph: this.#callGraph,
       })
     );
-    this.#readinessListener = new ControlListener(() => ({
-      status: this.#lifecycle.isReady ? 200 : 503,
-      body: JSON.stringify({ state: this.#lifecycle.stateName }),
-    }));
-    this.#announcementListener = new ControlListener((request) =>
-      this.#announcements.handle(request)
-    );
-    this.#metricsListener = new ControlListener(async () => ({
-      status: 200,
-      contentType: "text/plain; version=0.0.4",
-      body: await this.#metrics.text(),
-    }));
+    this.#listeners = this.#createListeners();
     this.#registerParts();
   }
 
@@ -222,24 +210,14 @@
   async start(): Promise<void> {
     const { listeners, instanceName } = this.#settings;
     this.#loop.start();
-    await Promise.all([
-      this.#linkServer.listen(listeners.link),
-      this.#outboundListener.listen(listeners.outbound),
-      this.#readinessListener.listen(listeners.readiness),
-      this.#announcementListener.listen(listeners.announcements),
-      this.#metricsListener.listen(listeners.metrics),
-    ]);
+    await this.#listeners.listen(listeners);
     this.#options.log.info("Started", { instanceName });
   }
 
   /** Stops the event loop and closes all listeners, links and connections. */
   async close(): Promise<void> {
     await this.#loop.stop();
-    this.#outboundListener.close();
-    this.#readinessListener.close();
-    this.#announcementListener.close();
-    this.#metricsListener.close();
-    this.#linkServer.close();
+    this.#listeners.close();
     this.#directory.close();
     await this.#upstreamClient.close();
   }
@@ -371,6 +349,25 @@
     });
   }
 
+  #createListeners(): FleetListeners {
+    return new FleetListeners({
+      link: this.#linkServer,
+      outbound: this.#outboundListener,
+      readiness: new ControlListener(() => ({
+        status: this.#lifecycle.isReady ? 200 : 503,
+        body: JSON.stringify({ state: this.#lifecycle.stateName }),
+      })),
+      announcements: new ControlListener((request) =>
+        this.#announcements.handle(request)
+      ),
+      metrics: new ControlListener(async () => ({
+        status: 200,
+        contentType: "text/plain; version=0.0.4",
+        body: await this.#metrics.text(),
+      })),
+    });
+  }
+
   #registerParts(): void {
     this.#loop.register(this.#lifecycle);
     this.#loop.register(this.#config);
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -27,6 +27,7 @@
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
+import { PendingRequests } from "./pending_requests.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
 /** Time from dialling until the hello frame of the peer must have arrived. */
@@ -79,9 +80,8 @@
   #state: UpstreamState | undefined;
   readonly #options: PeerLinkOptions;
   readonly #machine: StateMachine;
-  readonly #pendingReceivers = new Map<number, ResultReceiver>();
+  readonly #pending = new PendingRequests(this.load);
   #socket: LinkSocket | undefined;
-  #nextExchangeId = 1;
   #failuresCount = 0;
   #dialAtMs = 0;
   #dialledAtMs = 0;
@@ -201,10 +201,7 @@
       });
       return { cancel: () => {} };
     }
-    const exchangeId = this.#nextExchangeId++;
-    this.#pendingReceivers.set(exchangeId, receiver);
-    this.load.pendingCount++;
-    this.load.sentSinceReportCount++;
+    const exchangeId = this.#pending.add(receiver);
     const { encoder } = socket;
     const frame: RequestFrame = [
       FRAME.request,
@@ -311,21 +308,9 @@
     this.#options.log.warn("Link down", { peer: this.#member.name, reason });
   }
 
-  /**
-   * Action: fails the requests without a result. They may have run, because the
-   * link was closed after they were sent.
-   */
+  /** Action: fails the requests without a result. */
   failPending(): void {
-    const receivers = [...this.#pendingReceivers.values()];
-    this.#pendingReceivers.clear();
-    this.load.pendingCount = 0;
-    for (const receiver of receivers) {
-      receiver.onFailure({
-        kind: "peer_failed",
-        isNotRun: false,
-        hasReached: true,
-      });
-    }
+    this.#pending.failAll();
   }
 
   #onHello(frame: unknown[]): void {
@@ -363,7 +348,7 @@
     const [, exchangeId, status, wireHeaders, body, runMs, load, version] =
       frame;
     const headers = this.#socket?.decoder.decodeAll(wireHeaders) ?? [];
-    const receiver = this.#removePending(exchangeId);
+    const receiver = this.#pending.remove(exchangeId);
     this.load.update(load);
     this.#options.host.onConfigVersion(version, this);
     receiver?.onAnswer({ status, headers, body, runMs });
@@ -371,24 +356,15 @@
 
   #onRefusal(frame: RefusalFrame): void {
     const [, exchangeId, kind, isNotRun, hasReached, load, version] = frame;
-    const receiver = this.#removePending(exchangeId);
+    const receiver = this.#pending.remove(exchangeId);
     this.load.update(load);
     this.#options.host.onConfigVersion(version, this);
     const knownKind: ErrorKind = isErrorKind(kind) ? kind : "peer_failed";
     receiver?.onFailure({ kind: knownKind, isNotRun, hasReached });
   }
 
-  #removePending(exchangeId: number): ResultReceiver | undefined {
-    const receiver = this.#pendingReceivers.get(exchangeId);
-    if (receiver !== undefined) {
-      this.#pendingReceivers.delete(exchangeId);
-      this.load.pendingCount--;
-    }
-    return receiver;
-  }
-
   #cancel(exchangeId: number): void {
-    if (this.#removePending(exchangeId) !== undefined) {
+    if (this.#pending.remove(exchangeId) !== undefined) {
       this.#socket?.send([FRAME.cancel, exchangeId]);
     }
   }
@@ -404,7 +380,7 @@
     const action = this.#silence.check({
       nowMs,
       lastReceivedAtMs: socket.lastReceivedAtMs,
-      hasOpenRequests: this.#pendingReceivers.size > 0,
+      hasOpenRequests: this.#pending.count > 0,
       isRemote: this.#member.dataCentre !== ownRecord.dataCentre,
     });
     if (action === "ping") {
