Keep the wait of a watch after a restore of the store

Reads are exact for 10 s after a restore, and an exact wait was taken for that of a close watch: every daemon would have asked each 1.2 s at full price, for both kinds. The wait now depends on the watch being close. The new test failed before.

--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -189,9 +189,10 @@
   }
 
   async #wait(): Promise<void> {
-    const { kind, source, isStaleKind, isClose } = this.#options;
-    const isStale = (isStaleKind || !isClose()) && this.#mayBeStale();
-    const waitMs = this.#waitMs(isStale);
+    const { kind, source, isStaleKind } = this.#options;
+    const isClose = !isStaleKind && this.#options.isClose();
+    const isStale = !isClose && this.#mayBeStale();
+    const waitMs = this.#waitMs(isClose);
     const page = await source.waitForChanges(kind, {
       revision: this.#revision,
       waitMs,
@@ -241,11 +242,11 @@
     }
   }
 
-  #waitMs(isStale: boolean): number {
+  #waitMs(isClose: boolean): number {
     if (this.#machine.is("catchingUp")) {
       return CATCH_UP_WAIT_MS;
     }
-    return isStale ? WATCH_WAIT_MS : CLOSE_WATCH_WAIT_MS;
+    return isClose ? CLOSE_WATCH_WAIT_MS : WATCH_WAIT_MS;
   }
 }
 
--- a/src/platform/object_watch_test.ts
+++ b/src/platform/object_watch_test.ts
@@ -129,3 +129,16 @@
   await source.answer(page(4, [change(2), change(3), change(4)]));
   assert.deepEqual(emitted, [change(4)]);
 });
+
+// Short exact waits of all daemons would cost the store hundreds of calls.
+test("a watch that is not close waits as long after a restore as before", async (t) => {
+  const { source } = startWatch(t, { isStaleKind: true });
+  await source.answer(page(5));
+  const before = source.waits[0] as WaitOptions;
+  source.era = 2;
+  await source.answer(page(6));
+  await source.answer(page(5, [], 2));
+  const after = source.waits[1] as WaitOptions;
+  assert.deepEqual([before.isStale, after.isStale], [true, false]);
+  assert.equal(after.waitMs, before.waitMs);
+});
