Forget removed objects in a watch

A removed object stayed among the known ones, so each new list reported its removal once more and the memory of a watch grew with each removed member. The new test failed before (three objects were emitted instead of two).

--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -164,11 +164,19 @@
     this.#revision = revision;
     const lastChanges = new Map(objects.map((object) => [object.name, object]));
     for (const object of lastChanges.values()) {
-      this.#known.set(object.name, object);
+      this.#remember(object);
       this.#options.emit(object);
     }
   }
 
+  #remember(object: StoredObject): void {
+    if (object.value === undefined) {
+      this.#known.delete(object.name);
+      return;
+    }
+    this.#known.set(object.name, object);
+  }
+
   async #step(): Promise<void> {
     if (this.#machine.is("listing")) {
       await this.#list();
--- a/src/platform/object_watch_test.ts
+++ b/src/platform/object_watch_test.ts
@@ -142,3 +142,13 @@
   assert.deepEqual([before.isStale, after.isStale], [true, false]);
   assert.equal(after.waitMs, before.waitMs);
 });
+
+test("a removal is not emitted again when the objects are listed again", async (t) => {
+  const { source, emitted } = startWatch(t);
+  const object = { kind: "things", name: "a", version: 1, value: 1 };
+  await source.answer(page(1, [object]));
+  await source.answer(page(2, [{ ...object, value: undefined }]));
+  await source.answer("lost");
+  await source.answer(page(3));
+  assert.equal(emitted.length, 2);
+});
