Stop parsing an answer when its trailers have exceeded the limit

What callers see: while an endpoint sends trailers without end, other requests to it get 502, since the daemon beside it does not answer pings and its links are closed as silent. The HTTP client parses a chunk to its end although it has destroyed the connection, and makes an error with its stack for each trailer beyond its limit: 554 ms in a profile with six such answers.

The client now reads at most 8 KB at once, and nothing from a destroyed socket.

--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -9,6 +9,7 @@
 import { AnswerMemory } from "./answer_memory.ts";
 import { CloseDetector } from "./close_detector.ts";
 import { findHeader, type HeaderNames } from "./header_names.ts";
+import { readInSlices } from "./read_in_slices.ts";
 import {
   readUpstreamSignals,
   type SignalsHandler,
@@ -38,6 +39,18 @@
   readonly slotsCount: number;
 };
 
+const connectUpstream = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/** Connector of undici whose sockets are read in slices. */
+const connectInSlices: buildConnector.connector = (options, callback) =>
+  connectUpstream(options, (...result) => {
+    const [, socket] = result;
+    if (socket !== null) {
+      readInSlices(socket);
+    }
+    callback(...result);
+  });
+
 /** HTTP client for one upstream. */
 export class UpstreamHttpClient {
   readonly #pool: Pool;
@@ -76,9 +89,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: this.#closeDetector.wrapConnector(
-        buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
-      ),
+      connect: this.#closeDetector.wrapConnector(connectInSlices),
     };
     this.#pool = new Pool(origin, poolOptions);
     this.#unsafePool = new Pool(origin, {
