--- a/src/fleet/config_queries.ts
+++ b/src/fleet/config_queries.ts
@@ -16,16 +16,16 @@
 };
 
 /** Newer version that a peer has, and when the peer was last asked for it. */
-type Announcement = { readonly version: number; readonly askedAtMs: number };
+type NewerVersion = { readonly version: number; readonly askedAtMs: number };
 
 /**
- * Remembers which peers have announced a newer configuration, and asks them in
+ * Remembers which peers have a newer configuration, and asks them in
  * turn until it is in force. A query or its answer may be lost with the peer or
- * the connection, and peers announce a version only once.
+ * the connection, and peers tell of a version only once.
  */
 export class ConfigQueries {
   readonly #options: ConfigQueriesOptions;
-  readonly #announcements = new Map<ConfigPeer, Announcement>();
+  readonly #newerVersions = new Map<ConfigPeer, NewerVersion>();
   #queriedAtMs = -Infinity;
 
   /**
@@ -36,19 +36,19 @@
   }
 
   /**
-   * Handles the version that a peer has announced. Asks the peer for it if it is
+   * Handles the version that a peer has sent. Asks the peer for it if it is
    * newer and no query was sent within the last 300 ms.
    *
    * @param version Version of the peer.
    * @param peer Peer that has it.
    * @param nowMs Monotonic time, in ms.
    */
-  announce(version: number, peer: ConfigPeer, nowMs: number): void {
+  noticeVersion(version: number, peer: ConfigPeer, nowMs: number): void {
     if (version <= this.#options.version()) {
       return;
     }
-    const askedAtMs = this.#announcements.get(peer)?.askedAtMs ?? -Infinity;
-    this.#announcements.set(peer, { version, askedAtMs });
+    const askedAtMs = this.#newerVersions.get(peer)?.askedAtMs ?? -Infinity;
+    this.#newerVersions.set(peer, { version, askedAtMs });
     this.#queryWhenDue(nowMs);
   }
 
@@ -60,9 +60,9 @@
    */
   tick(nowMs: number): void {
     const ownVersion = this.#options.version();
-    for (const [peer, { version }] of this.#announcements) {
+    for (const [peer, { version }] of this.#newerVersions) {
       if (version <= ownVersion || !peer.isUp) {
-        this.#announcements.delete(peer);
+        this.#newerVersions.delete(peer);
       }
     }
     this.#queryWhenDue(nowMs);
@@ -72,14 +72,14 @@
     if (nowMs - this.#queriedAtMs < QUERY_INTERVAL_MIN_MS) {
       return;
     }
-    const [next] = [...this.#announcements]
+    const [next] = [...this.#newerVersions]
       .filter(([peer]) => peer.isUp)
       .sort(([, a], [, b]) => a.askedAtMs - b.askedAtMs);
     if (next === undefined) {
       return;
     }
     const [peer, { version }] = next;
-    this.#announcements.set(peer, { version, askedAtMs: nowMs });
+    this.#newerVersions.set(peer, { version, askedAtMs: nowMs });
     this.#queriedAtMs = nowMs;
     this.#options.log.info("Configuration asked for", {
       version,
--- a/src/fleet/config_queries_test.ts
+++ b/src/fleet/config_queries_test.ts
@@ -38,16 +38,16 @@
 test("a newer version is asked for at once, of one peer", () => {
   const { queries } = createQueries();
   const [one, two] = [new FakePeer("one"), new FakePeer("two")];
-  queries.announce(2, one, 0);
-  queries.announce(2, two, 1);
+  queries.noticeVersion(2, one, 0);
+  queries.noticeVersion(2, two, 1);
   assert.deepEqual([one.queriesCount, two.queriesCount], [1, 0]);
 });
 
 test("a query that is lost with its peer is repeated to another peer that announced the version at the same time", () => {
   const { queries, run } = createQueries();
   const [one, two] = [new FakePeer("one"), new FakePeer("two")];
-  queries.announce(2, one, 0);
-  queries.announce(2, two, 1);
+  queries.noticeVersion(2, one, 0);
+  queries.noticeVersion(2, two, 1);
   one.isUp = false;
   run(100, 400);
   assert.equal(two.queriesCount, 1);
@@ -56,8 +56,8 @@
 test("a query on a silent connection is repeated to another peer", () => {
   const { queries, run } = createQueries();
   const [one, two] = [new FakePeer("one"), new FakePeer("two")];
-  queries.announce(2, one, 0);
-  queries.announce(2, two, 1);
+  queries.noticeVersion(2, one, 0);
+  queries.noticeVersion(2, two, 1);
   run(100, 400);
   assert.deepEqual([one.queriesCount, two.queriesCount], [1, 1]);
 });
@@ -65,8 +65,8 @@
 test("the last version of several in quick succession is asked for", () => {
   const { own, queries, run } = createQueries();
   const peer = new FakePeer("one");
-  queries.announce(2, peer, 0);
-  queries.announce(3, peer, 80);
+  queries.noticeVersion(2, peer, 0);
+  queries.noticeVersion(3, peer, 80);
   own.version = 2;
   run(100, 400);
   assert.equal(peer.queriesCount, 2);
@@ -75,7 +75,7 @@
 test("nothing is asked for once the version is in force", () => {
   const { own, queries, run } = createQueries();
   const peer = new FakePeer("one");
-  queries.announce(2, peer, 0);
+  queries.noticeVersion(2, peer, 0);
   own.version = 2;
   run(100, 2_000);
   assert.equal(peer.queriesCount, 1);
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -139,7 +139,7 @@
 
   /** @inheritdoc */
   onConfigVersion(version: number, peer: ConfigPeer): void {
-    this.#configQueries.announce(version, peer, performance.now());
+    this.#configQueries.noticeVersion(version, peer, performance.now());
   }
 
   /** @inheritdoc */
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -4,6 +4,7 @@
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
 import { NullLogger } from "../telemetry/logger.ts";
+import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
 import { LinkServer, type LinkServerHost } from "./link_server.ts";
 import { LinkSocket } from "./link_socket.ts";
 
@@ -13,17 +14,7 @@
   pool: "votes",
   link: { host: "127.0.0.1", port: 1 },
 };
-const STATE: UpstreamState = {
-  upstreamId: "u-1",
-  isServing: true,
-  isStopping: false,
-  limitCount: 10,
-  isCold: false,
-  busyRatio: 0,
-  configVersion: 7,
-  isWatching: false,
-  calls: [],
-};
+const STATE: UpstreamState = { ...UPSTREAM_STATE, configVersion: 7 };
 
 /** Host with version 1 that asks each peer with a newer version for it. */
 function createHost(received: unknown[]): LinkServerHost {
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -4,8 +4,9 @@
 import { listenOn } from "../core/listen_on.ts";
 import { SeededRandom } from "../core/random.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
-import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
+import { FRAME } from "../schemas/link_schema.ts";
 import { NullLogger } from "../telemetry/logger.ts";
+import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import { type LinkHost, PeerLink } from "./peer_link.ts";
 
@@ -16,22 +17,10 @@
   return { name, dataCentre: "a", pool: "plates", link };
 }
 
-const STATE: UpstreamState = {
-  upstreamId: "u-1",
-  isServing: true,
-  isStopping: false,
-  limitCount: 10,
-  isCold: false,
-  busyRatio: 0,
-  configVersion: 1,
-  isWatching: false,
-  calls: [],
-};
-
 function createHost(): LinkHost {
   return {
     ownRecord: memberAt("own", 1),
-    ownState: STATE,
+    ownState: UPSTREAM_STATE,
     configVersion: 1,
     config: { version: 1 },
     onHello: () => {},
@@ -54,7 +43,9 @@
   const server = createServer((socket) => {
     sockets.push(socket);
     socket.on("error", () => {});
-    socket.write(encodeFrame([FRAME.hello, memberAt("two", 1), STATE]));
+    socket.write(
+      encodeFrame([FRAME.hello, memberAt("two", 1), UPSTREAM_STATE]),
+    );
   });
   const { port } = await listenOn(server, { host: "127.0.0.1", port: 0 });
   const link = new PeerLink(memberAt("two", port), {
