Do not end the process when a connection to the upstream is refused

The change that reads answers in slices took the socket of a failed connection as null, while undici passes undefined, so a refused connection ended the daemon with an uncaught TypeError.

--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -39,18 +39,6 @@
   readonly slotsCount: number;
 };
 
-const connectUpstream = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-/** Connector of undici whose sockets are read in slices. */
-const connectInSlices: buildConnector.connector = (options, callback) =>
-  connectUpstream(options, (...result) => {
-    const [, socket] = result;
-    if (socket !== null) {
-      readInSlices(socket);
-    }
-    callback(...result);
-  });
-
 /** HTTP client for one upstream. */
 export class UpstreamHttpClient {
   readonly #pool: Pool;
@@ -89,7 +77,9 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: this.#closeDetector.wrapConnector(connectInSlices),
+      connect: this.#closeDetector.wrapConnector(
+        readInSlices(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
+      ),
     };
     this.#pool = new Pool(origin, poolOptions);
     this.#unsafePool = new Pool(origin, {
