--- a/src/fleet/channel_table_test.ts
+++ b/src/fleet/channel_table_test.ts
@@ -5,6 +5,7 @@
   type UpstreamChannel,
   UpstreamLoad,
 } from "../link/upstream_channel.ts";
+import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
 import { ChannelTable } from "./channel_table.ts";
 
 const POOL = "plates";
@@ -19,17 +20,7 @@
   load.update([0, RUN_MS, 0]);
   return {
     member: { name, dataCentre, pool: POOL, link: { host: "h", port: 1 } },
-    state: {
-      upstreamId: name,
-      isServing: true,
-      isStopping,
-      limitCount: 10,
-      isCold: false,
-      busyRatio: 0,
-      configVersion: 1,
-      isWatching: false,
-      calls: [],
-    },
+    state: { ...UPSTREAM_STATE, upstreamId: name, isStopping },
     isSuspect,
     load,
     send: () => ({ cancel: () => {} }),
