Do not ask a peer for a configuration that is in force already

Found on reading the change again: peers were dropped at the control interval only, so a notice between two intervals could lead to a query to a peer whose version was in force since, and the one with the newer version waited 300 ms more. They are dropped where the next peer is chosen. The new test failed before (the peer with the newer version was asked 0 times).

--- a/src/fleet/config_queries.ts
+++ b/src/fleet/config_queries.ts
@@ -59,12 +59,6 @@
    * @param nowMs Monotonic time, in ms.
    */
   tick(nowMs: number): void {
-    const ownVersion = this.#options.version();
-    for (const [peer, { version }] of this.#newerVersions) {
-      if (version <= ownVersion || !peer.isUp) {
-        this.#newerVersions.delete(peer);
-      }
-    }
     this.#queryWhenDue(nowMs);
   }
 
@@ -72,8 +66,8 @@
     if (nowMs - this.#queriedAtMs < QUERY_INTERVAL_MIN_MS) {
       return;
     }
+    this.#prune();
     const [next] = [...this.#newerVersions]
-      .filter(([peer]) => peer.isUp)
       .sort(([, a], [, b]) => a.askedAtMs - b.askedAtMs);
     if (next === undefined) {
       return;
@@ -88,4 +82,14 @@
     });
     peer.queryConfig();
   }
+
+  /** Forgets peers that are lost or whose version is in force already. */
+  #prune(): void {
+    const ownVersion = this.#options.version();
+    for (const [peer, { version }] of this.#newerVersions) {
+      if (version <= ownVersion || !peer.isUp) {
+        this.#newerVersions.delete(peer);
+      }
+    }
+  }
 }
--- a/src/fleet/config_queries_test.ts
+++ b/src/fleet/config_queries_test.ts
@@ -80,3 +80,13 @@
   run(100, 2_000);
   assert.equal(peer.queriesCount, 1);
 });
+
+test("a peer whose version is in force already is not asked in place of one with a newer version", () => {
+  const { own, queries } = createQueries();
+  const [one, two] = [new FakePeer("one"), new FakePeer("two")];
+  queries.noticeVersion(2, new FakePeer("first"), 0);
+  queries.noticeVersion(2, one, 1);
+  own.version = 2;
+  queries.noticeVersion(3, two, 301);
+  assert.deepEqual([one.queriesCount, two.queriesCount], [0, 1]);
+});
