--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -33,7 +33,6 @@
     error: undefined,
   };
   return new Promise((resolve) => {
-    let timer;
     const end = (error) => {
       if (result.endedMs !== undefined) {
         return;
@@ -43,6 +42,10 @@
       result.error = error?.code ?? error?.message;
       resolve(result);
     };
+    const timer = setTimeout(() => {
+      end(new Error("time budget"));
+      sent.destroy();
+    }, deadlineMs);
     const sent = request({
       ...machine.outbound,
       method,
@@ -76,10 +79,6 @@
       answer.on("close", () => end(new Error("closed")));
     });
     sent.on("error", end);
-    timer = setTimeout(() => {
-      end(new Error("time budget"));
-      sent.destroy();
-    }, deadlineMs);
     sent.end(body);
   });
 }
