--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,126 +1,99 @@
-// Clients read large answers slowly, and a daemon holds more than its memory.
-import { Agent } from "node:http";
-import { spawnSync } from "node:child_process";
-import { createManifest, pause, runCase } from "../lib/deployment.mjs";
+// A daemon is started again; then the endpoint beside it says that it leaves, and
+// its last check-in arrives late.
+import { BOUNDS, createManifest, pause, runCase } from "../lib/deployment.mjs";
 import { send } from "../lib/client.mjs";
 
-/** Memory of a process, `memory_mb` of the site file. */
-const MEMORY_MAX_MB = 350;
-const MEMORY_CHECK_MS = 100;
-const ROUTES = [
-  {
-    host: "press.example",
-    prefix: "/file/",
-    kind: "safe",
-    service: "pressfiles",
-    timeout: "20000ms",
-  },
-  {
-    host: "proof.example",
-    prefix: "/approve/",
-    kind: "unsafe",
-    service: "pressfiles",
-    timeout: "1000ms",
-  },
-];
-const ANSWER_BYTES = 20_000_000;
-const READERS_COUNT = 20;
-const READERS_INTERVAL_MS = 200;
-/** A line of 16 Mbit/s; an answer takes 10 s. */
-const BYTES_PER_S = 2_000_000;
-const TIME_BUDGET_MS = 25_000;
-const APPROVALS_INTERVAL_MS = 20;
+const ROUTES = [{
+  host: "vote.example",
+  prefix: "/cast/",
+  kind: "unsafe",
+  service: "certify",
+  timeout: "1000ms",
+}];
+const ZONE = "dakar-plateau";
+const TIME_BUDGET_MS = 5_000;
 const WORK_MS = 160;
-const KEPT_CONNECTIONS_COUNT = 20;
-/** More than three such requests break the rule. */
-const CUT_MAX_COUNT = 3;
-
-/** Memory of a process in MB; 0 when it has ended. */
-function memoryMb({ pid }) {
-  const { stdout } = spawnSync("ps", ["-o", "rss=", "-p", String(pid)]);
-  return Number(stdout.toString()) / 1_024;
-}
+const INTERVAL_MS = 20;
+const DRAIN_MS = parseInt(BOUNDS.drain);
+const STABILITY_WINDOW_MS = parseInt(BOUNDS.stability_window);
+/** Time from the start of the daemon's process until the endpoint leaves. */
+const LEAVE_AFTER_READY_MS = 500;
+/** Delay of the check-in that the endpoint sent before it left. */
+const LATE_MS = 1_500;
+/** Time for which the endpoint serves after the acknowledgement. */
+const SERVE_AFTER_LEAVE_MS = 8_000;
 
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
   await deployment.start({
     manifest: createManifest(ROUTES),
     machines: [
-      { name: "m-proofs", service: "proofs", slots: 82 },
-      { name: "m-press-1", service: "pressfiles", slots: 82 },
-      { name: "m-press-2", service: "pressfiles", slots: 82 },
+      { name: "m-logbook", service: "logbook", slots: 114, zone: ZONE },
+      { name: "m-certify-1", service: "certify", slots: 189, zone: ZONE },
+      { name: "m-certify-2", service: "certify", slots: 189, zone: ZONE },
     ],
   });
-  const [entry, ...others] = deployment.machines;
-  const body = Buffer.alloc(ANSWER_BYTES, "x");
-  for (const { endpoint } of others) {
-    endpoint.chooseRun = ({ path }) =>
-      path.startsWith("/file/") ? { workMs: 84, body } : { workMs: WORK_MS };
+  const [entry, one, ...others] = deployment.machines;
+  for (const { endpoint } of [one, ...others]) {
+    endpoint.chooseRun = () => ({ workMs: WORK_MS });
   }
-  let peakMb = 0;
-  const platform = setInterval(() => {
-    const nowMb = memoryMb(entry.child);
-    peakMb = Math.max(peakMb, nowMb);
-    if (nowMb > MEMORY_MAX_MB && !entry.child.killed) {
-      deployment.record(
-        `the platform kills the daemon of m-proofs: ${Math.round(nowMb)} MB`,
-      );
-      entry.child.kill("SIGKILL");
-    }
-  }, MEMORY_CHECK_MS);
-  let hasEnded = false;
-  entry.child.once("exit", () => hasEnded = true);
-
-  const agent = new Agent({
-    keepAlive: true,
-    maxSockets: KEPT_CONNECTIONS_COUNT,
-  });
-  const approvals = [];
+  const results = [];
   let isSending = true;
   const sending = (async () => {
-    while (isSending && !hasEnded) {
-      approvals.push(send(entry, {
-        host: "proof.example",
-        path: "/approve/1",
+    while (isSending) {
+      results.push(send(entry, {
+        host: "vote.example",
+        path: "/cast/1",
         method: "POST",
         body: "x".repeat(300),
-        deadlineMs: 6_000,
-        agent,
+        deadlineMs: TIME_BUDGET_MS,
       }));
-      await pause(APPROVALS_INTERVAL_MS);
+      await pause(INTERVAL_MS);
     }
   })();
-  const readers = [];
-  for (let index = 0; index < READERS_COUNT && !hasEnded; index++) {
-    readers.push(send(entry, {
-      host: "press.example",
-      path: "/file/1",
-      deadlineMs: TIME_BUDGET_MS,
-      bytesPerS: hasTrouble ? BYTES_PER_S : Infinity,
-    }));
-    await pause(READERS_INTERVAL_MS);
+  await pause(4_000);
+
+  one.stopHeartbeats();
+  one.child.kill("SIGTERM");
+  await one.exited;
+  one.startDaemon();
+  await deployment.untilReady(one);
+  const startedMs = performance.now();
+  deployment.record("daemon of m-certify-1 is ready again");
+  if (!hasTrouble) {
+    // The same check-in, in time.
+    deployment.record(`check-in: ${await one.heartbeat()}`);
+  }
+  await pause(LEAVE_AFTER_READY_MS);
+  const lateSequence = ++one.sequence;
+  const status = await one.deregister();
+  const leftMs = performance.now();
+  one.endpoint.isLeaving = true;
+  deployment.record(`endpoint ${one.endpoint.id} leaves: answer ${status}`);
+  if (hasTrouble) {
+    await pause(LATE_MS);
+    const late = await one.heartbeat({ sequence: lateSequence });
+    deployment.record(`check-in of before that arrives late: ${late}`);
   }
-  const files = await Promise.all(readers);
+  await pause(SERVE_AFTER_LEAVE_MS - (performance.now() - leftMs));
+  const boundMs = Math.max(leftMs + DRAIN_MS, startedMs + STABILITY_WINDOW_MS);
+  const late = one.endpoint.runs.filter(({ atMs }) => atMs > boundMs);
+  one.endpoint.close();
+  deployment.record(`endpoint ${one.endpoint.id} ends`);
+  await pause(500);
   isSending = false;
   await sending;
-  const answers = await Promise.all(approvals);
-  clearInterval(platform);
-  agent.destroy();
-  deployment.recordResults([...files, ...answers]);
-  const ranIds = new Set(
-    others.flatMap(({ endpoint }) =>
-      endpoint.runs.map(({ requestId }) => requestId)
-    ),
-  );
-  const cut = answers.filter(({ id, status }) =>
-    status === 0 && ranIds.has(id)
+  const answers = await Promise.all(results);
+  deployment.recordResults(answers);
+  const lost = one.endpoint.runs.filter(({ outcome }) => outcome === "dropped");
+  const statuses = lost.map(({ requestId }) =>
+    answers.find(({ id }) => id === requestId)?.status
   );
   deployment.record(
-    `${files.filter(({ isComplete }) => isComplete).length} of ` +
-      `${files.length} files arrived; peak memory ${Math.round(peakMb)} MB`,
+    `${late.length} requests reached the endpoint later than ${DRAIN_MS} ms ` +
+      "after the acknowledgement, and after its daemon was in touch again",
   );
   deployment.record(
-    `${answers.length} approvals on kept connections; ${cut.length} were passed ` +
-      "on to a sound endpoint and their connection ended without an answer",
+    `${lost.length} were running when it ended; their answers: ${statuses}`,
   );
-  return cut.length > CUT_MAX_COUNT;
+  return status === 200 && late.length > 0;
 });
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -23,7 +23,7 @@
     agent = new Agent({ keepAlive: false }),
   } = options;
   const result = {
-    id: randomBytes(8).toString("hex"),
+    id: options.id ?? randomBytes(8).toString("hex"),
     status: 0,
     bytes: 0,
     isComplete: false,
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -90,6 +90,7 @@
     this.ip = ip;
     this.slots = slots;
     this.endpoint = new Endpoint({ id: `i-${name}`, service, slots });
+    this.endpoint.outbound = this.outbound;
     this.born = Date.now();
     this.sequence = 0;
     this.heartbeats = undefined;
--- a/review/lib/endpoint.mjs
+++ b/review/lib/endpoint.mjs
@@ -1,6 +1,7 @@
 // Stand-in for an application endpoint, as PROTOCOL.md describes one.
 import { createServer } from "node:http";
 import { randomBytes } from "node:crypto";
+import { send } from "./client.mjs";
 
 const RUN_DEFAULT = { workMs: 5, body: "the endpoint's bytes" };
 
@@ -13,6 +14,8 @@
     this.runs = [];
     this.runningCount = 0;
     this.isLeaving = false;
+    /** Address for the calls of its runs. */
+    this.outbound = undefined;
     /** Chooses work time, body and added headers of the answer to a request. */
     this.chooseRun = () => RUN_DEFAULT;
     this.sockets = new Set();
@@ -73,14 +76,19 @@
     this.runs.push(run);
     this.runningCount++;
     const plan = { ...RUN_DEFAULT, ...this.chooseRun(run) };
-    const timer = setTimeout(() => {
-      run.outcome = "answered";
+    const deadlineMs = performance.now() + Number(headers["deadline-ms"]);
+    const timer = setTimeout(async () => {
+      const hasCalls = await this.#makeCalls(run, plan.calls, deadlineMs);
+      if (run.outcome !== "running") {
+        return;
+      }
+      run.outcome = hasCalls ? "answered" : "failed";
       this.runningCount--;
-      this.#answer(response, 200, {
+      this.#answer(response, hasCalls ? 200 : 500, {
         "attempt-id": run.requestId,
         "server-seal": `${randomBytes(4).toString("hex")}.${this.id}`,
         ...plan.headers,
-      }, plan.body);
+      }, hasCalls ? plan.body : "");
     }, plan.workMs);
     response.once("close", () => {
       if (run.outcome === "running") {
@@ -91,6 +99,26 @@
     });
   }
 
+  /**
+   * Makes the calls of a run through the daemon beside the endpoint, at the same
+   * time. Resolves with whether all of them succeeded.
+   */
+  async #makeCalls({ requestId }, calls = [], deadlineMs) {
+    const answers = await Promise.all(
+      calls.map(({ host, path }) =>
+        send({ outbound: this.outbound }, {
+          id: `${requestId}.${randomBytes(8).toString("hex")}`,
+          host,
+          path,
+          deadlineMs: Math.max(1, Math.floor(deadlineMs - performance.now())),
+        })
+      ),
+    );
+    return answers.every(({ status, isComplete }) =>
+      status === 200 && isComplete
+    );
+  }
+
   #answer(response, status, headers, body) {
     response.writeHead(status, {
       "server-load": `${this.runningCount},0,${this.slots}`,
