--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,6 +1,6 @@
-// An endpoint fails a part of its requests after it has worked on them, with 503
-// and without Not-Executed.
-import { createManifest, pause, runCase } from "../lib/deployment.mjs";
+// A daemon is started again; then the endpoint beside it says that it leaves, and
+// its last check-in arrives late.
+import { BOUNDS, createManifest, pause, runCase } from "../lib/deployment.mjs";
 import { send } from "../lib/client.mjs";
 
 const ROUTES = [{
@@ -13,32 +13,15 @@
 const ZONE = "dakar-plateau";
 const TIME_BUDGET_MS = 5_000;
 const WORK_MS = 160;
-const DURATION_MS = 14_000;
-const INTERVAL_MS = 1_000 / 93;
-/** As in the site file: 0.45 of the requests, for 6.5 s. */
-const FAILED_RATIO = 0.45;
-const FAILED_FROM_MS = 3_000;
-const FAILED_FOR_MS = 6_500;
-/** Statuses that promise that a request has not run and never will. */
-const PROMISES = [408, 421, 429, 503];
-
-/** Sends one vote, and once more after a promise, as the site's clients do. */
-async function vote(machine, number) {
-  const cast = () =>
-    send(machine, {
-      host: "vote.example",
-      path: `/cast/${number}`,
-      method: "POST",
-      body: "x".repeat(300),
-      deadlineMs: TIME_BUDGET_MS,
-    });
-  const first = await cast();
-  if (!PROMISES.includes(first.status)) {
-    return [first];
-  }
-  await pause(Number(first.headers["retry-after"] ?? 0) * 1_000);
-  return [first, await cast()];
-}
+const INTERVAL_MS = 20;
+const DRAIN_MS = parseInt(BOUNDS.drain);
+const STABILITY_WINDOW_MS = parseInt(BOUNDS.stability_window);
+/** Time from the start of the daemon's process until the endpoint leaves. */
+const LEAVE_AFTER_READY_MS = 500;
+/** Delay of the check-in that the endpoint sent before it left. */
+const LATE_MS = 1_500;
+/** Time for which the endpoint serves after the acknowledgement. */
+const SERVE_AFTER_LEAVE_MS = 8_000;
 
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
   await deployment.start({
@@ -49,38 +32,68 @@
       { name: "m-certify-2", service: "certify", slots: 189, zone: ZONE },
     ],
   });
-  const [entry, grey, other] = deployment.machines;
-  const startMs = performance.now();
-  const fromMs = startMs + FAILED_FROM_MS;
-  grey.endpoint.chooseRun = ({ atMs }) => ({
-    workMs: WORK_MS,
-    status: hasTrouble && atMs >= fromMs && atMs < fromMs + FAILED_FOR_MS &&
-        Math.random() < FAILED_RATIO
-      ? 503
-      : 200,
-  });
-  other.endpoint.chooseRun = () => ({ workMs: WORK_MS });
-  const votes = [];
-  while (performance.now() < startMs + DURATION_MS) {
-    votes.push(vote(entry, votes.length));
-    await pause(startMs + votes.length * INTERVAL_MS - performance.now());
+  const [entry, one, ...others] = deployment.machines;
+  for (const { endpoint } of [one, ...others]) {
+    endpoint.chooseRun = () => ({ workMs: WORK_MS });
   }
-  const results = await Promise.all(votes);
-  deployment.recordResults(results.flat());
-  const runs = deployment.machines.flatMap(({ endpoint }) => endpoint.runs);
-  const ranIds = new Set(runs.map(({ requestId }) => requestId));
-  const broken = results.flat().filter(({ id, status }) =>
-    PROMISES.includes(status) && ranIds.has(id)
-  );
-  const twice = results.filter((attempts) =>
-    attempts.filter(({ id }) => ranIds.has(id)).length > 1
+  const results = [];
+  let isSending = true;
+  const sending = (async () => {
+    while (isSending) {
+      results.push(send(entry, {
+        host: "vote.example",
+        path: "/cast/1",
+        method: "POST",
+        body: "x".repeat(300),
+        deadlineMs: TIME_BUDGET_MS,
+      }));
+      await pause(INTERVAL_MS);
+    }
+  })();
+  await pause(4_000);
+
+  one.stopHeartbeats();
+  one.child.kill("SIGTERM");
+  await one.exited;
+  one.startDaemon();
+  await deployment.untilReady(one);
+  const startedMs = performance.now();
+  deployment.record("daemon of m-certify-1 is ready again");
+  if (!hasTrouble) {
+    // The same check-in, in time.
+    deployment.record(`check-in: ${await one.heartbeat()}`);
+  }
+  await pause(LEAVE_AFTER_READY_MS);
+  const lateSequence = ++one.sequence;
+  const status = await one.deregister();
+  const leftMs = performance.now();
+  one.endpoint.isLeaving = true;
+  deployment.record(`endpoint ${one.endpoint.id} leaves: answer ${status}`);
+  if (hasTrouble) {
+    await pause(LATE_MS);
+    const late = await one.heartbeat({ sequence: lateSequence });
+    deployment.record(`check-in of before that arrives late: ${late}`);
+  }
+  await pause(SERVE_AFTER_LEAVE_MS - (performance.now() - leftMs));
+  const boundMs = Math.max(leftMs + DRAIN_MS, startedMs + STABILITY_WINDOW_MS);
+  const late = one.endpoint.runs.filter(({ atMs }) => atMs > boundMs);
+  one.endpoint.close();
+  deployment.record(`endpoint ${one.endpoint.id} ends`);
+  await pause(500);
+  isSending = false;
+  await sending;
+  const answers = await Promise.all(results);
+  deployment.recordResults(answers);
+  const lost = one.endpoint.runs.filter(({ outcome }) => outcome === "dropped");
+  const statuses = lost.map(({ requestId }) =>
+    answers.find(({ id }) => id === requestId)?.status
   );
   deployment.record(
-    `${results.length} votes; ${broken.length} requests were answered with a ` +
-      "promise that they have not run, and had run",
+    `${late.length} requests reached the endpoint later than ${DRAIN_MS} ms ` +
+      "after the acknowledgement, and after its daemon was in touch again",
   );
   deployment.record(
-    `${twice.length} votes were cast twice, because their clients trusted it`,
+    `${lost.length} were running when it ended; their answers: ${statuses}`,
   );
-  return broken.length > 0;
+  return status === 200 && late.length > 0;
 });
