--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -391,7 +391,7 @@
  *   broken.
  */
 export async function runCase(folder, play) {
-  const deployment = new Deployment(join(folder, "record.txt"));
+  const deployment = new Deployment(join(folder, "record-part.txt"));
   const hasTrouble = process.env.TROUBLE !== "0";
   let code = EXIT.couldNotRun;
   process.once("exit", () => deployment.kill());
