--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,6 @@
 // A daemon gets SIGTERM while its clients read large answers.
-import { createManifest, pause, runCase } from "../lib/deployment.mjs";
-import { send } from "../lib/client.mjs";
+import { createManifest, pause, runCase } from "../deployment.mjs";
+import { send } from "../client.mjs";
 
 const ROUTE_TIMEOUT_MS = 20_000;
 const TIME_BUDGET_MS = 25_000;
@@ -19,7 +19,10 @@
 const BYTES_PER_S = 5_000_000;
 const TERM_AFTER_MS = 1_500;
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+/** Half of the time for a case, which has two programs. */
+const DURATION_MAX_MS = 55_000;
+
+await runCase(async (deployment, hasTrouble) => {
   await deployment.start({
     manifest: createManifest(ROUTES),
     machines: [
@@ -63,4 +66,4 @@
       `by their endpoints; ${cut.length} without a complete answer`,
   );
   return cut.length > 0;
-});
+}, { durationMaxMs: DURATION_MAX_MS });
--- a/review/4/late.mjs
+++ b/review/4/late.mjs
@@ -1,7 +1,7 @@
 // Clients send votes throughout the grace period of a daemon; endpoints call the
 // same route.
-import { createManifest, pause, runCase } from "../lib/deployment.mjs";
-import { send } from "../lib/client.mjs";
+import { createManifest, pause, runCase } from "../deployment.mjs";
+import { send } from "../client.mjs";
 
 const route = (host, service, kind) => ({
   host,
@@ -22,7 +22,10 @@
 const AFTER_MS = 8_000;
 const CLOSE_MS = 3_000;
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+/** Half of the time for a case, which has two programs. */
+const DURATION_MAX_MS = 55_000;
+
+await runCase(async (deployment, hasTrouble) => {
   await deployment.start({
     manifest: createManifest(ROUTES),
     machines: [
@@ -73,8 +76,7 @@
     await pause(5);
   }
   const answers = await Promise.all(votes);
-  await Promise.all(postures);
-  deployment.recordResults(answers);
+  deployment.recordResults([...await Promise.all(postures), ...answers]);
   const ranIds = new Set(
     certify.flatMap(({ endpoint }) =>
       endpoint.runs.map(({ requestId }) => requestId)
@@ -94,4 +96,4 @@
       "ended without an answer",
   );
   return cut.length > 0;
-});
+}, { durationMaxMs: DURATION_MAX_MS });
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,7 +1,7 @@
 // A daemon is started again; then the endpoint beside it says that it leaves, and
 // its last check-in arrives late.
-import { BOUNDS, createManifest, pause, runCase } from "../lib/deployment.mjs";
-import { send } from "../lib/client.mjs";
+import { BOUNDS, createManifest, pause, runCase } from "../deployment.mjs";
+import { send } from "../client.mjs";
 
 const ROUTES = [{
   host: "vote.example",
@@ -23,7 +23,7 @@
 /** Time for which the endpoint serves after the acknowledgement. */
 const SERVE_AFTER_LEAVE_MS = 8_000;
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+await runCase(async (deployment, hasTrouble) => {
   await deployment.start({
     manifest: createManifest(ROUTES),
     machines: [
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -14,7 +14,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { StoreStandIn } from "../../dist/platform/testing/store_stand_in.js";
+import { StoreStandIn } from "../dist/platform/testing/store_stand_in.js";
 import { describe } from "./client.mjs";
 import { Endpoint } from "./endpoint.mjs";
 
@@ -39,7 +39,6 @@
 const HEARTBEAT_MS = 1_500;
 const READY_MAX_MS = 20_000;
 const DURATION_MAX_MS = 110_000;
-const SUMMARY_LINES_COUNT = 8;
 const ZONES = ["dakar-plateau", "thies-nord", "zig-centre"];
 
 export const pause = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -226,10 +225,8 @@
 
 /** Store, machines and the record of one run. */
 export class Deployment {
-  constructor(recordFile) {
-    this.recordFile = recordFile;
+  constructor() {
     this.lines = [];
-    this.summary = [];
     this.startedMs = performance.now();
     this.machines = [];
     this.store = new StoreStandIn();
@@ -240,7 +237,6 @@
   record(line) {
     const ms = Math.round(performance.now() - this.startedMs);
     this.lines.push(`${String(ms).padStart(6)} ${line}`);
-    this.summary.push(this.lines.at(-1));
   }
 
   /** Adds a line for each request that was sent, with its answer. */
@@ -314,7 +310,7 @@
     }
   }
 
-  /** Ends all processes that this run started, and writes the record. */
+  /** Ends all processes that this run started. */
   async stop() {
     for (const machine of this.machines) {
       machine.stopHeartbeats();
@@ -324,7 +320,6 @@
     }
     this.store.close();
     rmSync(this.folder, { recursive: true, force: true });
-    writeFileSync(this.recordFile, `${this.lines.join("\n")}\n`);
   }
 
   /** Finds three bytes of a loopback network whose ports are free. */
@@ -384,37 +379,42 @@
 const EXIT = { broken: 10, held: 0, couldNotRun: 2 };
 
 /**
- * Runs a case and exits with a code of {@link EXIT}.
+ * Runs a case, prints its record, and exits with a code of {@link EXIT}. The first
+ * parameter of the program is `trouble` or `calm`; the latter leaves the disruption
+ * out.
  *
- * @param folder Folder of the case.
- * @param play Plays the case on a deployment; resolves with whether the rule was
- *   broken.
+ * @param play Plays the case on a deployment, with or without the disruption;
+ *   resolves with whether the rule was broken.
+ * @param options Time after which the case is given up, in ms.
  */
-export async function runCase(folder, play) {
-  const deployment = new Deployment(join(folder, "record-part.txt"));
-  const hasTrouble = process.env.TROUBLE !== "0";
+export async function runCase(play, { durationMaxMs = DURATION_MAX_MS } = {}) {
+  const mode = process.argv[2];
+  if (mode !== "trouble" && mode !== "calm") {
+    console.error("The parameter must be trouble or calm");
+    process.exit(EXIT.couldNotRun);
+  }
+  const deployment = new Deployment();
   let code = EXIT.couldNotRun;
   process.once("exit", () => deployment.kill());
   for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
     process.once(signal, () => process.exit(EXIT.couldNotRun));
   }
   const limit = setTimeout(() => {
-    console.error("The case took too long");
+    deployment.record("the case took too long");
+    console.log(deployment.lines.join("\n"));
     process.exit(EXIT.couldNotRun);
-  }, DURATION_MAX_MS);
+  }, durationMaxMs);
   try {
-    deployment.record(`trouble: ${hasTrouble}`);
-    const isBroken = await play(deployment, hasTrouble);
+    deployment.record(`mode: ${mode}`);
+    const isBroken = await play(deployment, mode === "trouble");
     deployment.recordRuns();
     code = isBroken ? EXIT.broken : EXIT.held;
     deployment.record(isBroken ? "the rule was broken" : "the rule held");
   } catch (error) {
     deployment.record(`the case could not run: ${error.stack}`);
-    console.error(error);
   }
-  const summary = deployment.summary.slice(-SUMMARY_LINES_COUNT);
   await deployment.stop();
-  console.log(summary.join("\n"));
   clearTimeout(limit);
+  console.log(deployment.lines.join("\n"));
   process.exit(code);
 }
