Do not cut answers that callers are reading in a planned stop

Cause: while it stops, a daemon closes idle connections every 100 ms. `closeIdleConnections` of Node.js takes a connection for idle as soon as `end()` of its answer was called, and the listener called `end()` together with the whole body. What did not fit into the buffers of the operating system was cut. Ruled out: the end of the process, which waits for the `close` event of each response and came later.

Now the listener writes the body and calls `end()` when the operating system has taken all of it, so a connection is idle only then.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -121,7 +121,10 @@
     this.#isStopping = true;
   }
 
-  /** Closes the connections without an open request. */
+  /**
+   * Closes the connections without an open request, which lasts until its answer
+   * is written.
+   */
   closeIdle(): void {
     this.#server.closeIdleConnections();
   }
@@ -236,7 +239,7 @@
       status,
       isBodyless ? [...headers] : [...headers, "content-length", length],
     );
-    response.end(body ?? undefined);
+    endAfterBody(response, body);
   }
 
   /** @inheritdoc */
@@ -253,8 +256,24 @@
       headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
     }
     response.writeHead(status, headers);
-    response.end(message);
+    endAfterBody(response, message);
+  }
+}
+
+/**
+ * Writes the body of a response, and ends the response when the operating system
+ * has taken all of it. After `end`, Node.js takes the connection for an idle one
+ * although bytes are still to be written, and `closeIdleConnections` cuts them.
+ */
+function endAfterBody(
+  response: ServerResponse,
+  body: Uint8Array | string | null,
+): void {
+  if (body === null || body.length === 0) {
+    response.end();
+    return;
   }
+  response.write(body, () => response.end());
 }
 
 /**
