Wait in a planned stop until answers to peers are written

Callers at other daemons got a 502 for requests that had run: a daemon that had got SIGTERM ended 0.2 s after its last request, and closed the links on which large answers were still to be written.

A stopping daemon now counts a peer to which frames are to be written as open. The grace period bounds this as it bounds requests.

--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -244,7 +244,8 @@
     return new StopSequence({
       lifecycle: this.#lifecycle,
       stopGraceMs: this.#settings.stopGraceMs,
-      openCount: () => this.#openCount,
+      // An answer to a peer is open until it is written.
+      openCount: () => this.#openCount + this.#linkServer.unsentCount,
       closeIdle: () => this.#outboundListener.closeIdle(),
       refuseNew: () => {
         this.#gate.stop();
--- a/src/fleet/stop_sequence.ts
+++ b/src/fleet/stop_sequence.ts
@@ -23,7 +23,10 @@
   lifecycle: FleetDaemonLifecycle;
   /** Time from SIGTERM until the platform kills the process, in ms. */
   stopGraceMs: number;
-  /** Number of open requests, of callers and at the local upstream. */
+  /**
+   * Number of open requests, of callers and at the local upstream, and of peers
+   * to which answers are still to be written.
+   */
   openCount: () => number;
   /** Closes the connections of callers without an open request. */
   closeIdle: () => void;
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -250,6 +250,11 @@
     this.#broadcast([FRAME.members, [record]]);
   }
 
+  /** Number of connected peers to which frames are still to be written. */
+  get unsentCount(): number {
+    return [...this.#links].filter(({ socket }) => socket.hasUnsent).length;
+  }
+
   /** Number of connected peers. */
   get linksCount(): number {
     return this.#links.size;
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -62,6 +62,12 @@
     }
   }
 
+  /** Whether the operating system has not taken all frames yet. */
+  get hasUnsent(): boolean {
+    return !this.#isClosed &&
+      (this.#unsent.length > 0 || this.#socket.writableLength > 0);
+  }
+
   /**
    * Closes the connection and discards frames that have not been written.
    *
