Refuse requests of callers late in a planned stop, also on called routes

Cause: from 3 s after SIGTERM a daemon refuses requests, but not downstream calls, and a request of any route that some endpoint of the deployment calls counted as a call. That is right for admission, where a refused call loses the work of its parent, but it is no sign that this request has a parent.

While it refuses, a daemon now takes a request for a call only if the upstream beside it runs the parent: its id names the parent, or its deadline matches that of a running request whose route calls this one or may call it. Every parent runs beside the daemon that gets its calls, so a call is still found.

--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -239,6 +239,17 @@
     return sum;
   }
 
+  /**
+   * Returns whether requests of a route call another route.
+   *
+   * @param routeName Route that may call.
+   * @param called Route that may be called.
+   * @returns True when some daemon has observed such calls.
+   */
+  calls(routeName: string, called: string): boolean {
+    return this.#edges().get(routeName)?.has(called) ?? false;
+  }
+
   /**
    * Returns whether a route is called by another one.
    *
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -42,6 +42,13 @@
   exchange: ExchangeParts;
 };
 
+/** Running request that makes a downstream call. */
+type CallParent = {
+  readonly served: ServedRequest;
+  /** Whether the id of the call names it; otherwise their deadlines match. */
+  readonly isNamed: boolean;
+};
+
 /** Handles the requests of the outbound listener. */
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
@@ -58,8 +65,8 @@
   }
 
   /**
-   * From now on, refuses new requests, but not the downstream calls of running
-   * ones.
+   * From now on, refuses new requests, but not the downstream calls of requests
+   * that run at the local upstream.
    */
   stop(): void {
     this.#isStopped = true;
@@ -77,15 +84,16 @@
     if (route === undefined) {
       return this.#refuse(received, "no_route", answerSender);
     }
-    const request = this.#createRequest(
-      received,
+    const parent = this.#findParent(received);
+    if (this.#isStopped && !this.#isCallOf(parent, route)) {
+      return this.#refuse(received, "draining", answerSender);
+    }
+    const request = this.#createRequest(received, {
       route,
-      routes.choosePool(route),
-    );
+      pool: routes.choosePool(route),
+      parent,
+    });
     if (!request.isCall) {
-      if (this.#isStopped) {
-        return this.#refuse(received, "draining", answerSender);
-      }
       const refusingPool = this.#parts.admission.findRefusingPool(route);
       if (refusingPool !== undefined) {
         return this.#refuse(received, "shed", answerSender, {
@@ -114,31 +122,69 @@
       : FAULT_RETRY_MS;
   }
 
+  /** Time that the caller waits for the answer, in ms. */
+  #callerTimeoutMs({ message }: ReceivedRequest): number {
+    const timeoutMs = Number(
+      message.headers[this.#parts.names.deadlineMs] ?? Infinity,
+    );
+    return Number.isFinite(timeoutMs) ? timeoutMs : Infinity;
+  }
+
+  #requestId({ message }: ReceivedRequest): string {
+    return String(message.headers[this.#parts.names.requestId] ?? "");
+  }
+
+  /** Finds the request at the local upstream that makes a call. */
+  #findParent(received: ReceivedRequest): CallParent | undefined {
+    const { gate, decodeParentId } = this.#parts;
+    const named = gate.findRunning(decodeParentId(this.#requestId(received)));
+    if (named !== undefined) {
+      return { served: named, isNamed: true };
+    }
+    const served = gate.findParent(
+      received.arrivedAtMs + this.#callerTimeoutMs(received),
+    );
+    return served && { served, isNamed: false };
+  }
+
+  /**
+   * Returns whether a request is a downstream call of this parent. A matching
+   * deadline is sufficient only if the parent's route calls that of the request,
+   * or may call it. That other endpoints call the route is not sufficient,
+   * because callers send requests of called routes, too.
+   */
+  #isCallOf(parent: CallParent | undefined, route: FleetRoute): boolean {
+    if (parent === undefined || parent.isNamed) {
+      return parent !== undefined;
+    }
+    const { graph, observer } = this.#parts;
+    const { routeName } = parent.served.request;
+    return graph.calls(routeName, route.name) ||
+      !observer.hasEnoughRuns(routeName);
+  }
+
   #createRequest(
-    { message, body, arrivedAtMs }: ReceivedRequest,
-    route: FleetRoute,
-    pool: string,
+    received: ReceivedRequest,
+    { route, pool, parent }: {
+      route: FleetRoute;
+      pool: string;
+      parent: CallParent | undefined;
+    },
   ): RoutedRequest {
-    const { names, gate, decodeParentId } = this.#parts;
-    const deadlineHeaderMs = Number(
-      message.headers[names.deadlineMs] ?? Infinity,
+    const { message, body, arrivedAtMs } = received;
+    const timeoutMs = Math.min(
+      this.#callerTimeoutMs(received),
+      route.timeoutMs,
     );
-    const callerTimeoutMs = Number.isFinite(deadlineHeaderMs)
-      ? deadlineHeaderMs
-      : Infinity;
-    const requestId = String(message.headers[names.requestId] ?? "");
-    const namedParent = gate.findRunning(decodeParentId(requestId));
-    const parent = namedParent ??
-      gate.findParent(arrivedAtMs + callerTimeoutMs);
-    parent?.calledRouteNames.push(route.name);
+    parent?.served.calledRouteNames.push(route.name);
     this.#parts.observer.recordReceived(route.name, parent !== undefined);
-    const isCall = namedParent !== undefined || this.#isCall(route, parent);
+    const isCall = this.#isCall(route, parent);
     // A downstream call inherits the latency goal of the request that makes it.
     // Queues are ordered by goal, so requests that have been running longest
     // are completed first.
-    const inheritedGoalAtMs = isCall ? parent?.goalAtMs : undefined;
+    const inheritedGoalAtMs = isCall ? parent?.served.goalAtMs : undefined;
     return {
-      requestId,
+      requestId: this.#requestId(received),
       method: message.method ?? "GET",
       path: message.url ?? "/",
       headers: copyEndToEndHeaders(message.rawHeaders, this.#droppedHeaders),
@@ -146,25 +192,26 @@
       route,
       pool,
       arrivedAtMs,
-      expiresAtMs: arrivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs),
+      expiresAtMs: arrivedAtMs + timeoutMs,
       goalAtMs: inheritedGoalAtMs ?? arrivedAtMs + route.latencyGoalMs,
       isCall,
     };
   }
 
   /**
-   * Returns whether a request whose id names no running request is a downstream
-   * call. A request of a route that is known to be called, here or by others,
-   * always counts as one. So does a request whose deadline matches that of a
-   * running request, its parent, until enough runs of the parent's route have
+   * Returns whether a request is treated as a downstream call. One whose id names
+   * a running request is, and one of a route that is known to be called, here or
+   * by others. So is a request whose deadline matches that of a running request,
+   * its parent, until enough runs of the parent's route have
    * been observed. After that, the deadline is not sufficient, because a caller's
    * request may have the same one by chance.
    */
-  #isCall(route: FleetRoute, parent: ServedRequest | undefined): boolean {
+  #isCall(route: FleetRoute, parent: CallParent | undefined): boolean {
     const { graph, observer } = this.#parts;
-    return graph.isCalled(route.name) || observer.isCalled(route.name) ||
+    return parent?.isNamed === true || graph.isCalled(route.name) ||
+      observer.isCalled(route.name) ||
       (parent !== undefined &&
-        !observer.hasEnoughRuns(parent.request.routeName));
+        !observer.hasEnoughRuns(parent.served.request.routeName));
   }
 
   #refuse(
@@ -173,9 +220,9 @@
     answerSender: AnswerSender,
     cause?: { request: RoutedRequest; refusingPool: string },
   ): () => void {
-    const { names, exchange, admission, config } = this.#parts;
-    const { headers, url } = received.message;
-    exchange.decisions.record("refused", String(headers[names.requestId]), {
+    const { exchange, admission, config } = this.#parts;
+    const { url } = received.message;
+    exchange.decisions.record("refused", this.#requestId(received), {
       kind,
       path: url,
       route: cause?.request.route.name,
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -25,6 +25,7 @@
   parent: { goalAtMs: number } | undefined,
   observer = new CallObserver(),
   namedParent?: { goalAtMs: number },
+  graph = { isCalled: (_: string) => false, calls: () => false },
 ) {
   const sent: ForwardedRequest[] = [];
   const channel = {
@@ -59,7 +60,7 @@
         },
     },
     observer,
-    graph: { isCalled: () => false },
+    graph,
     admission: { findRefusingPool: ignore },
     exchange: {
       channels: { choose: () => channel },
@@ -87,6 +88,18 @@
   return { receive, sent, failures, stop: () => service.stop() };
 }
 
+/** Observes runs of the parent's route, which calls the route `called`. */
+function observeRuns(): CallObserver {
+  const observer = new CallObserver();
+  for (let run = 0; run < 10; run++) {
+    observer.recordRun(PARENT_ROUTE, {
+      calledRouteNames: ["called"],
+      isSuccessful: true,
+    });
+  }
+  return observer;
+}
+
 // With latency goals of their own, calls of new requests would overtake calls
 // of older requests until the older requests miss their deadlines.
 test("a downstream call has the latency goal of the request that makes it", () => {
@@ -104,15 +117,8 @@
 // latency goal, wait behind requests with nearer goals, and could not be
 // refused.
 test("a request of a route that the running request never calls is not treated as a downstream call", () => {
-  const observer = new CallObserver();
-  for (let run = 0; run < 10; run++) {
-    observer.recordRun(PARENT_ROUTE, {
-      calledRouteNames: ["called"],
-      isSuccessful: true,
-    });
-  }
   const goalAtMs = performance.now() + 1_200;
-  const { receive, sent } = createService({ goalAtMs }, observer);
+  const { receive, sent } = createService({ goalAtMs }, observeRuns());
   receive();
   const [request] = sent as [ForwardedRequest];
   assert.ok(request.goalRemainingMs <= ROUTE.latencyGoalMs);
@@ -156,3 +162,45 @@
   upstream.receive();
   assert.equal(upstream.sent.length, 1);
 });
+
+/** Graph in which the route of the tests is called, by the parent's route too. */
+const CALLED_GRAPH = { isCalled: () => true, calls: () => true };
+
+// Guards against requests of callers that are accepted late in a planned stop
+// because endpoints call their route, and cut at its end.
+test("after the stop, a request of a called route is refused unless it is the call of a running request", () => {
+  const caller = createService(
+    undefined,
+    new CallObserver(),
+    undefined,
+    CALLED_GRAPH,
+  );
+  caller.stop();
+  caller.receive();
+  assert.deepEqual(caller.failures, ["draining"]);
+  assert.deepEqual(caller.sent, []);
+
+  const goalAtMs = performance.now() + 1_200;
+  const upstream = createService(
+    { goalAtMs },
+    observeRuns(),
+    undefined,
+    CALLED_GRAPH,
+  );
+  upstream.stop();
+  upstream.receive();
+  assert.equal(upstream.sent.length, 1);
+});
+
+// A caller's request may have the deadline of a running request by chance.
+test("after the stop, a request with the deadline of a request that never calls its route is refused", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const caller = createService({ goalAtMs }, observeRuns(), undefined, {
+    ...CALLED_GRAPH,
+    calls: () => false,
+  });
+  caller.stop();
+  caller.receive();
+  assert.deepEqual(caller.failures, ["draining"]);
+  assert.deepEqual(caller.sent, []);
+});
