Refuse late calls that cannot end before a stopping daemon does

A call taken just before is cut while its upstream runs it, and its parent loses its answer, too.

The refusal says truthfully that it has not run, and the upstream of the parent can still answer.

The test fails with the check taken out.

--- a/src/fleet/channel_table.ts
+++ b/src/fleet/channel_table.ts
@@ -137,6 +137,25 @@
     }
   }
 
+  /**
+   * Returns the run time of a route at the upstream of a pool that takes longest.
+   *
+   * @param pool Name of the pool.
+   * @param routeName Route of the requests.
+   * @returns Mean time at that upstream, in ms; 0 when none is known.
+   */
+  longestRunMs(pool: string, routeName: string): number {
+    let longestMs = 0;
+    for (const channel of this.channelsOf(pool)) {
+      longestMs = Math.max(longestMs, this.#routeRunMs(channel, routeName));
+    }
+    return longestMs;
+  }
+
+  #routeRunMs(channel: UpstreamChannel, routeName: string): number {
+    return this.#runTimes.get(channel)?.get(routeName)?.value ?? 0;
+  }
+
   #candidateOf(
     channel: UpstreamChannel,
     routeName: string,
@@ -148,7 +167,7 @@
       limitCount: state?.limitCount ?? 0,
       openCount: load.estimatedCount,
       meanRunMs: load.meanRunMs,
-      routeRunMs: this.#runTimes.get(channel)?.get(routeName)?.value ?? 0,
+      routeRunMs: this.#routeRunMs(channel, routeName),
       failureRatio: load.failureRatio,
     };
   }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -247,9 +247,9 @@
       // An answer to a peer is open until it is written.
       openCount: () => this.#openCount + this.#linkServer.unsentCount,
       closeIdle: () => this.#outboundListener.closeIdle(),
-      refuseNew: () => {
+      refuseNew: (endsAtMs) => {
         this.#gate.stop();
-        this.#outboundService.stop();
+        this.#outboundService.stop(endsAtMs);
         this.#publisher.publish();
       },
     });
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -22,6 +22,11 @@
 const OVERLOAD_RETRY_JITTER_MAX_MS = 900;
 /** Time until a caller should retry a request after a transient fault. */
 const FAULT_RETRY_MS = 250;
+/**
+ * Mean run times that must be left until the end of the process for a call to be
+ * taken. The mean does not include waiting, and half of the runs take longer.
+ */
+const LATE_CALL_RUN_FACTOR = 2;
 const OVERLOAD_KINDS: readonly ErrorKind[] = [
   "shed",
   "queue_full",
@@ -53,7 +58,11 @@
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
   readonly #droppedHeaders: readonly string[];
-  #isStopped = false;
+  /**
+   * Monotonic time at which the stopping process ends at the latest, in ms;
+   * undefined while new requests are accepted.
+   */
+  #endsAtMs: number | undefined;
 
   /**
    * @param parts Parts of the daemon.
@@ -66,10 +75,13 @@
 
   /**
    * From now on, refuses new requests, but not the downstream calls of requests
-   * that run at the local upstream.
+   * that run at the local upstream, as long as they can end in time.
+   *
+   * @param endsAtMs Monotonic time at which the process ends at the latest, in
+   *   ms.
    */
-  stop(): void {
-    this.#isStopped = true;
+  stop(endsAtMs: number): void {
+    this.#endsAtMs = endsAtMs;
   }
 
   /** @inheritdoc */
@@ -84,15 +96,16 @@
     if (route === undefined) {
       return this.#refuse(received, "no_route", answerSender);
     }
+    const pool = routes.choosePool(route);
     const parent = this.#findParent(received);
-    if (this.#isStopped && !this.#isCallOf(parent, route)) {
+    if (
+      this.#endsAtMs !== undefined &&
+      !(this.#isCallOf(parent, route) &&
+        this.#canRunUntil(this.#endsAtMs, route, pool))
+    ) {
       return this.#refuse(received, "draining", answerSender);
     }
-    const request = this.#createRequest(received, {
-      route,
-      pool: routes.choosePool(route),
-      parent,
-    });
+    const request = this.#createRequest(received, { route, pool, parent });
     if (!request.isCall) {
       const refusingPool = this.#parts.admission.findRefusingPool(route);
       if (refusingPool !== undefined) {
@@ -163,6 +176,13 @@
       !observer.hasEnoughRuns(routeName);
   }
 
+  /** Returns whether a request that is sent now will probably run in time. */
+  #canRunUntil(endsAtMs: number, route: FleetRoute, pool: string): boolean {
+    const { channels } = this.#parts.exchange;
+    const runMs = channels.longestRunMs(pool, route.name);
+    return performance.now() + LATE_CALL_RUN_FACTOR * runMs < endsAtMs;
+  }
+
   #createRequest(
     received: ReceivedRequest,
     { route, pool, parent }: {
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -16,6 +16,9 @@
   priority: 0,
 } as FleetRoute;
 
+/** Mean time at the upstream. */
+const RUN_MS = 50;
+
 const PARENT_ROUTE = "parent";
 
 const PARENT_ID = "9c41";
@@ -63,7 +66,7 @@
     graph,
     admission: { findRefusingPool: ignore },
     exchange: {
-      channels: { choose: () => channel },
+      channels: { choose: () => channel, longestRunMs: () => RUN_MS },
       budget: { recordRequest: ignore },
       decisions: { record: ignore },
       onEnd: ignore,
@@ -85,7 +88,9 @@
     );
     disconnect();
   };
-  return { receive, sent, failures, stop: () => service.stop() };
+  const stop = (remainingMs = 2_400) =>
+    service.stop(performance.now() + remainingMs);
+  return { receive, sent, failures, stop };
 }
 
 /** Observes runs of the parent's route, which calls the route `called`. */
@@ -204,3 +209,14 @@
   assert.deepEqual(caller.failures, ["draining"]);
   assert.deepEqual(caller.sent, []);
 });
+
+// Guards against calls that are cut at the end of a planned stop, where their
+// upstream may be running them.
+test("after the stop, a call that cannot end before the process is refused", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const upstream = createService(undefined, new CallObserver(), { goalAtMs });
+  upstream.stop(RUN_MS);
+  upstream.receive();
+  assert.deepEqual(upstream.failures, ["draining"]);
+  assert.deepEqual(upstream.sent, []);
+});
--- a/src/fleet/stop_sequence.ts
+++ b/src/fleet/stop_sequence.ts
@@ -31,8 +31,11 @@
   openCount: () => number;
   /** Closes the connections of callers without an open request. */
   closeIdle: () => void;
-  /** Refuses new requests; called once. */
-  refuseNew: () => void;
+  /**
+   * Refuses new requests; called once, with the monotonic time in ms at which the
+   * process ends at the latest.
+   */
+  refuseNew: (endsAtMs: number) => void;
 };
 
 /** Decides when a stopping daemon refuses new requests, and when it ends. */
@@ -59,12 +62,13 @@
       return;
     }
     const elapsedMs = nowMs - lifecycle.stoppingSinceMs;
+    const remainingMs = stopGraceMs - GRACE_RESERVE_MS - elapsedMs;
     this.#options.closeIdle();
     if (elapsedMs >= ACCEPT_MS && !this.#isRefusing) {
       this.#isRefusing = true;
-      this.#options.refuseNew();
+      this.#options.refuseNew(nowMs + remainingMs);
     }
-    if (elapsedMs >= stopGraceMs - GRACE_RESERVE_MS) {
+    if (remainingMs <= 0) {
       lifecycle.notify("graceOver");
       return;
     }
