Do not serve with an endpoint that left before its first heartbeat

Cause: an announcement of departure does not say which start of the endpoint leaves. The daemon took the start of its last report. After a restart of the daemon that is a health check, whose start is not known and counts as 0, so a heartbeat that was sent before the departure and arrives late names a later start, and the endpoint serves again. The departure in the store and at peers had the same start 0. The same holds before any report, and for a new start under the same id that leaves before its first heartbeat has arrived.

All starts up to the time of the announcement have left, so the departure now records that time, by the clock of the machine that both share. A heartbeat of a really later start still makes the endpoint serve. The product's own daemon takes no heartbeats.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -117,6 +117,7 @@
     };
     const upstream = new LocalUpstream({
       log,
+      clock: { wallMs: () => performance.now() },
       listener: {
         onServing: () => {
           this.gate.updateLimit();
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -1,5 +1,6 @@
 /** Daemon on a deployment platform: constructs its parts and connects them. */
 import type { Stream } from "most";
+import { SystemClock } from "../core/clock.ts";
 import { EventLoop } from "../core/event_loop.ts";
 import type { RandomSource } from "../core/random.ts";
 import { timerStream } from "../core/timer_stream.ts";
@@ -258,6 +259,7 @@
   #createUpstream(): LocalUpstream {
     return new LocalUpstream({
       log: this.#options.log,
+      clock: new SystemClock(),
       listener: {
         onServing: () => {
           this.#gate.updateLimit();
--- a/src/fleet/local_upstream.ts
+++ b/src/fleet/local_upstream.ts
@@ -1,6 +1,7 @@
 /** State of the local upstream: the one that runs next to the daemon. */
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import type { Clock } from "../core/clock.ts";
 import type {
   UpstreamDeparture,
   UpstreamReport,
@@ -21,6 +22,7 @@
 /** Options of {@link LocalUpstream}. */
 export type LocalUpstreamOptions = {
   listener: UpstreamListener;
+  clock: Pick<Clock, "wallMs">;
   log: Logger;
 };
 
@@ -37,7 +39,7 @@
   reportedAtMs = -Infinity;
 
   /**
-   * @param options Listener and logger.
+   * @param options Listener, clock and logger.
    */
   constructor(options: LocalUpstreamOptions) {
     this.#options = options;
@@ -113,7 +115,10 @@
 
   /**
    * Handles the announcement that an upstream leaves. It is ignored if the last
-   * report is of another upstream.
+   * report is of another upstream, or if this one is leaving already. The
+   * announcement does not say which start of the upstream leaves, and the last
+   * report may be of an earlier one or of a health check, so all starts up to now
+   * have left.
    *
    * @param upstreamId Upstream that leaves.
    */
@@ -122,9 +127,12 @@
     if (report !== undefined && report.upstreamId !== upstreamId) {
       return;
     }
+    if (this.isLeaving && this.#departure?.upstreamId === upstreamId) {
+      return;
+    }
     this.#recordDeparture({
       upstreamId,
-      startedEpochMs: report?.startedEpochMs ?? 0,
+      startedEpochMs: this.#options.clock.wallMs(),
     });
     this.#machine.send("left");
   }
@@ -193,9 +201,8 @@
   }
 
   /**
-   * Records the departure of an upstream. The start of a report by the health
-   * check is not known; it must not replace a later one, after which heartbeats
-   * of the same start would count as those of a new one.
+   * Records the departure of an upstream. It must not replace that of a later
+   * start, after which heartbeats of that start would count as those of a new one.
    */
   #recordDeparture({ upstreamId, startedEpochMs }: UpstreamDeparture): void {
     const known = this.#departure;
--- a/src/schemas/fleet_schema.ts
+++ b/src/schemas/fleet_schema.ts
@@ -89,7 +89,8 @@
   upstreamId: z.string().min(1),
   startedEpochMs: z.number()
     .describe(
-      "Start of the upstream; the same id may serve again after a later start",
+      "Latest start of the upstream that may have left, in ms since the epoch; " +
+        "the same id may serve again after a later start",
     ),
 });
 
@@ -116,7 +117,7 @@
   readonly state: "ready" | "draining";
   /** Increases with each report; starts again when the upstream restarts. */
   readonly sequence: number;
-  /** Start of the upstream, in ms since the epoch. */
+  /** Start of the upstream, in ms since the epoch; 0 if it is not known. */
   readonly startedEpochMs: number;
   /** Remaining time for which the upstream is slow after its start, in ms. */
   readonly coldRemainingMs: number;
