End answers of small chunks without end before they exhaust the daemon

Cause, of the memory: each chunk was kept as a buffer of its own, over a hundred bytes of heap for one byte, while the bound on the memory of answers counts bytes. Of the time: nothing bounded the number of chunks, and a connection in this state is parsed at some 1 us per chunk as fast as the endpoint sends. The bound of 8 KB per read does not help, since the reads follow each other.

Now a body is collected in memory proportional to its bytes, and an answer with more chunks than 1,024, one per 16 bytes and one per ms is aborted. Streams of small chunks that arrive as they are produced are allowed.

--- /dev/null
+++ b/src/core/body_buffer.ts
@@ -0,0 +1,81 @@
+/** Buffer for a body that arrives in chunks. */
+
+/** Shorter chunks are copied, since each buffer has a cost of its own. */
+const COPIED_MAX_BYTES = 1_024;
+/** Maximum size of the blocks into which chunks are copied. */
+const BLOCK_MAX_BYTES = 65_536;
+
+/**
+ * Collects the chunks of a body. The memory that it uses is proportional to the
+ * bytes of the body and does not depend on the number of chunks.
+ *
+ * @example
+ * const body = new BodyBuffer();
+ * message.on("data", (chunk) => body.push(chunk));
+ * message.on("end", () => handle(body.concat()));
+ */
+export class BodyBuffer {
+  #buffers: Buffer[] = [];
+  #block: Buffer = Buffer.alloc(0);
+  #blockUsedBytes = 0;
+  #sizeBytes = 0;
+
+  /** Number of collected bytes. */
+  get sizeBytes(): number {
+    return this.#sizeBytes;
+  }
+
+  /**
+   * Appends a chunk, which must not change afterwards.
+   *
+   * @param chunk Next bytes of the body.
+   */
+  push(chunk: Buffer): void {
+    if (this.#sizeBytes === 0 || chunk.length > COPIED_MAX_BYTES) {
+      this.#endBlock();
+      this.#buffers.push(chunk);
+    } else {
+      this.#copy(chunk);
+    }
+    this.#sizeBytes += chunk.length;
+  }
+
+  /**
+   * Joins the chunks.
+   *
+   * @returns The whole body.
+   */
+  concat(): Buffer {
+    this.#endBlock();
+    const [first] = this.#buffers;
+    return first !== undefined && this.#buffers.length === 1
+      ? first
+      : Buffer.concat(this.#buffers, this.#sizeBytes);
+  }
+
+  /** Discards all chunks. */
+  clear(): void {
+    this.#buffers = [];
+    this.#block = Buffer.alloc(0);
+    this.#blockUsedBytes = 0;
+    this.#sizeBytes = 0;
+  }
+
+  /** Copies a chunk into the current block, or into a new one if it is full. */
+  #copy(chunk: Buffer): void {
+    if (this.#block.length - this.#blockUsedBytes < chunk.length) {
+      this.#endBlock();
+      const sizeBytes = Math.max(this.#sizeBytes, COPIED_MAX_BYTES);
+      this.#block = Buffer.allocUnsafe(Math.min(sizeBytes, BLOCK_MAX_BYTES));
+    }
+    this.#blockUsedBytes += chunk.copy(this.#block, this.#blockUsedBytes);
+  }
+
+  #endBlock(): void {
+    if (this.#blockUsedBytes > 0) {
+      this.#buffers.push(this.#block.subarray(0, this.#blockUsedBytes));
+    }
+    this.#block = Buffer.alloc(0);
+    this.#blockUsedBytes = 0;
+  }
+}
--- /dev/null
+++ b/src/decisions/chunk_allowance.ts
@@ -0,0 +1,34 @@
+/** Bound on the number of chunks of an answer, each of which takes time to read. */
+
+/** Chunks of any size that each answer may have. */
+const BURST_COUNT = 1_024;
+/** Mean size from which on the number of chunks is not bounded. */
+const MEAN_SIZE_MIN_BYTES = 16;
+/** Chunks of any size that an answer may have per ms of its duration. */
+const PER_MS_COUNT = 1;
+
+/** What has been received of an answer. */
+export type ReceivedChunks = {
+  /** Number of chunks. */
+  readonly count: number;
+  /** Bytes of all chunks. */
+  readonly sizeBytes: number;
+  /** Time since the request was sent, in ms. */
+  readonly elapsedMs: number;
+};
+
+/**
+ * Returns whether an answer has more chunks than one that is not faulty. An
+ * endless answer in chunks of a few bytes takes the processor time of many
+ * requests long before its size is conspicuous. Answers with small chunks that
+ * arrive one by one, as their upstream produces them, are allowed.
+ *
+ * @param received Chunks so far.
+ * @returns True when the answer should be aborted.
+ */
+export function hasTooManyChunks(
+  { count, sizeBytes, elapsedMs }: ReceivedChunks,
+): boolean {
+  return count > BURST_COUNT + sizeBytes / MEAN_SIZE_MIN_BYTES +
+      elapsedMs * PER_MS_COUNT;
+}
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -1,11 +1,12 @@
 /** One HTTP exchange with the local upstream. */
 import type { Dispatcher } from "undici";
+import { BodyBuffer } from "../core/body_buffer.ts";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
+import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
 import type {
   ForwardFailure,
   RequestHandle,
   ResultReceiver,
-  UpstreamAnswer,
 } from "../link/upstream_channel.ts";
 import type { AnswerBuffer, AnswerMemory } from "./answer_memory.ts";
 import type { CloseDetector } from "./close_detector.ts";
@@ -21,6 +22,8 @@
  * connection can be reused.
  */
 const DISCARDED_MAX_BYTES = 65_536;
+/** Chunks after which their number is checked again. */
+const CHUNKS_CHECK_COUNT = 256;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_MISDIRECTED_REQUEST = 421;
@@ -63,7 +66,8 @@
   #isCloseDelimited = false;
   #headers: string[] = [];
   #discardedBytes = 0;
-  #chunks: Buffer[] = [];
+  readonly #body = new BodyBuffer();
+  #chunksCount = 0;
   /** @inheritdoc */
   bodyBytes = 0;
   #startedAtMs = performance.now();
@@ -161,6 +165,11 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#chunksCount++;
+    if (this.#chunksCount % CHUNKS_CHECK_COUNT === 0 && this.#isFlood()) {
+      controller.abort(new Error("The answer has too many small chunks"));
+      return;
+    }
     if (this.#isDone) {
       this.#discardedBytes += chunk.length;
       if (this.#discardedBytes > DISCARDED_MAX_BYTES) {
@@ -168,7 +177,7 @@
       }
       return;
     }
-    this.#chunks.push(chunk);
+    this.#body.push(chunk);
     this.#memory.add(this, chunk.length);
   }
 
@@ -190,7 +199,7 @@
       return;
     }
     this.#isDone = true;
-    const body = this.#body();
+    const body = this.bodyBytes === 0 ? null : this.#body.concat();
     this.#releaseBody();
     this.#receiver.onAnswer({
       status: this.#status,
@@ -256,15 +265,14 @@
 
   #releaseBody(): void {
     this.#memory.release(this);
-    this.#chunks = [];
+    this.#body.clear();
   }
 
-  #body(): UpstreamAnswer["body"] {
-    if (this.bodyBytes === 0) {
-      return null;
-    }
-    return this.#chunks.length === 1
-      ? this.#chunks[0] as Buffer
-      : Buffer.concat(this.#chunks, this.bodyBytes);
+  #isFlood(): boolean {
+    return hasTooManyChunks({
+      count: this.#chunksCount,
+      sizeBytes: this.bodyBytes,
+      elapsedMs: performance.now() - this.#startedAtMs,
+    });
   }
 }
