Hold request bodies in memory of their size, whatever their chunks

Two callers that sent bodies of 1 MB in chunks of one byte ended the daemon at its heap limit, and with it the requests of all other callers.

The listener collects bodies as the exchange with the endpoint does.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { BodyBuffer } from "../core/body_buffer.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
@@ -190,19 +191,21 @@
     answerSender: HttpAnswerSender,
     handle: (body: Uint8Array | null) => void,
   ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new BodyBuffer();
     message.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= this.#bodyMaxBytes) {
-        chunks.push(chunk);
-      } else if (!answerSender.isSent) {
-        answerSender.fail("body_too_large");
+      if (answerSender.isSent) {
+        return;
       }
+      if (body.sizeBytes + chunk.length <= this.#bodyMaxBytes) {
+        body.push(chunk);
+        return;
+      }
+      body.clear();
+      answerSender.fail("body_too_large");
     });
     message.on("end", () => {
       if (!answerSender.isSent) {
-        handle(size === 0 ? null : Buffer.concat(chunks, size));
+        handle(body.sizeBytes === 0 ? null : body.concat());
       }
     });
   }
