Forward bytes above 0x7f in the head of an answer unchanged

A file name with an accent is enough; HTTP allows it.

Cause: header values were decoded as UTF-8. A byte that is no UTF-8 became U+FFFD, which Node.js refuses to write, after the exchange had ended and cleared its timer; the exception closed the link. Text in UTF-8 was changed silently.

--- a/src/core/decode_raw_headers_test.ts
+++ b/src/core/decode_raw_headers_test.ts
@@ -13,3 +13,13 @@
   ]);
   assert.deepEqual(decodeRawHeaders(null), []);
 });
+
+// Guards against an answer that cannot be written because a byte of its head is
+// replaced by a character beyond Latin-1.
+test("each byte of a value becomes the character with its number", () => {
+  const bytes = Buffer.from([0x61, 0x80, 0xe9, 0xff, 0xc3, 0xa9]);
+  assert.deepEqual(decodeRawHeaders([Buffer.from("name"), bytes]), [
+    "name",
+    "a\u0080\u00e9\u00ff\u00c3\u00a9",
+  ]);
+});
