Count the calls of a cyclic call graph without following each path

Cause: the runs of a request were summed over every path of the call graph, up to a depth of 24, so 2^24 paths, ten times a second for each route in use. The sums also said that a request causes millions of runs, which no retry budget allows.

Now routes are ordered by their calls and each edge is counted once. A call that leads back to a route of its chain counts as a run, but its calls do not: how often the chain is closed cannot be told from the mean calls per run. Graphs without a cycle give the same counts as before (of at most 24 calls in a chain). The result is kept until an edge changes.

--- a/src/decisions/call_graph.ts
+++ b/src/decisions/call_graph.ts
@@ -28,7 +28,8 @@
 const CALLED_MIN_RATIO = 0.5;
 /** Share below which that classification is withdrawn. */
 const CALLED_KEPT_MIN_RATIO = 0.1;
-const DEPTH_MAX = 24;
+/** Upper bound of the runs of one edge, which keeps their sums finite. */
+const EDGE_RUNS_MAX_COUNT = 1_000_000;
 
 /** Counted runs of one route and the calls that they made. */
 type RunCounts = {
@@ -188,10 +189,61 @@
   }
 }
 
+/** Calls per run, by calling and called route. */
+type CallsByRoute = Map<string, Map<string, number>>;
+
+/**
+ * Orders a route and those that it calls, directly or not, such that each stands
+ * before those that it calls, unless a call leads back to a route of its chain.
+ */
+function orderCallers(edges: CallsByRoute, routeName: string): string[] {
+  const visited = new Set<string>();
+  const order: string[] = [];
+  const visit = (name: string) => {
+    if (visited.has(name)) {
+      return;
+    }
+    visited.add(name);
+    for (const called of edges.get(name)?.keys() ?? []) {
+      visit(called);
+    }
+    order.push(name);
+  };
+  visit(routeName);
+  return order.reverse();
+}
+
+/** Counts the runs of {@link CallGraph.runsByRoute}, each edge once. */
+function countRuns(
+  edges: CallsByRoute,
+  routeName: string,
+): Map<string, number> {
+  const order = orderCallers(edges, routeName);
+  const positions = new Map(order.map((name, index) => [name, index]));
+  const runs = new Map(order.map((name) => [name, 0]));
+  runs.set(routeName, 1);
+  // Runs whose calls count, too.
+  const callingRuns = new Map(runs);
+  for (const [position, name] of order.entries()) {
+    for (const [called, perRun] of edges.get(name) ?? []) {
+      const count = Math.min(
+        EDGE_RUNS_MAX_COUNT,
+        (callingRuns.get(name) as number) * perRun,
+      );
+      runs.set(called, (runs.get(called) as number) + count);
+      if ((positions.get(called) as number) > position) {
+        callingRuns.set(called, (callingRuns.get(called) as number) + count);
+      }
+    }
+  }
+  return runs;
+}
+
 /** Merged edges of all daemons. */
 export class CallGraph {
   readonly #byMember = new Map<string, readonly CallEdge[]>();
-  #merged: Map<string, Map<string, number>> | undefined;
+  #merged: CallsByRoute | undefined;
+  readonly #runsByRoute = new Map<string, ReadonlyMap<string, number>>();
 
   /**
    * Replaces the edges of one daemon.
@@ -214,14 +266,21 @@
   }
 
   /**
-   * Computes the runs that one request of a route causes at each route.
+   * Computes the runs that one request of a route causes at each route. A call
+   * that leads back to a route of its chain counts, but its own calls do not: the
+   * mean calls per run of such a route do not tell how often the chain is closed.
    *
    * @param routeName Route of the request.
    * @returns Runs by route, including the run of the route itself.
    */
   runsByRoute(routeName: string): ReadonlyMap<string, number> {
-    const runs = new Map<string, number>();
-    this.#addRuns(routeName, { count: 1, depth: 0, runs });
+    // Also clears the known runs if the edges have changed.
+    const edges = this.#edges();
+    let runs = this.#runsByRoute.get(routeName);
+    if (runs === undefined) {
+      runs = countRuns(edges, routeName);
+      this.#runsByRoute.set(routeName, runs);
+    }
     return runs;
   }
 
@@ -265,28 +324,12 @@
     return false;
   }
 
-  #addRuns(
-    routeName: string,
-    { count, depth, runs }: {
-      count: number;
-      depth: number;
-      runs: Map<string, number>;
-    },
-  ): void {
-    runs.set(routeName, (runs.get(routeName) ?? 0) + count);
-    if (depth >= DEPTH_MAX) {
-      return;
-    }
-    for (const [called, perRun] of this.#edges().get(routeName) ?? []) {
-      this.#addRuns(called, { count: count * perRun, depth: depth + 1, runs });
-    }
-  }
-
-  #edges(): Map<string, Map<string, number>> {
+  #edges(): CallsByRoute {
     if (this.#merged !== undefined) {
       return this.#merged;
     }
-    const merged = new Map<string, Map<string, number>>();
+    this.#runsByRoute.clear();
+    const merged: CallsByRoute = new Map();
     for (const edges of this.#byMember.values()) {
       for (const [routeName, called, perRun] of edges) {
         const calls = merged.get(routeName) ?? new Map<string, number>();
