--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -19,7 +19,12 @@
   /** Bytes are read and dropped, as a partition in one direction does. */
   | "drop";
 
-type Connection = { client: Socket; target: Socket };
+type Connection = {
+  readonly client: Socket;
+  readonly target: Socket;
+  /** Whether it passes nothing on any more. */
+  isSilent: boolean;
+};
 
 const LOOPBACK = "127.0.0.1";
 
@@ -98,6 +103,16 @@
     }
   }
 
+  /**
+   * Makes the open connections pass nothing on any more, in either direction,
+   * although they stay open. Later connections are not affected.
+   */
+  silence(): void {
+    for (const connection of this.#connections) {
+      connection.isSilent = true;
+    }
+  }
+
   /**
    * Delays all bytes.
    *
@@ -143,7 +158,7 @@
     client.on("error", () => {});
     const target = connect(this.#targetPort, LOOPBACK);
     target.on("error", () => client.destroy());
-    const connection = { client, target };
+    const connection = { client, target, isSilent: false };
     this.#connections.add(connection);
     this.#relayDirection(connection, "toTarget");
     this.#relayDirection(connection, "toClient");
@@ -160,7 +175,7 @@
   #relayDirection(connection: Connection, direction: Direction): void {
     const { from, to } = endsOf(connection, direction);
     from.on("data", (chunk: Buffer) => {
-      if (this.#modes[direction] === "drop") {
+      if (this.#modes[direction] === "drop" || connection.isSilent) {
         return;
       }
       this.#observer?.(direction, chunk);
