Do not answer bytes that are no request while an earlier request is open

A client that sends such bytes, or an unfinished head, behind a request that runs got "400" or "408" at once and took it for the answer to that request. 408 promises that it has not run, and the product's own daemon says `not-run` in so many words.

Cause: the answer to an error of the parser is written to the socket directly, past the answers that are due before it. Now the connection is closed without it while a response is open; a closed connection promises nothing.

Listener.close, which nothing called, is removed.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -9,6 +9,7 @@
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
+import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./forwarded_exchange.ts";
@@ -47,6 +48,8 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
+type ParserError = Error & { code?: string };
+
 type SocketState = {
   /** Number of the newest request on the connection. */
   newestNumber: number;
@@ -67,6 +70,7 @@
   readonly #server: Server;
   readonly #handler: OutboundHandler;
   readonly #sockets = new WeakMap<Socket, SocketState>();
+  readonly #openResponses = new OpenResponses();
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
   #isStopping = false;
@@ -85,7 +89,11 @@
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.set(socket, { newestNumber: 0, isClosing: false });
     });
-    this.#server.on("clientError", answerParserError);
+    this.#server.on(
+      "clientError",
+      (error: ParserError, socket: Socket) =>
+        this.#handleParserError(error, socket),
+    );
   }
 
   /** Number of requests without a complete answer. */
@@ -148,6 +156,7 @@
     }
     const number = ++state.newestNumber;
     this.#openCount++;
+    this.#openResponses.track(response, message.socket);
     const answerSender = new HttpAnswerSender(
       response,
       this.#handler,
@@ -174,6 +183,14 @@
     }
   }
 
+  #handleParserError(error: ParserError, socket: Socket): void {
+    if (this.#openResponses.countOf(socket) > 0) {
+      socket.destroy();
+      return;
+    }
+    answerParserError(error, socket);
+  }
+
   /**
    * Returns whether the answer to a request closes its connection, and records
    * it. While stopping, the answer to the newest request does. Earlier answers
@@ -282,10 +299,7 @@
 /**
  * Answers a request that the HTTP parser rejected, and closes the connection.
  */
-function answerParserError(
-  error: Error & { code?: string },
-  socket: Socket,
-): void {
+function answerParserError(error: ParserError, socket: Socket): void {
   if (!socket.writable || error.code === "ECONNRESET") {
     socket.destroy();
     return;
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { listenOn } from "../core/listen_on.ts";
+import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 
 const HEADER_MAX_BYTES = 16_384;
@@ -38,6 +39,7 @@
 /** HTTP server that listens on one address. */
 export class Listener {
   readonly #server: Server;
+  readonly #openResponses = new OpenResponses();
 
   /**
    * @param handler Handles each request.
@@ -49,8 +51,17 @@
       requestTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       noDelay: true,
-    }, handler);
-    this.#server.on("clientError", answerParserError);
+    }, (request, response) => {
+      this.#openResponses.track(response, request.socket);
+      handler(request, response);
+    });
+    this.#server.on("clientError", (error: ParserError, socket: Socket) => {
+      if (this.#openResponses.countOf(socket) > 0) {
+        socket.destroy();
+        return;
+      }
+      answerParserError(error, socket);
+    });
   }
 
   /**
@@ -64,14 +75,6 @@
     return listenOn(this.#server, address);
   }
 
-  /** Stops listening; resolves when the last request has ended. */
-  close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
-  }
-
   /** Stops listening and closes all connections, busy ones included. */
   destroy(): void {
     this.#server.close();
