Abort informational answers without end

Such answers were skipped without a bound. After 64 of them the request now fails with 502 and the endpoint counts as failing.

The test failed before: 504 at the timeout.

--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -22,6 +22,9 @@
  * connection can be reused.
  */
 const DISCARDED_MAX_BYTES = 65_536;
+/** Informational answers (1xx) after which an upstream counts as faulty. */
+const INFORMATIONAL_MAX_COUNT = 64;
+const STATUS_FINAL_MIN = 200;
 /** Chunks after which their number is checked again. */
 const CHUNKS_CHECK_COUNT = 256;
 const STATUS_SERVICE_UNAVAILABLE = 503;
@@ -65,6 +68,7 @@
   #status = 0;
   #isCloseDelimited = false;
   #headers: string[] = [];
+  #informationalCount = 0;
   #discardedBytes = 0;
   readonly #body = new BodyBuffer();
   #chunksCount = 0;
@@ -114,7 +118,14 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    if (this.#isDone || status < 200) {
+    if (status < STATUS_FINAL_MIN) {
+      this.#informationalCount++;
+      if (this.#informationalCount > INFORMATIONAL_MAX_COUNT) {
+        controller.abort(new Error("Too many informational answers"));
+      }
+      return;
+    }
+    if (this.#isDone) {
       return;
     }
     this.#status = status;
