Return answers with 204 or 304 and without a length

Such an answer, and that to a HEAD request, ends with its head, but without a length it was taken for one that ends with its connection.

Which statuses have no body stands in one place now.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -8,6 +8,7 @@
 import type { Socket } from "node:net";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import { isBodylessStatus } from "../core/http_status.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
@@ -254,10 +255,11 @@
     }
     response.sendDate = false;
     const length = String(body?.length ?? 0);
-    const isBodyless = status === 204 || status === 304;
     response.writeHead(
       status,
-      isBodyless ? [...headers] : [...headers, "content-length", length],
+      isBodylessStatus(status)
+        ? [...headers]
+        : [...headers, "content-length", length],
     );
     endAfterBody(response, body);
   }
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from "undici";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
+import { isBodylessStatus } from "../core/http_status.ts";
 import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
 import type {
   ForwardFailure,
@@ -44,6 +45,8 @@
   names: HeaderNames;
   /** Id that the caller gave to the request, if any. */
   requestId: string | undefined;
+  /** Method of the request. */
+  method: string;
   /** Upstream to which the request is sent. */
   upstreamId: string;
   onMisdirected: MisdirectedHandler;
@@ -58,6 +61,7 @@
   readonly #receiver: ResultReceiver;
   readonly #names: HeaderNames;
   readonly #requestId: string | undefined;
+  readonly #method: string;
   readonly #upstreamId: string;
   readonly #onMisdirected: MisdirectedHandler;
   readonly #onSignals: SignalsHandler;
@@ -84,6 +88,7 @@
     this.#receiver = receiver;
     this.#names = options.names;
     this.#requestId = options.requestId;
+    this.#method = options.method;
     this.#upstreamId = options.upstreamId;
     this.#onMisdirected = options.onMisdirected;
     this.#onSignals = options.onSignals;
@@ -129,7 +134,8 @@
       return;
     }
     this.#status = status;
-    this.#isCloseDelimited = headers["content-length"] === undefined &&
+    this.#isCloseDelimited = this.#mayHaveBody(status) &&
+      headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     this.#closeDetector.closeDelimitedCount += this.#isCloseDelimited ? 1 : 0;
     if (this.#isMismatched(status, headers)) {
@@ -233,6 +239,11 @@
     });
   }
 
+  /** Returns whether an answer may have a body; without one it has its end. */
+  #mayHaveBody(status: number): boolean {
+    return this.#method !== "HEAD" && !isBodylessStatus(status);
+  }
+
   #endCloseDelimited(): void {
     if (this.#isCloseDelimited) {
       this.#isCloseDelimited = false;
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -101,6 +101,7 @@
     const exchange = new UpstreamExchange(receiver, {
       names,
       requestId: findHeader(request.headers, names.requestId),
+      method: request.method,
       upstreamId: request.upstreamId,
       onMisdirected: this.#onMisdirected,
       onSignals: this.#onSignals,
