--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -8,13 +8,12 @@
 import type { Socket } from "node:net";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
-import { isBodylessStatus } from "../core/http_status.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./forwarded_exchange.ts";
-import type { UpstreamAnswer } from "../link/upstream_channel.ts";
+import { HttpAnswerSender } from "./http_answer_sender.ts";
 
 /**
  * Maximum size of the headers of a request. It is fixed when the HTTP server is
@@ -158,11 +157,10 @@
     const number = ++state.newestNumber;
     this.#openCount++;
     this.#openResponses.track(response, message.socket);
-    const answerSender = new HttpAnswerSender(
-      response,
-      this.#handler,
-      () => this.#closesConnection(state, number),
-    );
+    const answerSender = new HttpAnswerSender(response, {
+      retryAfterMs: (kind) => this.#handler.retryAfterMs(kind),
+      closesConnection: () => this.#closesConnection(state, number),
+    });
     let onDisconnect = () => {};
     response.once("close", () => {
       this.#openCount--;
@@ -229,75 +227,6 @@
   }
 }
 
-/** Writes the answer to one request. */
-class HttpAnswerSender implements AnswerSender {
-  readonly #response: ServerResponse;
-  readonly #handler: OutboundHandler;
-  readonly #closesConnection: () => boolean;
-  isSent = false;
-
-  constructor(
-    response: ServerResponse,
-    handler: OutboundHandler,
-    closesConnection: () => boolean,
-  ) {
-    this.#response = response;
-    this.#handler = handler;
-    this.#closesConnection = closesConnection;
-  }
-
-  /** @inheritdoc */
-  answer({ status, headers, body }: UpstreamAnswer): void {
-    this.isSent = true;
-    const response = this.#response;
-    if (this.#closesConnection()) {
-      response.shouldKeepAlive = false;
-    }
-    response.sendDate = false;
-    const length = String(body?.length ?? 0);
-    response.writeHead(
-      status,
-      isBodylessStatus(status)
-        ? [...headers]
-        : [...headers, "content-length", length],
-    );
-    endAfterBody(response, body);
-  }
-
-  /** @inheritdoc */
-  fail(kind: ErrorKind): void {
-    this.isSent = true;
-    const { status, message } = errorAnswer(kind);
-    const response = this.#response;
-    if (this.#closesConnection() || kind === "body_too_large") {
-      response.shouldKeepAlive = false;
-    }
-    const retryAfterMs = this.#handler.retryAfterMs(kind);
-    const headers = ["content-length", String(message.length)];
-    if (retryAfterMs !== undefined) {
-      headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
-    }
-    response.writeHead(status, headers);
-    endAfterBody(response, message);
-  }
-}
-
-/**
- * Writes the body of a response, and ends the response when the operating system
- * has taken all of it. After `end`, Node.js takes the connection for an idle one
- * although bytes are still to be written, and `closeIdleConnections` cuts them.
- */
-function endAfterBody(
-  response: ServerResponse,
-  body: Uint8Array | string | null,
-): void {
-  if (body === null || body.length === 0) {
-    response.end();
-    return;
-  }
-  response.write(body, () => response.end());
-}
-
 /**
  * Answers a request that the HTTP parser rejected, and closes the connection.
  */
