Cancel the attempt that follows one that was refused at once

A request whose first attempt is refused by the local upstream while it is being sent goes on to another one within that call. The handle is now kept only if no later attempt has been sent.

--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -220,9 +220,9 @@
   sendAttempt(channel: UpstreamChannel): void {
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
-    this.#sendsCount++;
+    const sendNumber = ++this.#sendsCount;
     this.#tried.add(channel.member.name);
-    this.#attempt = channel.send({
+    const attempt = channel.send({
       upstreamId: channel.state?.upstreamId ?? "",
       method: this.#request.method,
       path: this.#request.path,
@@ -234,6 +234,10 @@
       isRefusable: !isCall,
       callerPool: this.#parts.callerPool,
     }, this);
+    // An attempt that was refused at once may have been followed by another one.
+    if (sendNumber === this.#sendsCount) {
+      this.#attempt = attempt;
+    }
   }
 
   /** Action: passes the answer to the caller. */
