Cancel all requests that a caller has sent in a row when it disconnects

The open requests of a stopping daemon also never came to 0 after such a caller, so it ended only with the grace period.

Cause: Node.js emits `close` on the response at the front of a connection only. The tracking of open responses, which both listeners use, now emits it on the others, so the product's own daemon cancels and counts them, too.

--- a/src/core/open_responses.ts
+++ b/src/core/open_responses.ts
@@ -3,24 +3,26 @@
 import type { Socket } from "node:net";
 
 /**
- * Counts the open responses of each connection. Bytes that are no request must
- * not be answered while there is one: the client would take the answer for that
- * of an earlier request, which may be running.
+ * Tracks the open responses of each connection.
+ *
+ * - Bytes that are no request must not be answered while there is one: the client
+ *   would take the answer for that of an earlier request, which may be running.
+ * - When a connection closes, Node.js emits `close` only on the response of its
+ *   oldest open request. The others emit it here, so that all are cancelled.
  */
 export class OpenResponses {
-  readonly #counts = new WeakMap<Socket, number>();
+  readonly #bySocket = new WeakMap<Socket, Set<ServerResponse>>();
 
   /**
-   * Counts a response until it is complete or its connection has closed.
+   * Tracks a response until it is complete or its connection has closed.
    *
    * @param response Response of a request that has been received.
    * @param socket Connection of the request.
    */
   track(response: ServerResponse, socket: Socket): void {
-    this.#counts.set(socket, this.countOf(socket) + 1);
-    response.once("close", () => {
-      this.#counts.set(socket, this.countOf(socket) - 1);
-    });
+    const open = this.#bySocket.get(socket) ?? this.#startTracking(socket);
+    open.add(response);
+    response.once("close", () => open.delete(response));
   }
 
   /**
@@ -30,6 +32,16 @@
    * @returns Number of requests on it that wait for a complete answer.
    */
   countOf(socket: Socket): number {
-    return this.#counts.get(socket) ?? 0;
+    return this.#bySocket.get(socket)?.size ?? 0;
+  }
+
+  #startTracking(socket: Socket): Set<ServerResponse> {
+    const open = new Set<ServerResponse>();
+    this.#bySocket.set(socket, open);
+    socket.once("close", () => {
+      // Node.js handles the same event for the oldest one.
+      queueMicrotask(() => open.forEach((response) => response.emit("close")));
+    });
+    return open;
   }
 }
