Do not close a link because a body is larger than its peer has read

Cause: more than 33.5 MB of unsent bytes counted as a peer that does not read, also right after a single frame was written. Peers that do not read are found by their silence. Now a link with more unsent bytes takes no further requests, which fail as not run and go to another upstream. From 67 MB on, an answer is reported as failed, and at 134 MB the link is closed as before. Large frames are written without the copy that joined them.

Two tests failed before: the link closed with all its requests.

--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type {
   ForwardedRequest,
+  ForwardFailure,
   RequestHandle,
   ResultReceiver,
 } from "./upstream_channel.ts";
@@ -24,6 +25,12 @@
  * link at least every 5 s.
  */
 const SILENCE_MAX_MS = 15_000;
+/** Failure of a request whose answer cannot be sent to the peer. */
+const UNDELIVERED: ForwardFailure = {
+  kind: "upstream_failed",
+  isNotRun: false,
+  hasReached: true,
+};
 
 /** State and operations of the daemon that accepted links use. */
 export interface LinkServerHost {
@@ -142,6 +149,16 @@
       const { ownLoad, configVersion } = this.#host;
       this.socket.send(buildFrame(ownLoad, configVersion));
     };
+    const sendFailure = ({ kind, isNotRun, hasReached }: ForwardFailure) =>
+      sendResult((load, configVersion) => [
+        FRAME.refusal,
+        exchangeId,
+        kind,
+        isNotRun,
+        hasReached,
+        load,
+        configVersion,
+      ]);
     const { encoder, decoder } = this.socket;
     const handle = this.#host.serve({
       upstreamId: decoder.decode(frame[2]),
@@ -155,7 +172,12 @@
       isRefusable: frame[10],
       callerPool: decoder.decode(frame[11]),
     }, {
-      onAnswer: ({ status, headers, body, runMs }) =>
+      onAnswer: ({ status, headers, body, runMs }) => {
+        // The peer may have no memory left for it, either.
+        if (this.socket.isFull) {
+          sendFailure(UNDELIVERED);
+          return;
+        }
         sendResult((load, configVersion) => [
           FRAME.answer,
           exchangeId,
@@ -165,17 +187,9 @@
           Math.round(runMs),
           load,
           configVersion,
-        ]),
-      onFailure: ({ kind, isNotRun, hasReached }) =>
-        sendResult((load, configVersion) => [
-          FRAME.refusal,
-          exchangeId,
-          kind,
-          isNotRun,
-          hasReached,
-          load,
-          configVersion,
-        ]),
+        ]);
+      },
+      onFailure: (failure) => sendFailure(failure),
     });
     if (!isDone) {
       this.#handles.set(exchangeId, handle);
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -37,12 +37,17 @@
 }
 
 /** Opens a connection to a link server, as a peer does. */
-async function connectPeer(t: TestContext) {
+async function connectPeer(
+  t: TestContext,
+  changes: Partial<LinkServerHost> = {},
+) {
   const received: unknown[] = [];
-  const server = new LinkServer(createHost(received), new NullLogger());
+  const host = { ...createHost(received), ...changes };
+  const server = new LinkServer(host, new NullLogger());
   const { port } = await server.listen({ host: "127.0.0.1", port: 0 });
   const frames: unknown[][] = [];
-  const socket = new LinkSocket(connect({ host: "127.0.0.1", port }), {
+  const tcp = connect({ host: "127.0.0.1", port });
+  const socket = new LinkSocket(tcp, {
     onFrame: (frame) => frames.push(frame),
     onClosed: () => {},
   });
@@ -55,7 +60,7 @@
       await new Promise((resolve) => setTimeout(resolve, 5));
     }
   };
-  return { socket, received, waitForFrame };
+  return { socket, tcp, frames, received, waitForFrame };
 }
 
 // A daemon's own link to the peer may be down or silent at that moment.
@@ -69,3 +74,58 @@
   }
   assert.deepEqual(received, [{ version: 7 }]);
 });
+
+// Guards against a link that is closed, with all requests on it, because answers
+// are larger than what the peer has read.
+test("large answers reach a peer that reads slowly, and one beyond the bound is reported as failed", async (t) => {
+  const answerBytes = 20_000_000;
+  const { socket, tcp, frames, waitForFrame } = await connectPeer(t, {
+    serve: (_request, receiver) => {
+      receiver.onAnswer({
+        status: 200,
+        headers: [],
+        body: Buffer.alloc(answerBytes),
+        runMs: 1,
+      });
+      return { cancel: () => {} };
+    },
+  });
+  await waitForFrame(FRAME.hello);
+  tcp.pause();
+  const { encoder } = socket;
+  const text = encoder.encode("x");
+  const requestsCount = 6;
+  for (let id = 0; id < requestsCount; id++) {
+    socket.send([
+      FRAME.request,
+      id,
+      text,
+      text,
+      "/",
+      [],
+      null,
+      1_000,
+      text,
+      500,
+      true,
+      text,
+      1,
+    ]);
+  }
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  tcp.resume();
+  const resultsOf = (kind: number) =>
+    frames.filter(([first]) => first === kind);
+  while (
+    resultsOf(FRAME.answer).length + resultsOf(FRAME.refusal).length <
+      requestsCount
+  ) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  assert.ok(resultsOf(FRAME.answer).length >= 3);
+  for (const [, , kind, isNotRun] of resultsOf(FRAME.refusal)) {
+    assert.equal(kind, "upstream_failed");
+    assert.equal(isNotRun, false);
+  }
+  assert.ok(resultsOf(FRAME.refusal).length > 0);
+});
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -11,11 +11,20 @@
   onClosed(reason: string): void;
 }
 
+/** Frames of more bytes are written without a copy that joins them. */
+const JOINED_MAX_BYTES = 65_536;
 /**
- * Maximum unsent bytes. A connection with more is closed: its peer does not
- * read.
+ * Unsent bytes from which on no further request is sent on a connection. One
+ * frame may be as large as the largest body.
  */
-const UNSENT_MAX_BYTES = 33_554_432;
+const CONGESTED_MIN_BYTES = 33_554_432;
+/**
+ * Unsent bytes from which on answers are dropped, too. Until then they are sent
+ * late.
+ */
+const FULL_MIN_BYTES = 67_108_864;
+/** Maximum unsent bytes. A connection with more is closed: its peer does not read. */
+const UNSENT_MAX_BYTES = 134_217_728;
 
 /**
  * Sends and receives frames over a socket. All frames that are sent during one
@@ -30,6 +39,7 @@
   /** Decodes strings with the table of the incoming direction. */
   readonly decoder = new StringDecoder();
   #unsent: Buffer[] = [];
+  #queuedBytes = 0;
   #isClosed = false;
   /** Monotonic time of the last received bytes, in ms. */
   lastReceivedAtMs = performance.now();
@@ -57,15 +67,26 @@
     if (this.#isClosed) {
       return;
     }
-    if (this.#unsent.push(encodeFrame(frame)) === 1) {
+    const bytes = encodeFrame(frame);
+    this.#queuedBytes += bytes.length;
+    if (this.#unsent.push(bytes) === 1) {
       setImmediate(() => this.#flush());
     }
   }
 
   /** Whether the operating system has not taken all frames yet. */
   get hasUnsent(): boolean {
-    return !this.#isClosed &&
-      (this.#unsent.length > 0 || this.#socket.writableLength > 0);
+    return !this.#isClosed && this.#unsentBytes > 0;
+  }
+
+  /** Whether the peer reads too slowly for further requests. */
+  get isCongested(): boolean {
+    return this.#unsentBytes > CONGESTED_MIN_BYTES;
+  }
+
+  /** Whether the peer reads too slowly for further answers. */
+  get isFull(): boolean {
+    return this.#unsentBytes > FULL_MIN_BYTES;
   }
 
   /**
@@ -84,19 +105,28 @@
 
   #flush(): void {
     const frames = this.#unsent;
+    const sizeBytes = this.#queuedBytes;
     this.#unsent = [];
+    this.#queuedBytes = 0;
     if (this.#isClosed) {
       return;
     }
-    const [first] = frames;
-    this.#socket.write(
-      frames.length === 1 ? first as Buffer : Buffer.concat(frames),
-    );
-    if (this.#socket.writableLength > UNSENT_MAX_BYTES) {
+    if (sizeBytes <= JOINED_MAX_BYTES) {
+      this.#socket.write(Buffer.concat(frames, sizeBytes));
+    } else {
+      this.#socket.cork();
+      frames.forEach((frame) => this.#socket.write(frame));
+      this.#socket.uncork();
+    }
+    if (this.#unsentBytes > UNSENT_MAX_BYTES) {
       this.close("The peer does not read");
     }
   }
 
+  get #unsentBytes(): number {
+    return this.#queuedBytes + this.#socket.writableLength;
+  }
+
   #receive(chunk: Buffer): void {
     this.lastReceivedAtMs = performance.now();
     try {
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -193,7 +193,7 @@
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const socket = this.#socket;
-    if (socket === undefined || !this.isUp) {
+    if (socket === undefined || !this.isUp || socket.isCongested) {
       receiver.onFailure({
         kind: "no_upstream",
         isNotRun: true,
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -9,9 +9,23 @@
 import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import { type LinkHost, PeerLink } from "./peer_link.ts";
+import type { ForwardedRequest, ForwardFailure } from "./upstream_channel.ts";
 
 const TICK_MS = 100;
 
+const REQUEST: ForwardedRequest = {
+  upstreamId: "u-1",
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: null,
+  remainingMs: 1_000,
+  routeName: "r",
+  goalRemainingMs: 500,
+  isRefusable: true,
+  callerPool: "plates",
+};
+
 function memberAt(name: string, port: number): MemberRecord {
   const link = { host: "127.0.0.1", port };
   return { name, dataCentre: "a", pool: "plates", link };
@@ -69,18 +83,7 @@
 test("a peer that does not answer a ping is suspect within 600 ms, and at least 500 ms before the link closes", async (t) => {
   const { link } = await connectLink(t);
   const nowMs = performance.now();
-  link.send({
-    upstreamId: "u-1",
-    method: "GET",
-    path: "/",
-    headers: [],
-    body: null,
-    remainingMs: 1_000,
-    routeName: "r",
-    goalRemainingMs: 500,
-    isRefusable: true,
-    callerPool: "plates",
-  }, { onAnswer: () => {}, onFailure: () => {} });
+  link.send(REQUEST, { onAnswer: () => {}, onFailure: () => {} });
 
   const suspectAfterMs: number[] = [];
   const downAfterMs: number[] = [];
@@ -122,3 +125,37 @@
   await until(() => frames.some(isConfig));
   assert.deepEqual(frames.find(isConfig), [FRAME.config, { version: 1 }]);
 });
+
+// Guards against a link that is closed, with all requests on it, because a body
+// is larger than what the peer has read.
+test("large bodies reach a peer that reads slowly, and further requests fail as not run meanwhile", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const [peer] = sockets as [Socket];
+  const sizes: number[] = [];
+  const reader = new FrameReader();
+  peer.on("data", (chunk: Buffer) =>
+    reader.push(chunk, (frame) => {
+      if (frame[0] === FRAME.request) {
+        sizes.push((frame[6] as Uint8Array).length);
+      }
+    }));
+  peer.pause();
+  const failures: ForwardFailure[] = [];
+  const send = (bodyBytes: number) =>
+    link.send({ ...REQUEST, body: Buffer.alloc(bodyBytes) }, {
+      onAnswer: () => {},
+      onFailure: (failure) => failures.push(failure),
+    });
+  send(60_000_000);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  send(1);
+  assert.deepEqual(failures, [
+    { kind: "no_upstream", isNotRun: true, hasReached: false },
+  ]);
+  peer.resume();
+  await until(() => sizes.length === 1);
+  send(2);
+  await until(() => sizes.length === 2);
+  assert.deepEqual(sizes, [60_000_000, 2]);
+  assert.equal(link.isUp, true);
+});
