Encode large bodies on a link without copies

An upload needed several times its size at the daemon that received it: the encoder's buffer, which grows by doubling, the frame with its length, and the joined frames of one write.

A frame with a large body is now encoded around the body, which is written as it is. A property test compares such frames with what a reader decodes.

--- a/src/link/frame_codec.ts
+++ b/src/link/frame_codec.ts
@@ -5,6 +5,11 @@
 const LENGTH_BYTES = 4;
 /** A longer length means that the stream is corrupt. */
 const FRAME_MAX_BYTES = 134_217_728;
+/** Size from which on a body is not copied into its frame. */
+const LARGE_BODY_MIN_BYTES = 65_536;
+/** Types of the msgpack format. */
+const MSGPACK_ARRAY_16 = 0xdc;
+const MSGPACK_BINARY_32 = 0xc6;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
 
@@ -15,11 +20,59 @@
  * @returns The encoded frame, preceded by its length.
  */
 export function encodeFrame(frame: readonly unknown[]): Buffer {
-  const body = packr.pack(frame);
-  const bytes = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  bytes.writeUInt32BE(body.length, 0);
-  body.copy(bytes, LENGTH_BYTES);
-  return bytes;
+  return withLength(packr.pack(frame));
+}
+
+/**
+ * Encodes one frame without a copy of a large body, which would need several
+ * times its memory.
+ *
+ * @param frame Array that one of the schemas in `link_schema.ts` describes.
+ * @returns Buffers that follow each other in the stream; one if no element is a
+ *   large body.
+ */
+export function encodeFrameParts(
+  frame: readonly unknown[],
+): readonly Uint8Array[] {
+  const index = frame.findIndex((element) =>
+    element instanceof Uint8Array && element.length >= LARGE_BODY_MIN_BYTES
+  );
+  if (index < 0) {
+    return [encodeFrame(frame)];
+  }
+  const body = frame[index] as Uint8Array;
+  const before = Buffer.concat([
+    arrayHeader(frame.length),
+    ...frame.slice(0, index).map((element) => packr.pack(element)),
+    binaryHeader(body.length),
+  ]);
+  const after = Buffer.concat(
+    frame.slice(index + 1).map((element) => packr.pack(element)),
+  );
+  const length = before.length + body.length + after.length;
+  return [withLength(before, length), body, after];
+}
+
+/** Precedes bytes by a length, by default their own. */
+function withLength(bytes: Buffer, length = bytes.length): Buffer {
+  const result = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length);
+  result.writeUInt32BE(length, 0);
+  bytes.copy(result, LENGTH_BYTES);
+  return result;
+}
+
+/** Header of an array with a length of 16 bits in msgpack. */
+function arrayHeader(length: number): Buffer {
+  const header = Buffer.from([MSGPACK_ARRAY_16, 0, 0]);
+  header.writeUInt16BE(length, 1);
+  return header;
+}
+
+/** Header of a byte string with a length of 32 bits in msgpack. */
+function binaryHeader(length: number): Buffer {
+  const header = Buffer.from([MSGPACK_BINARY_32, 0, 0, 0, 0]);
+  header.writeUInt32BE(length, 1);
+  return header;
 }
 
 /** Splits a byte stream into frames. */
--- a/src/link/frame_codec_test.ts
+++ b/src/link/frame_codec_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import { encodeFrame, encodeFrameParts, FrameReader } from "./frame_codec.ts";
 
 test("frames are decoded in order for any chunk size of the stream", () => {
   fc.assert(
@@ -29,3 +29,34 @@
   const reader = new FrameReader();
   assert.throws(() => reader.push(Buffer.from("GET / HTTP/1.1"), () => {}));
 });
+
+// Guards against several copies of a large body in memory at the same time.
+test("a frame with a large body is encoded around the body itself and decoded as any other", () => {
+  const element = fc.oneof(fc.nat(), fc.string(), fc.boolean());
+  fc.assert(
+    fc.property(
+      fc.array(element, { maxLength: 20 }),
+      fc.array(element, { maxLength: 20 }),
+      (before, after) => {
+        const body = Buffer.alloc(70_000, 7);
+        const frame = [...before, body, ...after];
+        const parts = encodeFrameParts(frame);
+        assert.ok(parts.includes(body));
+        const received: unknown[][] = [];
+        new FrameReader().push(
+          Buffer.concat(parts),
+          (decoded) => received.push(decoded),
+        );
+        assert.equal(received.length, 1);
+        const [decoded] = received as [unknown[]];
+        assert.ok(body.equals(decoded[before.length] as Uint8Array));
+        assert.deepEqual(
+          decoded.toSpliced(before.length, 1),
+          [...before, ...after],
+        );
+      },
+    ),
+    { seed: 5, numRuns: 50 },
+  );
+  assert.deepEqual(encodeFrameParts([1, "a"]), [encodeFrame([1, "a"])]);
+});
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -1,6 +1,6 @@
 /** One TCP connection that carries frames in both directions. */
 import type { Socket } from "node:net";
-import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import { encodeFrameParts, FrameReader } from "./frame_codec.ts";
 import { StringDecoder, StringEncoder } from "./string_table.ts";
 
 /** Receives the frames of a connection, and is notified when it closes. */
@@ -11,7 +11,7 @@
   onClosed(reason: string): void;
 }
 
-/** Frames of more bytes are written without a copy that joins them. */
+/** Frames of more bytes in all are written without a copy that joins them. */
 const JOINED_MAX_BYTES = 65_536;
 /**
  * Unsent bytes from which on no further request is sent on a connection. One
@@ -38,7 +38,7 @@
   readonly encoder = new StringEncoder();
   /** Decodes strings with the table of the incoming direction. */
   readonly decoder = new StringDecoder();
-  #unsent: Buffer[] = [];
+  #unsent: Uint8Array[] = [];
   #queuedBytes = 0;
   #isClosed = false;
   /** Monotonic time of the last received bytes, in ms. */
@@ -67,11 +67,13 @@
     if (this.#isClosed) {
       return;
     }
-    const bytes = encodeFrame(frame);
-    this.#queuedBytes += bytes.length;
-    if (this.#unsent.push(bytes) === 1) {
+    if (this.#unsent.length === 0) {
       setImmediate(() => this.#flush());
     }
+    for (const part of encodeFrameParts(frame)) {
+      this.#unsent.push(part);
+      this.#queuedBytes += part.length;
+    }
   }
 
   /** Whether the operating system has not taken all frames yet. */
@@ -104,18 +106,18 @@
   }
 
   #flush(): void {
-    const frames = this.#unsent;
+    const parts = this.#unsent;
     const sizeBytes = this.#queuedBytes;
     this.#unsent = [];
     this.#queuedBytes = 0;
     if (this.#isClosed) {
       return;
     }
-    if (sizeBytes <= JOINED_MAX_BYTES) {
-      this.#socket.write(Buffer.concat(frames, sizeBytes));
+    if (parts.length > 1 && sizeBytes <= JOINED_MAX_BYTES) {
+      this.#socket.write(Buffer.concat(parts, sizeBytes));
     } else {
       this.#socket.cork();
-      frames.forEach((frame) => this.#socket.write(frame));
+      parts.forEach((part) => this.#socket.write(part));
       this.#socket.uncork();
     }
     if (this.#unsentBytes > UNSENT_MAX_BYTES) {
