--- a/src/fleet/stop_sequence.ts
+++ b/src/fleet/stop_sequence.ts
@@ -10,8 +10,9 @@
 /**
  * Time from SIGTERM until new requests are refused. Callers normally stop
  * connecting before, but when half of a data centre's daemons are not ready,
- * callers continue to connect to these daemons. The control interval is added to
- * it, and requests that are taken later than 3 s have too little time to end.
+ * callers continue to connect to these daemons. Steps are taken once per control
+ * interval, so the refusal begins after 3 s at the latest; requests that are taken
+ * later have too little time to end.
  */
 const ACCEPT_MS = 2_900;
 /** Time before the end of the grace period at which the process ends itself. */
