Refuse large answers while slow callers hold much memory

Cause: answers are held whole until their callers have read them, without a bound. Refusing to deliver one would waste what has run, so the decision falls before a request is sent: a request whose route has large answers (1 MB or more on average) is refused as not run while the answers that are held, and those that open requests will bring, exceed 100 MB. Other routes are not affected, and one request is always admitted when nothing is held.

The refusal's log line has heldBytes, and the trace command names the cause.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -284,6 +284,7 @@
       graph: this.#graph,
       observer,
       admission: this.#admission,
+      heldBytes: () => 0,
       random,
       exchange: {
         channels: this.#channels,
--- a/src/cli/request_trace.ts
+++ b/src/cli/request_trace.ts
@@ -74,8 +74,10 @@
 
 /** Formatters by error kind or by the `outcome` of a request. */
 const CAUSE_FORMATTERS: Readonly<Record<string, CauseFormatter>> = {
-  shed: ({ pool, admittedClasses }) =>
-    `Refused at the entry: pool ${pool} has no room (admitted classes ${admittedClasses}); it has not run`,
+  shed: ({ pool, admittedClasses, heldBytes }) =>
+    pool === undefined
+      ? `Refused at the entry: callers have not read ${heldBytes} bytes of answers; it has not run`
+      : `Refused at the entry: pool ${pool} has no room (admitted classes ${admittedClasses}); it has not run`,
   no_route: ({ path, configVersion }) =>
     `No route of configuration ${configVersion} matches ${path}`,
   not_ready: () =>
--- a/src/cli/trace_command_test.ts
+++ b/src/cli/trace_command_test.ts
@@ -21,6 +21,11 @@
     pool: "plates",
     admittedClasses: 1.4,
   }),
+  formatLogLine("10:00:00.1", "entry", "Request refused", {
+    requestId: "unread",
+    kind: "shed",
+    heldBytes: 80_000_000,
+  }),
   formatLogLine("10:00:00.2", "entry", "Request attempt failed", {
     requestId: "broken",
     upstream: "one",
@@ -56,6 +61,7 @@
 });
 
 const CAUSES: Record<string, RegExp> = {
+  unread: /Refused at the entry: callers have not read 80000000 bytes/,
   shed:
     /Refused at the entry: pool plates has no room \(admitted classes 1\.4\)/,
   broken: /The upstream beside one broke off or spoiled its answer/,
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -330,6 +330,7 @@
       graph: this.#callGraph,
       observer: this.#callObserver,
       admission: this.#admission,
+      heldBytes: () => this.#outboundListener.heldBytes,
       random,
       exchange: {
         channels: this.#channels,
--- a/src/fleet/http_answer_sender.ts
+++ b/src/fleet/http_answer_sender.ts
@@ -11,6 +11,8 @@
   retryAfterMs: (kind: ErrorKind) => number | undefined;
   /** Whether the answer closes its connection; called once, when it is sent. */
   closesConnection: () => boolean;
+  /** Called with the size of the body of an upstream's answer, in bytes. */
+  onBody: (sizeBytes: number) => void;
 };
 
 /** Writes the answer to one request. */
@@ -19,6 +21,8 @@
   readonly #options: HttpAnswerSenderOptions;
   /** Whether an answer has been written, perhaps to the buffers of Node.js. */
   isSent = false;
+  /** Size of the body of an upstream's answer; 0 before it is written. */
+  bodyBytes = 0;
 
   /**
    * @param response Response of the request.
@@ -37,7 +41,9 @@
       response.shouldKeepAlive = false;
     }
     response.sendDate = false;
-    const length = String(body?.length ?? 0);
+    this.bodyBytes = body?.length ?? 0;
+    this.#options.onBody(this.bodyBytes);
+    const length = String(this.bodyBytes);
     response.writeHead(
       status,
       isBodylessStatus(status)
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -73,6 +73,7 @@
   readonly #openResponses = new OpenResponses();
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
+  #heldBytes = 0;
   #isStopping = false;
 
   /**
@@ -96,6 +97,11 @@
     );
   }
 
+  /** Bytes of the answers that callers have not read completely. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
   /** Number of requests without a complete answer. */
   get openCount(): number {
     return this.#openCount;
@@ -160,10 +166,12 @@
     const answerSender = new HttpAnswerSender(response, {
       retryAfterMs: (kind) => this.#handler.retryAfterMs(kind),
       closesConnection: () => this.#closesConnection(state, number),
+      onBody: (sizeBytes) => this.#heldBytes += sizeBytes,
     });
     let onDisconnect = () => {};
     response.once("close", () => {
       this.#openCount--;
+      this.#heldBytes -= answerSender.bodyBytes;
       if (!answerSender.isSent) {
         onDisconnect();
       }
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,6 +1,7 @@
 /** Routes, admits and forwards requests of callers and downstream calls. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
+import { LargeAnswers } from "../decisions/large_answers.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ConfigFollower } from "./config_follower.ts";
@@ -22,6 +23,11 @@
 const OVERLOAD_RETRY_JITTER_MAX_MS = 900;
 /** Time until a caller should retry a request after a transient fault. */
 const FAULT_RETRY_MS = 250;
+/**
+ * Maximum bytes of large answers that are held for callers or expected. A process
+ * may have 250 MB, and an answer is in memory more than once while it arrives.
+ */
+const ANSWERS_MAX_BYTES = 100_000_000;
 /**
  * Mean run times that must be left until the end of the process for a call to be
  * taken. The mean does not include waiting, and half of the runs take longer.
@@ -43,6 +49,11 @@
   graph: CallGraph;
   observer: CallObserver;
   admission: EntryAdmission;
+  /**
+   * Bytes of the answers that callers have not read completely. A function,
+   * because the listener is constructed later.
+   */
+  heldBytes: () => number;
   random: RandomSource;
   exchange: ExchangeParts;
 };
@@ -58,6 +69,7 @@
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
   readonly #droppedHeaders: readonly string[];
+  readonly #largeAnswers = new LargeAnswers(ANSWERS_MAX_BYTES);
   /**
    * Monotonic time at which the stopping process ends at the latest, in ms;
    * undefined while new requests are accepted.
@@ -105,6 +117,9 @@
     ) {
       return this.#refuse(received, "draining", answerSender);
     }
+    if (!this.#largeAnswers.admits(route.name, this.#parts.heldBytes())) {
+      return this.#refuse(received, "shed", answerSender);
+    }
     const request = this.#createRequest(received, { route, pool, parent });
     if (!request.isCall) {
       const refusingPool = this.#parts.admission.findRefusingPool(route);
@@ -115,13 +130,7 @@
         });
       }
     }
-    const exchange = new ForwardedExchange(
-      request,
-      answerSender,
-      this.#parts.exchange,
-    );
-    exchange.start();
-    return () => exchange.cancel();
+    return this.#forward(request, answerSender);
   }
 
   /** @inheritdoc */
@@ -135,6 +144,31 @@
       : FAULT_RETRY_MS;
   }
 
+  /** Forwards a request. Returns a function that cancels it. */
+  #forward(request: RoutedRequest, answerSender: AnswerSender): () => void {
+    const { name } = request.route;
+    this.#largeAnswers.start(name);
+    const exchange = new ForwardedExchange(
+      request,
+      {
+        answer: (answer) => {
+          this.#largeAnswers.end(name, answer.body?.length ?? 0);
+          answerSender.answer(answer);
+        },
+        fail: (kind) => {
+          this.#largeAnswers.end(name);
+          answerSender.fail(kind);
+        },
+      },
+      this.#parts.exchange,
+    );
+    exchange.start();
+    return () => {
+      this.#largeAnswers.end(name);
+      exchange.cancel();
+    };
+  }
+
   /** Time that the caller waits for the answer, in ms. */
   #callerTimeoutMs({ message }: ReceivedRequest): number {
     const timeoutMs = Number(
@@ -248,6 +282,7 @@
       route: cause?.request.route.name,
       pool: cause?.refusingPool,
       admittedClasses: cause && admission.level(cause.refusingPool),
+      heldBytes: this.#parts.heldBytes(),
       configVersion: config.version,
     });
     if (cause !== undefined) {
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -65,6 +65,7 @@
     observer,
     graph,
     admission: { findRefusingPool: ignore },
+    heldBytes: () => 0,
     exchange: {
       channels: { choose: () => channel, longestRunMs: () => RUN_MS },
       budget: { recordRequest: ignore },
