--- a/src/core/body_buffer.ts
+++ b/src/core/body_buffer.ts
@@ -4,6 +4,7 @@
 const COPIED_MAX_BYTES = 1_024;
 /** Maximum size of the blocks into which chunks are copied. */
 const BLOCK_MAX_BYTES = 65_536;
+const NO_BLOCK = Buffer.alloc(0);
 
 /**
  * Collects the chunks of a body. The memory that it uses is proportional to the
@@ -16,7 +17,7 @@
  */
 export class BodyBuffer {
   #buffers: Buffer[] = [];
-  #block: Buffer = Buffer.alloc(0);
+  #block: Buffer = NO_BLOCK;
   #blockUsedBytes = 0;
   #sizeBytes = 0;
 
@@ -56,7 +57,7 @@
   /** Discards all chunks. */
   clear(): void {
     this.#buffers = [];
-    this.#block = Buffer.alloc(0);
+    this.#block = NO_BLOCK;
     this.#blockUsedBytes = 0;
     this.#sizeBytes = 0;
   }
@@ -75,7 +76,7 @@
     if (this.#blockUsedBytes > 0) {
       this.#buffers.push(this.#block.subarray(0, this.#blockUsedBytes));
     }
-    this.#block = Buffer.alloc(0);
+    this.#block = NO_BLOCK;
     this.#blockUsedBytes = 0;
   }
 }
--- a/src/link/frame_codec.ts
+++ b/src/link/frame_codec.ts
@@ -34,9 +34,7 @@
 export function encodeFrameParts(
   frame: readonly unknown[],
 ): readonly Uint8Array[] {
-  const index = frame.findIndex((element) =>
-    element instanceof Uint8Array && element.length >= LARGE_BODY_MIN_BYTES
-  );
+  const index = frame.findIndex(isLargeBody);
   if (index < 0) {
     return [encodeFrame(frame)];
   }
@@ -53,6 +51,11 @@
   return [withLength(before, length), body, after];
 }
 
+function isLargeBody(element: unknown): boolean {
+  return element instanceof Uint8Array &&
+    element.length >= LARGE_BODY_MIN_BYTES;
+}
+
 /** Precedes bytes by a length, by default their own. */
 function withLength(bytes: Buffer, length = bytes.length): Buffer {
   const result = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length);
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -113,7 +113,10 @@
     if (this.#isClosed) {
       return;
     }
-    if (parts.length > 1 && sizeBytes <= JOINED_MAX_BYTES) {
+    const [first] = parts;
+    if (parts.length === 1 && first !== undefined) {
+      this.#socket.write(first);
+    } else if (sizeBytes <= JOINED_MAX_BYTES) {
       this.#socket.write(Buffer.concat(parts, sizeBytes));
     } else {
       this.#socket.cork();
