--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -11,8 +11,11 @@
   onClosed(reason: string): void;
 }
 
-/** Frames of more bytes in all are written without a copy that joins them. */
-const JOINED_MAX_BYTES = 65_536;
+/**
+ * Size of a part from which on the parts are not joined, because that would copy
+ * it. Small parts are joined, since each write has a cost of its own.
+ */
+const SEPARATE_MIN_BYTES = 65_536;
 /**
  * Unsent bytes from which on no further request is sent on a connection. One
  * frame may be as large as the largest body.
@@ -116,12 +119,12 @@
     const [first] = parts;
     if (parts.length === 1 && first !== undefined) {
       this.#socket.write(first);
-    } else if (sizeBytes <= JOINED_MAX_BYTES) {
-      this.#socket.write(Buffer.concat(parts, sizeBytes));
-    } else {
+    } else if (parts.some(({ length }) => length >= SEPARATE_MIN_BYTES)) {
       this.#socket.cork();
       parts.forEach((part) => this.#socket.write(part));
       this.#socket.uncork();
+    } else {
+      this.#socket.write(Buffer.concat(parts, sizeBytes));
     }
     if (this.#unsentBytes > UNSENT_MAX_BYTES) {
       this.close("The peer does not read");
