Share what the faults of the review had written twice

No change of behaviour, from reading the whole change once more:

- Whether a request is a call of its parent stood in two checks of OutboundService.
The one for admission now builds on the one for the stop; a route that the parent's route calls is a called route, so both agree.
- The caller's timeout was read twice for each request.
- Both listeners had the same check before they answer an error of the parser; it stands in OpenResponses.
- The end of the grace period was computed from the present time and back.

--- a/src/core/open_responses.ts
+++ b/src/core/open_responses.ts
@@ -35,6 +35,21 @@
     return this.#bySocket.get(socket)?.size ?? 0;
   }
 
+  /**
+   * Handles bytes that are no request: closes their connection, or has them
+   * answered if no response on it is open.
+   *
+   * @param socket Connection.
+   * @param answer Answers them and closes the connection.
+   */
+  handleParserError(socket: Socket, answer: () => void): void {
+    if (this.countOf(socket) > 0) {
+      socket.destroy();
+      return;
+    }
+    answer();
+  }
+
   #startTracking(socket: Socket): Set<ServerResponse> {
     const open = new Set<ServerResponse>();
     this.#bySocket.set(socket, open);
--- a/src/core/open_responses_test.ts
+++ b/src/core/open_responses_test.ts
@@ -2,6 +2,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { test } from "node:test";
+import { waitFor } from "../testing/wait_for.ts";
 import { listenOn } from "./listen_on.ts";
 import { OpenResponses } from "./open_responses.ts";
 
@@ -22,20 +23,14 @@
   for (const path of ["/0", "/1", "/2"]) {
     socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`);
   }
-  while (responses.length < 3) {
-    await new Promise((resolve) => setTimeout(resolve, 5));
-  }
+  await waitFor("the requests arrive", () => responses.length === 3);
   const [first] = responses as [ServerResponse];
   const connection = first.req.socket;
   assert.equal(open.countOf(connection), 3);
   first.end();
-  while (open.countOf(connection) > 2) {
-    await new Promise((resolve) => setTimeout(resolve, 5));
-  }
+  await waitFor("the first is complete", () => open.countOf(connection) === 2);
   socket.destroy();
-  while (open.countOf(connection) > 0) {
-    await new Promise((resolve) => setTimeout(resolve, 5));
-  }
+  await waitFor("all are closed", () => open.countOf(connection) === 0);
   await new Promise((resolve) => setImmediate(resolve));
   assert.deepEqual(closed, ["/0", "/1", "/2"]);
 });
--- a/src/decisions/call_graph_test.ts
+++ b/src/decisions/call_graph_test.ts
@@ -76,7 +76,19 @@
   assert.equal(observer.isCalled("stock"), false);
 });
 
-test("runs multiply along a chain of calls, and add up where chains meet", () => {
+test("runs multiply along a chain of calls, and the computation terminates for a cycle", () => {
+  const graph = new CallGraph();
+  graph.update("one", [["read", "tally", 2]]);
+  graph.update("two", [["tally", "index", 1], ["index", "roster", 4]]);
+  const runs = graph.runsByRoute("read");
+  assert.equal(runs.get("roster"), 8);
+  assert.equal(graph.isCalled("roster"), true);
+  assert.equal(graph.isCalled("read"), false);
+  graph.update("three", [["roster", "tally", 0.1]]);
+  assert.ok(graph.runsByRoute("read").size > 0);
+});
+
+test("runs add up where chains of calls meet, and follow a change of the calls", () => {
   const graph = new CallGraph();
   graph.update("one", [["read", "tally", 2], ["read", "roster", 3]]);
   graph.update("two", [["tally", "index", 1], ["index", "roster", 4]]);
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -93,7 +93,10 @@
     this.#server.on(
       "clientError",
       (error: ParserError, socket: Socket) =>
-        this.#handleParserError(error, socket),
+        this.#openResponses.handleParserError(
+          socket,
+          () => answerParserError(error, socket),
+        ),
     );
   }
 
@@ -190,14 +193,6 @@
     }
   }
 
-  #handleParserError(error: ParserError, socket: Socket): void {
-    if (this.#openResponses.countOf(socket) > 0) {
-      socket.destroy();
-      return;
-    }
-    answerParserError(error, socket);
-  }
-
   /**
    * Returns whether the answer to a request closes its connection, and records
    * it. While stopping, the answer to the newest request does. Earlier answers
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -109,7 +109,8 @@
       return this.#refuse(received, "no_route", answerSender);
     }
     const pool = routes.choosePool(route);
-    const parent = this.#findParent(received);
+    const callerTimeoutMs = this.#callerTimeoutMs(received);
+    const parent = this.#findParent(received, callerTimeoutMs);
     if (
       this.#endsAtMs !== undefined &&
       !(this.#isCallOf(parent, route) &&
@@ -120,7 +121,12 @@
     if (!this.#largeAnswers.admits(route.name, this.#parts.heldBytes())) {
       return this.#refuse(received, "shed", answerSender);
     }
-    const request = this.#createRequest(received, { route, pool, parent });
+    const request = this.#createRequest(received, {
+      route,
+      pool,
+      callerTimeoutMs,
+      parent,
+    });
     if (!request.isCall) {
       const refusingPool = this.#parts.admission.findRefusingPool(route);
       if (refusingPool !== undefined) {
@@ -182,23 +188,25 @@
   }
 
   /** Finds the request at the local upstream that makes a call. */
-  #findParent(received: ReceivedRequest): CallParent | undefined {
+  #findParent(
+    received: ReceivedRequest,
+    callerTimeoutMs: number,
+  ): CallParent | undefined {
     const { gate, decodeParentId } = this.#parts;
     const named = gate.findRunning(decodeParentId(this.#requestId(received)));
     if (named !== undefined) {
       return { served: named, isNamed: true };
     }
-    const served = gate.findParent(
-      received.arrivedAtMs + this.#callerTimeoutMs(received),
-    );
+    const served = gate.findParent(received.arrivedAtMs + callerTimeoutMs);
     return served && { served, isNamed: false };
   }
 
   /**
    * Returns whether a request is a downstream call of this parent. A matching
    * deadline is sufficient only if the parent's route calls that of the request,
-   * or may call it. That other endpoints call the route is not sufficient,
-   * because callers send requests of called routes, too.
+   * or may call it, because a caller's request may have the same one by chance.
+   * That other endpoints call the route is not sufficient, because callers send
+   * requests of called routes, too.
    */
   #isCallOf(parent: CallParent | undefined, route: FleetRoute): boolean {
     if (parent === undefined || parent.isNamed) {
@@ -219,17 +227,14 @@
 
   #createRequest(
     received: ReceivedRequest,
-    { route, pool, parent }: {
+    { route, pool, callerTimeoutMs, parent }: {
       route: FleetRoute;
       pool: string;
+      callerTimeoutMs: number;
       parent: CallParent | undefined;
     },
   ): RoutedRequest {
     const { message, body, arrivedAtMs } = received;
-    const timeoutMs = Math.min(
-      this.#callerTimeoutMs(received),
-      route.timeoutMs,
-    );
     parent?.served.calledRouteNames.push(route.name);
     this.#parts.observer.recordReceived(route.name, parent !== undefined);
     const isCall = this.#isCall(route, parent);
@@ -246,26 +251,22 @@
       route,
       pool,
       arrivedAtMs,
-      expiresAtMs: arrivedAtMs + timeoutMs,
+      expiresAtMs: arrivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs),
       goalAtMs: inheritedGoalAtMs ?? arrivedAtMs + route.latencyGoalMs,
       isCall,
     };
   }
 
   /**
-   * Returns whether a request is treated as a downstream call. One whose id names
-   * a running request is, and one of a route that is known to be called, here or
-   * by others. So is a request whose deadline matches that of a running request,
-   * its parent, until enough runs of the parent's route have
-   * been observed. After that, the deadline is not sufficient, because a caller's
-   * request may have the same one by chance.
+   * Returns whether a request is treated as a downstream call for admission: one
+   * of this parent, or one of a route that is known to be called, here or by
+   * others, although its parent was not found. To refuse a call would lose the
+   * work of its parent.
    */
   #isCall(route: FleetRoute, parent: CallParent | undefined): boolean {
     const { graph, observer } = this.#parts;
-    return parent?.isNamed === true || graph.isCalled(route.name) ||
-      observer.isCalled(route.name) ||
-      (parent !== undefined &&
-        !observer.hasEnoughRuns(parent.served.request.routeName));
+    return graph.isCalled(route.name) || observer.isCalled(route.name) ||
+      this.#isCallOf(parent, route);
   }
 
   #refuse(
--- a/src/fleet/stop_sequence.ts
+++ b/src/fleet/stop_sequence.ts
@@ -63,13 +63,14 @@
       return;
     }
     const elapsedMs = nowMs - lifecycle.stoppingSinceMs;
-    const remainingMs = stopGraceMs - GRACE_RESERVE_MS - elapsedMs;
+    const endsAtMs = lifecycle.stoppingSinceMs +
+      (stopGraceMs - GRACE_RESERVE_MS);
     this.#options.closeIdle();
     if (elapsedMs >= ACCEPT_MS && !this.#isRefusing) {
       this.#isRefusing = true;
-      this.#options.refuseNew(nowMs + remainingMs);
+      this.#options.refuseNew(endsAtMs);
     }
-    if (remainingMs <= 0) {
+    if (nowMs >= endsAtMs) {
       lifecycle.notify("graceOver");
       return;
     }
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -55,13 +55,14 @@
       this.#openResponses.track(response, request.socket);
       handler(request, response);
     });
-    this.#server.on("clientError", (error: ParserError, socket: Socket) => {
-      if (this.#openResponses.countOf(socket) > 0) {
-        socket.destroy();
-        return;
-      }
-      answerParserError(error, socket);
-    });
+    this.#server.on(
+      "clientError",
+      (error: ParserError, socket: Socket) =>
+        this.#openResponses.handleParserError(
+          socket,
+          () => answerParserError(error, socket),
+        ),
+    );
   }
 
   /**
