--- a/bench/recovery/scenario.ts
+++ b/bench/recovery/scenario.ts
@@ -69,6 +69,7 @@
     latencyGoalMs,
     attemptsMax: 2,
     priority,
+    isPublic: false,
     targets: [{ pool, weight: 1 }],
   };
 }
--- a/src/decisions/fleet_routes_test.ts
+++ b/src/decisions/fleet_routes_test.ts
@@ -17,6 +17,7 @@
     latencyGoalMs: 500,
     attemptsMax: 2,
     priority: 0,
+    isPublic: false,
     targets,
   };
 }
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -23,6 +23,7 @@
     latencyGoalMs: 500,
     attemptsMax: 2,
     priority,
+    isPublic: false,
     targets: [{ pool, weight: 1 }],
   };
 }
--- a/src/schemas/fleet_schema.ts
+++ b/src/schemas/fleet_schema.ts
@@ -36,6 +36,17 @@
   ),
   repeatSlackCount: z.number().min(0)
     .describe("Retries allowed beyond the ratio, over all daemons"),
+  keyRevocationMaxMs: nonNegativeMsSchema.optional().describe(
+    "Time from the acceptance of a configuration until no request with a key " +
+      "that it withdrew runs any more, on any daemon; without it, daemons that " +
+      "do not reach the store go on with the keys that they know",
+  ),
+  usageCapWindowMs: z.number().positive().default(5_000)
+    .describe("Sliding window over which the usage caps of tenants apply"),
+  memoryMaxBytes: z.int().positive().optional()
+    .describe("Memory that the process may use"),
+  descriptorsMaxCount: z.int().positive().optional()
+    .describe("File descriptors that the process may open"),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]),
 });
 
@@ -55,6 +66,8 @@
     "Attempts of one request that may reach an upstream",
   ),
   priority: z.int().min(0).describe("Rank under overload; 0 is shed last"),
+  isPublic: z.boolean().default(false)
+    .describe("Whether requests need no key; relevant only with tenants"),
   targets: z.array(z.object({
     pool: z.string().min(1),
     weight: z.number().min(0),
@@ -64,10 +77,29 @@
 /** A route of a configuration. */
 export type FleetRoute = z.infer<typeof fleetRouteSchema>;
 
+/** Schema of a tenant, whose callers identify themselves with its keys. */
+export const fleetTenantSchema = z.object({
+  name: z.string().min(1),
+  keys: z.array(z.string().min(1)),
+  priority: z.int().min(0).optional()
+    .describe("Rank under overload in place of the route's; 0 is shed last"),
+  ratePerS: z.number().min(0).default(0)
+    .describe("Usage cap in requests a second over all daemons; 0 for none"),
+  burstCount: z.number().min(0).default(0)
+    .describe("Requests that the usage cap allows at once beyond its rate"),
+});
+
+/** A tenant, whose callers identify themselves with its keys. */
+export type FleetTenant = z.infer<typeof fleetTenantSchema>;
+
 /** Schema of a whole configuration. */
 export const fleetConfigSchema = z.object({
   version: z.number().describe("Increases with each accepted configuration"),
   routes: z.array(fleetRouteSchema),
+  tenants: z.array(fleetTenantSchema).optional().describe(
+    "Requests on routes that are not public need a key of one of these; " +
+      "without the list no request needs a key",
+  ),
   pools: z.array(z.object({
     name: z.string().min(1),
     healthPath: z.string(),
