--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -6,6 +6,7 @@
 import { RetryBudget } from "../../src/decisions/retry_budget.ts";
 import type { ErrorKind } from "../../src/errors/error_kinds.ts";
 import { errorAnswer } from "../../src/errors/error_kinds.ts";
+import { Authenticator } from "../../src/fleet/authenticator.ts";
 import { ChannelTable } from "../../src/fleet/channel_table.ts";
 import { ConfigFollower } from "../../src/fleet/config_follower.ts";
 import { DecisionLog } from "../../src/fleet/decision_log.ts";
@@ -16,6 +17,7 @@
 import { OutboundService } from "../../src/fleet/outbound_service.ts";
 import { StatePublisher } from "../../src/fleet/state_publisher.ts";
 import { UpstreamGate } from "../../src/fleet/upstream_gate.ts";
+import { UnlimitedUsage } from "../../src/fleet/usage_cap_gate.ts";
 import type { UpstreamHttpClient } from "../../src/fleet/upstream_http_client.ts";
 import type {
   FleetConfig,
@@ -53,6 +55,7 @@
   rateLimit: "limit",
   leaving: "leaving",
   upstreamId: "upstream-id",
+  tenant: "tenant",
 };
 
 /** Outcome of a request, as its caller sees it. */
@@ -284,9 +287,18 @@
       graph: this.#graph,
       observer,
       admission: this.#admission,
+      authenticator: new Authenticator({
+        names: HEADERS,
+        config: this.#config,
+        revocationMaxMs: undefined,
+        currencyAgeMs: () => 0,
+        onRefused: () => {},
+      }),
       heldBytes: () => 0,
       random,
       exchange: {
+        usage: new UnlimitedUsage(),
+        recheckKey: () => undefined,
         channels: this.#channels,
         budget: new RetryBudget({
           ratio: REPEAT_RATIO,
--- a/src/decisions/fleet_routes.ts
+++ b/src/decisions/fleet_routes.ts
@@ -1,5 +1,6 @@
 /** Finds the route of a request by host and path, and the pool that runs it. */
 import type { FleetConfig, FleetRoute } from "../schemas/fleet_schema.ts";
+import { TenantKeys } from "./tenants/tenant_keys.ts";
 
 type SplitState = {
   readonly credits: Float64Array;
@@ -16,6 +17,8 @@
  */
 export class FleetRoutes {
   readonly config: FleetConfig;
+  /** Tenants by key; undefined when no request needs a key. */
+  readonly tenants: TenantKeys | undefined;
   readonly #byHost = new Map<string, FleetRoute[]>();
   readonly #byName = new Map<string, FleetRoute>();
   readonly #splits = new Map<string, SplitState>();
@@ -25,6 +28,7 @@
    */
   constructor(config: FleetConfig) {
     this.config = config;
+    this.tenants = config.tenants && new TenantKeys(config.tenants);
     for (const route of config.routes) {
       const list = this.#byHost.get(route.host) ?? [];
       list.push(route);
--- a/src/errors/error_kinds.ts
+++ b/src/errors/error_kinds.ts
@@ -57,6 +57,33 @@
     retry: "never",
     message: "The caller may not act for this tenant",
   },
+  credential_unknown: {
+    status: 401,
+    outcome: "not-run",
+    retry: "never",
+    message: "The request needs the key of a tenant",
+  },
+  credential_unverifiable: {
+    status: 503,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The daemon cannot tell whether the key is still valid",
+  },
+  parent_not_running: {
+    status: 503,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The request that makes this call is not running",
+  },
+  usage_capped: {
+    status: 429,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The tenant has reached its usage cap",
+  },
   no_route: {
     status: 404,
     outcome: "not-run",
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -25,6 +25,14 @@
   log: Logger;
 };
 
+/** Requests of a route that were offered, with decay. */
+type OfferedCounts = {
+  /** Requests with the priority of the route. */
+  routeCount: number;
+  /** Requests with another priority, that of their tenant, by priority. */
+  readonly byPriority: number[];
+};
+
 /**
  * Number of runs at each pool that one request causes: its own and those of its
  * downstream calls.
@@ -38,7 +46,7 @@
 export class EntryAdmission {
   readonly #options: EntryAdmissionOptions;
   readonly #levels = new EntryLevels();
-  readonly #offeredByRoute = new Map<string, number>();
+  readonly #offeredByRoute = new Map<string, OfferedCounts>();
   readonly #loggedClassesCounts = new Map<string, number>();
   #routes: FleetRoutes | undefined;
   #runsByPoolOfRoute = new Map<string, RunsByPool>();
@@ -66,16 +74,17 @@
    * Counts a request of a caller as offered and decides whether it is admitted.
    *
    * @param route Route of the request.
+   * @param ownPriority Priority of the request, that of its tenant or its route.
    * @returns Pool whose level refuses the request; undefined when the request
    *   is admitted.
    */
-  findRefusingPool(route: FleetRoute): string | undefined {
-    this.#offeredByRoute.set(
-      route.name,
-      (this.#offeredByRoute.get(route.name) ?? 0) + 1,
-    );
+  findRefusingPool(
+    route: FleetRoute,
+    ownPriority: number = route.priority,
+  ): string | undefined {
+    this.#countOffered(route, ownPriority);
     const sample = this.#options.random.nextFloat();
-    const priority = Math.min(route.priority, CLASSES_MAX_COUNT - 1);
+    const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
     for (const pool of this.#runsByPool(route.name).keys()) {
       if (!this.#levels.admits(pool, { priority, sample })) {
         return pool;
@@ -120,29 +129,51 @@
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
     }
-    for (const [routeName, count] of this.#offeredByRoute) {
-      this.#offeredByRoute.set(routeName, count * OFFERED_DECAY);
+    for (const counts of this.#offeredByRoute.values()) {
+      counts.routeCount *= OFFERED_DECAY;
+      counts.byPriority.forEach((count, priority) =>
+        counts.byPriority[priority] = count * OFFERED_DECAY
+      );
+    }
+  }
+
+  #countOffered({ name, priority }: FleetRoute, ownPriority: number): void {
+    let counts = this.#offeredByRoute.get(name);
+    if (counts === undefined) {
+      counts = { routeCount: 0, byPriority: [] };
+      this.#offeredByRoute.set(name, counts);
+    }
+    if (ownPriority === priority) {
+      counts.routeCount++;
+      return;
     }
+    const index = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
+    counts.byPriority[index] = (counts.byPriority[index] ?? 0) + 1;
   }
 
   #offeredByPool(routes: FleetRoutes): Map<string, number[]> {
-    const priorityMax = routes.config.routes.reduce(
-      (max, { priority }) => Math.max(max, priority),
+    const { config } = routes;
+    const priorityMax = [...config.routes, ...config.tenants ?? []].reduce(
+      (max, { priority = 0 }) => Math.max(max, priority),
       0,
     );
     const classesCount = Math.min(CLASSES_MAX_COUNT, priorityMax + 1);
     const offered = new Map<string, number[]>();
-    for (const [routeName, count] of this.#offeredByRoute) {
+    for (const [routeName, counts] of this.#offeredByRoute) {
       const route = routes.route(routeName);
       if (route === undefined) {
         this.#offeredByRoute.delete(routeName);
         continue;
       }
-      const priority = Math.min(route.priority, classesCount - 1);
+      const classOf = (priority: number) =>
+        Math.min(priority, classesCount - 1);
       for (const [pool, runs] of this.#runsByPool(routeName)) {
         const byClass = offered.get(pool) ??
           new Array<number>(classesCount).fill(0);
-        byClass[priority]! += count * runs;
+        byClass[classOf(route.priority)]! += counts.routeCount * runs;
+        counts.byPriority.forEach((count, priority) =>
+          byClass[classOf(priority)]! += count * runs
+        );
         offered.set(pool, byClass);
       }
     }
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -8,6 +8,8 @@
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { ChannelTable } from "./channel_table.ts";
+import type { AnswerSender, RoutedRequest } from "./routed_request.ts";
+import type { UsageCapGate, UsageDecision } from "./usage_cap_gate.ts";
 import type {
   ForwardFailure,
   RequestHandle,
@@ -27,42 +29,6 @@
  */
 const RETRY_REMAINING_MIN_MS = 30;
 
-/** A received request for which a route and a pool have been found. */
-export type RoutedRequest = {
-  /**
-   * Id that the caller gave to the request, for logs and for the answer; empty
-   * without one.
-   */
-  readonly requestId: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly string[];
-  readonly body: Uint8Array | null;
-  readonly route: FleetRoute;
-  readonly pool: string;
-  /** Monotonic time of arrival, in ms. */
-  readonly arrivedAtMs: number;
-  /** Deadline of the answer, as a monotonic time in ms. */
-  readonly expiresAtMs: number;
-  /**
-   * Latency goal, as a monotonic time in ms. Answers after it have less value
-   * to the caller.
-   */
-  readonly goalAtMs: number;
-  /**
-   * Whether it is a downstream call of a request that the local upstream runs.
-   */
-  readonly isCall: boolean;
-};
-
-/** Sends the answer to one request. */
-export interface AnswerSender {
-  /** Sends the answer of an upstream. */
-  answer(answer: UpstreamAnswer): void;
-  /** Sends the answer of an error kind. */
-  fail(kind: ErrorKind): void;
-}
-
 /** Parts of the daemon that all exchanges share. */
 export type ExchangeParts = {
   channels: ChannelTable;
@@ -81,6 +47,13 @@
   runsPerRequest: (routeName: string) => number;
   /** Whether a pool that requests of a route use admits only a part of them. */
   isShedding: (route: FleetRoute) => boolean;
+  /** Usage caps of the tenants. */
+  usage: UsageCapGate;
+  /**
+   * Checks the key of a request again after it has waited. Returns the kind of
+   * the refusal; undefined when the request may be forwarded.
+   */
+  recheckKey: (request: RoutedRequest) => ErrorKind | undefined;
   /** Called at the end of each request, for metrics. */
   onEnd: (request: RoutedRequest, outcome: string) => void;
 };
@@ -102,6 +75,7 @@
   #reachedCount = 0;
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
+  #cancelUsage = () => {};
 
   /**
    * @param request Admitted request.
@@ -124,11 +98,21 @@
   }
 
   /**
-   * Counts the request for the retry budget and chooses its first upstream.
+   * Charges the usage cap of the tenant, unless the request is a downstream
+   * call, and then forwards the request.
    */
   start(): void {
-    this.#parts.budget.recordRequest(this.#request.pool, performance.now());
-    this.chooseUpstream();
+    const { tenantName, isCall } = this.#request;
+    if (tenantName === undefined || isCall) {
+      this.#machine.send("admitted");
+      return;
+    }
+    let hasWaited = false;
+    this.#cancelUsage = this.#parts.usage.admit(
+      tenantName,
+      (decision) => this.#onUsageDecision(decision, hasWaited),
+    );
+    hasWaited = true;
   }
 
   /** Cancels the request because its caller has disconnected. */
@@ -200,6 +184,28 @@
     this.chooseUpstream();
   }
 
+  /**
+   * Action: counts the request for the retry budget and chooses its first
+   * upstream.
+   */
+  forward(): void {
+    this.#parts.budget.recordRequest(this.#request.pool, performance.now());
+    this.chooseUpstream();
+  }
+
+  /** Action: answers that the request was not admitted. */
+  answerTurnedAway(
+    { kind, retryAfterMs }: { kind: ErrorKind; retryAfterMs?: number },
+  ): void {
+    this.#end(kind);
+    this.#answerSender.fail(kind, retryAfterMs);
+  }
+
+  /** Action: ends the wait for the usage cap. */
+  cancelUsage(): void {
+    this.#cancelUsage();
+  }
+
   /** Action: chooses an upstream that has not been tried. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
     const { pool, route, expiresAtMs } = this.#request;
@@ -274,6 +280,25 @@
     this.#end("cancelled");
   }
 
+  #onUsageDecision(decision: UsageDecision, hasWaited: boolean): void {
+    if (!decision.isAdmitted) {
+      const { retryAfterMs } = decision;
+      this.#machine.send("turnedAway", { kind: "usage_capped", retryAfterMs });
+      return;
+    }
+    // A process that was paused may handle the decision before the timer.
+    if (hasWaited && performance.now() >= this.#request.expiresAtMs) {
+      this.#machine.send("expired");
+      return;
+    }
+    const kind = hasWaited ? this.#parts.recheckKey(this.#request) : undefined;
+    if (kind !== undefined) {
+      this.#machine.send("turnedAway", { kind });
+      return;
+    }
+    this.#machine.send("admitted");
+  }
+
   /**
    * Returns the error kind for the caller. A kind that states that the request
    * did not run is used only when this is certain for every attempt.
@@ -328,11 +353,13 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
-    const { requestId, arrivedAtMs, route, pool, isCall } = this.#request;
+    const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
+      this.#request;
     this.#parts.onEnd(this.#request, outcome);
     this.#parts.decisions.record("ended", requestId, {
       route: route.name,
       pool,
+      tenant: tenantName,
       isCall,
       outcome,
       upstream: this.#channel?.member.name,
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -2,11 +2,8 @@
 import { test } from "node:test";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ResultReceiver } from "../link/upstream_channel.ts";
-import {
-  type ExchangeParts,
-  ForwardedExchange,
-  type RoutedRequest,
-} from "./forwarded_exchange.ts";
+import { type ExchangeParts, ForwardedExchange } from "./forwarded_exchange.ts";
+import type { RoutedRequest } from "./routed_request.ts";
 
 const REQUEST = {
   requestId: "a",
@@ -20,6 +17,9 @@
   expiresAtMs: Infinity,
   goalAtMs: Infinity,
   isCall: false,
+  tenantName: undefined,
+  priority: 0,
+  key: undefined,
 } satisfies RoutedRequest;
 
 // Guards against an attempt that goes on after its caller has left, because the
--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -26,6 +26,8 @@
   readonly leaving: string;
   /** Id of the upstream that answers a health check. */
   readonly upstreamId: string;
+  /** Name of the tenant on whose behalf the request is sent. */
+  readonly tenant: string;
 };
 
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
--- a/src/fleet/http_answer_sender.ts
+++ b/src/fleet/http_answer_sender.ts
@@ -3,7 +3,7 @@
 import { isBodylessStatus } from "../core/http_status.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { UpstreamAnswer } from "../link/upstream_channel.ts";
-import type { AnswerSender } from "./forwarded_exchange.ts";
+import type { AnswerSender } from "./routed_request.ts";
 
 /** Options of {@link HttpAnswerSender}. */
 export type HttpAnswerSenderOptions = {
@@ -54,15 +54,18 @@
   }
 
   /** @inheritdoc */
-  fail(kind: ErrorKind): void {
+  fail(kind: ErrorKind, givenRetryAfterMs?: number): void {
     this.isSent = true;
     const { status, message } = errorAnswer(kind);
     const response = this.#response;
     if (this.#options.closesConnection() || kind === "body_too_large") {
       response.shouldKeepAlive = false;
     }
-    const retryAfterMs = this.#options.retryAfterMs(kind);
+    const retryAfterMs = givenRetryAfterMs ?? this.#options.retryAfterMs(kind);
     const headers = ["content-length", String(message.length)];
+    if (kind === "credential_unknown") {
+      headers.push("www-authenticate", "Bearer");
+    }
     if (retryAfterMs !== undefined) {
       headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
     }
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -12,7 +12,7 @@
 import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
-import type { AnswerSender } from "./forwarded_exchange.ts";
+import type { AnswerSender } from "./routed_request.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 
 /**
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -2,18 +2,16 @@
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { LargeAnswers } from "../decisions/large_answers.ts";
+import { bearerKey } from "../decisions/tenants/credential.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import type { Authenticator, RequestAccess } from "./authenticator.ts";
 import type { ConfigFollower } from "./config_follower.ts";
 import type { EntryAdmission } from "./entry_admission.ts";
 import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
-import {
-  type AnswerSender,
-  type ExchangeParts,
-  ForwardedExchange,
-  type RoutedRequest,
-} from "./forwarded_exchange.ts";
+import { type ExchangeParts, ForwardedExchange } from "./forwarded_exchange.ts";
 import type { OutboundHandler, ReceivedRequest } from "./outbound_listener.ts";
+import type { AnswerSender, RoutedRequest } from "./routed_request.ts";
 import type { ServedRequest } from "./served_request.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 
@@ -33,10 +31,12 @@
  * taken. The mean does not include waiting, and half of the runs take longer.
  */
 const LATE_CALL_RUN_FACTOR = 2;
+/** Kinds after which a caller should wait as after a refusal for overload. */
 const OVERLOAD_KINDS: readonly ErrorKind[] = [
   "shed",
   "queue_full",
   "upstream_refused",
+  "credential_unverifiable",
 ];
 
 /** Parts of the daemon that {@link OutboundService} uses. */
@@ -49,6 +49,7 @@
   graph: CallGraph;
   observer: CallObserver;
   admission: EntryAdmission;
+  authenticator: Authenticator;
   /**
    * Bytes of the answers that callers have not read completely. A function,
    * because the listener is constructed later.
@@ -69,6 +70,8 @@
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
   readonly #droppedHeaders: readonly string[];
+  /** Headers that are dropped while the configuration has tenants. */
+  readonly #droppedForTenants: readonly string[];
   readonly #largeAnswers = new LargeAnswers(ANSWERS_MAX_BYTES);
   /**
    * Monotonic time at which the stopping process ends at the latest, in ms;
@@ -81,8 +84,13 @@
    */
   constructor(parts: OutboundServiceParts) {
     this.#parts = parts;
-    const { deadlineMs, targetUpstream, callerPool } = parts.names;
+    const { deadlineMs, targetUpstream, callerPool, tenant } = parts.names;
     this.#droppedHeaders = [deadlineMs, targetUpstream, callerPool];
+    this.#droppedForTenants = [
+      ...this.#droppedHeaders,
+      "authorization",
+      tenant,
+    ];
   }
 
   /**
@@ -108,9 +116,22 @@
     if (route === undefined) {
       return this.#refuse(received, "no_route", answerSender);
     }
-    const pool = routes.choosePool(route);
     const callerTimeoutMs = this.#callerTimeoutMs(received);
-    const parent = this.#findParent(received, callerTimeoutMs);
+    const hasTenants = routes.tenants !== undefined;
+    const key = hasTenants
+      ? bearerKey(message.headers.authorization)
+      : undefined;
+    // Endpoints make calls without a key.
+    const parent = key === undefined
+      ? this.#findParent(received, callerTimeoutMs)
+      : undefined;
+    const access = hasTenants
+      ? this.#authenticate(received, { route, key, parent })
+      : { priority: route.priority };
+    if (access.refusal !== undefined) {
+      return this.#refuse(received, access.refusal, answerSender);
+    }
+    const pool = routes.choosePool(route);
     if (
       this.#endsAtMs !== undefined &&
       !(this.#isCallOf(parent, route) &&
@@ -126,9 +147,14 @@
       pool,
       callerTimeoutMs,
       parent,
+      key,
+      access,
     });
     if (!request.isCall) {
-      const refusingPool = this.#parts.admission.findRefusingPool(route);
+      const refusingPool = this.#parts.admission.findRefusingPool(
+        route,
+        request.priority,
+      );
       if (refusingPool !== undefined) {
         return this.#refuse(received, "shed", answerSender, {
           request,
@@ -161,9 +187,9 @@
           this.#largeAnswers.end(name, answer.body?.length ?? 0);
           answerSender.answer(answer);
         },
-        fail: (kind) => {
+        fail: (kind, retryAfterMs) => {
           this.#largeAnswers.end(name);
-          answerSender.fail(kind);
+          answerSender.fail(kind, retryAfterMs);
         },
       },
       this.#parts.exchange,
@@ -218,6 +244,23 @@
       !observer.hasEnoughRuns(routeName);
   }
 
+  #authenticate(
+    received: ReceivedRequest,
+    { route, key, parent }: {
+      route: FleetRoute;
+      key: string | undefined;
+      parent: CallParent | undefined;
+    },
+  ): RequestAccess {
+    const { authenticator, decodeParentId } = this.#parts;
+    return authenticator.authenticate({
+      route,
+      key,
+      parent: this.#isCallOf(parent, route) ? parent?.served : undefined,
+      hasCallId: decodeParentId(this.#requestId(received)) !== undefined,
+    });
+  }
+
   /** Returns whether a request that is sent now will probably run in time. */
   #canRunUntil(endsAtMs: number, route: FleetRoute, pool: string): boolean {
     const { channels } = this.#parts.exchange;
@@ -227,17 +270,19 @@
 
   #createRequest(
     received: ReceivedRequest,
-    { route, pool, callerTimeoutMs, parent }: {
+    { route, pool, callerTimeoutMs, parent, key, access }: {
       route: FleetRoute;
       pool: string;
       callerTimeoutMs: number;
       parent: CallParent | undefined;
+      key: string | undefined;
+      access: RequestAccess;
     },
   ): RoutedRequest {
     const { message, body, arrivedAtMs } = received;
     parent?.served.calledRouteNames.push(route.name);
     this.#parts.observer.recordReceived(route.name, parent !== undefined);
-    const isCall = this.#isCall(route, parent);
+    const isCall = key === undefined && this.#isCall(route, parent);
     // A downstream call inherits the latency goal of the request that makes it.
     // Queues are ordered by goal, so requests that have been running longest
     // are completed first.
@@ -246,7 +291,7 @@
       requestId: this.#requestId(received),
       method: message.method ?? "GET",
       path: message.url ?? "/",
-      headers: copyEndToEndHeaders(message.rawHeaders, this.#droppedHeaders),
+      headers: this.#headers(message.rawHeaders, access.tenantName),
       body,
       route,
       pool,
@@ -254,9 +299,28 @@
       expiresAtMs: arrivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs),
       goalAtMs: inheritedGoalAtMs ?? arrivedAtMs + route.latencyGoalMs,
       isCall,
+      tenantName: access.tenantName,
+      priority: access.priority,
+      key: route.isPublic ? undefined : key,
     };
   }
 
+  /** Headers that are forwarded, with the name of the tenant. */
+  #headers(
+    rawHeaders: readonly string[],
+    tenantName: string | undefined,
+  ): string[] {
+    const { config, names } = this.#parts;
+    if (config.routes?.tenants === undefined) {
+      return copyEndToEndHeaders(rawHeaders, this.#droppedHeaders);
+    }
+    const headers = copyEndToEndHeaders(rawHeaders, this.#droppedForTenants);
+    if (tenantName !== undefined) {
+      headers.push(names.tenant, tenantName);
+    }
+    return headers;
+  }
+
   /**
    * Returns whether a request is treated as a downstream call for admission: one
    * of this parent, or one of a route that is known to be called, here or by
--- a/src/reference_pages/error_advice.ts
+++ b/src/reference_pages/error_advice.ts
@@ -8,6 +8,12 @@
   header_too_large: "Correct the caller; headers may take 16,384 bytes",
   body_too_large: "Raise the route's `bodyMaxBytes` or correct the caller",
   tenant_denied: "Compare the caller's token with the tenant's `tokenSha256`",
+  credential_unknown: "Correct the caller's key, or add the key to its tenant",
+  credential_unverifiable: "The daemon reaches neither the store nor a peer " +
+    "that does; look at `goldcrest_fleet_currency_age_ms`",
+  parent_not_running: "Expected when a request ends before its calls; " +
+    "otherwise the caller must send its key",
+  usage_capped: "Expected over the tenant's cap; raise `rate_per_s` or `burst`",
   no_route: "Add the route, or correct the caller's method or path",
   shed: "Expected under overload, least important class first; find the " +
     "slow service, then add upstreams",
