--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -31,6 +31,7 @@
   readonly inputs: Stream<StoredObject>;
   readonly #options: ConfigFollowerOptions;
   #routes: FleetRoutes | undefined;
+  #hasUnusable = false;
   /** Monotonic time at which the configuration was applied, in ms. */
   appliedAtMs = 0;
 
@@ -52,6 +53,11 @@
     return this.#routes?.config.version ?? 0;
   }
 
+  /** Whether the configuration of the store could not be decoded. */
+  get hasUnusable(): boolean {
+    return this.#hasUnusable;
+  }
+
   /** @inheritdoc */
   handle(object: StoredObject): void {
     if (
@@ -60,8 +66,11 @@
       return;
     }
     try {
-      this.#apply(this.#options.decode(object.value), "store");
+      const config = this.#options.decode(object.value);
+      this.#hasUnusable = false;
+      this.#apply(config, "store");
     } catch (error) {
+      this.#hasUnusable = true;
       this.#options.log.error("Configuration of the store is not usable", {
         storeVersion: object.version,
         ...errorFields(error),
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -9,9 +9,14 @@
   ResultReceiver,
 } from "../link/upstream_channel.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
-import type { LoadReport, UpstreamState } from "../schemas/link_schema.ts";
+import type {
+  CurrencyAnswer,
+  LoadReport,
+  UpstreamState,
+} from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigFollower } from "./config_follower.ts";
+import type { CurrencyTracker } from "./currency_tracker.ts";
 import { ConfigQueries } from "./config_queries.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { StatePublisher } from "./state_publisher.ts";
@@ -34,6 +39,7 @@
   gate: UpstreamGate;
   graph: CallGraph;
   publisher: StatePublisher;
+  currency: Pick<CurrencyTracker, "ageMs" | "onAnswer">;
   /** A function, because the directory is constructed later, with this host. */
   directory: () => MemberDirectory;
   log: Logger;
@@ -81,6 +87,13 @@
     return this.#parts.config.version;
   }
 
+  /** @inheritdoc */
+  get currencyAgeMs(): number | null {
+    const { ageMs } = this.#parts.currency;
+    // Rounded up, because the receiver must not take it for younger.
+    return Number.isFinite(ageMs) ? Math.ceil(ageMs) : null;
+  }
+
   /** @inheritdoc */
   get config(): unknown {
     return this.#parts.config.routes?.config;
@@ -142,6 +155,11 @@
     this.#configQueries.noticeVersion(version, peer, performance.now());
   }
 
+  /** @inheritdoc */
+  onCurrency(answer: CurrencyAnswer, link: PeerLink): void {
+    this.#parts.currency.onAnswer(answer, link.member.name);
+  }
+
   /** @inheritdoc */
   onState(state: UpstreamState, link: PeerLink): void {
     this.#parts.graph.update(link.member.name, state.calls);
--- a/src/fleet/fleet_platform.ts
+++ b/src/fleet/fleet_platform.ts
@@ -1,6 +1,7 @@
 /** Interface through which a daemon uses its deployment platform. */
 import type { Stream } from "most";
 import type { StoredObject } from "../core/platform_client.ts";
+import type { Instant } from "../decisions/tenants/elapsed_clock.ts";
 import type { FleetConfig, UpstreamReport } from "../schemas/fleet_schema.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { MemberStore } from "./member_directory.ts";
@@ -17,6 +18,13 @@
   store: MemberStore;
   /** Stream of the store's configuration objects. */
   configObjects: Stream<StoredObject>;
+  /**
+   * Send times of the exact calls for the configuration that have succeeded,
+   * each after the objects that the call returned.
+   */
+  configReads: Stream<Instant>;
+  /** Reads the configuration exactly. Throws {@link PlatformError}. */
+  readConfig: () => Promise<StoredObject | undefined>;
   /** Name of the object that holds the configuration. */
   configName: string;
   /** Decodes a configuration; throws when the value is not one. */
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -40,6 +40,11 @@
   readonly ownState: UpstreamState;
   /** Version of this daemon's configuration in force. */
   readonly configVersion: number;
+  /**
+   * Time since this daemon's configuration was surely the newest, in ms; null
+   * when it never was.
+   */
+  readonly currencyAgeMs: number | null;
   /** Reported load of the local upstream. */
   readonly ownLoad: LoadReport;
   /** Serves a request at the local upstream. */
@@ -95,6 +100,13 @@
         return;
       case FRAME.configQuery:
         return this.socket.send([FRAME.config, this.#host.config ?? null]);
+      case FRAME.currencyQuery: {
+        const { configVersion, currencyAgeMs } = this.#host;
+        const number = frame[1];
+        return this.socket.send(
+          [FRAME.currency, number, configVersion, currencyAgeMs],
+        );
+      }
       case FRAME.config:
         return this.#host.onConfig(frame[1]);
       case FRAME.memberQuery:
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -23,6 +23,7 @@
     ownState: { ...STATE, configVersion: 1 },
     configVersion: 1,
     ownLoad: [0, 0, 0],
+    currencyAgeMs: null,
     config: { version: 1 },
     members: [],
     serve: () => ({ cancel: () => {} }),
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -16,6 +16,8 @@
   type AnswerFrame,
   busyFrameSchema,
   configVersionFrameSchema,
+  type CurrencyAnswer,
+  currencyFrameSchema,
   FRAME,
   helloFrameSchema,
   membersFrameSchema,
@@ -26,19 +28,13 @@
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
+import { DialBackoff } from "./dial_backoff.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
-/**
- * Initial upper bound of the time until the next dial. The bound doubles with
- * each failure; the time is random, between half of the bound and the bound.
- */
-const REDIAL_BASE_MS = 150;
-/** Maximum of that bound. */
-const REDIAL_MAX_MS = 1_000;
 
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
@@ -58,6 +54,8 @@
   onState(state: UpstreamState, link: PeerLink): void;
   /** Called with the configuration that a peer returns to a query. */
   onConfig(config: unknown): void;
+  /** Called with the currency that a peer returns to a query. */
+  onCurrency(answer: CurrencyAnswer, link: PeerLink): void;
   /** Called with the records of members that a peer sends. */
   onMembers(records: readonly MemberRecord[], link: PeerLink): void;
 }
@@ -82,8 +80,7 @@
   readonly #machine: StateMachine;
   readonly #pending = new PendingRequests(this.load);
   #socket: LinkSocket | undefined;
-  #failuresCount = 0;
-  #dialAtMs = 0;
+  readonly #backoff: DialBackoff;
   #dialledAtMs = 0;
   readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
@@ -97,6 +94,7 @@
   constructor(member: MemberRecord, options: PeerLinkOptions) {
     this.#member = member;
     this.#options = options;
+    this.#backoff = new DialBackoff(options.random);
     this.#machine = new StateMachine(LINK_CHART, this);
   }
 
@@ -133,7 +131,7 @@
    *   not count towards these timeouts.
    */
   tick(nowMs: number, stalledMs: number): void {
-    if (this.#machine.is("idle") && nowMs >= this.#dialAtMs) {
+    if (this.#machine.is("idle") && nowMs >= this.#backoff.dialAtMs) {
       this.#machine.send("dialDue", nowMs);
       return;
     }
@@ -157,7 +155,7 @@
    * record of the member has arrived.
    */
   dialSoon(): void {
-    this.#dialAtMs = 0;
+    this.#backoff.clear();
   }
 
   /**
@@ -171,7 +169,7 @@
     this.#member = member;
     if (hasNewAddress) {
       this.#machine.send("broken", "The peer's address has changed");
-      this.#dialAtMs = 0;
+      this.#backoff.clear();
     }
   }
 
@@ -185,6 +183,15 @@
     this.#socket?.send([FRAME.configQuery]);
   }
 
+  /**
+   * Asks the peer as of when its configuration was surely the newest.
+   *
+   * @param number Number that the answer repeats.
+   */
+  queryCurrency(number: number): void {
+    this.#socket?.send([FRAME.currencyQuery, number]);
+  }
+
   /** Asks the peer for the members that it knows. */
   queryMembers(): void {
     this.#socket?.send([FRAME.memberQuery]);
@@ -243,6 +250,8 @@
         return;
       case FRAME.members:
         return this.#onMembers(membersFrameSchema.parse(frame)[1]);
+      case FRAME.currency:
+        return this.#onCurrency(currencyFrameSchema.parse(frame));
       case FRAME.configVersion:
         return this.#onConfigVersion(configVersionFrameSchema.parse(frame)[1]);
       default:
@@ -284,18 +293,12 @@
 
   /** Action: schedules the next dial, with exponential back-off and jitter. */
   scheduleDial(): void {
-    const boundMs = Math.min(
-      REDIAL_MAX_MS,
-      REDIAL_BASE_MS * 2 ** this.#failuresCount,
-    );
-    this.#failuresCount++;
-    this.#dialAtMs = performance.now() +
-      boundMs * (0.5 + this.#options.random.nextFloat() / 2);
+    this.#backoff.schedule(performance.now());
   }
 
   /** Action: resets the back-off and logs that the link is up. */
   reportUp(): void {
-    this.#failuresCount = 0;
+    this.#backoff.reset();
     this.#options.log.info("Link up", {
       peer: this.#member.name,
       downMs: Math.round(performance.now() - this.downSinceMs),
@@ -338,6 +341,11 @@
     this.#options.host.onConfigVersion(version, this);
   }
 
+  #onCurrency(answer: CurrencyAnswer): void {
+    this.#options.host.onCurrency(answer, this);
+    this.#options.host.onConfigVersion(answer.version, this);
+  }
+
   #onBusy(percent: number): void {
     if (this.#state !== undefined) {
       this.#state = { ...this.#state, busyRatio: percent / 100 };
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -42,6 +42,7 @@
     onState: () => {},
     onConfig: () => {},
     onMembers: () => {},
+    onCurrency: () => {},
   };
 }
 
--- a/src/platform/object_watch.ts
+++ b/src/platform/object_watch.ts
@@ -2,7 +2,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import { SystemClock } from "../core/clock.ts";
 import { PlatformError, type StoredObject } from "../core/platform_client.ts";
+import {
+  type Instant,
+  readInstant,
+} from "../decisions/tenants/elapsed_clock.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 
 /**
@@ -33,6 +38,7 @@
  * take up to half a second while the store is slow.
  */
 const WAIT_TIMEOUT_MARGIN_MS = 1_000;
+const CLOCK = new SystemClock();
 
 /** Objects of a list, or those that have changed since a revision. */
 export type ObjectPage = {
@@ -41,6 +47,8 @@
   readonly revision: number;
   /** Era of the store to which the revision belongs. */
   readonly era: number;
+  /** Whether the call was ended before its answer, so that it tells nothing. */
+  readonly isInterrupted?: boolean;
 };
 
 /** Options of {@link ObjectSource.waitForChanges}. */
@@ -86,6 +94,12 @@
   isClose: () => boolean;
   /** Called with each object; a removed object has the value `undefined`. */
   emit: (object: StoredObject) => void;
+  /**
+   * Called after an exact call was answered and its objects were emitted, with
+   * the moment at which the call was sent: the emitted objects were the newest
+   * ones then.
+   */
+  onExactRead?: (sent: Instant) => void;
   log: Logger;
 };
 
@@ -191,9 +205,12 @@
 
   async #list(): Promise<void> {
     const { kind, source, isStaleKind } = this.#options;
-    const page = await source.list(kind, isStaleKind && this.#mayBeStale());
+    const isStale = isStaleKind && this.#mayBeStale();
+    const sent = readInstant(CLOCK);
+    const page = await source.list(kind, isStale);
     this.#checkEra(page);
     this.#machine.send("listed", page);
+    this.#reportRead(sent, isStale);
   }
 
   async #wait(): Promise<void> {
@@ -201,6 +218,7 @@
     const isClose = !isStaleKind && this.#options.isClose();
     const isStale = !isClose && this.#mayBeStale();
     const waitMs = this.#waitMs(isClose);
+    const sent = readInstant(CLOCK);
     const page = await source.waitForChanges(kind, {
       revision: this.#revision,
       waitMs,
@@ -218,6 +236,13 @@
     }
     this.#checkEra(page);
     this.#machine.send("changed", page);
+    this.#reportRead(sent, isStale || page.isInterrupted === true);
+  }
+
+  #reportRead(sent: Instant, provesNothing: boolean): void {
+    if (!provesNothing) {
+      this.#options.onExactRead?.(sent);
+    }
   }
 
   #handleRestore(): void {
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -32,6 +32,8 @@
   memberQuery: 11,
   members: 12,
   configVersion: 13,
+  currencyQuery: 14,
+  currency: 15,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -96,6 +98,21 @@
   z.number(),
 ]);
 
+/**
+ * Schema of the answer to a query for the currency: as of when the configuration
+ * of the answering daemon was surely the newest.
+ */
+export const currencyFrameSchema = z.tuple([
+  z.literal(FRAME.currency),
+  z.number().describe("Number of the query"),
+  z.number().describe("Configuration version of the answering daemon"),
+  z.number().min(0).nullable()
+    .describe("Age of its currency, in ms; null before its first proof"),
+]).transform(([, number, version, ageMs]) => ({ number, version, ageMs }));
+
+/** Answer to a query for the currency. */
+export type CurrencyAnswer = z.infer<typeof currencyFrameSchema>;
+
 /** Schema of a forwarded request. */
 export const requestFrameSchema = z.tuple([
   z.literal(FRAME.request),
