--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -5,13 +5,13 @@
 import type { RandomSource } from "../core/random.ts";
 import { timerStream } from "../core/timer_stream.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
-import { RetryBudget } from "../decisions/retry_budget.ts";
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/peer_link.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
 import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import { ConfigFollower } from "./config_follower.ts";
+import { createOutboundService } from "./create_outbound_service.ts";
 import { DaemonLinkHost } from "./daemon_link_host.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EntryAdmission } from "./entry_admission.ts";
@@ -26,11 +26,12 @@
 import { LocalUpstream } from "./local_upstream.ts";
 import { MemberDirectory } from "./member_directory.ts";
 import { OutboundListener } from "./outbound_listener.ts";
-import { OutboundService } from "./outbound_service.ts";
+import type { OutboundService } from "./outbound_service.ts";
 import { ChannelTable } from "./channel_table.ts";
 import { ControlListener } from "./control_listener.ts";
 import { StatePublisher } from "./state_publisher.ts";
 import { StopSequence } from "./stop_sequence.ts";
+import { createTenantAccess, type TenantAccess } from "./tenant_access.ts";
 import { UpstreamAnnouncements } from "./upstream_announcements.ts";
 import { UpstreamGate } from "./upstream_gate.ts";
 import { UpstreamHttpClient } from "./upstream_http_client.ts";
@@ -75,6 +76,7 @@
   readonly #admission: EntryAdmission;
   readonly #callGraph = new CallGraph();
   readonly #callObserver = new CallObserver();
+  readonly #access: TenantAccess;
   readonly #linkHost: DaemonLinkHost;
   readonly #linkServer: LinkServer;
   readonly #outboundService: OutboundService;
@@ -137,8 +139,18 @@
       ownDataCentre: settings.dataCentre,
       random,
     });
+    this.#access = createTenantAccess({
+      settings,
+      platform,
+      config: this.#config,
+      peers: () => this.#directory.links,
+      isWatching: () => this.isWatching,
+      onRefused: (kind) => this.#metrics.recordCredentialRefusal(kind),
+      log,
+    });
     this.#linkHost = new DaemonLinkHost({
       config: this.#config,
+      currency: this.#access.currency,
       gate: this.#gate,
       graph: this.#callGraph,
       publisher: this.#publisher,
@@ -153,7 +165,22 @@
       random,
       log,
     });
-    this.#outboundService = this.#createOutboundService(decisions);
+    this.#outboundService = createOutboundService({
+      settings,
+      platform,
+      config: this.#config,
+      gate: this.#gate,
+      graph: this.#callGraph,
+      observer: this.#callObserver,
+      admission: this.#admission,
+      access: this.#access,
+      channels: this.#channels,
+      directory: this.#directory,
+      metrics: () => this.#metrics,
+      heldBytes: () => this.#outboundListener.heldBytes,
+      decisions,
+      random,
+    });
     this.#outboundListener = new OutboundListener(this.#outboundService);
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
@@ -171,6 +198,7 @@
         watchElection: this.#watchElection,
         platform,
         graph: this.#callGraph,
+        currency: this.#access.currency,
       })
     );
     this.#listeners = this.#createListeners();
@@ -318,41 +346,6 @@
     });
   }
 
-  #createOutboundService(decisions: DecisionLog): OutboundService {
-    const { platform, random } = this.#options;
-    const { repeatRatio, repeatWindowMs, repeatSlackCount, pool } =
-      this.#settings;
-    return new OutboundService({
-      names: platform.headers,
-      decodeParentId: platform.decodeParentId,
-      config: this.#config,
-      gate: this.#gate,
-      graph: this.#callGraph,
-      observer: this.#callObserver,
-      admission: this.#admission,
-      heldBytes: () => this.#outboundListener.heldBytes,
-      random,
-      exchange: {
-        channels: this.#channels,
-        budget: new RetryBudget({
-          ratio: repeatRatio,
-          windowMs: repeatWindowMs,
-          slackCount: repeatSlackCount,
-        }),
-        decisions,
-        callerPool: pool,
-        requestIdHeader: platform.headers.requestId,
-        daemonsCount: () => this.#directory.membersCount,
-        runsPerRequest: (routeName) => this.#callGraph.totalRunsOf(routeName),
-        isShedding: (route) => this.#admission.isShedding(route),
-        onEnd: ({ route, arrivedAtMs }, outcome) => {
-          const tookMs = performance.now() - arrivedAtMs;
-          this.#metrics.record(route.name, outcome, tookMs);
-        },
-      },
-    });
-  }
-
   #createListeners(): FleetListeners {
     return new FleetListeners({
       link: this.#linkServer,
@@ -375,6 +368,7 @@
   #registerParts(): void {
     this.#loop.register(this.#lifecycle);
     this.#loop.register(this.#config);
+    this.#loop.register(this.#access.currency);
     this.#loop.register(this.#directory);
     this.#loop.register({
       name: "tick",
@@ -391,6 +385,7 @@
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
     this.#watchElection.tick(nowMs);
+    this.#access.currency.tick();
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -2,6 +2,7 @@
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { ConfigFollower } from "./config_follower.ts";
+import type { CurrencyTracker } from "./currency_tracker.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { MemberDirectory } from "./member_directory.ts";
@@ -17,6 +18,7 @@
   watchElection: WatchElection;
   platform: FleetPlatform;
   graph: CallGraph;
+  currency: CurrencyTracker;
 };
 
 /**
@@ -26,8 +28,8 @@
  * @returns Present values.
  */
 export function readGauges(parts: MeasuredParts): FleetGauges {
-  const { config, upstream, directory, gate, watchElection, platform, graph } =
-    parts;
+  const { config, upstream, directory, gate, watchElection } = parts;
+  const { platform, graph, currency } = parts;
   const nowMs = performance.now();
   return {
     configVersion: config.version,
@@ -43,6 +45,7 @@
     storeCallsCount: platform.store.callsCount,
     storeEra: platform.store.era,
     callEdgesCount: graph.edgesCount,
+    currencyAgeMs: Math.round(currency.ageMs),
     logLinesDroppedCount: platform.droppedLinesCount(),
   };
 }
--- /dev/null
+++ b/src/fleet/tenant_access.ts
@@ -0,0 +1,62 @@
+/** Parts of the daemon that check keys and track the currency. */
+import { SystemClock } from "../core/clock.ts";
+import type { FleetSettings } from "../schemas/fleet_schema.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { Logger } from "../telemetry/logger.ts";
+import { Authenticator } from "./authenticator.ts";
+import type { ConfigFollower } from "./config_follower.ts";
+import { type AskedPeer, CurrencyTracker } from "./currency_tracker.ts";
+import type { FleetPlatform } from "./fleet_platform.ts";
+import { UnlimitedUsage, type UsageCapGate } from "./usage_cap_gate.ts";
+
+/** Options of {@link createTenantAccess}. */
+export type TenantAccessOptions = {
+  settings: FleetSettings;
+  platform: FleetPlatform;
+  config: ConfigFollower;
+  /** Links to peers. */
+  peers: () => Iterable<AskedPeer>;
+  /** Whether this daemon watches the store closely and reaches it. */
+  isWatching: () => boolean;
+  /** Called for each request that is refused because of its credential. */
+  onRefused: (kind: ErrorKind) => void;
+  log: Logger;
+};
+
+/** Parts that decide which requests of tenants are forwarded. */
+export type TenantAccess = {
+  readonly currency: CurrencyTracker;
+  readonly authenticator: Authenticator;
+  readonly usage: UsageCapGate;
+};
+
+/**
+ * Creates the parts that decide which requests of tenants are forwarded.
+ *
+ * @param options Settings, platform, configuration and peers.
+ * @returns Connected parts; `currency` is to be registered at the event loop and
+ *   ticked.
+ */
+export function createTenantAccess(options: TenantAccessOptions): TenantAccess {
+  const { settings, platform, config, onRefused } = options;
+  const revocationMaxMs = settings.keyRevocationMaxMs;
+  const currency = new CurrencyTracker({
+    clock: new SystemClock(),
+    config,
+    configReads: platform.configReads,
+    readConfig: platform.readConfig,
+    revocationMaxMs,
+    ownDataCentre: settings.dataCentre,
+    peers: options.peers,
+    isWatching: options.isWatching,
+    log: options.log,
+  });
+  const authenticator = new Authenticator({
+    names: platform.headers,
+    config,
+    revocationMaxMs,
+    currencyAgeMs: () => currency.ageMs,
+    onRefused,
+  });
+  return { currency, authenticator, usage: new UnlimitedUsage() };
+}
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -1,6 +1,9 @@
 /** Metrics of a daemon on a deployment platform, in Prometheus text format. */
 import { Counter, Gauge, Registry } from "prom-client";
+import type { ErrorKind } from "../errors/error_kinds.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
+import { summaryLines } from "./summary_lines.ts";
+import { TenantLatencies } from "./tenant_latencies.ts";
 
 /** Current values of the gauges of a daemon on a deployment platform. */
 export type FleetGauges = {
@@ -21,6 +24,8 @@
   readonly storeEra: number;
   /** Pairs of a calling and a called route that are known, here or at peers. */
   readonly callEdgesCount: number;
+  /** Infinite before the first proof. */
+  readonly currencyAgeMs: number;
   readonly logLinesDroppedCount: number;
 };
 
@@ -38,9 +43,19 @@
   storeCallsCount: "Calls to the store since the start",
   storeEra: "Rises when the store is restored from a copy",
   callEdgesCount: "Known pairs of a calling and a called route",
+  currencyAgeMs: "Time since the configuration was surely the newest",
   logLinesDroppedCount: "Log lines that nobody read in time",
 };
 
+/** A finished request, besides its route and outcome. */
+export type FinishedRequest = {
+  /** Time from arrival to end, in ms. */
+  readonly durationMs: number;
+  readonly priority: number;
+  /** Undefined for calls and requests without a tenant. */
+  readonly tenantName: string | undefined;
+};
+
 /** Maximum number of routes with their own series; all others share one. */
 const ROUTES_MAX_COUNT = 64;
 const OTHER_ROUTES = "other_routes";
@@ -55,13 +70,19 @@
  * them with the gauges.
  *
  * @example
- * metrics.record("r-1", "answered 200", 31.2);
+ * metrics.record("r-1", "answered 200", {
+ *   durationMs: 31.2,
+ *   priority: 0,
+ *   tenantName: "amber",
+ * });
  * await metrics.text();
  */
 export class FleetMetrics {
   readonly #registry = new Registry();
   readonly #counts = new Map<string, Map<string, number>>();
   readonly #latencies = new Map<string, LatencyHistogram>();
+  readonly #tenants = new TenantLatencies();
+  readonly #credentialRefusals: Counter;
   readonly #readGauges: () => FleetGauges;
   readonly #gauges = new Map<keyof FleetGauges, Gauge>();
 
@@ -78,6 +99,12 @@
       });
       this.#gauges.set(field, gauge);
     }
+    this.#credentialRefusals = new Counter({
+      name: "goldcrest_fleet_credential_refusals_total",
+      help: "Requests that were refused because of their key or tenant",
+      labelNames: ["kind"],
+      registers: [this.#registry],
+    });
     const counts = this.#counts;
     new Counter({
       name: "goldcrest_fleet_requests_total",
@@ -101,9 +128,13 @@
    * @param routeName Route of the request.
    * @param outcome How the request ended: `answered STATUS`, `cancelled` or the
    *   kind of the error.
-   * @param durationMs Time from arrival to end, in ms.
+   * @param request Time, tenant and priority of the request.
    */
-  record(routeName: string, outcome: string, durationMs: number): void {
+  record(
+    routeName: string,
+    outcome: string,
+    { durationMs, priority, tenantName }: FinishedRequest,
+  ): void {
     const route = this.#routeLabel(routeName);
     const outcomes = this.#counts.get(route) ?? new Map<string, number>();
     outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
@@ -111,6 +142,18 @@
     const latency = this.#latencies.get(route) ?? new LatencyHistogram();
     latency.record(durationMs);
     this.#latencies.set(route, latency);
+    if (tenantName !== undefined) {
+      this.#tenants.record(tenantName, priority, durationMs);
+    }
+  }
+
+  /**
+   * Counts a request that was refused because of its credential.
+   *
+   * @param kind Kind of the refusal.
+   */
+  recordCredentialRefusal(kind: ErrorKind): void {
+    this.#credentialRefusals.inc({ kind });
   }
 
   /** Starts a new interval of the latency quantiles. */
@@ -118,6 +161,7 @@
     for (const latency of this.#latencies.values()) {
       latency.rotate();
     }
+    this.#tenants.rotate();
   }
 
   /**
@@ -141,18 +185,9 @@
       `# TYPE ${name} summary`,
     ];
     for (const [route, latency] of this.#latencies) {
-      const { quantiles, totalCount, sumMs } = latency.summary();
-      for (const { quantile, valueMs } of quantiles) {
-        lines.push(
-          `${name}{route="${route}",quantile="${quantile}"} ${valueMs}`,
-        );
-      }
-      lines.push(
-        `${name}_sum{route="${route}"} ${sumMs}`,
-        `${name}_count{route="${route}"} ${totalCount}`,
-      );
+      lines.push(...summaryLines(name, `route="${route}"`, latency.summary()));
     }
-    return `${lines.join("\n")}\n`;
+    return `${[...lines, ...this.#tenants.lines()].join("\n")}\n`;
   }
 
   #routeLabel(routeName: string): string {
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -15,12 +15,17 @@
     storeReachable: 1,
     storeWatching: 1,
     callEdgesCount: 3,
+    currencyAgeMs: Infinity,
     storeCallsCount: 3,
     storeEra: 1,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
-    metrics.record(`r-${index}`, "answered 200", 20);
+    metrics.record(`r-${index}`, "answered 200", {
+      durationMs: 20,
+      priority: 0,
+      tenantName: `t-${index}`,
+    });
   }
   const text = await metrics.text();
   assert.match(text, /goldcrest_fleet_config_version 7/);
@@ -33,4 +38,11 @@
     text,
     /goldcrest_fleet_request_latency_ms_count\{route="r-0"\} 1/,
   );
+  const tenantCount = /^goldcrest_fleet_tenant_latency_ms_count\{.*$/gm;
+  const lines = text.match(tenantCount) ?? [];
+  assert.equal(lines.length, 129);
+  assert.equal(
+    lines.at(-1),
+    'goldcrest_fleet_tenant_latency_ms_count{tenant="other_tenants",class="0"} 72',
+  );
 });
