--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -31,7 +31,8 @@
   readonly inputs: Stream<StoredObject>;
   readonly #options: ConfigFollowerOptions;
   #routes: FleetRoutes | undefined;
-  #hasUnusable = false;
+  /** Store version of the newest object that could not be decoded. */
+  #unusableVersion: number | undefined;
   /** Monotonic time at which the configuration was applied, in ms. */
   appliedAtMs = 0;
 
@@ -53,9 +54,12 @@
     return this.#routes?.config.version ?? 0;
   }
 
-  /** Whether the configuration of the store could not be decoded. */
+  /**
+   * Whether the store holds a configuration that could not be decoded. An older
+   * object that arrives late does not change it.
+   */
   get hasUnusable(): boolean {
-    return this.#hasUnusable;
+    return this.#unusableVersion !== undefined;
   }
 
   /** @inheritdoc */
@@ -67,10 +71,12 @@
     }
     try {
       const config = this.#options.decode(object.value);
-      this.#hasUnusable = false;
+      if (object.version >= (this.#unusableVersion ?? 0)) {
+        this.#unusableVersion = undefined;
+      }
       this.#apply(config, "store");
     } catch (error) {
-      this.#hasUnusable = true;
+      this.#unusableVersion = object.version;
       this.#options.log.error("Configuration of the store is not usable", {
         storeVersion: object.version,
         ...errorFields(error),
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -158,6 +158,7 @@
   /** @inheritdoc */
   onCurrency(answer: CurrencyAnswer, link: PeerLink): void {
     this.#parts.currency.onAnswer(answer, link.member.name);
+    this.onConfigVersion(answer.version, link);
   }
 
   /** @inheritdoc */
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -249,9 +249,15 @@
         this.#socket?.send([FRAME.config, this.#options.host.config ?? null]);
         return;
       case FRAME.members:
-        return this.#onMembers(membersFrameSchema.parse(frame)[1]);
+        return this.#options.host.onMembers(
+          membersFrameSchema.parse(frame)[1],
+          this,
+        );
       case FRAME.currency:
-        return this.#onCurrency(currencyFrameSchema.parse(frame));
+        return this.#options.host.onCurrency(
+          currencyFrameSchema.parse(frame),
+          this,
+        );
       case FRAME.configVersion:
         return this.#onConfigVersion(configVersionFrameSchema.parse(frame)[1]);
       default:
@@ -333,19 +339,10 @@
     this.#options.host.onConfigVersion(state.configVersion, this);
   }
 
-  #onMembers(records: readonly MemberRecord[]): void {
-    this.#options.host.onMembers(records, this);
-  }
-
   #onConfigVersion(version: number): void {
     this.#options.host.onConfigVersion(version, this);
   }
 
-  #onCurrency(answer: CurrencyAnswer): void {
-    this.#options.host.onCurrency(answer, this);
-    this.#options.host.onConfigVersion(answer.version, this);
-  }
-
   #onBusy(percent: number): void {
     if (this.#state !== undefined) {
       this.#state = { ...this.#state, busyRatio: percent / 100 };
