--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -58,14 +58,8 @@
 /** Weight of one control interval in the moving average of the load. */
 const LOAD_WEIGHT = 0.35;
 
-/**
- * Simulates the admission of requests whose downstream calls load the pool
- * `inscription`.
- *
- * @param capacityCount Calls that the pool can run in one control interval.
- * @returns Admitted share of each route once the levels have settled.
- */
-function admittedShares(capacityCount: number): Record<string, number> {
+/** Creates an admission and the state of the only upstream of `inscription`. */
+function createAdmission() {
   const random = new SeededRandom(1);
   const channels = new ChannelTable({ ownDataCentre: "a", random });
   const state: UpstreamState = {
@@ -99,6 +93,18 @@
   ]);
   const log = new NullLogger();
   const admission = new EntryAdmission({ channels, graph, random, log });
+  return { admission, state };
+}
+
+/**
+ * Simulates the admission of requests whose downstream calls load the pool
+ * `inscription`.
+ *
+ * @param capacityCount Calls that the pool can run in one control interval.
+ * @returns Admitted share of each route once the levels have settled.
+ */
+function admittedShares(capacityCount: number): Record<string, number> {
+  const { admission, state } = createAdmission();
   const routes = new FleetRoutes(CONFIG);
   const admitted: Record<string, number> = { read: 0, vote: 0, bundle: 0 };
   for (
@@ -145,3 +151,28 @@
   assert.ok(callsCount < 1.5 * capacityCount, `${callsCount} calls`);
   assert.ok(callsCount > 0.5 * capacityCount, `${callsCount} calls`);
 });
+
+// Guards against a tenant whose own priority changes nothing, and against one that
+// takes the share of the others: its requests are counted in their own class.
+test("under overload the priority of a tenant decides, not that of the route", () => {
+  const { admission, state } = createAdmission();
+  const routes = new FleetRoutes(CONFIG);
+  const roster = routes.route("roster") as FleetRoute;
+  const admitted = { important: 0, other: 0 };
+  for (let step = 0; step < COUNTED_STEPS_COUNT; step++) {
+    let runsCount = 0;
+    for (let index = 0; index < OFFERED_COUNT; index++) {
+      const isImportant = index < 3;
+      const pool = admission.findRefusingPool(roster, isImportant ? 0 : 2);
+      if (pool === undefined) {
+        runsCount++;
+        admitted[isImportant ? "important" : "other"] += 1;
+      }
+    }
+    state.busyRatio += LOAD_WEIGHT *
+      (runsCount / (OFFERED_COUNT / 2) - state.busyRatio);
+    admission.step(routes);
+  }
+  assert.ok(admitted.important > 0.95 * 3 * COUNTED_STEPS_COUNT);
+  assert.ok(admitted.other < 0.6 * 7 * COUNTED_STEPS_COUNT);
+});
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -4,6 +4,7 @@
 import type { ResultReceiver } from "../link/upstream_channel.ts";
 import { type ExchangeParts, ForwardedExchange } from "./forwarded_exchange.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import type { UsageDecision } from "./usage_cap_gate.ts";
 
 const REQUEST = {
   requestId: "a",
@@ -54,3 +55,71 @@
   exchange.cancel();
   assert.deepEqual(cancelled, ["next"]);
 });
+
+/** Starts a request of a tenant whose usage cap decides later. */
+function startWaiting({ expiresInMs = 1_000, recheck = "" } = {}) {
+  const events: string[] = [];
+  let decide: (decision: UsageDecision) => void = () => {};
+  const parts = {
+    channels: { choose: () => void events.push("chosen") },
+    budget: { recordRequest: () => {} },
+    decisions: { record: () => {} },
+    usage: {
+      admit: (_: string, onDecision: typeof decide) => {
+        decide = onDecision;
+        return () => events.push("usage cancelled");
+      },
+    },
+    recheckKey: () => recheck || undefined,
+    onEnd: () => {},
+  } as unknown as ExchangeParts;
+  const exchange = new ForwardedExchange(
+    {
+      ...REQUEST,
+      tenantName: "amber",
+      key: "k-1",
+      expiresAtMs: performance.now() + expiresInMs,
+    },
+    {
+      answer: () => {},
+      fail: (kind, retryAfterMs) =>
+        events.push(`${kind} ${retryAfterMs ?? "-"}`),
+    },
+    parts,
+  );
+  exchange.start();
+  return {
+    events,
+    exchange,
+    decide: (decision: UsageDecision) => decide(decision),
+  };
+}
+
+// Guards against a request that is sent before or without its usage cap's
+// decision, after its caller has left, or with a key that was withdrawn
+// meanwhile.
+test("a request of a tenant waits for its usage cap, and its key is checked again", () => {
+  const admitted = startWaiting();
+  assert.deepEqual(admitted.events, []);
+  admitted.decide({ isAdmitted: true });
+  assert.deepEqual(admitted.events, ["chosen", "no_upstream -"]);
+
+  const capped = startWaiting();
+  capped.decide({ isAdmitted: false, retryAfterMs: 730 });
+  assert.deepEqual(capped.events, ["usage_capped 730"]);
+
+  const withdrawn = startWaiting({ recheck: "credential_unknown" });
+  withdrawn.decide({ isAdmitted: true });
+  assert.deepEqual(withdrawn.events, ["credential_unknown -"]);
+
+  const left = startWaiting();
+  left.exchange.cancel();
+  left.decide({ isAdmitted: true });
+  assert.deepEqual(left.events, ["usage cancelled"]);
+});
+
+test("the wait for a usage cap ends at the deadline", () => {
+  const { events, decide } = startWaiting({ expiresInMs: -1 });
+  decide({ isAdmitted: true });
+  assert.deepEqual(events, ["usage cancelled", "deadline_exceeded -"]);
+});
--- a/src/platform/object_watch_test.ts
+++ b/src/platform/object_watch_test.ts
@@ -60,21 +60,27 @@
   }
 }
 
-function startWatch(t: TestContext, { isStaleKind = false } = {}) {
+function startWatch(
+  t: TestContext,
+  { isStaleKind = false, isClose = true } = {},
+) {
   const source = new FakeSource();
   const emitted: StoredObject[] = [];
+  /** Number of objects emitted before each exact read was reported. */
+  const reads: number[] = [];
   const abort = new AbortController();
   t.after(() => abort.abort());
   const watch = new ObjectWatch({
     kind: "things",
     source,
     isStaleKind,
-    isClose: () => true,
+    isClose: () => isClose,
     emit: (object) => emitted.push(object),
+    onExactRead: () => reads.push(emitted.length),
     log: new NullLogger(),
   });
   watch.run(abort.signal).catch(() => {});
-  return { source, emitted };
+  return { source, emitted, reads };
 }
 
 const page = (
@@ -152,3 +158,25 @@
   await source.answer(page(3));
   assert.equal(emitted.length, 2);
 });
+
+// Guards against a daemon that takes its configuration for the newest because of
+// a call that says nothing of the present, or before the newer one is in force.
+test("an exact read is reported after its objects, and no call that is stale, interrupted, failed or of an older era is", async (t) => {
+  const object = { kind: "things", name: "a", version: 1, value: 1 };
+  const { source, reads } = startWatch(t);
+  await source.answer(page(1, [object]));
+  await source.answer(page(2, [{ ...object, version: 2 }]));
+  assert.deepEqual(reads, [1, 2]);
+  await source.answer({ ...page(2), isInterrupted: true });
+  await source.answer("failed");
+  await source.answer("lost");
+  await source.answer(page(3, [object], 0));
+  assert.deepEqual(reads, [1, 2]);
+  await source.answer(page(3, [object]));
+  assert.deepEqual(reads, [1, 2, 3]);
+
+  const stale = startWatch(t, { isClose: false });
+  await stale.source.answer(page(1, [object]));
+  await stale.source.answer(page(2, [object]));
+  assert.deepEqual(stale.reads, [1]);
+});
