--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -93,6 +93,11 @@
     const result = fleetConfigSchema.safeParse(value);
     if (result.success) {
       this.#apply(result.data, "peer");
+    } else if (value !== null) {
+      this.#options.log.warn(
+        "Configuration of a peer is not usable",
+        errorFields(result.error),
+      );
     }
   }
 
