--- /dev/null
+++ b/src/decisions/caps/cap_asker.ts
@@ -0,0 +1,377 @@
+/** Admits the requests of one daemon with tokens of the tenants' owners. */
+import type { RandomSource } from "../../core/random.ts";
+import {
+  LEASE_RENEWAL_MS,
+  TOKEN_LIFETIME_MS,
+  type UsageCap,
+  WAIT_MAX_MS,
+} from "./cap_limits.ts";
+import type {
+  CapAsk,
+  CapGrant,
+  TenantAsk,
+  TenantGrant,
+} from "./cap_messages.ts";
+import { LeaseBook } from "./lease_book.ts";
+import type { CandidateView } from "./owner_pointer.ts";
+import { TenantTokens } from "./tenant_tokens.ts";
+import type { CapDecision } from "./tenant_waiters.ts";
+
+/** Minimum time between two asks to an owner while requests wait. */
+const URGENT_INTERVAL_MS = 5;
+/** Minimum time between two asks to an owner while no request waits. */
+const ASK_INTERVAL_MS = 100;
+
+/** Options of {@link CapAsker}. */
+export type CapAskerOptions = {
+  /** Connections of the daemon to the candidates. */
+  view: CandidateView;
+  /** Random number of this process. */
+  processId: number;
+  /**
+   * Monotonic time from which shares are leased, in ms. The leases of the
+   * process before have ended until then.
+   */
+  leasesFromMs: number;
+  /** Members that the daemon knows, including itself. */
+  membersCount: () => number;
+  random: RandomSource;
+  /** Sends a message to an owner, which may be this daemon. */
+  send: (ownerName: string, ask: CapAsk) => void;
+};
+
+/** Numbers since the start of an asker. */
+export type AskerCounts = {
+  readonly requestedCount: number;
+  readonly returnedCount: number;
+  readonly refusedCount: number;
+};
+
+/** Asks owners for tokens, holds small stocks and leases this daemon's share. */
+export class CapAsker {
+  readonly #options: CapAskerOptions;
+  readonly #tenants = new Map<string, TenantTokens>();
+  readonly #books = new Map<string, LeaseBook>();
+  #requestedCount = 0;
+  #returnedCount = 0;
+  #refusedCount = 0;
+
+  /**
+   * @param options Connections, members, random numbers and transport.
+   */
+  constructor(options: CapAskerOptions) {
+    this.#options = options;
+  }
+
+  /** Numbers since the start. */
+  get counts(): AskerCounts {
+    return {
+      requestedCount: this.#requestedCount,
+      returnedCount: this.#returnedCount,
+      refusedCount: this.#refusedCount,
+    };
+  }
+
+  /** Owners that this daemon uses. */
+  get ownersCount(): number {
+    const owners = new Set<string>();
+    for (const { pointer } of this.#tenants.values()) {
+      if (pointer.owner !== undefined) {
+        owners.add(pointer.owner);
+      }
+    }
+    return owners.size;
+  }
+
+  /**
+   * Applies the caps of a configuration. The tokens of a tenant whose cap has
+   * changed are dropped.
+   *
+   * @param caps Caps by tenant.
+   * @param nowMs Monotonic time, in ms.
+   */
+  applyCaps(caps: ReadonlyMap<string, UsageCap>, nowMs: number): void {
+    for (const [tenantName, tenant] of this.#tenants) {
+      const cap = caps.get(tenantName);
+      if (cap === undefined) {
+        tenant.admitAll();
+        this.#tenants.delete(tenantName);
+        this.#books.forEach((book) => book.set(tenantName, false));
+      } else {
+        tenant.applyCap(cap);
+      }
+    }
+    for (const [tenantName, cap] of caps) {
+      if (!this.#tenants.has(tenantName)) {
+        const { random } = this.#options;
+        this.#tenants.set(
+          tenantName,
+          new TenantTokens(tenantName, cap, random),
+        );
+      }
+    }
+    this.tick(nowMs);
+  }
+
+  /**
+   * Decides on a request.
+   *
+   * @param tenantName Tenant of the request.
+   * @param onDecision Called once, possibly before this method returns.
+   * @param nowMs Monotonic time, in ms.
+   * @returns Function that cancels the request while it waits.
+   */
+  admit(
+    tenantName: string,
+    onDecision: (decision: CapDecision) => void,
+    nowMs: number,
+  ): () => void {
+    const tenant = this.#tenants.get(tenantName);
+    if (tenant === undefined) {
+      onDecision({ isAdmitted: true });
+      return () => {};
+    }
+    tenant.demand.record(nowMs);
+    const { waiters, stock } = tenant;
+    if (waiters.count === 0 && stock.take(nowMs)) {
+      onDecision({ isAdmitted: true });
+      return () => {};
+    }
+    const waiter = { sinceMs: nowMs, onDecision };
+    if (!waiters.add(waiter)) {
+      this.#refusedCount++;
+      onDecision(waiters.createRefusal());
+      return () => {};
+    }
+    this.#askUrgently(tenant, nowMs);
+    return () => waiters.remove(waiter);
+  }
+
+  /**
+   * Chooses owners, renews leases, asks for stocks and returns expired tokens.
+   * Called once per control interval.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  tick(nowMs: number): void {
+    this.#updateBooks(nowMs);
+    for (const tenant of this.#tenants.values()) {
+      this.#moveTenant(tenant, nowMs);
+      tenant.stock.expire(nowMs);
+    }
+    for (const [ownerName, book] of this.#books) {
+      this.#askOnceDue(ownerName, book, nowMs);
+    }
+    this.step(nowMs);
+  }
+
+  /**
+   * Asks for the requests that still wait, and refuses those that have waited
+   * too long. Called when {@link CapAsker.dueAtMs} has come.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  step(nowMs: number): void {
+    for (const tenant of this.#tenants.values()) {
+      if (tenant.waiters.count > 0) {
+        this.#refusedCount += tenant.waiters.refuseOverdue(nowMs);
+        this.#askUrgently(tenant, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Returns when {@link CapAsker.step} is to be called next.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Monotonic time, in ms; undefined while no request waits.
+   */
+  dueAtMs(nowMs: number): number | undefined {
+    let dueAtMs: number | undefined;
+    for (const tenant of this.#tenants.values()) {
+      const { firstDeadlineMs } = tenant.waiters;
+      if (firstDeadlineMs === undefined) {
+        continue;
+      }
+      const askAtMs = this.#unaskedCount(tenant, nowMs) > 0
+        ? Math.max(tenant.askAgainAtMs, nowMs + URGENT_INTERVAL_MS)
+        : Infinity;
+      dueAtMs = Math.min(dueAtMs ?? Infinity, firstDeadlineMs, askAtMs);
+    }
+    return dueAtMs;
+  }
+
+  /**
+   * Handles the answer of an owner. Duplicates and answers to unknown asks are
+   * ignored.
+   *
+   * @param ownerName Name of the owner; may be this daemon.
+   * @param grant The answer.
+   * @param nowMs Monotonic time, in ms.
+   */
+  handleGrant(ownerName: string, grant: CapGrant, nowMs: number): void {
+    const book = this.#books.get(ownerName);
+    if (grant.processId !== this.#options.processId || book === undefined) {
+      return;
+    }
+    const ask = book.answer(grant.sequence, grant.listNumber);
+    if (ask === undefined) {
+      return;
+    }
+    for (const tenant of this.#tenants.values()) {
+      tenant.pointer.release(ownerName, grant.listNumber);
+    }
+    const expiresAtMs = ask.sentAtMs + TOKEN_LIFETIME_MS;
+    for (const tenantGrant of grant.tenants) {
+      const tenant = this.#tenants.get(tenantGrant.tenantName);
+      if (tenant !== undefined) {
+        tenant.addGranted(tenantGrant.grantedCount, {
+          ownerName,
+          expiresAtMs,
+          nowMs,
+        });
+        tenant.carry(tenantGrant.carriedCount, nowMs);
+        this.#handleDenied(tenant, tenantGrant, ownerName, nowMs);
+      }
+    }
+  }
+
+  #handleDenied(
+    tenant: TenantTokens,
+    { deniedCount, roomInMs }: TenantGrant,
+    ownerName: string,
+    nowMs: number,
+  ): void {
+    if (deniedCount === 0) {
+      return;
+    }
+    const isFormerLeft = tenant.deny(
+      ownerName,
+      roomInMs,
+      this.#options.view,
+      nowMs,
+    );
+    if (isFormerLeft) {
+      this.#askUrgently(tenant, nowMs);
+    } else if (roomInMs > WAIT_MAX_MS) {
+      this.#refusedCount += tenant.waiters.refuseFirst(deniedCount);
+    }
+  }
+
+  /** Requests of a tenant for which no answer is to come. */
+  #unaskedCount({ tenantName, waiters }: TenantTokens, nowMs: number): number {
+    let count = waiters.count;
+    if (count > 0) {
+      for (const book of this.#books.values()) {
+        count -= book.openCount(tenantName, nowMs);
+      }
+    }
+    return Math.max(0, count);
+  }
+
+  #askUrgently(tenant: TenantTokens, nowMs: number): void {
+    const ownerName = tenant.askedOwner;
+    if (
+      ownerName === undefined || nowMs < tenant.askAgainAtMs ||
+      this.#unaskedCount(tenant, nowMs) === 0
+    ) {
+      return;
+    }
+    const book = this.#bookOf(ownerName);
+    const isOwn = ownerName === this.#options.view.ownName;
+    if (isOwn || nowMs - book.sentAtMs >= URGENT_INTERVAL_MS) {
+      this.#ask(ownerName, book, nowMs);
+    }
+  }
+
+  /** Renews the lease and asks for stocks, while no request waits. */
+  #askOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
+    const passedMs = nowMs - book.sentAtMs;
+    if (passedMs < ASK_INTERVAL_MS || !this.#isConnected(ownerName)) {
+      return;
+    }
+    const isLeaseDue = book.isActive &&
+      (passedMs >= LEASE_RENEWAL_MS || book.unacknowledged !== undefined);
+    const hasWants = [...this.#tenants.values()].some((tenant) =>
+      tenant.askedOwner === ownerName && tenant.wantsPrefetch(nowMs)
+    );
+    if (isLeaseDue || hasWants) {
+      this.#ask(ownerName, book, nowMs);
+    }
+  }
+
+  #ask(ownerName: string, book: LeaseBook, nowMs: number): void {
+    const waitingCounts = new Map<string, number>();
+    const tenants: TenantAsk[] = [];
+    for (const tenant of this.#tenants.values()) {
+      const isAsked = tenant.askedOwner === ownerName;
+      const waitingCount = isAsked && nowMs >= tenant.askAgainAtMs
+        ? this.#unaskedCount(tenant, nowMs)
+        : 0;
+      const ask = tenant.createAsk(ownerName, waitingCount, nowMs);
+      if (ask !== undefined) {
+        tenants.push(ask);
+        waitingCounts.set(tenant.tenantName, waitingCount);
+        this.#requestedCount += waitingCount + ask.prefetchCount;
+        this.#returnedCount += ask.returnedCount;
+      }
+    }
+    const sequence = book.nextSequence(nowMs);
+    book.open(sequence, { sentAtMs: nowMs, waitingCounts });
+    const { processId, membersCount, send } = this.#options;
+    send(ownerName, {
+      processId,
+      sequence,
+      sentAtMs: nowMs,
+      membersCount: membersCount(),
+      listNumber: book.listNumber,
+      leasedTenants: book.unacknowledged,
+      tenants,
+    });
+  }
+
+  /** Moves a tenant to its owner, and leases the share to it when it may. */
+  #moveTenant(tenant: TenantTokens, nowMs: number): void {
+    const { tenantName, pointer } = tenant;
+    const left = pointer.choose(this.#options.view, nowMs);
+    if (left !== undefined) {
+      const book = this.#bookOf(left);
+      tenant.handleMove();
+      if (book.set(tenantName, false)) {
+        pointer.hold(left, book.endsAtMs, book.listNumber);
+      }
+    }
+    if (
+      pointer.owner !== undefined && nowMs >= this.#options.leasesFromMs &&
+      pointer.mayLease(nowMs)
+    ) {
+      this.#bookOf(pointer.owner).set(tenantName, true);
+    }
+  }
+
+  #updateBooks(nowMs: number): void {
+    for (const [ownerName, book] of this.#books) {
+      const isConnected = this.#isConnected(ownerName);
+      book.forgetOpen(nowMs, !isConnected);
+      if (!isConnected) {
+        book.giveUp();
+      }
+    }
+  }
+
+  #isConnected(ownerName: string): boolean {
+    const { view } = this.#options;
+    return ownerName === view.ownName ||
+      view.upSinceMs(ownerName) !== undefined;
+  }
+
+  #bookOf(ownerName: string): LeaseBook {
+    const known = this.#books.get(ownerName);
+    if (known !== undefined) {
+      return known;
+    }
+    const book = new LeaseBook();
+    this.#books.set(ownerName, book);
+    return book;
+  }
+}
--- /dev/null
+++ b/src/decisions/caps/token_stock.ts
@@ -0,0 +1,97 @@
+/** Tokens of one tenant that one daemon holds. */
+
+/** Tokens of one grant. */
+type TokenLot = {
+  readonly ownerName: string;
+  readonly expiresAtMs: number;
+  count: number;
+};
+
+/** Granted tokens, which expire unless they are used soon. */
+export class TokenStock {
+  #lots: TokenLot[] = [];
+  readonly #expired = new Map<string, number>();
+
+  /** Tokens that may be used, as of the last call with a time. */
+  get count(): number {
+    return this.#lots.reduce((sum, lot) => sum + lot.count, 0);
+  }
+
+  /**
+   * Adds granted tokens.
+   *
+   * @param count Tokens.
+   * @param ownerName Owner that has granted them.
+   * @param expiresAtMs Monotonic time until which they may be used, in ms.
+   */
+  add(count: number, ownerName: string, expiresAtMs: number): void {
+    if (count <= 0) {
+      return;
+    }
+    this.#lots.push({ ownerName, expiresAtMs, count });
+    this.#lots.sort((a, b) => a.expiresAtMs - b.expiresAtMs);
+  }
+
+  /**
+   * Uses the token that expires first.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Whether there was one.
+   */
+  take(nowMs: number): boolean {
+    this.expire(nowMs);
+    const [first] = this.#lots;
+    if (first === undefined) {
+      return false;
+    }
+    first.count--;
+    if (first.count <= 0) {
+      this.#lots.shift();
+    }
+    return true;
+  }
+
+  /**
+   * Removes the tokens that may no longer be used. They are returned to their
+   * owners.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  expire(nowMs: number): void {
+    while (this.#lots[0] !== undefined && this.#lots[0].expiresAtMs <= nowMs) {
+      const { ownerName, count } = this.#lots.shift() as TokenLot;
+      this.addExpired(count, ownerName);
+    }
+  }
+
+  /**
+   * Adds tokens that have arrived too late to be used.
+   *
+   * @param count Tokens.
+   * @param ownerName Owner that has granted them.
+   */
+  addExpired(count: number, ownerName: string): void {
+    if (count > 0) {
+      const known = this.#expired.get(ownerName) ?? 0;
+      this.#expired.set(ownerName, known + count);
+    }
+  }
+
+  /**
+   * Takes the tokens that are to be returned to an owner, each of them once.
+   *
+   * @param ownerName Owner that has granted them.
+   * @returns Tokens.
+   */
+  takeExpired(ownerName: string): number {
+    const count = this.#expired.get(ownerName) ?? 0;
+    this.#expired.delete(ownerName);
+    return count;
+  }
+
+  /** Drops all tokens without returning them. */
+  clear(): void {
+    this.#lots = [];
+    this.#expired.clear();
+  }
+}
--- /dev/null
+++ b/src/testing/cap_simulation.ts
@@ -0,0 +1,428 @@
+/** Simulates the usage caps of many daemons on a virtual clock. */
+import { type RandomSource, SeededRandom } from "../core/random.ts";
+import { CapAsker } from "../decisions/caps/cap_asker.ts";
+import type { UsageCap } from "../decisions/caps/cap_limits.ts";
+import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import { CapOwner } from "../decisions/caps/cap_owner.ts";
+import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
+
+/** Behaviour of the simulated network. */
+export type CapNetwork = {
+  lossRatio: number;
+  duplicateRatio: number;
+  /** Part of the messages that are late by `lateMs`. */
+  lateRatio: number;
+  lateMs: number;
+  transitMinMs: number;
+  transitMaxMs: number;
+};
+
+/** Options of {@link CapSimulation}. */
+export type CapSimulationOptions = {
+  seed: number;
+  daemonsCount: number;
+  dataCentresCount: number;
+  caps: ReadonlyMap<string, UsageCap>;
+  network: CapNetwork;
+};
+
+/** Time after which a daemon notices that a peer is cut off, at most. */
+const SILENCE_MAX_MS = 2_000;
+/** Time after which a daemon notices that the process of a peer has ended. */
+const CLOSED_MAX_MS = 20;
+/** Time after which a link is up again, at most. */
+const REDIAL_MAX_MS = 1_000;
+const TICK_MS = 100;
+/** Time after its start in which a daemon leases nothing. */
+const LEASES_DELAY_MS = 1_500;
+
+class SimulatedDaemon {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly clockOffsetMs: number;
+  readonly clockSpeed: number;
+  /** Monotonic times since which links are up, by candidate. */
+  readonly upSinceMs = new Map<string, number>();
+  known = new Set<string>();
+  candidates: readonly string[] = [];
+  isAlive = false;
+  generation = 0;
+  asker: CapAsker | undefined;
+  owner = new CapOwner();
+  stepAtMs = Infinity;
+
+  constructor(name: string, dataCentre: string, random: RandomSource) {
+    this.name = name;
+    this.dataCentre = dataCentre;
+    this.clockOffsetMs = random.nextInt(100_000_000);
+    this.clockSpeed = 1 + (random.nextFloat() - 0.5) * 0.001;
+  }
+
+  /** Converts simulated time to the clock of this daemon. */
+  clockMs(atMs: number): number {
+    return this.clockOffsetMs + atMs * this.clockSpeed;
+  }
+}
+
+/** Daemons that admit requests under usage caps. Time is in ms from the start. */
+export class CapSimulation {
+  readonly #options: CapSimulationOptions;
+  readonly random: RandomSource;
+  readonly #events = new Map<number, (() => void)[]>();
+  readonly #daemons: SimulatedDaemon[] = [];
+  readonly #byName = new Map<string, SimulatedDaemon>();
+  /** Side of the partition by daemon; 0 without a partition. */
+  readonly #sides = new Map<string, number>();
+  readonly #admittedAtMs = new Map<string, number[]>();
+  #caps: ReadonlyMap<string, UsageCap>;
+  nowMs = 0;
+  /** Refused requests by tenant. */
+  readonly refusedCounts = new Map<string, number>();
+  messagesCount = 0;
+  admittedCount = 0;
+
+  /**
+   * @param options Seed, daemons, caps and network.
+   */
+  constructor(options: CapSimulationOptions) {
+    this.#options = options;
+    this.#caps = options.caps;
+    this.random = new SeededRandom(options.seed);
+    for (let index = 0; index < options.daemonsCount; index++) {
+      this.#add(index);
+    }
+    const names = this.#daemons.map(({ name }) => name);
+    for (const daemon of this.#daemons) {
+      daemon.known = new Set(names);
+      this.start(daemon.name);
+    }
+  }
+
+  /** Names of all daemons. */
+  get names(): string[] {
+    return this.#daemons.map(({ name }) => name);
+  }
+
+  /** Names of the candidates as the first daemon knows them. */
+  get candidates(): readonly string[] {
+    return this.#daemons[0]!.candidates;
+  }
+
+  /** Times of the admitted requests of a tenant, in order. */
+  admittedAtMs(tenantName: string): readonly number[] {
+    return this.#admittedAtMs.get(tenantName) ?? [];
+  }
+
+  /** Calls a function at a time in the future. */
+  at(atMs: number, action: () => void): void {
+    const dueMs = Math.max(Math.ceil(atMs), this.nowMs + 1);
+    const list = this.#events.get(dueMs);
+    if (list === undefined) {
+      this.#events.set(dueMs, [action]);
+    } else {
+      list.push(action);
+    }
+  }
+
+  /** Runs until a time. */
+  run(untilMs: number): void {
+    while (this.nowMs < untilMs) {
+      this.nowMs++;
+      const actions = this.#events.get(this.nowMs);
+      this.#events.delete(this.nowMs);
+      actions?.forEach((action) => action());
+    }
+  }
+
+  /** Sends a request of a tenant to a daemon. */
+  request(daemonName: string, tenantName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    if (!daemon.isAlive) {
+      return;
+    }
+    daemon.asker!.admit(tenantName, (decision) => {
+      if (!decision.isAdmitted) {
+        const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
+        this.refusedCounts.set(tenantName, refusedCount + 1);
+        return;
+      }
+      this.admittedCount++;
+      const times = this.#admittedAtMs.get(tenantName) ?? [];
+      times.push(this.nowMs);
+      this.#admittedAtMs.set(tenantName, times);
+    }, daemon.clockMs(this.nowMs));
+    this.#scheduleStep(daemon);
+  }
+
+  /** Ends a daemon's process with all its state. */
+  stop(daemonName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    daemon.isAlive = false;
+    daemon.generation++;
+    this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
+  }
+
+  /** Starts a daemon's process with empty state. */
+  start(daemonName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    if (daemon.isAlive) {
+      return;
+    }
+    daemon.isAlive = true;
+    const generation = ++daemon.generation;
+    daemon.upSinceMs.clear();
+    daemon.owner = new CapOwner();
+    this.#updateCandidates(daemon);
+    const clockMs = daemon.clockMs(this.nowMs);
+    daemon.asker = this.#createAsker(daemon, clockMs);
+    daemon.owner.applyCaps(this.#caps, clockMs);
+    daemon.asker.applyCaps(this.#caps, clockMs);
+    this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
+    this.at(
+      this.nowMs + 1 + this.random.nextInt(TICK_MS),
+      () => this.#tick(daemon, generation),
+    );
+  }
+
+  /** Cuts the network into two sides; an undefined side heals it. */
+  partition(isOnFirstSide: ((name: string) => boolean) | undefined): void {
+    for (const { name } of this.#daemons) {
+      this.#sides.set(name, isOnFirstSide?.(name) ? 1 : 0);
+    }
+    this.#updateLinks(() => true, SILENCE_MAX_MS);
+  }
+
+  /** Adds a daemon, of which the others learn within a second. */
+  join(): string {
+    const daemon = this.#add(this.#daemons.length);
+    daemon.known = new Set(this.names);
+    this.start(daemon.name);
+    this.#announce((other) => other.known.add(daemon.name));
+    return daemon.name;
+  }
+
+  /** Removes a daemon for good; the others learn it within a second. */
+  leave(daemonName: string): void {
+    this.stop(daemonName);
+    this.#announce((other) => other.known.delete(daemonName));
+  }
+
+  /** Applies caps at all daemons within a second. */
+  applyCaps(caps: ReadonlyMap<string, UsageCap>): void {
+    this.#caps = caps;
+    this.#announce((daemon) => {
+      const clockMs = daemon.clockMs(this.nowMs);
+      daemon.owner.applyCaps(caps, clockMs);
+      daemon.asker?.applyCaps(caps, clockMs);
+    });
+  }
+
+  #add(index: number): SimulatedDaemon {
+    const daemon = new SimulatedDaemon(
+      `daemon-${index}`,
+      `dc-${index % this.#options.dataCentresCount}`,
+      this.random,
+    );
+    this.#daemons.push(daemon);
+    this.#byName.set(daemon.name, daemon);
+    return daemon;
+  }
+
+  #announce(change: (daemon: SimulatedDaemon) => void): void {
+    for (const daemon of this.#daemons) {
+      this.at(this.nowMs + 1 + this.random.nextInt(1_000), () => {
+        change(daemon);
+        this.#updateCandidates(daemon);
+        this.#updateLinks((a) => a === daemon, REDIAL_MAX_MS);
+      });
+    }
+  }
+
+  #createAsker(daemon: SimulatedDaemon, clockMs: number): CapAsker {
+    return new CapAsker({
+      view: {
+        ownName: daemon.name,
+        get candidates() {
+          return daemon.candidates;
+        },
+        upSinceMs: (name) =>
+          name === daemon.name ? -Infinity : daemon.upSinceMs.get(name),
+      },
+      processId: this.random.nextInt(0x7fffffff),
+      leasesFromMs: clockMs + LEASES_DELAY_MS,
+      membersCount: () => daemon.known.size,
+      random: this.random,
+      send: (ownerName, ask) => this.#sendAsk(daemon, ownerName, ask),
+    });
+  }
+
+  #updateCandidates(daemon: SimulatedDaemon): void {
+    daemon.candidates = listCapCandidates(
+      [...daemon.known].map((name) => this.#byName.get(name)!),
+    );
+  }
+
+  #tick(daemon: SimulatedDaemon, generation: number): void {
+    if (daemon.generation !== generation) {
+      return;
+    }
+    const clockMs = daemon.clockMs(this.nowMs);
+    daemon.owner.tick(daemon.known.size, clockMs);
+    daemon.asker!.tick(clockMs);
+    this.#scheduleStep(daemon);
+    this.at(this.nowMs + TICK_MS, () => this.#tick(daemon, generation));
+  }
+
+  #scheduleStep(daemon: SimulatedDaemon): void {
+    const dueAtMs = daemon.asker!.dueAtMs(daemon.clockMs(this.nowMs));
+    if (dueAtMs === undefined) {
+      return;
+    }
+    const atMs = Math.ceil(
+      (dueAtMs - daemon.clockOffsetMs) / daemon.clockSpeed,
+    );
+    if (atMs >= daemon.stepAtMs && daemon.stepAtMs > this.nowMs) {
+      return;
+    }
+    daemon.stepAtMs = Math.max(atMs, this.nowMs + 1);
+    const { generation } = daemon;
+    this.at(daemon.stepAtMs, () => {
+      if (daemon.generation === generation) {
+        daemon.asker!.step(daemon.clockMs(this.nowMs));
+        this.#scheduleStep(daemon);
+      }
+    });
+  }
+
+  #sendAsk(daemon: SimulatedDaemon, ownerName: string, ask: CapAsk): void {
+    const owner = this.#byName.get(ownerName) as SimulatedDaemon;
+    if (owner === daemon) {
+      const clockMs = daemon.clockMs(this.nowMs);
+      const grant = daemon.owner.handle(daemon.name, ask, clockMs);
+      if (grant !== undefined) {
+        daemon.asker!.handleGrant(daemon.name, grant, clockMs);
+      }
+      return;
+    }
+    this.#deliver(daemon, owner, () => {
+      const clockMs = owner.clockMs(this.nowMs);
+      const grant = owner.owner.handle(daemon.name, ask, clockMs);
+      if (grant !== undefined) {
+        this.#sendGrant(owner, daemon, grant);
+      }
+    });
+  }
+
+  #sendGrant(
+    owner: SimulatedDaemon,
+    daemon: SimulatedDaemon,
+    grant: CapGrant,
+  ): void {
+    this.#deliver(owner, daemon, () => {
+      const clockMs = daemon.clockMs(this.nowMs);
+      daemon.asker!.handleGrant(owner.name, grant, clockMs);
+      this.#scheduleStep(daemon);
+    });
+  }
+
+  #deliver(
+    from: SimulatedDaemon,
+    to: SimulatedDaemon,
+    action: () => void,
+  ): void {
+    const { network } = this.#options;
+    this.messagesCount++;
+    const copiesCount = this.random.nextFloat() < network.duplicateRatio
+      ? 2
+      : 1;
+    for (let copy = 0; copy < copiesCount; copy++) {
+      if (this.random.nextFloat() < network.lossRatio) {
+        continue;
+      }
+      const lateMs = this.random.nextFloat() < network.lateRatio
+        ? network.lateMs
+        : 0;
+      const spanMs = network.transitMaxMs - network.transitMinMs;
+      const transitMs = network.transitMinMs + lateMs +
+        this.random.nextInt(spanMs + 1);
+      this.at(this.nowMs + transitMs, () => {
+        if (this.#isReachable(from, to)) {
+          action();
+        }
+      });
+    }
+  }
+
+  #isReachable(a: SimulatedDaemon, b: SimulatedDaemon): boolean {
+    return a.isAlive && b.isAlive &&
+      this.#sides.get(a.name) === this.#sides.get(b.name);
+  }
+
+  /** Lets the chosen links follow the state of the network, after a while. */
+  #updateLinks(
+    isChosen: (a: SimulatedDaemon, b: SimulatedDaemon) => boolean,
+    delayMaxMs: number,
+  ): void {
+    for (const daemon of this.#daemons) {
+      for (const name of daemon.candidates) {
+        const owner = this.#byName.get(name) as SimulatedDaemon;
+        if (owner !== daemon && isChosen(daemon, owner)) {
+          this.#updateLink(daemon, owner, delayMaxMs);
+        }
+      }
+    }
+  }
+
+  #updateLink(
+    daemon: SimulatedDaemon,
+    owner: SimulatedDaemon,
+    delayMaxMs: number,
+  ): void {
+    const isDown = !this.#isReachable(daemon, owner);
+    const delayMs = isDown ? delayMaxMs : REDIAL_MAX_MS;
+    this.at(this.nowMs + 1 + this.random.nextInt(delayMs), () => {
+      if (!daemon.isAlive || !this.#isReachable(daemon, owner)) {
+        daemon.upSinceMs.delete(owner.name);
+      } else if (!daemon.upSinceMs.has(owner.name)) {
+        daemon.upSinceMs.set(owner.name, daemon.clockMs(this.nowMs));
+      }
+    });
+  }
+}
+
+/** Cap that is in force from a time. */
+export type CapFrom = { fromMs: number; cap: UsageCap };
+
+/**
+ * Finds the first window of 5 s with more admitted requests than a cap allows.
+ *
+ * @param timesMs Times of the admitted requests, in order.
+ * @param caps Caps in order; a window has to meet the largest one in force in it.
+ * @returns Description of the window; undefined when there is none.
+ */
+export function findExcess(
+  timesMs: readonly number[],
+  caps: readonly CapFrom[],
+): string | undefined {
+  const windowMs = 5_000;
+  let first = 0;
+  for (let last = 0; last < timesMs.length; last++) {
+    const endMs = timesMs[last] as number;
+    while ((timesMs[first] as number) <= endMs - windowMs) {
+      first++;
+    }
+    const startMs = endMs - windowMs;
+    const bound = Math.max(
+      ...caps
+        .filter(({ fromMs }, index) =>
+          fromMs <= endMs && (caps[index + 1]?.fromMs ?? Infinity) > startMs
+        )
+        .map(({ cap }) => (cap.ratePerS * 5 + cap.burstCount) * 1.1 + 20),
+    );
+    const count = last - first + 1;
+    if (count > bound) {
+      return `${count} admitted until ${endMs} ms, bound ${bound}`;
+    }
+  }
+  return undefined;
+}
