--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -87,7 +87,9 @@
           console.log(
             options,
             count,
-            [...simulation.refusedCounts].map(([n, c]) => `${n}:${c}/${c + simulation.admittedAtMs(n).length}`).join(' '),
+            [...simulation.refusedCounts].map(([n, c]) =>
+              `${n}:${c}/${c + simulation.admittedAtMs(n).length}`
+            ).join(" "),
             simulation.messagesCount,
           );
         }
@@ -97,7 +99,10 @@
         );
         for (const [tenantName, cap] of CALM_CAPS) {
           const times = simulation.admittedAtMs(tenantName);
-          assert.equal(findExcess(times, [{ fromMs: 0, cap }]), undefined);
+          assert.equal(
+            findExcess(times, [{ fromMs: 0, untilMs: Infinity, cap }]),
+            undefined,
+          );
         }
       },
     ),
--- a/src/decisions/caps/cap_owner.ts
+++ b/src/decisions/caps/cap_owner.ts
@@ -8,6 +8,7 @@
   TenantGrant,
 } from "./cap_messages.ts";
 import { Lateness } from "./lateness.ts";
+import { SeenNumbers } from "./seen_numbers.ts";
 
 /**
  * Returned tokens in a message that took longer are not credited. They may
@@ -23,7 +24,7 @@
   /** The member's process before; late messages of it are ignored. */
   readonly formerProcessId: number | undefined;
   readonly lateness: Lateness;
-  sequence: number;
+  readonly seen: SeenNumbers;
   listNumber: number;
   tenantNames: ReadonlySet<string>;
   expiresAtMs: number;
@@ -122,15 +123,18 @@
     nowMs: number,
   ): CapGrant | undefined {
     const lessee = this.#lesseeOf(memberName, ask);
+    // An overtaken message may carry an older list of leases.
+    const isNewest = ask.sequence > lessee.seen.highest;
     if (
-      ask.processId !== lessee.processId || ask.sequence <= lessee.sequence
+      ask.processId !== lessee.processId || !lessee.seen.add(ask.sequence)
     ) {
       return undefined;
     }
-    lessee.sequence = ask.sequence;
     const lateMs = lessee.lateness.record(ask.sentAtMs, nowMs);
     const isListKnown = ask.listNumber === lessee.listNumber;
-    const carried = this.#renew(lessee, ask, nowMs + LEASE_MS - lateMs, nowMs);
+    const carried = isNewest
+      ? this.#renew(lessee, ask, nowMs + LEASE_MS - lateMs, nowMs)
+      : [];
     if (lateMs < CREDIT_LATE_MAX_MS) {
       this.#credit(ask, nowMs);
     }
@@ -173,7 +177,7 @@
       processId,
       formerProcessId: known?.processId,
       lateness: new Lateness(),
-      sequence: 0,
+      seen: new SeenNumbers(),
       listNumber: -1,
       tenantNames: known?.tenantNames ?? new Set(),
       expiresAtMs: known?.expiresAtMs ?? 0,
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -47,6 +47,7 @@
   candidates: readonly string[] = [];
   isAlive = false;
   generation = 0;
+  capsVersion = 0;
   asker: CapAsker | undefined;
   owner = new CapOwner();
   stepAtMs = Infinity;
@@ -75,6 +76,7 @@
   readonly #sides = new Map<string, number>();
   readonly #admittedAtMs = new Map<string, number[]>();
   #caps: ReadonlyMap<string, UsageCap>;
+  #capsVersion = 0;
   nowMs = 0;
   /** Refused requests by tenant. */
   readonly refusedCounts = new Map<string, number>();
@@ -171,6 +173,7 @@
     daemon.isAlive = true;
     const generation = ++daemon.generation;
     daemon.upSinceMs.clear();
+    daemon.capsVersion = this.#capsVersion;
     daemon.owner = new CapOwner();
     this.#updateCandidates(daemon);
     const clockMs = daemon.clockMs(this.nowMs);
@@ -210,7 +213,13 @@
   /** Applies caps at all daemons within a second. */
   applyCaps(caps: ReadonlyMap<string, UsageCap>): void {
     this.#caps = caps;
+    const version = ++this.#capsVersion;
     this.#announce((daemon) => {
+      // An older configuration that arrives late is ignored.
+      if (daemon.capsVersion > version) {
+        return;
+      }
+      daemon.capsVersion = version;
       const clockMs = daemon.clockMs(this.nowMs);
       daemon.owner.applyCaps(caps, clockMs);
       daemon.asker?.applyCaps(caps, clockMs);
@@ -390,19 +399,19 @@
   }
 }
 
-/** Cap that is in force from a time. */
-export type CapFrom = { fromMs: number; cap: UsageCap };
+/** Cap and the time in which at least one daemon has it in force. */
+export type CapInForce = { fromMs: number; untilMs: number; cap: UsageCap };
 
 /**
  * Finds the first window of 5 s with more admitted requests than a cap allows.
  *
  * @param timesMs Times of the admitted requests, in order.
- * @param caps Caps in order; a window has to meet the largest one in force in it.
+ * @param caps Caps; a window has to meet the largest one in force in it.
  * @returns Description of the window; undefined when there is none.
  */
 export function findExcess(
   timesMs: readonly number[],
-  caps: readonly CapFrom[],
+  caps: readonly CapInForce[],
 ): string | undefined {
   const windowMs = 5_000;
   let first = 0;
@@ -414,9 +423,7 @@
     const startMs = endMs - windowMs;
     const bound = Math.max(
       ...caps
-        .filter(({ fromMs }, index) =>
-          fromMs <= endMs && (caps[index + 1]?.fromMs ?? Infinity) > startMs
-        )
+        .filter(({ fromMs, untilMs }) => fromMs <= endMs && untilMs > startMs)
         .map(({ cap }) => (cap.ratePerS * 5 + cap.burstCount) * 1.1 + 20),
     );
     const count = last - first + 1;
