--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -16,6 +16,7 @@
 import type { MemberDirectory } from "./member_directory.ts";
 import type { StatePublisher } from "./state_publisher.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
+import type { UsageCapPeers } from "./usage_caps.ts";
 
 /**
  * Time after a stall in which received requests may have waited for the process.
@@ -36,6 +37,8 @@
   publisher: StatePublisher;
   /** A function, because the directory is constructed later, with this host. */
   directory: () => MemberDirectory;
+  /** A function, because the usage caps are constructed later, with the links. */
+  usageCaps?: () => UsageCapPeers;
   log: Logger;
 };
 
@@ -157,6 +160,19 @@
     this.#parts.directory().handlePeerRecords(records, link.member.name);
   }
 
+  /** @inheritdoc */
+  onUsageAsk(
+    frame: readonly unknown[],
+    peerName: string,
+  ): readonly unknown[] | undefined {
+    return this.#parts.usageCaps?.().handleAskFrame(frame, peerName);
+  }
+
+  /** @inheritdoc */
+  onUsageGrant(frame: readonly unknown[], link: PeerLink): void {
+    this.#parts.usageCaps?.().handleGrantFrame(frame, link.member.name);
+  }
+
   /** @inheritdoc */
   onConfig(config: unknown): void {
     this.#parts.config.applyFromPeer(config);
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -62,6 +62,11 @@
   onOwnRecord: (record: MemberRecord) => void;
   /** Called with the record of this daemon when it has changed. */
   onOwnChange: (record: MemberRecord) => void;
+  /**
+   * Selects, among the records of all members, names of those that are linked in
+   * addition to the usual ones.
+   */
+  selectFurther?: (records: readonly MemberRecord[]) => readonly string[];
 };
 
 /**
@@ -273,6 +278,11 @@
     this.#storeEra = era;
   }
 
+  /** Makes the next tick select the links again. */
+  reselectLinks(): void {
+    this.#hasChanged = true;
+  }
+
   /** Closes all links permanently. */
   close(): void {
     this.#links.close();
@@ -294,7 +304,10 @@
     );
     return this.#links.select({
       records: this.#records,
-      required: this.#candidateNames,
+      required: [
+        ...this.#candidateNames,
+        ...this.#options.selectFurther?.(records) ?? [],
+      ],
     });
   }
 
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -58,6 +58,14 @@
   readonly config: unknown;
   /** Records of all known members, for a peer's query. */
   readonly members: readonly MemberRecord[];
+  /**
+   * Called with a peer's message to this daemon as the owner of usage caps.
+   * Returns the answer, if there is one.
+   */
+  onUsageAsk?(
+    frame: readonly unknown[],
+    peerName: string,
+  ): readonly unknown[] | undefined;
 }
 
 /** Accepting side of one link. Cancels its requests when the link closes. */
@@ -97,6 +105,8 @@
         return this.socket.send([FRAME.config, this.#host.config ?? null]);
       case FRAME.config:
         return this.#host.onConfig(frame[1]);
+      case FRAME.usageAsk:
+        return this.#onUsageAsk(frame);
       case FRAME.memberQuery:
         return this.socket.send([FRAME.members, this.#host.members]);
       case FRAME.hello: {
@@ -125,6 +135,13 @@
     this.#onEnd(this);
   }
 
+  #onUsageAsk(frame: readonly unknown[]): void {
+    const answer = this.#host.onUsageAsk?.(frame, this.peerName);
+    if (answer !== undefined) {
+      this.socket.send(answer);
+    }
+  }
+
   #returnDeparture(greeted: MemberRecord, known: MemberRecord): void {
     if (greeted.leftUpstream === undefined && known.leftUpstream) {
       this.socket.send([FRAME.members, [known]]);
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -60,6 +60,8 @@
   onConfig(config: unknown): void;
   /** Called with the records of members that a peer sends. */
   onMembers(records: readonly MemberRecord[], link: PeerLink): void;
+  /** Called with the answer of a peer that owns usage caps. */
+  onUsageGrant?(frame: readonly unknown[], link: PeerLink): void;
 }
 
 /** Options of {@link PeerLink}. */
@@ -190,6 +192,11 @@
     this.#socket?.send([FRAME.memberQuery]);
   }
 
+  /** Sends a message to the peer as the owner of usage caps. */
+  sendUsageAsk(frame: readonly unknown[]): void {
+    this.#socket?.send(frame);
+  }
+
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const socket = this.#socket;
@@ -242,9 +249,17 @@
         this.#socket?.send([FRAME.config, this.#options.host.config ?? null]);
         return;
       case FRAME.members:
-        return this.#onMembers(membersFrameSchema.parse(frame)[1]);
+        return this.#options.host.onMembers(
+          membersFrameSchema.parse(frame)[1],
+          this,
+        );
       case FRAME.configVersion:
-        return this.#onConfigVersion(configVersionFrameSchema.parse(frame)[1]);
+        return this.#options.host.onConfigVersion(
+          configVersionFrameSchema.parse(frame)[1],
+          this,
+        );
+      case FRAME.usageGrant:
+        return this.#options.host.onUsageGrant?.(frame, this);
       default:
         return;
     }
@@ -330,14 +345,6 @@
     this.#options.host.onConfigVersion(state.configVersion, this);
   }
 
-  #onMembers(records: readonly MemberRecord[]): void {
-    this.#options.host.onMembers(records, this);
-  }
-
-  #onConfigVersion(version: number): void {
-    this.#options.host.onConfigVersion(version, this);
-  }
-
   #onBusy(percent: number): void {
     if (this.#state !== undefined) {
       this.#state = { ...this.#state, busyRatio: percent / 100 };
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -32,6 +32,8 @@
   memberQuery: 11,
   members: 12,
   configVersion: 13,
+  usageAsk: 16,
+  usageGrant: 17,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -166,3 +168,39 @@
 
 /** A refusal. */
 export type RefusalFrame = z.infer<typeof refusalFrameSchema>;
+
+const countSchema = z.number().min(0);
+
+/** Schema of a message to the owner of usage caps. */
+export const usageAskFrameSchema = z.tuple([
+  z.literal(FRAME.usageAsk),
+  z.number().describe("Random number of the sender's process"),
+  z.number().describe("Number of the message; rises with each"),
+  z.number().describe("Monotonic time of the sender, in ms"),
+  countSchema.describe("Members that the sender knows"),
+  z.number().describe("Number of the list of leased tenants"),
+  z.array(z.string()).nullable()
+    .describe("Tenants whose share is leased; null for the known list"),
+  z.array(
+    z.tuple([z.string(), countSchema, countSchema, countSchema, countSchema]),
+  )
+    .describe(
+      "Tenant, waiting requests, tokens wanted for the stock, returned tokens, " +
+        "tokens of a former owner",
+    ),
+]);
+
+/** Schema of the answer of the owner of usage caps. */
+export const usageGrantFrameSchema = z.tuple([
+  z.literal(FRAME.usageGrant),
+  z.number().describe("Random number of the asking process"),
+  z.number().describe("Number of the ask"),
+  z.number().describe("Number of the list of leased tenants that is in use"),
+  z.array(
+    z.tuple([z.string(), countSchema, countSchema, countSchema, countSchema]),
+  )
+    .describe(
+      "Tenant, granted tokens, requests without a token, time until there is " +
+        "room in ms, tokens to take to the next owner",
+    ),
+]);
