--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -68,14 +68,14 @@
   }
 
   /** Owners that this daemon uses. */
-  get ownersCount(): number {
+  get owners(): ReadonlySet<string> {
     const owners = new Set<string>();
     for (const { pointer } of this.#tenants.values()) {
       if (pointer.owner !== undefined) {
         owners.add(pointer.owner);
       }
     }
-    return owners.size;
+    return owners;
   }
 
   /**
@@ -280,8 +280,9 @@
 
   /** Renews the lease and asks for stocks, while no request waits. */
   #askOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
+    const { view } = this.#options;
     const passedMs = nowMs - book.sentAtMs;
-    if (passedMs < ASK_INTERVAL_MS || !this.#isConnected(ownerName)) {
+    if (passedMs < ASK_INTERVAL_MS || !view.isConnected(ownerName)) {
       return;
     }
     const isLeaseDue = book.isActive &&
@@ -345,7 +346,7 @@
 
   #updateBooks(nowMs: number): void {
     for (const [ownerName, book] of this.#books) {
-      const isConnected = this.#isConnected(ownerName);
+      const isConnected = this.#options.view.isConnected(ownerName);
       book.forgetOpen(nowMs, !isConnected);
       if (!isConnected) {
         book.giveUp();
@@ -353,12 +354,6 @@
     }
   }
 
-  #isConnected(ownerName: string): boolean {
-    const { view } = this.#options;
-    return ownerName === view.ownName ||
-      view.upSinceMs(ownerName) !== undefined;
-  }
-
   #bookOf(ownerName: string): LeaseBook {
     const known = this.#books.get(ownerName);
     if (known !== undefined) {
--- a/src/decisions/caps/hand_over_test.ts
+++ b/src/decisions/caps/hand_over_test.ts
@@ -161,6 +161,29 @@
   checkBound(simulation, cap);
 });
 
+test("an announced restart of an owner costs no calm traffic", () => {
+  const cap = { ratePerS: 100, burstCount: 10, windowMs: 5_000 };
+  const simulation = createSimulation(cap, 65, 3);
+  const count = offer(simulation, {
+    ratePerS: 100 / 1.6,
+    fromMs: 12_000,
+    untilMs: 72_000,
+    names: simulation.names.slice(10, 15),
+  });
+  for (const [index, name] of simulation.candidates.entries()) {
+    const atMs = 13_000 + index * 9_000;
+    simulation.at(atMs, () => simulation.announceStop(name));
+    simulation.at(atMs + 3_000, () => simulation.stop(name));
+    simulation.at(atMs + 4_000, () => simulation.start(name));
+  }
+  simulation.run(73_000);
+  assert.ok(
+    simulation.admittedCount >= 0.99 * count,
+    `${simulation.admittedCount} of ${count}`,
+  );
+  checkBound(simulation, cap);
+});
+
 test("the restart of an owner costs little calm traffic", () => {
   const cap = { ratePerS: 100, burstCount: 10, windowMs: 5_000 };
   const simulation = createSimulation(cap, 65, 3);
--- a/src/decisions/caps/owner_pointer.ts
+++ b/src/decisions/caps/owner_pointer.ts
@@ -8,10 +8,12 @@
   /** Names of the candidates. */
   readonly candidates: readonly string[];
   /**
-   * Monotonic time since which a candidate is connected, in ms; `-Infinity` for
-   * this daemon and undefined for a candidate that is not connected.
+   * Monotonic time since which a candidate can be used, in ms; undefined for one
+   * that is not connected or stops soon.
    */
   upSinceMs(name: string): number | undefined;
+  /** Whether messages reach a candidate; true for this daemon. */
+  isConnected(name: string): boolean;
 }
 
 /**
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -147,7 +147,7 @@
     const former = this.pointer.recentFormer(nowMs);
     if (
       ownerName === this.pointer.owner && former !== undefined &&
-      (former === view.ownName || view.upSinceMs(former) !== undefined)
+      view.isConnected(former)
     ) {
       this.#formerAsked = former;
       return true;
--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -31,6 +31,8 @@
   readonly inputs: Stream<StoredObject>;
   readonly #options: ConfigFollowerOptions;
   #routes: FleetRoutes | undefined;
+  /** Store version of the newest object that could not be decoded. */
+  #unusableVersion: number | undefined;
   /** Monotonic time at which the configuration was applied, in ms. */
   appliedAtMs = 0;
 
@@ -52,6 +54,14 @@
     return this.#routes?.config.version ?? 0;
   }
 
+  /**
+   * Whether the store holds a configuration that could not be decoded. An older
+   * object that arrives late does not change it.
+   */
+  get hasUnusable(): boolean {
+    return this.#unusableVersion !== undefined;
+  }
+
   /** @inheritdoc */
   handle(object: StoredObject): void {
     if (
@@ -60,8 +70,13 @@
       return;
     }
     try {
-      this.#apply(this.#options.decode(object.value), "store");
+      const config = this.#options.decode(object.value);
+      if (object.version >= (this.#unusableVersion ?? 0)) {
+        this.#unusableVersion = undefined;
+      }
+      this.#apply(config, "store");
     } catch (error) {
+      this.#unusableVersion = object.version;
       this.#options.log.error("Configuration of the store is not usable", {
         storeVersion: object.version,
         ...errorFields(error),
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -2,10 +2,12 @@
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { ConfigFollower } from "./config_follower.ts";
+import type { CurrencyTracker } from "./currency_tracker.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
+import type { FleetUsageCaps } from "./usage_caps.ts";
 import type { WatchElection } from "./watch_election.ts";
 
 /** Parts of the daemon whose state is measured. */
@@ -17,6 +19,8 @@
   watchElection: WatchElection;
   platform: FleetPlatform;
   graph: CallGraph;
+  currency: CurrencyTracker;
+  usage: FleetUsageCaps;
 };
 
 /**
@@ -26,8 +30,8 @@
  * @returns Present values.
  */
 export function readGauges(parts: MeasuredParts): FleetGauges {
-  const { config, upstream, directory, gate, watchElection, platform, graph } =
-    parts;
+  const { config, upstream, directory, gate, watchElection } = parts;
+  const { platform, graph, currency, usage } = parts;
   const nowMs = performance.now();
   return {
     configVersion: config.version,
@@ -43,6 +47,8 @@
     storeCallsCount: platform.store.callsCount,
     storeEra: platform.store.era,
     callEdgesCount: graph.edgesCount,
+    currencyAgeMs: Math.round(currency.ageMs),
+    ...usage.gauges,
     logLinesDroppedCount: platform.droppedLinesCount(),
   };
 }
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -16,6 +16,8 @@
   type AnswerFrame,
   busyFrameSchema,
   configVersionFrameSchema,
+  type CurrencyAnswer,
+  currencyFrameSchema,
   FRAME,
   helloFrameSchema,
   membersFrameSchema,
@@ -26,19 +28,13 @@
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
+import { DialBackoff } from "./dial_backoff.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
-/**
- * Initial upper bound of the time until the next dial. The bound doubles with
- * each failure; the time is random, between half of the bound and the bound.
- */
-const REDIAL_BASE_MS = 150;
-/** Maximum of that bound. */
-const REDIAL_MAX_MS = 1_000;
 
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
@@ -58,6 +54,8 @@
   onState(state: UpstreamState, link: PeerLink): void;
   /** Called with the configuration that a peer returns to a query. */
   onConfig(config: unknown): void;
+  /** Called with the currency that a peer returns to a query. */
+  onCurrency(answer: CurrencyAnswer, link: PeerLink): void;
   /** Called with the records of members that a peer sends. */
   onMembers(records: readonly MemberRecord[], link: PeerLink): void;
   /** Called with the answer of a peer that owns usage caps. */
@@ -84,8 +82,7 @@
   readonly #machine: StateMachine;
   readonly #pending = new PendingRequests(this.load);
   #socket: LinkSocket | undefined;
-  #failuresCount = 0;
-  #dialAtMs = 0;
+  readonly #backoff: DialBackoff;
   #dialledAtMs = 0;
   readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
@@ -99,6 +96,7 @@
   constructor(member: MemberRecord, options: PeerLinkOptions) {
     this.#member = member;
     this.#options = options;
+    this.#backoff = new DialBackoff(options.random);
     this.#machine = new StateMachine(LINK_CHART, this);
   }
 
@@ -135,7 +133,7 @@
    *   not count towards these timeouts.
    */
   tick(nowMs: number, stalledMs: number): void {
-    if (this.#machine.is("idle") && nowMs >= this.#dialAtMs) {
+    if (this.#machine.is("idle") && nowMs >= this.#backoff.dialAtMs) {
       this.#machine.send("dialDue", nowMs);
       return;
     }
@@ -159,7 +157,7 @@
    * record of the member has arrived.
    */
   dialSoon(): void {
-    this.#dialAtMs = 0;
+    this.#backoff.clear();
   }
 
   /**
@@ -173,7 +171,7 @@
     this.#member = member;
     if (hasNewAddress) {
       this.#machine.send("broken", "The peer's address has changed");
-      this.#dialAtMs = 0;
+      this.#backoff.clear();
     }
   }
 
@@ -187,6 +185,15 @@
     this.#socket?.send([FRAME.configQuery]);
   }
 
+  /**
+   * Asks the peer as of when its configuration was surely the newest.
+   *
+   * @param number Number that the answer repeats.
+   */
+  queryCurrency(number: number): void {
+    this.#socket?.send([FRAME.currencyQuery, number]);
+  }
+
   /** Asks the peer for the members that it knows. */
   queryMembers(): void {
     this.#socket?.send([FRAME.memberQuery]);
@@ -231,6 +238,7 @@
 
   /** @inheritdoc */
   onFrame(frame: unknown[]): void {
+    const { host } = this.#options;
     this.#silence.reset();
     switch (frame[0]) {
       case FRAME.answer:
@@ -244,22 +252,21 @@
       case FRAME.busy:
         return this.#onBusy(busyFrameSchema.parse(frame)[1]);
       case FRAME.config:
-        return this.#options.host.onConfig(frame[1]);
+        return host.onConfig(frame[1]);
       case FRAME.configQuery:
-        this.#socket?.send([FRAME.config, this.#options.host.config ?? null]);
+        this.#socket?.send([FRAME.config, host.config ?? null]);
         return;
       case FRAME.members:
-        return this.#options.host.onMembers(
-          membersFrameSchema.parse(frame)[1],
-          this,
-        );
+        return host.onMembers(membersFrameSchema.parse(frame)[1], this);
+      case FRAME.currency:
+        return host.onCurrency(currencyFrameSchema.parse(frame), this);
       case FRAME.configVersion:
-        return this.#options.host.onConfigVersion(
+        return host.onConfigVersion(
           configVersionFrameSchema.parse(frame)[1],
           this,
         );
       case FRAME.usageGrant:
-        return this.#options.host.onUsageGrant?.(frame, this);
+        return host.onUsageGrant?.(frame, this);
       default:
         return;
     }
@@ -299,18 +306,12 @@
 
   /** Action: schedules the next dial, with exponential back-off and jitter. */
   scheduleDial(): void {
-    const boundMs = Math.min(
-      REDIAL_MAX_MS,
-      REDIAL_BASE_MS * 2 ** this.#failuresCount,
-    );
-    this.#failuresCount++;
-    this.#dialAtMs = performance.now() +
-      boundMs * (0.5 + this.#options.random.nextFloat() / 2);
+    this.#backoff.schedule(performance.now());
   }
 
   /** Action: resets the back-off and logs that the link is up. */
   reportUp(): void {
-    this.#failuresCount = 0;
+    this.#backoff.reset();
     this.#options.log.info("Link up", {
       peer: this.#member.name,
       downMs: Math.round(performance.now() - this.downSinceMs),
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -46,6 +46,8 @@
   known = new Set<string>();
   candidates: readonly string[] = [];
   isAlive = false;
+  /** Whether the process will end soon and has told its peers. */
+  isStopping = false;
   generation = 0;
   capsVersion = 0;
   asker: CapAsker | undefined;
@@ -192,6 +194,11 @@
     });
   }
 
+  /** Announces that a daemon's process will end soon. */
+  announceStop(daemonName: string): void {
+    (this.#byName.get(daemonName) as SimulatedDaemon).isStopping = true;
+  }
+
   /** Starts a daemon's process with empty state. */
   start(daemonName: string): void {
     const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
@@ -199,6 +206,7 @@
       return;
     }
     daemon.isAlive = true;
+    daemon.isStopping = false;
     daemon.pausedUntilMs = 0;
     const generation = ++daemon.generation;
     daemon.upSinceMs.clear();
@@ -283,8 +291,14 @@
         get candidates() {
           return daemon.candidates;
         },
-        upSinceMs: (name) =>
-          name === daemon.name ? -Infinity : daemon.upSinceMs.get(name),
+        upSinceMs: (name) => {
+          if (this.#byName.get(name)!.isStopping) {
+            return undefined;
+          }
+          return name === daemon.name ? -Infinity : daemon.upSinceMs.get(name);
+        },
+        isConnected: (name) =>
+          name === daemon.name || daemon.upSinceMs.has(name),
       },
       processId: this.random.nextInt(0x7fffffff),
       leasesFromMs: clockMs + LEASES_DELAY_MS,
