--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { CapSimulation, findExcess } from "../../testing/cap_simulation.ts";
+import { CapSimulation } from "../../testing/cap_simulation.ts";
+import { findExcess } from "../../testing/cap_window.ts";
 import type { UsageCap } from "./cap_limits.ts";
 
 const CALM_NETWORK = {
--- a/src/decisions/caps/hand_over_test.ts
+++ b/src/decisions/caps/hand_over_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CapSimulation, findExcess } from "../../testing/cap_simulation.ts";
+import { CapSimulation } from "../../testing/cap_simulation.ts";
+import { findExcess } from "../../testing/cap_window.ts";
 import type { UsageCap } from "./cap_limits.ts";
 import { rankCapOwners } from "./owner_choice.ts";
 
--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import {
-  type CapInForce,
-  CapSimulation,
-  findExcess,
-} from "../../testing/cap_simulation.ts";
+import { CapSimulation } from "../../testing/cap_simulation.ts";
+import { type CapInForce, findExcess } from "../../testing/cap_window.ts";
 import type { UsageCap } from "./cap_limits.ts";
 
 const FAULTY_NETWORK = {
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -1,4 +1,5 @@
 /** Connects the decisions on usage caps with the links of the daemon. */
+import { hash32 } from "../core/hash.ts";
 import type { RandomSource } from "../core/random.ts";
 import { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
@@ -22,7 +23,6 @@
  * former process have ended until then, and its links are up.
  */
 const LEASES_DELAY_MS = 1_500;
-const PROCESS_ID_BOUND = 0x7fffffff;
 
 /** Link to a candidate. */
 export interface CandidateLink {
@@ -107,7 +107,8 @@
     this.#log = new UsageCapLog(options.log);
     this.#asker = new CapAsker({
       view: this.#createView(),
-      processId: random.nextInt(PROCESS_ID_BOUND),
+      // The time tells it from that of the former process under any seed.
+      processId: hash32(`${Date.now()} ${random.nextFloat()}`),
       leasesFromMs: performance.now() + LEASES_DELAY_MS,
       membersCount: () => members().membersCount,
       random,
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -18,6 +18,12 @@
     currencyAgeMs: Infinity,
     storeCallsCount: 3,
     storeEra: 1,
+    usageCapRefusalsCount: 0,
+    usageTokensRequestedCount: 0,
+    usageTokensGrantedCount: 0,
+    usageTokensReturnedCount: 0,
+    usageOwnersCount: 0,
+    usageTenantsOwnedCount: 0,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -5,17 +5,8 @@
 import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
-
-/** Behaviour of the simulated network. */
-export type CapNetwork = {
-  lossRatio: number;
-  duplicateRatio: number;
-  /** Part of the messages that are late by `lateMs`. */
-  lateRatio: number;
-  lateMs: number;
-  transitMinMs: number;
-  transitMaxMs: number;
-};
+import { MsEvents } from "./ms_events.ts";
+import { type CapNetwork, SimulatedCapDaemon } from "./simulated_cap_daemon.ts";
 
 /** Options of {@link CapSimulation}. */
 export type CapSimulationOptions = {
@@ -36,52 +27,18 @@
 /** Time after its start in which a daemon leases nothing. */
 const LEASES_DELAY_MS = 1_500;
 
-class SimulatedDaemon {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly clockOffsetMs: number;
-  readonly clockSpeed: number;
-  /** Monotonic times since which links are up, by candidate. */
-  readonly upSinceMs = new Map<string, number>();
-  known = new Set<string>();
-  candidates: readonly string[] = [];
-  isAlive = false;
-  /** Whether the process will end soon and has told its peers. */
-  isStopping = false;
-  generation = 0;
-  capsVersion = 0;
-  asker: CapAsker | undefined;
-  owner = new CapOwner();
-  stepAtMs = Infinity;
-  /** Time until which the process is paused, in simulated ms. */
-  pausedUntilMs = 0;
-
-  constructor(name: string, dataCentre: string, random: RandomSource) {
-    this.name = name;
-    this.dataCentre = dataCentre;
-    this.clockOffsetMs = random.nextInt(100_000_000);
-    this.clockSpeed = 1 + (random.nextFloat() - 0.5) * 0.001;
-  }
-
-  /** Converts simulated time to the clock of this daemon. */
-  clockMs(atMs: number): number {
-    return this.clockOffsetMs + atMs * this.clockSpeed;
-  }
-}
-
 /** Daemons that admit requests under usage caps. Time is in ms from the start. */
 export class CapSimulation {
   readonly #options: CapSimulationOptions;
   readonly random: RandomSource;
-  readonly #events = new Map<number, (() => void)[]>();
-  readonly #daemons: SimulatedDaemon[] = [];
-  readonly #byName = new Map<string, SimulatedDaemon>();
+  readonly #events = new MsEvents();
+  readonly #daemons: SimulatedCapDaemon[] = [];
+  readonly #byName = new Map<string, SimulatedCapDaemon>();
   /** Side of the partition by daemon; 0 without a partition. */
   readonly #sides = new Map<string, number>();
   readonly #admittedAtMs = new Map<string, number[]>();
   #caps: ReadonlyMap<string, UsageCap>;
   #capsVersion = 0;
-  nowMs = 0;
   /** Refused requests by tenant. */
   readonly refusedCounts = new Map<string, number>();
   messagesCount = 0;
@@ -119,30 +76,24 @@
     return this.#admittedAtMs.get(tenantName) ?? [];
   }
 
+  /** Simulated time, in ms from the start. */
+  get nowMs(): number {
+    return this.#events.nowMs;
+  }
+
   /** Calls a function at a time in the future. */
   at(atMs: number, action: () => void): void {
-    const dueMs = Math.max(Math.ceil(atMs), this.nowMs + 1);
-    const list = this.#events.get(dueMs);
-    if (list === undefined) {
-      this.#events.set(dueMs, [action]);
-    } else {
-      list.push(action);
-    }
+    this.#events.at(atMs, action);
   }
 
   /** Runs until a time. */
   run(untilMs: number): void {
-    while (this.nowMs < untilMs) {
-      this.nowMs++;
-      const actions = this.#events.get(this.nowMs);
-      this.#events.delete(this.nowMs);
-      actions?.forEach((action) => action());
-    }
+    this.#events.run(untilMs);
   }
 
   /** Sends a request of a tenant to a daemon. */
   request(daemonName: string, tenantName: string): void {
-    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     if (daemon.pausedUntilMs > this.nowMs) {
       this.at(
         daemon.pausedUntilMs,
@@ -169,7 +120,7 @@
 
   /** Ends a daemon's process with all its state. */
   stop(daemonName: string): void {
-    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     daemon.isAlive = false;
     daemon.generation++;
     this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
@@ -180,7 +131,7 @@
    * anything else.
    */
   pause(daemonName: string, durationMs: number): void {
-    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     daemon.pausedUntilMs = this.nowMs + durationMs;
     for (const other of this.#daemons) {
       this.at(this.nowMs + 1 + this.random.nextInt(SILENCE_MAX_MS), () => {
@@ -196,12 +147,12 @@
 
   /** Announces that a daemon's process will end soon. */
   announceStop(daemonName: string): void {
-    (this.#byName.get(daemonName) as SimulatedDaemon).isStopping = true;
+    (this.#byName.get(daemonName) as SimulatedCapDaemon).isStopping = true;
   }
 
   /** Starts a daemon's process with empty state. */
   start(daemonName: string): void {
-    const daemon = this.#byName.get(daemonName) as SimulatedDaemon;
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     if (daemon.isAlive) {
       return;
     }
@@ -263,8 +214,8 @@
     });
   }
 
-  #add(index: number): SimulatedDaemon {
-    const daemon = new SimulatedDaemon(
+  #add(index: number): SimulatedCapDaemon {
+    const daemon = new SimulatedCapDaemon(
       `daemon-${index}`,
       `dc-${index % this.#options.dataCentresCount}`,
       this.random,
@@ -274,7 +225,7 @@
     return daemon;
   }
 
-  #announce(change: (daemon: SimulatedDaemon) => void): void {
+  #announce(change: (daemon: SimulatedCapDaemon) => void): void {
     for (const daemon of this.#daemons) {
       this.at(this.nowMs + 1 + this.random.nextInt(1_000), () => {
         change(daemon);
@@ -284,7 +235,7 @@
     }
   }
 
-  #createAsker(daemon: SimulatedDaemon, clockMs: number): CapAsker {
+  #createAsker(daemon: SimulatedCapDaemon, clockMs: number): CapAsker {
     return new CapAsker({
       view: {
         ownName: daemon.name,
@@ -308,13 +259,13 @@
     });
   }
 
-  #updateCandidates(daemon: SimulatedDaemon): void {
+  #updateCandidates(daemon: SimulatedCapDaemon): void {
     daemon.candidates = listCapCandidates(
       [...daemon.known].map((name) => this.#byName.get(name)!),
     );
   }
 
-  #tick(daemon: SimulatedDaemon, generation: number): void {
+  #tick(daemon: SimulatedCapDaemon, generation: number): void {
     if (daemon.generation !== generation) {
       return;
     }
@@ -331,7 +282,7 @@
     this.at(this.nowMs + TICK_MS, () => this.#tick(daemon, generation));
   }
 
-  #scheduleStep(daemon: SimulatedDaemon): void {
+  #scheduleStep(daemon: SimulatedCapDaemon): void {
     const dueAtMs = daemon.asker!.dueAtMs(daemon.clockMs(this.nowMs));
     if (dueAtMs === undefined) {
       return;
@@ -354,8 +305,8 @@
     });
   }
 
-  #sendAsk(daemon: SimulatedDaemon, ownerName: string, ask: CapAsk): void {
-    const owner = this.#byName.get(ownerName) as SimulatedDaemon;
+  #sendAsk(daemon: SimulatedCapDaemon, ownerName: string, ask: CapAsk): void {
+    const owner = this.#byName.get(ownerName) as SimulatedCapDaemon;
     if (owner === daemon) {
       const clockMs = daemon.clockMs(this.nowMs);
       const grant = daemon.owner.handle(daemon.name, ask, clockMs);
@@ -374,8 +325,8 @@
   }
 
   #sendGrant(
-    owner: SimulatedDaemon,
-    daemon: SimulatedDaemon,
+    owner: SimulatedCapDaemon,
+    daemon: SimulatedCapDaemon,
     grant: CapGrant,
   ): void {
     this.#deliver(owner, daemon, () => {
@@ -386,8 +337,8 @@
   }
 
   #deliver(
-    from: SimulatedDaemon,
-    to: SimulatedDaemon,
+    from: SimulatedCapDaemon,
+    to: SimulatedCapDaemon,
     action: () => void,
   ): void {
     const { network } = this.#options;
@@ -419,19 +370,19 @@
     }
   }
 
-  #isReachable(a: SimulatedDaemon, b: SimulatedDaemon): boolean {
+  #isReachable(a: SimulatedCapDaemon, b: SimulatedCapDaemon): boolean {
     return a.isAlive && b.isAlive &&
       this.#sides.get(a.name) === this.#sides.get(b.name);
   }
 
   /** Lets the chosen links follow the state of the network, after a while. */
   #updateLinks(
-    isChosen: (a: SimulatedDaemon, b: SimulatedDaemon) => boolean,
+    isChosen: (a: SimulatedCapDaemon, b: SimulatedCapDaemon) => boolean,
     delayMaxMs: number,
   ): void {
     for (const daemon of this.#daemons) {
       for (const name of daemon.candidates) {
-        const owner = this.#byName.get(name) as SimulatedDaemon;
+        const owner = this.#byName.get(name) as SimulatedCapDaemon;
         if (owner !== daemon && isChosen(daemon, owner)) {
           this.#updateLink(daemon, owner, delayMaxMs);
         }
@@ -440,8 +391,8 @@
   }
 
   #updateLink(
-    daemon: SimulatedDaemon,
-    owner: SimulatedDaemon,
+    daemon: SimulatedCapDaemon,
+    owner: SimulatedCapDaemon,
     delayMaxMs: number,
   ): void {
     const isDown = !this.#isReachable(daemon, owner);
@@ -455,38 +406,3 @@
     });
   }
 }
-
-/** Cap and the time in which at least one daemon has it in force. */
-export type CapInForce = { fromMs: number; untilMs: number; cap: UsageCap };
-
-/**
- * Finds the first window of 5 s with more admitted requests than a cap allows.
- *
- * @param timesMs Times of the admitted requests, in order.
- * @param caps Caps; a window has to meet the largest one in force in it.
- * @returns Description of the window; undefined when there is none.
- */
-export function findExcess(
-  timesMs: readonly number[],
-  caps: readonly CapInForce[],
-): string | undefined {
-  const windowMs = 5_000;
-  let first = 0;
-  for (let last = 0; last < timesMs.length; last++) {
-    const endMs = timesMs[last] as number;
-    while ((timesMs[first] as number) <= endMs - windowMs) {
-      first++;
-    }
-    const startMs = endMs - windowMs;
-    const bound = Math.max(
-      ...caps
-        .filter(({ fromMs, untilMs }) => fromMs <= endMs && untilMs > startMs)
-        .map(({ cap }) => (cap.ratePerS * 5 + cap.burstCount) * 1.1 + 20),
-    );
-    const count = last - first + 1;
-    if (count > bound) {
-      return `${count} admitted until ${endMs} ms, bound ${bound}`;
-    }
-  }
-  return undefined;
-}
