--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -21,6 +21,7 @@
 import type { MemberDirectory } from "./member_directory.ts";
 import type { StatePublisher } from "./state_publisher.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
+import type { UsageCapPeers } from "./usage_caps.ts";
 
 /**
  * Time after a stall in which received requests may have waited for the process.
@@ -42,6 +43,8 @@
   currency: Pick<CurrencyTracker, "ageMs" | "onAnswer">;
   /** A function, because the directory is constructed later, with this host. */
   directory: () => MemberDirectory;
+  /** Receives the messages about usage caps. */
+  usageCaps: UsageCapPeers;
   log: Logger;
 };
 
@@ -176,6 +179,19 @@
     this.#parts.directory().handlePeerRecords(records, link.member.name);
   }
 
+  /** @inheritdoc */
+  onUsageAsk(
+    frame: readonly unknown[],
+    peerName: string,
+  ): readonly unknown[] | undefined {
+    return this.#parts.usageCaps.handleAskFrame(frame, peerName);
+  }
+
+  /** @inheritdoc */
+  onUsageGrant(frame: readonly unknown[], link: PeerLink): void {
+    this.#parts.usageCaps.handleGrantFrame(frame, link.member.name);
+  }
+
   /** @inheritdoc */
   onConfig(config: unknown): void {
     this.#parts.config.applyFromPeer(config);
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -144,6 +144,9 @@
       platform,
       config: this.#config,
       peers: () => this.#directory.links,
+      members: () => this.#directory,
+      isStopping: () => this.#lifecycle.stoppingSinceMs !== undefined,
+      random,
       isWatching: () => this.isWatching,
       onRefused: (kind) => this.#metrics.recordCredentialRefusal(kind),
       log,
@@ -151,6 +154,7 @@
     this.#linkHost = new DaemonLinkHost({
       config: this.#config,
       currency: this.#access.currency,
+      usageCaps: this.#access.usage,
       gate: this.#gate,
       graph: this.#callGraph,
       publisher: this.#publisher,
@@ -198,6 +202,7 @@
         watchElection: this.#watchElection,
         platform,
         graph: this.#callGraph,
+        usage: this.#access.usage,
         currency: this.#access.currency,
       })
     );
@@ -247,6 +252,7 @@
   async close(): Promise<void> {
     await this.#loop.stop();
     this.#listeners.close();
+    this.#access.usage.close();
     this.#directory.close();
     await this.#upstreamClient.close();
   }
@@ -337,6 +343,7 @@
       channels: this.#channels,
       link: { host, log, random },
       log,
+      selectFurther: (records) => this.#access.usage.selectLinked(records),
       onOwnChange: (record) => this.#linkServer.broadcastOwnRecord(record),
       onOwnRecord: ({ leftUpstream }) => {
         if (leftUpstream !== undefined) {
@@ -386,6 +393,7 @@
     this.#linkServer.tick(nowMs, stalledMs);
     this.#watchElection.tick(nowMs);
     this.#access.currency.tick();
+    this.#access.usage.tick(nowMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
@@ -411,6 +419,7 @@
       return;
     }
     this.#linkServer.broadcastConfigVersion(config.version);
+    this.#access.usage.applyTenants(config.tenants ?? []);
     this.#outboundListener.applyLimits(config.limits);
     this.#lifecycle.notify("configured");
     const { pool } = this.#settings;
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -7,6 +7,7 @@
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
+import type { FleetUsageCaps } from "./usage_caps.ts";
 import type { WatchElection } from "./watch_election.ts";
 
 /** Parts of the daemon whose state is measured. */
@@ -19,6 +20,7 @@
   platform: FleetPlatform;
   graph: CallGraph;
   currency: CurrencyTracker;
+  usage: FleetUsageCaps;
 };
 
 /**
@@ -29,7 +31,7 @@
  */
 export function readGauges(parts: MeasuredParts): FleetGauges {
   const { config, upstream, directory, gate, watchElection } = parts;
-  const { platform, graph, currency } = parts;
+  const { platform, graph, currency, usage } = parts;
   const nowMs = performance.now();
   return {
     configVersion: config.version,
@@ -46,6 +48,7 @@
     storeEra: platform.store.era,
     callEdgesCount: graph.edgesCount,
     currencyAgeMs: Math.round(currency.ageMs),
+    ...usage.gauges,
     logLinesDroppedCount: platform.droppedLinesCount(),
   };
 }
--- a/src/fleet/tenant_access.ts
+++ b/src/fleet/tenant_access.ts
@@ -1,5 +1,6 @@
 /** Parts of the daemon that check keys and track the currency. */
 import { SystemClock } from "../core/clock.ts";
+import type { RandomSource } from "../core/random.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { Logger } from "../telemetry/logger.ts";
@@ -7,7 +8,7 @@
 import type { ConfigFollower } from "./config_follower.ts";
 import { type AskedPeer, CurrencyTracker } from "./currency_tracker.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
-import { UnlimitedUsage, type UsageCapGate } from "./usage_cap_gate.ts";
+import { FleetUsageCaps, type UsageCapMembers } from "./usage_caps.ts";
 
 /** Options of {@link createTenantAccess}. */
 export type TenantAccessOptions = {
@@ -16,6 +17,11 @@
   config: ConfigFollower;
   /** Links to peers. */
   peers: () => Iterable<AskedPeer>;
+  /** Known members. A function, because the directory is constructed later. */
+  members: () => UsageCapMembers;
+  /** Whether this daemon stops soon. */
+  isStopping: () => boolean;
+  random: RandomSource;
   /** Whether this daemon watches the store closely and reaches it. */
   isWatching: () => boolean;
   /** Called for each request that is refused because of its credential. */
@@ -27,7 +33,7 @@
 export type TenantAccess = {
   readonly currency: CurrencyTracker;
   readonly authenticator: Authenticator;
-  readonly usage: UsageCapGate;
+  readonly usage: FleetUsageCaps;
 };
 
 /**
@@ -58,5 +64,12 @@
     currencyAgeMs: () => currency.ageMs,
     onRefused,
   });
-  return { currency, authenticator, usage: new UnlimitedUsage() };
+  const usage = new FleetUsageCaps({
+    members: options.members,
+    isStopping: options.isStopping,
+    windowMs: settings.usageCapWindowMs,
+    random: options.random,
+    log: options.log,
+  });
+  return { currency, authenticator, usage };
 }
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -58,6 +58,8 @@
   onCurrency(answer: CurrencyAnswer, link: PeerLink): void;
   /** Called with the records of members that a peer sends. */
   onMembers(records: readonly MemberRecord[], link: PeerLink): void;
+  /** Called with the answer of a peer that owns usage caps. */
+  onUsageGrant?(frame: readonly unknown[], link: PeerLink): void;
 }
 
 /** Options of {@link PeerLink}. */
@@ -197,6 +199,11 @@
     this.#socket?.send([FRAME.memberQuery]);
   }
 
+  /** Sends a message to the peer as the owner of usage caps. */
+  sendUsageAsk(frame: readonly unknown[]): void {
+    this.#socket?.send(frame);
+  }
+
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const socket = this.#socket;
@@ -231,6 +238,7 @@
 
   /** @inheritdoc */
   onFrame(frame: unknown[]): void {
+    const { host } = this.#options;
     this.#silence.reset();
     switch (frame[0]) {
       case FRAME.answer:
@@ -244,22 +252,21 @@
       case FRAME.busy:
         return this.#onBusy(busyFrameSchema.parse(frame)[1]);
       case FRAME.config:
-        return this.#options.host.onConfig(frame[1]);
+        return host.onConfig(frame[1]);
       case FRAME.configQuery:
-        this.#socket?.send([FRAME.config, this.#options.host.config ?? null]);
+        this.#socket?.send([FRAME.config, host.config ?? null]);
         return;
       case FRAME.members:
-        return this.#options.host.onMembers(
-          membersFrameSchema.parse(frame)[1],
-          this,
-        );
+        return host.onMembers(membersFrameSchema.parse(frame)[1], this);
       case FRAME.currency:
-        return this.#options.host.onCurrency(
-          currencyFrameSchema.parse(frame),
+        return host.onCurrency(currencyFrameSchema.parse(frame), this);
+      case FRAME.configVersion:
+        return host.onConfigVersion(
+          configVersionFrameSchema.parse(frame)[1],
           this,
         );
-      case FRAME.configVersion:
-        return this.#onConfigVersion(configVersionFrameSchema.parse(frame)[1]);
+      case FRAME.usageGrant:
+        return host.onUsageGrant?.(frame, this);
       default:
         return;
     }
@@ -339,10 +346,6 @@
     this.#options.host.onConfigVersion(state.configVersion, this);
   }
 
-  #onConfigVersion(version: number): void {
-    this.#options.host.onConfigVersion(version, this);
-  }
-
   #onBusy(percent: number): void {
     if (this.#state !== undefined) {
       this.#state = { ...this.#state, busyRatio: percent / 100 };
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -26,6 +26,14 @@
   readonly callEdgesCount: number;
   /** Infinite before the first proof. */
   readonly currencyAgeMs: number;
+  /** Requests that the usage caps of tenants refused since the start. */
+  readonly usageCapRefusalsCount: number;
+  readonly usageTokensRequestedCount: number;
+  /** Tokens that this daemon has granted as an owner since the start. */
+  readonly usageTokensGrantedCount: number;
+  readonly usageTokensReturnedCount: number;
+  readonly usageOwnersCount: number;
+  readonly usageTenantsOwnedCount: number;
   readonly logLinesDroppedCount: number;
 };
 
@@ -44,6 +52,12 @@
   storeEra: "Rises when the store is restored from a copy",
   callEdgesCount: "Known pairs of a calling and a called route",
   currencyAgeMs: "Time since the configuration was surely the newest",
+  usageCapRefusalsCount: "Requests refused by usage caps since the start",
+  usageTokensRequestedCount: "Usage tokens asked for since the start",
+  usageTokensGrantedCount: "Usage tokens granted to daemons since the start",
+  usageTokensReturnedCount: "Usage tokens returned unused since the start",
+  usageOwnersCount: "Daemons that own usage caps for this one",
+  usageTenantsOwnedCount: "Tenants whose usage cap this daemon owns",
   logLinesDroppedCount: "Log lines that nobody read in time",
 };
 
--- /dev/null
+++ b/src/testing/cap_simulation.ts
@@ -0,0 +1,398 @@
+/** Simulates the usage caps of many daemons on a virtual clock. */
+import { type RandomSource, SeededRandom } from "../core/random.ts";
+import { CapAsker } from "../decisions/caps/cap_asker.ts";
+import type { UsageCap } from "../decisions/caps/cap_limits.ts";
+import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import { CapOwner } from "../decisions/caps/cap_owner.ts";
+import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
+import { MsEvents } from "./ms_events.ts";
+import { type CapNetwork, SimulatedCapDaemon } from "./simulated_cap_daemon.ts";
+
+/** Options of {@link CapSimulation}. */
+export type CapSimulationOptions = {
+  seed: number;
+  daemonsCount: number;
+  dataCentresCount: number;
+  caps: ReadonlyMap<string, UsageCap>;
+  network: CapNetwork;
+};
+
+/** Time after which a daemon notices that a peer is cut off, at most. */
+const SILENCE_MAX_MS = 2_000;
+/** Time after which a daemon notices that the process of a peer has ended. */
+const CLOSED_MAX_MS = 20;
+/** Time after which a link is up again, at most. */
+const REDIAL_MAX_MS = 1_000;
+const TICK_MS = 100;
+/** Time after its start in which a daemon leases nothing. */
+const LEASES_DELAY_MS = 1_500;
+
+/** Daemons that admit requests under usage caps. Time is in ms from the start. */
+export class CapSimulation {
+  readonly #options: CapSimulationOptions;
+  readonly random: RandomSource;
+  readonly #events = new MsEvents();
+  readonly #daemons: SimulatedCapDaemon[] = [];
+  readonly #byName = new Map<string, SimulatedCapDaemon>();
+  /** Side of the partition by daemon; 0 without a partition. */
+  readonly #sides = new Map<string, number>();
+  readonly #admittedAtMs = new Map<string, number[]>();
+  #caps: ReadonlyMap<string, UsageCap>;
+  #capsVersion = 0;
+  /** Refused requests by tenant. */
+  readonly refusedCounts = new Map<string, number>();
+  messagesCount = 0;
+  admittedCount = 0;
+  /** Requests that a running daemon has received. */
+  offeredCount = 0;
+
+  /**
+   * @param options Seed, daemons, caps and network.
+   */
+  constructor(options: CapSimulationOptions) {
+    this.#options = options;
+    this.#caps = options.caps;
+    this.random = new SeededRandom(options.seed);
+    for (let index = 0; index < options.daemonsCount; index++) {
+      this.#add(index);
+    }
+    const names = this.#daemons.map(({ name }) => name);
+    for (const daemon of this.#daemons) {
+      daemon.known = new Set(names);
+      this.start(daemon.name);
+    }
+  }
+
+  /** Names of all daemons. */
+  get names(): string[] {
+    return this.#daemons.map(({ name }) => name);
+  }
+
+  /** Names of the candidates as the first daemon knows them. */
+  get candidates(): readonly string[] {
+    return this.#daemons[0]!.candidates;
+  }
+
+  /** Times of the admitted requests of a tenant, in order. */
+  admittedAtMs(tenantName: string): readonly number[] {
+    return this.#admittedAtMs.get(tenantName) ?? [];
+  }
+
+  /** Simulated time, in ms from the start. */
+  get nowMs(): number {
+    return this.#events.nowMs;
+  }
+
+  /** Calls a function at a time in the future. */
+  at(atMs: number, action: () => void): void {
+    this.#events.at(atMs, action);
+  }
+
+  /** Runs until a time. */
+  run(untilMs: number): void {
+    this.#events.run(untilMs);
+  }
+
+  /** Sends a request of a tenant to a daemon. */
+  request(daemonName: string, tenantName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    if (daemon.pausedUntilMs > this.nowMs) {
+      this.at(
+        daemon.pausedUntilMs,
+        () => this.request(daemonName, tenantName),
+      );
+      return;
+    }
+    if (!daemon.isAlive) {
+      return;
+    }
+    this.offeredCount++;
+    daemon.asker!.admit(tenantName, (decision) => {
+      if (!decision.isAdmitted) {
+        const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
+        this.refusedCounts.set(tenantName, refusedCount + 1);
+        return;
+      }
+      this.admittedCount++;
+      const times = this.#admittedAtMs.get(tenantName) ?? [];
+      times.push(this.nowMs);
+      this.#admittedAtMs.set(tenantName, times);
+    }, daemon.clockMs(this.nowMs));
+    this.#scheduleStep(daemon);
+  }
+
+  /** Ends a daemon's process with all its state. */
+  stop(daemonName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    daemon.isAlive = false;
+    daemon.generation++;
+    this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
+  }
+
+  /**
+   * Pauses a daemon's process. It then reads what has arrived before it does
+   * anything else.
+   */
+  pause(daemonName: string, durationMs: number): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    daemon.pausedUntilMs = this.nowMs + durationMs;
+    for (const other of this.#daemons) {
+      this.at(this.nowMs + 1 + this.random.nextInt(SILENCE_MAX_MS), () => {
+        if (daemon.pausedUntilMs > this.nowMs) {
+          other.upSinceMs.delete(daemonName);
+        }
+      });
+    }
+    this.at(daemon.pausedUntilMs + 1, () => {
+      this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
+    });
+  }
+
+  /** Announces that a daemon's process will end soon. */
+  announceStop(daemonName: string): void {
+    (this.#byName.get(daemonName) as SimulatedCapDaemon).isStopping = true;
+  }
+
+  /** Starts a daemon's process with empty state. */
+  start(daemonName: string): void {
+    const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    if (daemon.isAlive) {
+      return;
+    }
+    daemon.isAlive = true;
+    daemon.isStopping = false;
+    daemon.pausedUntilMs = 0;
+    const generation = ++daemon.generation;
+    daemon.upSinceMs.clear();
+    daemon.capsVersion = this.#capsVersion;
+    daemon.owner = new CapOwner();
+    this.#updateCandidates(daemon);
+    const clockMs = daemon.clockMs(this.nowMs);
+    daemon.asker = this.#createAsker(daemon, clockMs);
+    daemon.owner.applyCaps(this.#caps, clockMs);
+    daemon.asker.applyCaps(this.#caps, clockMs);
+    this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
+    this.at(
+      this.nowMs + 1 + this.random.nextInt(TICK_MS),
+      () => this.#tick(daemon, generation),
+    );
+  }
+
+  /** Cuts the network into two sides; an undefined side heals it. */
+  partition(isOnFirstSide: ((name: string) => boolean) | undefined): void {
+    for (const { name } of this.#daemons) {
+      this.#sides.set(name, isOnFirstSide?.(name) ? 1 : 0);
+    }
+    this.#updateLinks(() => true, SILENCE_MAX_MS);
+  }
+
+  /** Adds a daemon, of which the others learn within a second. */
+  join(): string {
+    const daemon = this.#add(this.#daemons.length);
+    daemon.known = new Set(this.names);
+    this.start(daemon.name);
+    this.#announce((other) => other.known.add(daemon.name));
+    return daemon.name;
+  }
+
+  /** Removes a daemon for good; the others learn it within a second. */
+  leave(daemonName: string): void {
+    this.stop(daemonName);
+    this.#announce((other) => other.known.delete(daemonName));
+  }
+
+  /** Applies caps at all daemons within a second. */
+  applyCaps(caps: ReadonlyMap<string, UsageCap>): void {
+    this.#caps = caps;
+    const version = ++this.#capsVersion;
+    this.#announce((daemon) => {
+      // An older configuration that arrives late is ignored.
+      if (daemon.capsVersion > version) {
+        return;
+      }
+      daemon.capsVersion = version;
+      const clockMs = daemon.clockMs(this.nowMs);
+      daemon.owner.applyCaps(caps, clockMs);
+      daemon.asker?.applyCaps(caps, clockMs);
+    });
+  }
+
+  #add(index: number): SimulatedCapDaemon {
+    const daemon = new SimulatedCapDaemon(
+      `daemon-${index}`,
+      `dc-${index % this.#options.dataCentresCount}`,
+      this.random,
+    );
+    this.#daemons.push(daemon);
+    this.#byName.set(daemon.name, daemon);
+    return daemon;
+  }
+
+  #announce(change: (daemon: SimulatedCapDaemon) => void): void {
+    for (const daemon of this.#daemons) {
+      this.at(this.nowMs + 1 + this.random.nextInt(1_000), () => {
+        change(daemon);
+        this.#updateCandidates(daemon);
+        this.#updateLinks((a) => a === daemon, REDIAL_MAX_MS);
+      });
+    }
+  }
+
+  #createAsker(daemon: SimulatedCapDaemon, clockMs: number): CapAsker {
+    return new CapAsker({
+      view: daemon.createView((name) => this.#byName.get(name)!.isStopping),
+      processId: this.random.nextInt(0x7fffffff),
+      leasesFromMs: clockMs + LEASES_DELAY_MS,
+      membersCount: () => daemon.known.size,
+      random: this.random,
+      send: (ownerName, ask) => this.#sendAsk(daemon, ownerName, ask),
+    });
+  }
+
+  #updateCandidates(daemon: SimulatedCapDaemon): void {
+    daemon.candidates = listCapCandidates(
+      [...daemon.known].map((name) => this.#byName.get(name)!),
+    );
+  }
+
+  #tick(daemon: SimulatedCapDaemon, generation: number): void {
+    if (daemon.generation !== generation) {
+      return;
+    }
+    if (daemon.pausedUntilMs > this.nowMs) {
+      // Timers run after what has arrived was read.
+      const atMs = daemon.pausedUntilMs + 5;
+      this.at(atMs, () => this.#tick(daemon, generation));
+      return;
+    }
+    const clockMs = daemon.clockMs(this.nowMs);
+    daemon.owner.tick(daemon.known.size, clockMs);
+    daemon.asker!.tick(clockMs);
+    this.#scheduleStep(daemon);
+    this.at(this.nowMs + TICK_MS, () => this.#tick(daemon, generation));
+  }
+
+  #scheduleStep(daemon: SimulatedCapDaemon): void {
+    const dueAtMs = daemon.asker!.dueAtMs(daemon.clockMs(this.nowMs));
+    if (dueAtMs === undefined) {
+      return;
+    }
+    const atMs = Math.ceil(
+      (dueAtMs - daemon.clockOffsetMs) / daemon.clockSpeed,
+    );
+    if (atMs >= daemon.stepAtMs && daemon.stepAtMs > this.nowMs) {
+      return;
+    }
+    daemon.stepAtMs = Math.max(atMs, this.nowMs + 1);
+    const { generation } = daemon;
+    this.at(daemon.stepAtMs, () => {
+      if (
+        daemon.generation === generation && daemon.pausedUntilMs <= this.nowMs
+      ) {
+        daemon.asker!.step(daemon.clockMs(this.nowMs));
+        this.#scheduleStep(daemon);
+      }
+    });
+  }
+
+  #sendAsk(daemon: SimulatedCapDaemon, ownerName: string, ask: CapAsk): void {
+    const owner = this.#byName.get(ownerName) as SimulatedCapDaemon;
+    if (owner === daemon) {
+      const clockMs = daemon.clockMs(this.nowMs);
+      const grant = daemon.owner.handle(daemon.name, ask, clockMs);
+      if (grant !== undefined) {
+        daemon.asker!.handleGrant(daemon.name, grant, clockMs);
+      }
+      return;
+    }
+    this.#deliver(daemon, owner, () => {
+      const clockMs = owner.clockMs(this.nowMs);
+      const grant = owner.owner.handle(daemon.name, ask, clockMs);
+      if (grant !== undefined) {
+        this.#sendGrant(owner, daemon, grant);
+      }
+    });
+  }
+
+  #sendGrant(
+    owner: SimulatedCapDaemon,
+    daemon: SimulatedCapDaemon,
+    grant: CapGrant,
+  ): void {
+    this.#deliver(owner, daemon, () => {
+      const clockMs = daemon.clockMs(this.nowMs);
+      daemon.asker!.handleGrant(owner.name, grant, clockMs);
+      this.#scheduleStep(daemon);
+    });
+  }
+
+  #deliver(
+    from: SimulatedCapDaemon,
+    to: SimulatedCapDaemon,
+    action: () => void,
+  ): void {
+    const { network } = this.#options;
+    this.messagesCount++;
+    const copiesCount = this.random.nextFloat() < network.duplicateRatio
+      ? 2
+      : 1;
+    for (let copy = 0; copy < copiesCount; copy++) {
+      if (this.random.nextFloat() < network.lossRatio) {
+        continue;
+      }
+      const lateMs = this.random.nextFloat() < network.lateRatio
+        ? network.lateMs
+        : 0;
+      const spanMs = network.transitMaxMs - network.transitMinMs;
+      const transitMs = network.transitMinMs + lateMs +
+        this.random.nextInt(spanMs + 1);
+      const { generation } = to;
+      const arrive = () => {
+        if (to.pausedUntilMs > this.nowMs) {
+          this.at(to.pausedUntilMs, arrive);
+        } else if (
+          this.#isReachable(from, to) && to.generation === generation
+        ) {
+          action();
+        }
+      };
+      this.at(this.nowMs + transitMs, arrive);
+    }
+  }
+
+  #isReachable(a: SimulatedCapDaemon, b: SimulatedCapDaemon): boolean {
+    return a.isAlive && b.isAlive &&
+      this.#sides.get(a.name) === this.#sides.get(b.name);
+  }
+
+  /** Lets the chosen links follow the state of the network, after a while. */
+  #updateLinks(
+    isChosen: (a: SimulatedCapDaemon, b: SimulatedCapDaemon) => boolean,
+    delayMaxMs: number,
+  ): void {
+    for (const daemon of this.#daemons) {
+      for (const name of daemon.candidates) {
+        const owner = this.#byName.get(name) as SimulatedCapDaemon;
+        if (owner !== daemon && isChosen(daemon, owner)) {
+          this.#updateLink(daemon, owner, delayMaxMs);
+        }
+      }
+    }
+  }
+
+  #updateLink(
+    daemon: SimulatedCapDaemon,
+    owner: SimulatedCapDaemon,
+    delayMaxMs: number,
+  ): void {
+    const isDown = !this.#isReachable(daemon, owner);
+    const delayMs = isDown ? delayMaxMs : REDIAL_MAX_MS;
+    this.at(this.nowMs + 1 + this.random.nextInt(delayMs), () => {
+      if (!daemon.isAlive || !this.#isReachable(daemon, owner)) {
+        daemon.upSinceMs.delete(owner.name);
+      } else if (!daemon.upSinceMs.has(owner.name)) {
+        daemon.upSinceMs.set(owner.name, daemon.clockMs(this.nowMs));
+      }
+    });
+  }
+}
