--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -254,8 +254,7 @@
       case FRAME.config:
         return host.onConfig(frame[1]);
       case FRAME.configQuery:
-        this.#socket?.send([FRAME.config, host.config ?? null]);
-        return;
+        return this.#socket?.send([FRAME.config, host.config ?? null]);
       case FRAME.members:
         return host.onMembers(membersFrameSchema.parse(frame)[1], this);
       case FRAME.currency:
@@ -267,8 +266,6 @@
         );
       case FRAME.usageGrant:
         return host.onUsageGrant?.(frame, this);
-      default:
-        return;
     }
   }
 
