--- a/src/core/churn_map.ts
+++ b/src/core/churn_map.ts
@@ -1,8 +1,17 @@
 /** Map for many short-lived entries, for example one per open request. */
 
-// With more removed keys than this, the underlying map is rebuilt.
 const REMOVED_MAX_COUNT = 1_024;
 
+/** Options of {@link ChurnMap}. */
+export type ChurnMapOptions = {
+  /**
+   * With more removed keys than this, the underlying map is rebuilt; 1,024 by
+   * default. Its table then takes about 50 kB, which is too much for a map per
+   * connection.
+   */
+  removedMaxCount?: number;
+};
+
 /**
  * Map whose entries are added and removed at a high rate.
  *
@@ -22,9 +31,17 @@
  * running.delete(exchangeId);
  */
 export class ChurnMap<K extends string | number, V extends object> {
+  readonly #removedMaxCount: number;
   #entries = new Map<K, V | undefined>();
   #size = 0;
 
+  /**
+   * @param options Number of removed keys that are retained.
+   */
+  constructor({ removedMaxCount = REMOVED_MAX_COUNT }: ChurnMapOptions = {}) {
+    this.#removedMaxCount = removedMaxCount;
+  }
+
   /** Number of entries. */
   get size(): number {
     return this.#size;
@@ -65,12 +82,18 @@
     }
     this.#size--;
     this.#entries.set(key, undefined);
-    if (this.#entries.size - this.#size > REMOVED_MAX_COUNT) {
+    if (this.#entries.size - this.#size > this.#removedMaxCount) {
       this.#entries = new Map(this.#listEntries());
     }
     return true;
   }
 
+  /** Removes all entries. */
+  clear(): void {
+    this.#entries = new Map();
+    this.#size = 0;
+  }
+
   /**
    * Lists the values in insertion order. A key that is removed and, before the
    * underlying map is rebuilt, added again keeps its position.
--- a/src/core/churn_map_test.ts
+++ b/src/core/churn_map_test.ts
@@ -30,3 +30,24 @@
     { seed: 7, numRuns: 10 },
   );
 });
+
+test("a map with few retained keys keeps its entries over rebuilds", () => {
+  const map = new ChurnMap<number, { value: number }>({ removedMaxCount: 4 });
+  map.set(0, { value: 0 });
+  for (let key = 1; key <= 50; key++) {
+    map.set(key, { value: key });
+    map.delete(key);
+  }
+  assert.equal(map.size, 1);
+  assert.deepEqual(map.values(), [{ value: 0 }]);
+});
+
+test("a cleared map has no entries and takes new ones", () => {
+  const map = new ChurnMap<number, { value: number }>();
+  map.set(1, { value: 1 });
+  map.clear();
+  assert.equal(map.size, 0);
+  assert.equal(map.get(1), undefined);
+  map.set(1, { value: 2 });
+  assert.deepEqual(map.values(), [{ value: 2 }]);
+});
--- a/src/fleet/running_requests.ts
+++ b/src/fleet/running_requests.ts
@@ -1,4 +1,5 @@
 /** Requests that run at the local upstream, to find the ones that make calls. */
+import { ChurnMap } from "../core/churn_map.ts";
 import type { ServedRequest } from "./served_request.ts";
 
 /**
@@ -10,10 +11,17 @@
 /** Distances at which the deadline of a call matches that of a request, in ms. */
 const EXPIRY_OFFSETS_MS = [0, 1, -1, 2, -2];
 
+/**
+ * Ids up to this length are keys of a map that retains removed keys. A caller
+ * may send ids of any length, up to that of the header.
+ */
+const RETAINED_ID_MAX_LENGTH = 128;
+
 /** Finds running requests by their ids and deadlines. */
 export class RunningRequests {
-  readonly #byExpiresAtMs = new Map<number, ServedRequest>();
-  readonly #byRequestId = new Map<string, ServedRequest>();
+  readonly #byExpiresAtMs = new ChurnMap<number, ServedRequest>();
+  readonly #byRequestId = new ChurnMap<string, ServedRequest>();
+  readonly #byLongRequestId = new Map<string, ServedRequest>();
 
   /**
    * Adds a request that is sent to the upstream, and chooses the deadline that
@@ -25,13 +33,14 @@
     let expiryMs = Math.floor(served.expiresAtMs);
     for (
       let step = 0;
-      step < EXPIRY_STEPS_MAX_COUNT && this.#byExpiresAtMs.has(expiryMs);
+      step < EXPIRY_STEPS_MAX_COUNT &&
+      this.#byExpiresAtMs.get(expiryMs) !== undefined;
       step++
     ) {
       expiryMs--;
     }
     served.sentExpiresAtMs = expiryMs;
-    this.#byRequestId.set(served.requestId, served);
+    this.#mapFor(served.requestId).set(served.requestId, served);
     this.#byExpiresAtMs.set(expiryMs, served);
   }
 
@@ -44,8 +53,9 @@
     if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
       this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
     }
-    if (this.#byRequestId.get(served.requestId) === served) {
-      this.#byRequestId.delete(served.requestId);
+    const byRequestId = this.#mapFor(served.requestId);
+    if (byRequestId.get(served.requestId) === served) {
+      byRequestId.delete(served.requestId);
     }
   }
 
@@ -56,7 +66,7 @@
    * @returns The request; undefined when none has the id.
    */
   findById(requestId: string): ServedRequest | undefined {
-    return this.#byRequestId.get(requestId);
+    return this.#mapFor(requestId).get(requestId);
   }
 
   /**
@@ -77,4 +87,10 @@
     }
     return undefined;
   }
+
+  #mapFor(requestId: string) {
+    return requestId.length > RETAINED_ID_MAX_LENGTH
+      ? this.#byLongRequestId
+      : this.#byRequestId;
+  }
 }
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -6,6 +6,7 @@
   RequestHandle,
   ResultReceiver,
 } from "./upstream_channel.ts";
+import { ChurnMap } from "../core/churn_map.ts";
 import { listenOn } from "../core/listen_on.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
@@ -25,6 +26,8 @@
  * link at least every 5 s.
  */
 const SILENCE_MAX_MS = 15_000;
+/** Removed keys that a map retains. A daemon has a map for each of its links. */
+const REMOVED_MAX_COUNT = 128;
 /** Failure of a request whose answer cannot be sent to the peer. */
 const UNDELIVERED: ForwardFailure = {
   kind: "upstream_failed",
@@ -63,7 +66,9 @@
 /** Accepting side of one link. Cancels its requests when the link closes. */
 class AcceptedLink implements FrameReceiver, ConfigPeer {
   readonly #host: LinkServerHost;
-  readonly #handles = new Map<number, RequestHandle>();
+  readonly #handles = new ChurnMap<number, RequestHandle>({
+    removedMaxCount: REMOVED_MAX_COUNT,
+  });
   readonly #onEnd: (link: AcceptedLink) => void;
   /** @inheritdoc */
   peerName = "";
@@ -118,9 +123,7 @@
   /** @inheritdoc */
   onClosed(): void {
     this.isUp = false;
-    for (const handle of this.#handles.values()) {
-      handle.cancel();
-    }
+    this.#handles.values().forEach((handle) => handle.cancel());
     this.#handles.clear();
     this.#onEnd(this);
   }
--- a/src/link/pending_requests.ts
+++ b/src/link/pending_requests.ts
@@ -1,9 +1,15 @@
 /** Requests on a link that have no result yet. */
+import { ChurnMap } from "../core/churn_map.ts";
 import type { ResultReceiver, UpstreamLoad } from "./upstream_channel.ts";
 
+/** Removed keys that the map retains. A daemon has a map for each of its links. */
+const REMOVED_MAX_COUNT = 128;
+
 /** Tracks the receivers of results, and their number in the load of the link. */
 export class PendingRequests {
-  readonly #receivers = new Map<number, ResultReceiver>();
+  readonly #receivers = new ChurnMap<number, ResultReceiver>({
+    removedMaxCount: REMOVED_MAX_COUNT,
+  });
   readonly #load: UpstreamLoad;
   #nextExchangeId = 1;
 
@@ -53,7 +59,7 @@
    * they were sent.
    */
   failAll(): void {
-    const receivers = [...this.#receivers.values()];
+    const receivers = this.#receivers.values();
     this.#receivers.clear();
     this.#load.pendingCount = 0;
     for (const receiver of receivers) {
