--- a/src/fleet/answer_memory.ts
+++ b/src/fleet/answer_memory.ts
@@ -2,12 +2,22 @@
 
 /** An answer of which a part is buffered. */
 export interface AnswerBuffer {
-  /** Number of buffered bytes; written by {@link AnswerMemory} only. */
+  /**
+   * Number of buffered bytes; written by {@link AnswerMemory} only. 0 after the
+   * answer is released.
+   */
   bodyBytes: number;
   /** Aborts the answer; it is released while or after this is called. */
   discard(): void;
 }
 
+/**
+ * Answers below this share of the maximum are counted, but not compared. Nearly
+ * all answers are, and a set with an entry for each of them costs garbage
+ * collection.
+ */
+const COMPARED_MIN_RATIO = 1 / 1_024;
+
 /**
  * Counts the buffered bytes of all answers and discards the largest answer when
  * there are too many. The others then have room, also while some upstream sends
@@ -19,6 +29,7 @@
  */
 export class AnswerMemory {
   readonly #maxBytes: number;
+  readonly #comparedMinBytes: number;
   readonly #answers = new Set<AnswerBuffer>();
   #totalBytes = 0;
 
@@ -27,6 +38,7 @@
    */
   constructor(maxBytes: number) {
     this.#maxBytes = maxBytes;
+    this.#comparedMinBytes = maxBytes * COMPARED_MIN_RATIO;
   }
 
   /**
@@ -37,14 +49,17 @@
    * @param bytes Size of the chunk.
    */
   add(answer: AnswerBuffer, bytes: number): void {
-    this.#answers.add(answer);
     answer.bodyBytes += bytes;
     this.#totalBytes += bytes;
+    if (answer.bodyBytes >= this.#comparedMinBytes) {
+      this.#answers.add(answer);
+    }
     if (this.#totalBytes <= this.#maxBytes) {
       return;
     }
-    const largest = [...this.#answers].reduce((a, b) =>
-      b.bodyBytes > a.bodyBytes ? b : a
+    const largest = [...this.#answers].reduce(
+      (a, b) => b.bodyBytes > a.bodyBytes ? b : a,
+      answer,
     );
     this.release(largest);
     largest.discard();
@@ -56,8 +71,10 @@
    * @param answer Answer; nothing happens if it was released before.
    */
   release(answer: AnswerBuffer): void {
-    if (this.#answers.delete(answer)) {
-      this.#totalBytes -= answer.bodyBytes;
+    this.#totalBytes -= answer.bodyBytes;
+    if (answer.bodyBytes >= this.#comparedMinBytes) {
+      this.#answers.delete(answer);
     }
+    answer.bodyBytes = 0;
   }
 }
