--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -11,6 +11,7 @@
 } from "../link/upstream_channel.ts";
 import type { AnswerBuffer, AnswerMemory } from "./answer_memory.ts";
 import type { CloseDetector } from "./close_detector.ts";
+import type { ConnectionHandler } from "./upstream_connections.ts";
 import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
 import {
   type AnswerHeaders,
@@ -57,7 +58,7 @@
 
 /** undici handler of one exchange; buffers the answer until it is complete. */
 export class UpstreamExchange
-  implements Dispatcher.DispatchHandler, RequestHandle, AnswerBuffer {
+  implements ConnectionHandler, RequestHandle, AnswerBuffer {
   readonly #receiver: ResultReceiver;
   readonly #names: HeaderNames;
   readonly #requestId: string | undefined;
@@ -78,6 +79,8 @@
   #chunksCount = 0;
   /** @inheritdoc */
   bodyBytes = 0;
+  /** @inheritdoc */
+  onConnectionFree: ConnectionHandler["onConnectionFree"];
   #startedAtMs = performance.now();
 
   /**
@@ -108,12 +111,16 @@
     this.#controller?.abort(new Error("The answer is too large"));
   }
 
-  /** Called by undici when the request is about to be written. */
+  /**
+   * Called by undici when the request is about to be written. An error is thrown
+   * if the request is cancelled: an abort would close the connection, although
+   * nothing has been written to it.
+   */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     this.#startedAtMs = performance.now();
     if (this.#isDone) {
-      controller.abort(new Error("Cancelled before it was sent"));
+      throw new Error("Cancelled before it was sent");
     }
   }
 
@@ -200,6 +207,7 @@
 
   /** Called by undici at the end of the body. */
   onResponseEnd(): void {
+    this.onConnectionFree?.(true);
     const wasCloseDelimited = this.#isCloseDelimited;
     this.#endCloseDelimited();
     if (this.#isDone) {
@@ -228,6 +236,7 @@
 
   /** Called by undici when the exchange fails. */
   onResponseError(): void {
+    this.onConnectionFree?.(false);
     this.#endCloseDelimited();
     // undici starts a request only on an open connection. A failure before the
     // start therefore proves that no byte was written.
--- a/src/fleet/upstream_http_client.ts
+++ b/src/fleet/upstream_http_client.ts
@@ -1,5 +1,5 @@
-/** HTTP client for the local upstream, with pools of persistent connections. */
-import { buildConnector, Pool } from "undici";
+/** HTTP client for the local upstream, with persistent connections. */
+import { buildConnector, Client } from "undici";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
   ForwardedRequest,
@@ -14,18 +14,13 @@
   readUpstreamSignals,
   type SignalsHandler,
 } from "./upstream_signals.ts";
+import { UpstreamConnections } from "./upstream_connections.ts";
 import {
   type MisdirectedHandler,
   UpstreamExchange,
 } from "./upstream_exchange.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
-/**
- * Idle time after which a connection is not used again for a request that is
- * not idempotent. If the upstream has dropped the connection meanwhile, the
- * request fails and cannot be sent again.
- */
-const UNSAFE_IDLE_MAX_MS = 200;
 const HEALTH_TIMEOUT_MS = 1_000;
 /**
  * Maximum size of all answers that are being received. When it is exceeded, the
@@ -41,8 +36,8 @@
 
 /** HTTP client for one upstream. */
 export class UpstreamHttpClient {
-  readonly #pool: Pool;
-  readonly #unsafePool: Pool;
+  readonly #connections: UpstreamConnections;
+  readonly #healthClient: Client;
   readonly #isIdempotent: (routeName: string) => boolean;
   readonly #closeDetector = new CloseDetector();
   readonly #memory = new AnswerMemory(ANSWERS_MAX_BYTES);
@@ -72,8 +67,7 @@
     this.#onSignals = options.onSignals;
     this.#isIdempotent = options.isIdempotent;
     const origin = `http://${address.host}:${address.port}`;
-    const poolOptions: Pool.Options = {
-      connections: options.connectionsMaxCount,
+    const clientOptions: Client.Options = {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -81,12 +75,11 @@
         readInSlices(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
       ),
     };
-    this.#pool = new Pool(origin, poolOptions);
-    this.#unsafePool = new Pool(origin, {
-      ...poolOptions,
-      keepAliveTimeout: UNSAFE_IDLE_MAX_MS,
-      keepAliveMaxTimeout: UNSAFE_IDLE_MAX_MS,
+    this.#connections = new UpstreamConnections(origin, {
+      maxCount: options.connectionsMaxCount,
+      client: clientOptions,
     });
+    this.#healthClient = new Client(origin, clientOptions);
   }
 
   /**
@@ -108,23 +101,24 @@
       closeDetector: this.#closeDetector,
       memory: this.#memory,
     });
-    const pool = this.#isIdempotent(request.routeName)
-      ? this.#pool
-      : this.#unsafePool;
-    pool.dispatch({
-      method: request.method as "GET",
-      path: request.path,
-      headers: [
-        ...request.headers,
-        names.deadlineMs,
-        String(Math.max(1, Math.floor(request.remainingMs))),
-        names.targetUpstream,
-        request.upstreamId,
-        names.callerPool,
-        request.callerPool,
-      ],
-      body: request.body as Buffer | null,
-    }, exchange);
+    this.#connections.dispatch(
+      {
+        method: request.method as "GET",
+        path: request.path,
+        headers: [
+          ...request.headers,
+          names.deadlineMs,
+          String(Math.max(1, Math.floor(request.remainingMs))),
+          names.targetUpstream,
+          request.upstreamId,
+          names.callerPool,
+          request.callerPool,
+        ],
+        body: request.body as Buffer | null,
+      },
+      exchange,
+      this.#isIdempotent(request.routeName) ? "repeatable" : "once",
+    );
     return exchange;
   }
 
@@ -137,7 +131,7 @@
    */
   async checkHealth(healthPath: string): Promise<HealthResult | undefined> {
     try {
-      const answer = await this.#pool.request({
+      const answer = await this.#healthClient.request({
         method: "GET",
         path: healthPath,
         signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
@@ -167,6 +161,9 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await Promise.all([this.#pool.destroy(), this.#unsafePool.destroy()]);
+    await Promise.all([
+      this.#connections.destroy(),
+      this.#healthClient.destroy(),
+    ]);
   }
 }
