--- a/bench/hop/fleet_main.ts
+++ b/bench/hop/fleet_main.ts
@@ -100,6 +100,25 @@
   ].join("\n");
 }
 
+/**
+ * Compares the processor time of a build with that of the first one, round by
+ * round, so that a change of the load of the machine affects both.
+ */
+function formatRatios(
+  rounds: readonly Round[],
+  first: readonly Round[],
+): string {
+  const ratios = (field: "callerUs" | "calleeUs") =>
+    formatSpread(
+      rounds.map((round, index) =>
+        round[field] / (first[index]?.[field] ?? NaN)
+      ),
+      2,
+    );
+  return `  times the first build: caller's daemon ${ratios("callerUs")}, ` +
+    `callee's daemon ${ratios("calleeUs")}`;
+}
+
 class FleetHopBench extends Command {
   static override paths = [Command.Default];
   builds = Option.String("--builds", OWN_BUILD, {
@@ -176,9 +195,9 @@
       }
     }
     for (const [index, { build }] of pairs.entries()) {
-      this.context.stdout.write(
-        `${formatBuild(build, roundsOf[index] ?? [])}\n`,
-      );
+      const rounds = roundsOf[index] ?? [];
+      const ratios = formatRatios(rounds, roundsOf[0] ?? []);
+      this.context.stdout.write(`${formatBuild(build, rounds)}\n${ratios}\n`);
     }
     const averages = loadavg().map((value) => value.toFixed(1)).join(" ");
     this.context.stdout.write(`load average at the end: ${averages}\n`);
