--- a/bench/hop/fleet_upstream.ts
+++ b/bench/hop/fleet_upstream.ts
@@ -42,3 +42,5 @@
 for await (const _line of createInterface({ input: process.stdin })) {
   process.stdout.write(`${JSON.stringify({ connectionsCount })}\n`);
 }
+// Standard input closes when the benchmark has ended, also after a failure.
+process.exit(0);
--- a/src/link/frame_codec.ts
+++ b/src/link/frame_codec.ts
@@ -1,5 +1,5 @@
 /** Frames in a byte stream: a big-endian length of four bytes, then msgpack. */
-import { Packr } from "msgpackr";
+import { Packr, RESERVE_START_SPACE } from "msgpackr";
 import VError from "verror";
 
 const LENGTH_BYTES = 4;
@@ -20,7 +20,10 @@
  * @returns The encoded frame, preceded by its length.
  */
 export function encodeFrame(frame: readonly unknown[]): Buffer {
-  return withLength(packr.pack(frame));
+  // The length is written into space that msgpackr leaves, without a copy.
+  const bytes = packr.pack(frame, RESERVE_START_SPACE | LENGTH_BYTES);
+  bytes.writeUInt32BE(bytes.length - LENGTH_BYTES, 0);
+  return bytes;
 }
 
 /**
@@ -56,8 +59,8 @@
     element.length >= LARGE_BODY_MIN_BYTES;
 }
 
-/** Precedes bytes by a length, by default their own. */
-function withLength(bytes: Buffer, length = bytes.length): Buffer {
+/** Precedes bytes by a length. */
+function withLength(bytes: Buffer, length: number): Buffer {
   const result = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length);
   result.writeUInt32BE(length, 0);
   bytes.copy(result, LENGTH_BYTES);
--- a/src/link/frame_codec_test.ts
+++ b/src/link/frame_codec_test.ts
@@ -60,3 +60,16 @@
   );
   assert.deepEqual(encodeFrameParts([1, "a"]), [encodeFrame([1, "a"])]);
 });
+
+// Frames wait until the end of the event loop's iteration, so one that is encoded
+// later must not overwrite the memory of an earlier one.
+test("frames that are encoded before any is written stay intact", () => {
+  const sent = Array.from(
+    { length: 200 },
+    (_, number) => [number, "x".repeat(number * 97), Buffer.alloc(number, "y")],
+  );
+  const bytes = Buffer.concat(sent.map(encodeFrame));
+  const received: unknown[] = [];
+  new FrameReader().push(bytes, (frame) => received.push(frame));
+  assert.deepEqual(received, sent);
+});
