--- a/src/core/open_responses.ts
+++ b/src/core/open_responses.ts
@@ -11,7 +11,12 @@
  *   oldest open request. The others emit it here, so that all are cancelled.
  */
 export class OpenResponses {
-  readonly #bySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  /**
+   * Lists, not sets: a connection has few open responses, and a set whose entry
+   * is replaced by each request costs garbage collection, as a map does (see
+   * `ChurnMap`).
+   */
+  readonly #bySocket = new WeakMap<Socket, ServerResponse[]>();
 
   /**
    * Tracks a response until it is complete or its connection has closed.
@@ -21,8 +26,8 @@
    */
   track(response: ServerResponse, socket: Socket): void {
     const open = this.#bySocket.get(socket) ?? this.#startTracking(socket);
-    open.add(response);
-    response.once("close", () => open.delete(response));
+    open.push(response);
+    response.once("close", () => open.splice(open.indexOf(response), 1));
   }
 
   /**
@@ -32,7 +37,7 @@
    * @returns Number of requests on it that wait for a complete answer.
    */
   countOf(socket: Socket): number {
-    return this.#bySocket.get(socket)?.size ?? 0;
+    return this.#bySocket.get(socket)?.length ?? 0;
   }
 
   /**
@@ -50,12 +55,14 @@
     answer();
   }
 
-  #startTracking(socket: Socket): Set<ServerResponse> {
-    const open = new Set<ServerResponse>();
+  #startTracking(socket: Socket): ServerResponse[] {
+    const open: ServerResponse[] = [];
     this.#bySocket.set(socket, open);
     socket.once("close", () => {
       // Node.js handles the same event for the oldest one.
-      queueMicrotask(() => open.forEach((response) => response.emit("close")));
+      queueMicrotask(() =>
+        [...open].forEach((response) => response.emit("close"))
+      );
     });
     return open;
   }
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -27,6 +27,8 @@
  */
 const RETRY_REMAINING_MIN_MS = 30;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** A received request for which a route and a pool have been found. */
 export type RoutedRequest = {
   /**
@@ -95,7 +97,7 @@
   readonly #parts: ExchangeParts;
   readonly #machine: StateMachine;
   readonly #timer: NodeJS.Timeout;
-  readonly #tried = new Set<string>();
+  #tried: Set<string> | undefined;
   #channel: UpstreamChannel | undefined;
   #attempt: RequestHandle | undefined;
   #sendsCount = 0;
@@ -203,10 +205,14 @@
   /** Action: chooses an upstream that has not been tried. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
     const { pool, route, expiresAtMs } = this.#request;
+    if (this.#channel !== undefined) {
+      this.#tried ??= new Set();
+      this.#tried.add(this.#channel.member.name);
+    }
     const channel = this.#parts.channels.choose(pool, {
       routeName: route.name,
       remainingMs: expiresAtMs - performance.now(),
-      tried: this.#tried,
+      tried: this.#tried ?? NONE_TRIED,
     });
     if (channel === undefined) {
       this.#machine.send("none", lastFailure);
@@ -221,7 +227,6 @@
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
     const sendNumber = ++this.#sendsCount;
-    this.#tried.add(channel.member.name);
     const attempt = channel.send({
       upstreamId: channel.state?.upstreamId ?? "",
       method: this.#request.method,
