--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -13,7 +13,8 @@
   readonly targetUpstream: string;
   /**
    * Reported load of the upstream: the counts of its running requests, waiting
-   * requests and slots, separated by commas.
+   * requests and slots, and optionally the present duration of work on its
+   * machine as a percentage of the usual one, separated by commas.
    */
   readonly load: string;
   /** Present when the upstream did not run the request. */
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -136,7 +136,8 @@
         });
       }
     }
-    return this.#forward(request, answerSender);
+    const caller = request.isCall ? parent?.served : undefined;
+    return this.#forward(request, answerSender, caller);
   }
 
   /** @inheritdoc */
@@ -151,18 +152,27 @@
   }
 
   /** Forwards a request. Returns a function that cancels it. */
-  #forward(request: RoutedRequest, answerSender: AnswerSender): () => void {
+  #forward(
+    request: RoutedRequest,
+    answerSender: AnswerSender,
+    caller: ServedRequest | undefined,
+  ): () => void {
     const { name } = request.route;
     this.#largeAnswers.start(name);
+    caller?.callTimes.start(performance.now());
+    const end = (answerBytes?: number) => {
+      this.#largeAnswers.end(name, answerBytes);
+      caller?.callTimes.end(performance.now());
+    };
     const exchange = new ForwardedExchange(
       request,
       {
         answer: (answer) => {
-          this.#largeAnswers.end(name, answer.body?.length ?? 0);
+          end(answer.body?.length ?? 0);
           answerSender.answer(answer);
         },
         fail: (kind) => {
-          this.#largeAnswers.end(name);
+          end();
           answerSender.fail(kind);
         },
       },
@@ -170,7 +180,7 @@
     );
     exchange.start();
     return () => {
-      this.#largeAnswers.end(name);
+      end();
       exchange.cancel();
     };
   }
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -4,6 +4,7 @@
 import { CallObserver } from "../decisions/call_graph.ts";
 import type { ForwardedRequest } from "../link/upstream_channel.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import { CallTimes } from "./call_times.ts";
 import {
   OutboundService,
   type OutboundServiceParts,
@@ -40,6 +41,7 @@
     },
   };
   const ignore = () => {};
+  const callTimes = new CallTimes();
   const parts = {
     names: {
       deadlineMs: "deadline",
@@ -54,11 +56,14 @@
     decodeParentId: () => namedParent && PARENT_ID,
     gate: {
       findRunning: (id: string | undefined) =>
-        id === PARENT_ID ? { ...namedParent, calledRouteNames: [] } : undefined,
+        id === PARENT_ID
+          ? { ...namedParent, calledRouteNames: [], callTimes }
+          : undefined,
       findParent: () =>
         parent && {
           ...parent,
           calledRouteNames: [],
+          callTimes,
           request: { routeName: PARENT_ROUTE },
         },
     },
@@ -91,7 +96,7 @@
   };
   const stop = (remainingMs = 2_400) =>
     service.stop(performance.now() + remainingMs);
-  return { receive, sent, failures, stop };
+  return { receive, sent, failures, stop, callTimes };
 }
 
 /** Observes runs of the parent's route, which calls the route `called`. */
@@ -221,3 +226,20 @@
   assert.deepEqual(upstream.failures, ["draining"]);
   assert.deepEqual(upstream.sent, []);
 });
+
+// The time that a request waits for its calls says nothing of its upstream. A
+// call that never ends would make the own time of the request negative.
+test("the time of a downstream call counts until its end, and that of a caller's request does not", () => {
+  const goalAtMs = performance.now() + 1_200;
+  const call = createService({ goalAtMs });
+  call.receive();
+  const nowMs = performance.now();
+  assert.ok(call.callTimes.totalMs(nowMs) > 0);
+  assert.equal(
+    call.callTimes.totalMs(nowMs + 1_000),
+    call.callTimes.totalMs(nowMs),
+  );
+  const other = createService({ goalAtMs }, observeRuns());
+  other.receive();
+  assert.equal(other.callTimes.totalMs(performance.now()), 0);
+});
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -38,6 +38,10 @@
     runningCount: gate.runningCount,
     waitingCount: gate.waitingCount,
     slotsLimitCount: gate.limitCount,
+    learnedLimitCount: gate.capacity.limitCount,
+    upstreamSlowdownRatio:
+      Math.round(gate.capacity.slowdownRatio(nowMs) * 100) /
+      100,
     storeReachable: platform.store.isReachable ? 1 : 0,
     storeWatching: watchElection.isWatching ? 1 : 0,
     storeCallsCount: platform.store.callsCount,
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -3,6 +3,7 @@
 import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import { CallTimes } from "./call_times.ts";
 import type { SlotRequest } from "../decisions/slot_queue.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type {
@@ -46,6 +47,12 @@
   readonly expiresAtMs: number;
   /** Monotonic time at which the request was sent to the upstream, in ms. */
   sentAtMs = 0;
+  /** Reading of the upstream's work clock when the request was sent, in ms. */
+  startedWorkMs = 0;
+  /** Requests that ran when it was sent, itself included. */
+  runningAtStartCount = 0;
+  /** Time that the request spends in its downstream calls. */
+  readonly callTimes = new CallTimes();
   /** Id that the caller gave to the request, read when it is sent. */
   requestId = "";
   /** Route of each downstream call that the upstream has made for it. */
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -13,7 +13,9 @@
   type ServedResult,
   type ServingGate,
 } from "./served_request.ts";
+import { ServedResults } from "./served_results.ts";
 import { StartControl } from "./start_control.ts";
+import { UpstreamCapacity } from "./upstream_capacity.ts";
 import type { UpstreamHttpClient } from "./upstream_http_client.ts";
 import type { UpstreamSignals } from "./upstream_signals.ts";
 import { findHeader } from "./header_names.ts";
@@ -23,11 +25,6 @@
   ResultReceiver,
 } from "../link/upstream_channel.ts";
 
-/**
- * Share of the upstream's slots that the daemon uses. Upstreams slow down when
- * nearly all of their slots are in use.
- */
-const SLOTS_USED_RATIO = 0.95;
 /**
  * A refusable request is refused on arrival when its expected wait exceeds this
  * share of the time until its latency goal.
@@ -38,14 +35,8 @@
  * remaining time.
  */
 const WAIT_MIN_RATIO = 0.5;
-/** Weight of the newest run in the mean run time. */
-const RUN_TIME_WEIGHT = 0.05;
-/** Weight of the newest result in the failure ratio. */
-const FAILURE_WEIGHT = 0.05;
 /** Weight of one control interval of 100 ms in the busy ratio. */
 const BUSY_WEIGHT = 0.35;
-/** Assumed run time before the first answer. */
-const INITIAL_RUN_MS = 50;
 /**
  * An upstream without heartbeats is considered unreachable when the deadlines
  * of this many consecutive requests have passed.
@@ -69,14 +60,14 @@
 
 /** Limits the requests that run at the upstream, and queues the others. */
 export class UpstreamGate implements ServingGate {
+  /** Learned capacity of the upstream. */
+  readonly capacity: UpstreamCapacity;
   readonly #options: UpstreamGateOptions;
   readonly #slots = new SlotQueue<ServedRequest>();
-  readonly #runMs = new MovingAverage(RUN_TIME_WEIGHT, INITIAL_RUN_MS);
-  readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
+  readonly #results: ServedResults;
   readonly #running = new RunningRequests();
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   readonly #starts: StartControl;
-  #overdueCount = 0;
   #isStopped = false;
 
   /**
@@ -85,6 +76,8 @@
    */
   constructor(options: UpstreamGateOptions) {
     this.#options = options;
+    this.#results = new ServedResults(options.observer);
+    this.capacity = new UpstreamCapacity(options.log);
     this.#starts = new StartControl({
       log: options.log,
       onDue: () => this.#startWaiting(),
@@ -92,15 +85,15 @@
   }
 
   /**
-   * Number of requests that the upstream can run at once: its slots, or as many
-   * as its limit of requests a second keeps running.
+   * Number of requests that the upstream can run at once: as many as it handles
+   * well, or as its limit of requests a second keeps running.
    */
   get limitCount(): number {
-    const { limitCount } = this.#slots;
+    const { limitCount } = this.capacity;
     const { limitPerS } = this.#starts;
     return limitPerS === undefined ? limitCount : Math.min(
       limitCount,
-      Math.max(1, Math.round(limitPerS * this.#runMs.value / MS_PER_S)),
+      Math.max(1, Math.round(limitPerS * this.#expectedRunMs / MS_PER_S)),
     );
   }
 
@@ -128,8 +121,8 @@
   get load(): LoadReport {
     return [
       this.openCount,
-      Math.round(this.#runMs.value),
-      Math.round(this.#failures.value * 255),
+      Math.round(this.#expectedRunMs),
+      Math.round(this.#results.failureRatio * 255),
     ];
   }
 
@@ -140,12 +133,10 @@
 
   /** Applies the upstream's number of slots and starts waiting requests. */
   updateLimit(): void {
-    const { upstreamId, slotsCount = 0 } = this.#options.upstream.report ?? {};
-    this.#overdueCount = 0;
-    this.#starts.setUpstream(upstreamId);
-    this.#slots.setLimit(
-      Math.max(1, Math.floor(slotsCount * SLOTS_USED_RATIO)),
-    );
+    const { report } = this.#options.upstream;
+    this.#results.overdueCount = 0;
+    this.#starts.setUpstream(report?.upstreamId);
+    this.capacity.update(report, performance.now());
     this.#startWaiting();
   }
 
@@ -156,6 +147,7 @@
    */
   applySignals(signals: UpstreamSignals): void {
     this.#starts.apply(signals);
+    this.capacity.applySignals(signals, performance.now());
     this.#startWaiting();
   }
 
@@ -182,6 +174,7 @@
   serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const nowMs = performance.now();
     const served = new ServedRequest(request, receiver, { gate: this, nowMs });
+    this.#slots.setLimit(this.capacity.presentLimitCount(nowMs));
     const refusal = this.#refusalKind(served);
     if (refusal !== undefined) {
       this.#recordDecision(served, refusal);
@@ -219,18 +212,20 @@
   }
 
   /**
-   * Samples the busy ratio, and detects an upstream that neither answers nor
-   * sends heartbeats. Called once per control interval.
+   * Adjusts the limit, samples the busy ratio, and detects an upstream that
+   * neither answers nor sends heartbeats. Called once per control interval.
    *
    * @param nowMs Monotonic time, in ms.
    */
   tick(nowMs: number): void {
     const { upstream, heartbeatMs } = this.#options;
+    this.capacity.tick(upstream.report, nowMs);
+    this.#startWaiting();
     this.#busy.add(this.openCount / Math.max(1, this.limitCount));
     const isHeartbeatOverdue = nowMs - upstream.reportedAtMs > 2 * heartbeatMs;
     if (
       upstream.isServing && isHeartbeatOverdue &&
-      this.#overdueCount >= OVERDUE_MAX_COUNT
+      this.#results.overdueCount >= OVERDUE_MAX_COUNT
     ) {
       upstream.markUnreachable();
     }
@@ -240,6 +235,7 @@
   sendToUpstream(served: ServedRequest): RequestHandle {
     const nowMs = performance.now();
     served.sentAtMs = nowMs;
+    this.capacity.recordStart(served, this.runningCount);
     this.#starts.recordStart();
     served.requestId = this.#requestIdOf(served);
     this.#running.add(served);
@@ -257,9 +253,10 @@
 
   /** @inheritdoc */
   releaseSlot(served: ServedRequest, result: ServedResult): void {
+    const { runningCount } = this;
     this.#slots.release();
     this.#running.remove(served);
-    this.#recordResult(served, result);
+    this.#recordResult(served, result, runningCount);
     if (result === "unreachable") {
       this.#options.upstream.markUnreachable();
     }
@@ -311,10 +308,10 @@
   /** Expected wait of a new request with the given latency goal, in ms. */
   #queueWaitMs(goalAtMs: number): number {
     const aheadCount = this.#slots.countAhead(goalAtMs);
-    const { limitCount } = this.#slots;
+    const { limitCount } = this.capacity;
     const slotWaitMs = limitCount === 0
       ? 0
-      : aheadCount * this.#runMs.value / limitCount;
+      : aheadCount * this.#expectedRunMs / limitCount;
     const rateWaitMs = this.#starts.waitMs(aheadCount);
     return Math.max(slotWaitMs, rateWaitMs);
   }
@@ -325,10 +322,17 @@
    */
   #waitMaxMs({ isRefusable, remainingMs }: ForwardedRequest): number {
     return isRefusable
-      ? Math.max(remainingMs * WAIT_MIN_RATIO, remainingMs - this.#runMs.value)
+      ? Math.max(
+        remainingMs * WAIT_MIN_RATIO,
+        remainingMs - this.#expectedRunMs,
+      )
       : remainingMs;
   }
 
+  get #expectedRunMs(): number {
+    return this.capacity.expectedRunMs(performance.now());
+  }
+
   #requestIdOf({ request }: ServedRequest): string {
     return findHeader(request.headers, this.#options.requestIdHeader) ?? "";
   }
@@ -354,35 +358,23 @@
     );
   }
 
-  #recordResult(served: ServedRequest, result: ServedResult): void {
-    this.#observeCalls(served, result);
-    if (result === "cancelled") {
-      return;
-    }
-    this.#failures.add(result === "answered" ? 0 : 1);
+  #recordResult(
+    served: ServedRequest,
+    result: ServedResult,
+    runningCount: number,
+  ): void {
+    const nowMs = performance.now();
+    this.#results.record(served, result);
+    this.capacity.recordEnd(served, result, { runningCount, nowMs });
     const isAnswered = result === "answered" || result === "errorAnswered";
-    if (!isAnswered) {
+    if (!isAnswered && result !== "cancelled") {
       this.#recordDecision(served, result);
     }
-    this.#overdueCount = result === "overdue" ? this.#overdueCount + 1 : 0;
-    if (isAnswered || result === "overdue") {
-      this.#runMs.add(performance.now() - served.sentAtMs);
-    }
-  }
-
-  /** Counts the calls of a request that has run. */
-  #observeCalls(served: ServedRequest, result: ServedResult): void {
-    if (result === "refused" || result === "unreachable") {
-      return;
-    }
-    this.#options.observer.recordRun(served.request.routeName, {
-      calledRouteNames: served.calledRouteNames,
-      isSuccessful: result === "answered",
-    });
   }
 
   /** Runs waiting requests while slots are free. */
   #startWaiting(): void {
+    this.#slots.setLimit(this.capacity.presentLimitCount(performance.now()));
     for (;;) {
       const next = this.#starts.mayStart(this.runningCount)
         ? this.#slots.takeNext()
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -14,10 +14,10 @@
 const UPSTREAM_ID = "u-1";
 
 /** Creates the gate of an upstream that has one slot and never answers. */
-function createGate() {
+function createGate(slotsCount = 1) {
   const sentPaths: string[] = [];
   const upstream = {
-    report: { upstreamId: UPSTREAM_ID, slotsCount: 1 },
+    report: { upstreamId: UPSTREAM_ID, slotsCount },
     isServing: true,
     isLeaving: false,
     reportedAtMs: 0,
@@ -57,7 +57,7 @@
       onAnswer: () => {},
       onFailure: (failure) => failures.push(failure),
     });
-  return { serve, sentPaths, failures };
+  return { gate, serve, sentPaths, failures };
 }
 
 // The queue is ordered by latency goal. If the expected wait included the whole
@@ -103,3 +103,19 @@
     { kind: "deadline_exceeded", isNotRun: true, hasReached: false },
   ]);
 });
+
+// Callers would send more to a slow upstream than it handles, or would follow
+// each short trial of another limit.
+test("the learned limit is published, and that of a trial only applies", () => {
+  const { gate, serve, sentPaths } = createGate(20);
+  assert.equal(gate.limitCount, 19);
+  Object.defineProperty(gate.capacity, "limitCount", { value: 3 });
+  gate.capacity.presentLimitCount = () => 2;
+  const sent = Array.from({ length: 5 }, () => serve("/read"));
+  assert.equal(sentPaths.length, 2);
+  assert.equal(gate.limitCount, 3);
+  gate.capacity.presentLimitCount = () => 3;
+  gate.tick(performance.now());
+  assert.equal(sentPaths.length, 3);
+  sent.forEach((request) => request.cancel());
+});
--- a/src/fleet/upstream_signals.ts
+++ b/src/fleet/upstream_signals.ts
@@ -11,6 +11,11 @@
   readonly limitPerS: number | undefined;
   /** Whether the upstream leaves and wants no further requests. */
   readonly isLeaving: boolean;
+  /**
+   * Present duration of work on the upstream's machine, relative to the usual
+   * one; undefined when the upstream does not report it.
+   */
+  readonly slowdownRatio?: number | undefined;
 };
 
 /** Called with the signals of each answer that belongs to its request. */
@@ -20,13 +25,31 @@
 export type AnswerHeaders = Record<string, string | string[] | undefined>;
 
 const LEAVING_VALUE = "1";
+/** Position of the slowdown in the reported load, and its usual value. */
+const SLOWDOWN_INDEX = 3;
+const SLOWDOWN_USUAL = 100;
+/** Values of the reported load that are read; a longer one is not split whole. */
+const LOAD_VALUES_MAX_COUNT = 4;
+
+/** Reads the optional fourth value of the reported load. */
+function readSlowdownRatio(
+  load: string | string[] | undefined,
+): number | undefined {
+  if (typeof load !== "string") {
+    return undefined;
+  }
+  const text = load.split(",", LOAD_VALUES_MAX_COUNT)[SLOWDOWN_INDEX];
+  const value = text === undefined ? NaN : Number(text);
+  return value > 0 && value < Infinity ? value / SLOWDOWN_USUAL : undefined;
+}
 
 /**
  * Reads the signals in the headers of an answer.
  *
  * @param headers Headers of the answer.
  * @param options Upstream to which the request was sent, and header names.
- * @returns The signals; a limit that is not a number from 0 on counts as none.
+ * @returns The signals; a limit that is not a number from 0 on, or a slowdown that
+ *   is not a positive number, counts as none.
  */
 export function readUpstreamSignals(
   headers: AnswerHeaders,
@@ -42,5 +65,6 @@
       ? limitPerS
       : undefined,
     isLeaving: headers[names.leaving] === LEAVING_VALUE,
+    slowdownRatio: readSlowdownRatio(headers[names.load]),
   };
 }
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -12,6 +12,10 @@
   readonly runningCount: number;
   readonly waitingCount: number;
   readonly slotsLimitCount: number;
+  /** Requests that the own upstream handles well, from its run times. */
+  readonly learnedLimitCount: number;
+  /** Present run time at the own upstream, relative to the usual one. */
+  readonly upstreamSlowdownRatio: number;
   /** 1 when the last call to the store was answered, 0 otherwise. */
   readonly storeReachable: number;
   /** 1 when the daemon watches the configuration closely, 0 otherwise. */
@@ -33,6 +37,8 @@
   runningCount: "Requests that run at the own upstream",
   waitingCount: "Requests that wait for the own upstream",
   slotsLimitCount: "Requests that may run at the own upstream",
+  learnedLimitCount: "Requests that the own upstream handles well at once",
+  upstreamSlowdownRatio: "Run time at the own upstream relative to the usual",
   storeReachable: "1 when the last call to the store was answered",
   storeWatching: "1 when the daemon watches the configuration closely",
   storeCallsCount: "Calls to the store since the start",
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -12,6 +12,8 @@
     runningCount: 0,
     waitingCount: 0,
     slotsLimitCount: 8,
+    learnedLimitCount: 8,
+    upstreamSlowdownRatio: 1,
     storeReachable: 1,
     storeWatching: 1,
     callEdgesCount: 3,
