--- a/src/decisions/capacity/learned_capacity.ts
+++ b/src/decisions/capacity/learned_capacity.ts
@@ -20,8 +20,8 @@
 const WINDOW_MIN_MS = 200;
 const WINDOW_MAX_MS = 2_000;
 const WINDOW_RUNS_MIN_COUNT = 50;
-/** Share of the limit that the running requests of a limiting window reach. */
-const LIMITING_RATIO = 0.9;
+/** Share of the limit that must run for a run to count as limited by it. */
+const LIMITED_RATIO = 0.9;
 /** Standard errors by which a slowdown must exceed the usual speed. */
 const ERRORS_MIN_COUNT = 4;
 /** Time constants with which the usual speed follows a lower or higher one. */
@@ -68,6 +68,7 @@
   #usualLimitCount = 0;
   #scales = new RouteScales();
   #search = new LimitSearch();
+  #limitedRunsCount = 0;
   /** Fewest runs from which a usual time of the window is known. */
   #scaleRunsCount = Infinity;
   #windowStartMs = -Infinity;
@@ -141,6 +142,8 @@
     this.#scales = new RouteScales();
     this.#search = new LimitSearch();
     this.#window.clear();
+    this.#limitedRunsCount = 0;
+    this.#scaleRunsCount = Infinity;
     this.#slowdownRatio = 1;
     this.#usualRatio = 1;
     this.#learnedSinceMs = nowMs;
@@ -209,6 +212,9 @@
       this.#callsRatio.add(callsMs / usual.ms);
       this.#scaleRunsCount = Math.min(this.#scaleRunsCount, usual.runsCount);
       this.#window.add(ratio, runningCount);
+      this.#limitedRunsCount += runningCount >= LIMITED_RATIO * this.limitCount
+        ? 1
+        : 0;
       this.#search.addRun(startedAtMs, ratio, runningCount);
     }
   }
@@ -229,12 +235,12 @@
     this.#search.endWindow(nowMs, {
       usualCount: this.usualLimitCount,
       slowdownRatio,
-      isLimiting: hasRuns && this.#window.meanRunningCount >=
-          LIMITING_RATIO * this.limitCount,
+      limitedRatio: hasRuns ? this.#limitedRunsCount / this.#window.count : 0,
       runMs: this.expectedRunMs(nowMs),
       callsRatio: this.#callsRatio.value,
     });
     this.#window.clear();
+    this.#limitedRunsCount = 0;
     this.#scaleRunsCount = Infinity;
     this.#windowStartMs = nowMs;
   }
--- a/src/decisions/capacity/limit_search.ts
+++ b/src/decisions/capacity/limit_search.ts
@@ -3,16 +3,19 @@
 
 /** Slowdown at the limit from which a lower limit is tried. */
 const SLOWDOWN_MIN_RATIO = 1.3;
+/** Share of the runs at the limit from which a lower or higher one is tried. */
+const LOWER_LIMITED_MIN_RATIO = 0.75;
+const RAISE_LIMITED_MIN_RATIO = 0.1;
 /** Consecutive windows with such a slowdown after which it is tried. */
 const SLOW_WINDOWS_MIN_COUNT = 2;
 /** Smallest share of the limit that is tried. */
 const LOWER_MIN_RATIO = 0.25;
 /**
  * Bounds of the step towards a higher limit, as a share of it. The step doubles
- * after a success and is halved after a failure.
+ * after a clear success and is halved otherwise.
  */
 const RAISE_MIN_RATIO = 0.08;
-const RAISE_MAX_RATIO = 0.5;
+const RAISE_MAX_RATIO = 1;
 const RAISE_INITIAL_RATIO = 0.2;
 /** Time after which a higher limit that was not better is tried again. */
 const RAISE_INTERVAL_MS = 1_500;
@@ -35,8 +38,8 @@
   readonly usualCount: number;
   /** Run time relative to the usual one; 1 when it is not known. */
   readonly slowdownRatio: number;
-  /** Whether as many requests ran as the limit allows. */
-  readonly isLimiting: boolean;
+  /** Share of the runs beside which as many ran as the limit allows. */
+  readonly limitedRatio: number;
   /** Mean time that a run holds its slot, in ms. */
   readonly runMs: number;
   /** Time of downstream calls per run, relative to the usual own time. */
@@ -56,7 +59,8 @@
   #raiseAtMs = -Infinity;
   #lowerAtMs = -Infinity;
   #lowerIntervalMs = LOWER_INTERVAL_MS;
-  #limitingAtMs = -Infinity;
+  #limitedAtMs = -Infinity;
+  #lastInput: SearchInput | undefined;
 
   /** Learned limit; Infinity without one. */
   get limitCount(): number {
@@ -73,11 +77,6 @@
     return this.#trial?.limitCount(nowMs) ?? this.#limitCount;
   }
 
-  /** Whether a trial runs. */
-  get isTrying(): boolean {
-    return this.#trial !== undefined;
-  }
-
   /**
    * Adds a run to the trial, if there is one.
    *
@@ -103,7 +102,7 @@
     }
     this.#trial = undefined;
     const isRaise = trial.triedCount > this.#limitCount;
-    if (trial.result === "better") {
+    if (trial.result !== "notBetter") {
       this.#limitCount = trial.triedCount < usualCount
         ? trial.triedCount
         : Infinity;
@@ -129,15 +128,17 @@
    * @param input What the window has shown.
    */
   endWindow(nowMs: number, input: SearchInput): void {
-    const isSlow = input.isLimiting &&
+    const isSlow = input.limitedRatio >= LOWER_LIMITED_MIN_RATIO &&
       input.slowdownRatio >= SLOWDOWN_MIN_RATIO;
+    this.#lastInput = input;
     this.#slowWindowsCount = isSlow ? this.#slowWindowsCount + 1 : 0;
-    if (input.isLimiting || this.#limitCount === Infinity) {
-      this.#limitingAtMs = nowMs;
-    } else if (nowMs - this.#limitingAtMs > UNUSED_MAX_MS) {
+    const isLimited = input.limitedRatio >= RAISE_LIMITED_MIN_RATIO;
+    if (isLimited || this.#limitCount === Infinity) {
+      this.#limitedAtMs = nowMs;
+    } else if (nowMs - this.#limitedAtMs > UNUSED_MAX_MS) {
       this.#limitCount = Infinity;
     }
-    if (this.#trial !== undefined || !input.isLimiting) {
+    if (this.#trial !== undefined || !isLimited) {
       return;
     }
     if (
@@ -146,11 +147,7 @@
     ) {
       this.#startLower(nowMs, input);
     } else if (this.#limitCount !== Infinity && nowMs >= this.#raiseAtMs) {
-      const triedCount = Math.min(
-        input.usualCount,
-        Math.ceil(this.#limitCount * (1 + this.#raiseRatio)),
-      );
-      this.#start(triedCount, nowMs, input);
+      this.#startRaise(nowMs, input);
     }
   }
 
@@ -159,6 +156,18 @@
       ? Math.min(RAISE_MAX_RATIO, 2 * this.#raiseRatio)
       : Math.max(RAISE_MIN_RATIO, this.#raiseRatio / 2);
     this.#raiseAtMs = isBetter ? nowMs : nowMs + RAISE_INTERVAL_MS;
+    // An upstream that has recovered is not held back until the next window.
+    if (isBetter && this.#limitCount !== Infinity && this.#lastInput) {
+      this.#startRaise(nowMs, this.#lastInput);
+    }
+  }
+
+  #startRaise(nowMs: number, input: SearchInput): void {
+    const triedCount = Math.min(
+      input.usualCount,
+      Math.ceil(this.#limitCount * (1 + this.#raiseRatio)),
+    );
+    this.#start(triedCount, nowMs, input);
   }
 
   /**
