--- a/src/core/body_buffer.ts
+++ b/src/core/body_buffer.ts
@@ -20,6 +20,20 @@
   #block: Buffer = NO_BLOCK;
   #blockUsedBytes = 0;
   #sizeBytes = 0;
+  /** Whether the block has room for the whole body. */
+  readonly #isWhole: boolean = false;
+
+  /**
+   * @param options Size of the body, if it is announced and within the limits.
+   *   The chunks of a large one are copied as they arrive, so that it is not in
+   *   memory twice when it is complete.
+   */
+  constructor({ expectedBytes = 0 }: { expectedBytes?: number } = {}) {
+    if (expectedBytes > BLOCK_MAX_BYTES) {
+      this.#block = Buffer.allocUnsafeSlow(expectedBytes);
+      this.#isWhole = true;
+    }
+  }
 
   /** Number of collected bytes. */
   get sizeBytes(): number {
@@ -32,7 +46,9 @@
    * @param chunk Next bytes of the body.
    */
   push(chunk: Buffer): void {
-    if (this.#sizeBytes === 0 || chunk.length > COPIED_MAX_BYTES) {
+    if (this.#isWhole) {
+      this.#copy(chunk);
+    } else if (this.#sizeBytes === 0 || chunk.length > COPIED_MAX_BYTES) {
       this.#endBlock();
       this.#buffers.push(chunk);
     } else {
--- a/src/core/body_buffer_test.ts
+++ b/src/core/body_buffer_test.ts
@@ -47,3 +47,28 @@
   assert.ok(usedBytes < 2_000_000, `${usedBytes} bytes`);
   assert.equal(body.concat().length, 1_000_000);
 });
+
+test("a body of an expected size is collected without a second copy", () => {
+  const size = 200_000;
+  const body = new BodyBuffer({ expectedBytes: size });
+  const parts = Buffer.alloc(size, "0123456789");
+  for (let start = 0; start < size; start += 40_000) {
+    body.push(parts.subarray(start, start + 40_000));
+  }
+  assert.equal(body.sizeBytes, size);
+  const joined = body.concat();
+  assert.deepEqual(joined, parts);
+  assert.equal(joined.buffer.byteLength, size);
+});
+
+// Guards against bytes that are lost when a body differs from its announcement.
+test("a body larger or smaller than expected is collected", () => {
+  for (const sentBytes of [70_000, 300_000]) {
+    const body = new BodyBuffer({ expectedBytes: 100_000 });
+    const parts = Buffer.alloc(sentBytes, "0123456789");
+    for (let start = 0; start < sentBytes; start += 10_000) {
+      body.push(parts.subarray(start, start + 10_000));
+    }
+    assert.deepEqual(body.concat(), parts);
+  }
+});
--- /dev/null
+++ b/src/decisions/memory/caller_memory_test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CallerMemory, type ReceivedCaller } from "./caller_memory.ts";
+
+const MAX_BYTES = 1_000;
+
+class StubCaller implements ReceivedCaller {
+  claimBytes = 0;
+  receivedBytes = 0;
+  progressAtMs = 0;
+  isEvicted = false;
+
+  evict(): void {
+    this.isEvicted = true;
+  }
+}
+
+function startCallers(memory: CallerMemory, count: number, bytes: number) {
+  return Array.from({ length: count }, () => {
+    const caller = new StubCaller();
+    memory.start(caller, { announcedBytes: bytes, nowMs: 0 });
+    return caller;
+  });
+}
+
+function countEvicted(callers: readonly StubCaller[]): number {
+  return callers.filter(({ isEvicted }) => isEvicted).length;
+}
+
+// Guards against a crowd that takes more memory than the process has.
+test("announced bodies count as a whole, and those that do not fit are refused", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const callers = startCallers(memory, 12, 100);
+  assert.equal(countEvicted(callers), 2);
+  assert.equal(memory.heldBytes, MAX_BYTES);
+  assert.equal(callers[11]?.isEvicted, true);
+});
+
+test("bodies without an announced length count by their bytes", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const callers = startCallers(memory, 4, 0);
+  let nowMs = 0;
+  for (let sent = 0; sent < 3; sent++) {
+    callers.filter(({ isEvicted }) => !isEvicted)
+      .forEach((caller) => memory.add(caller, 100, ++nowMs));
+  }
+  assert.equal(countEvicted(callers), 1);
+  assert.ok(memory.heldBytes <= MAX_BYTES);
+});
+
+test("a forwarded caller is not refused and counts until its end", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const [forwarded] = startCallers(memory, 1, 900) as [StubCaller];
+  memory.forward(forwarded);
+  const [other] = startCallers(memory, 1, 400) as [StubCaller];
+  assert.equal(forwarded.isEvicted, false);
+  assert.equal(other.isEvicted, true);
+  memory.end(forwarded);
+  memory.end(forwarded);
+  assert.equal(memory.heldBytes, 0);
+});
+
+// Guards against callers of large answers that keep all others from uploading.
+test("small bodies are received while other bytes take the whole bound", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  memory.hold(2 * MAX_BYTES);
+  assert.equal(memory.isFull, true);
+  assert.equal(countEvicted(startCallers(memory, 5, 50)), 0);
+  assert.equal(countEvicted(startCallers(memory, 1, 50)), 1);
+  memory.release(2 * MAX_BYTES);
+  assert.equal(memory.isFull, false);
+});
+
+// Guards against a permitted body that a machine with little memory refuses.
+test("one body of the largest size is received, and small ones beside it", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  memory.setLargestBody(4 * MAX_BYTES);
+  const [large] = startCallers(memory, 1, 4 * MAX_BYTES) as [StubCaller];
+  const small = startCallers(memory, 5, 100);
+  assert.equal(large.isEvicted, false);
+  assert.equal(countEvicted(small), 0);
+});
+
+test("callers without progress make room for others", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const stalled = startCallers(memory, 10, 100);
+  const newcomer = new StubCaller();
+  memory.start(newcomer, { announcedBytes: 100, nowMs: 5_000 });
+  assert.equal(newcomer.isEvicted, false);
+  assert.equal(countEvicted(stalled), 1);
+});
+
+// Guards against bodies that are refused so fast that their bytes pile up.
+test("the bytes of refused bodies count until they are collected", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const [refused] = startCallers(memory, 1, 0) as [StubCaller];
+  memory.add(refused, MAX_BYTES, 0);
+  memory.end(refused);
+  assert.equal(countEvicted(startCallers(memory, 2, 200)), 1);
+  const later = new StubCaller();
+  memory.start(later, { announcedBytes: 800, nowMs: 1_000 });
+  assert.equal(later.isEvicted, false);
+});
--- /dev/null
+++ b/src/decisions/memory/machine_bounds.ts
@@ -0,0 +1,67 @@
+/** Bounds of a process, derived from the limits of its machine. */
+
+/** Memory of the smallest machine of the deployments, if a machine states none. */
+const DEFAULT_MEMORY_BYTES = 250_000_000;
+/** Descriptors of the smallest machine of the deployments. */
+const DEFAULT_DESCRIPTORS_COUNT = 4_100;
+/** Memory of a process that holds nothing for callers. */
+const OWN_MEMORY_BYTES = 100_000_000;
+/**
+ * Part of the other memory for what callers cause to be held. The rest is for
+ * copies, because a body is joined when it is complete, and for bytes that are
+ * released but not collected. With 0.5, a crowd of complete bodies took a
+ * process of 200 MB to its limit.
+ */
+const HELD_RATIO = 0.35;
+/** Least bytes that are held for callers, on a machine of any size. */
+const HELD_MIN_BYTES = 8_388_608;
+/** Part of the descriptors for connections of callers. */
+const CALLERS_RATIO = 0.6;
+/**
+ * Part of the descriptors for connections to the local upstream. The rest is
+ * for links, listeners and files.
+ */
+const UPSTREAM_RATIO = 0.2;
+
+/** Limits of the machine; undefined for those that are not stated. */
+export type MachineLimits = {
+  /** Memory that the process may use. */
+  readonly memoryMaxBytes?: number | undefined;
+  /** File descriptors that the process may open. */
+  readonly descriptorsMaxCount?: number | undefined;
+};
+
+/** Bounds of what a process holds. */
+export type MachineBounds = {
+  /** Bytes that are held for callers. */
+  readonly heldMaxBytes: number;
+  /** Connections of callers. */
+  readonly callersMaxCount: number;
+  /** Connections to the local upstream. */
+  readonly upstreamMaxCount: number;
+};
+
+/**
+ * Derives the bounds of a process.
+ *
+ * @param limits Limits of the machine; the smallest machine of the deployments
+ *   is assumed for those that are not stated.
+ * @returns Bounds, each at least 1.
+ */
+export function deriveMachineBounds(
+  {
+    memoryMaxBytes = DEFAULT_MEMORY_BYTES,
+    descriptorsMaxCount = DEFAULT_DESCRIPTORS_COUNT,
+  }: MachineLimits,
+): MachineBounds {
+  const portion = (ratio: number) =>
+    Math.max(1, Math.floor(descriptorsMaxCount * ratio));
+  return {
+    heldMaxBytes: Math.max(
+      HELD_MIN_BYTES,
+      Math.floor((memoryMaxBytes - OWN_MEMORY_BYTES) * HELD_RATIO),
+    ),
+    callersMaxCount: portion(CALLERS_RATIO),
+    upstreamMaxCount: portion(UPSTREAM_RATIO),
+  };
+}
--- a/src/errors/error_kinds.ts
+++ b/src/errors/error_kinds.ts
@@ -51,6 +51,26 @@
     retry: "always",
     message: "The request headers did not arrive in time",
   },
+  body_timeout: {
+    status: 408,
+    outcome: "not-run",
+    retry: "always",
+    message: "The request body did not arrive in time",
+  },
+  memory_short: {
+    status: 503,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The daemon has no memory left for the request",
+  },
+  chunks_too_small: {
+    status: 429,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The request body has too many small chunks at present",
+  },
   tenant_denied: {
     status: 403,
     outcome: "not-run",
--- /dev/null
+++ b/src/fleet/caller_connections.ts
@@ -0,0 +1,108 @@
+/** Bound on the connections of callers. */
+import type { Socket } from "node:net";
+import {
+  type CallerConnection,
+  chooseClosed,
+} from "../decisions/memory/connection_order.ts";
+import type { BodyReception } from "./body_reception.ts";
+
+/**
+ * Part of the connections that is closed at once when there are too many, since
+ * each choice looks at all of them.
+ */
+const CLOSED_RATIO = 1 / 64;
+
+/** State of a connection and of its requests. */
+export class ConnectionState implements CallerConnection {
+  readonly socket: Socket;
+  /** Number of the newest request on the connection. */
+  newestNumber = 0;
+  /** Whether the answer that closes the connection has been sent. */
+  isClosing = false;
+  /** @inheritdoc */
+  forwardedCount = 0;
+  /** Body that is being received; undefined without one. */
+  reception: BodyReception | undefined;
+  /** Monotonic time at which the last request ended, in ms. */
+  endedAtMs = performance.now();
+
+  /**
+   * @param socket Connection.
+   */
+  constructor(socket: Socket) {
+    this.socket = socket;
+  }
+
+  /** @inheritdoc */
+  get receivingBytes(): number | undefined {
+    return this.reception?.claimBytes;
+  }
+
+  /** @inheritdoc */
+  get usedAtMs(): number {
+    return this.reception?.progressAtMs ?? this.endedAtMs;
+  }
+}
+
+/** Called when a connection is closed; with whether it is the new one. */
+export type ClosedHandler = (options: { isNew: boolean }) => void;
+
+/** Open connections of callers, at most as many as there are descriptors for. */
+export class CallerConnections {
+  readonly #maxCount: number;
+  readonly #onClosed: ClosedHandler;
+  readonly #states = new Map<Socket, ConnectionState>();
+
+  /**
+   * @param maxCount Maximum number of connections.
+   * @param onClosed Called for each connection that is closed for another one.
+   */
+  constructor(maxCount: number, onClosed: ClosedHandler) {
+    this.#maxCount = maxCount;
+    this.#onClosed = onClosed;
+  }
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.#states.size;
+  }
+
+  /**
+   * Adds a new connection. If there are too many, others are closed, or this one
+   * if all others have forwarded requests.
+   *
+   * @param socket Connection that was accepted.
+   */
+  add(socket: Socket): void {
+    if (this.#states.size >= this.#maxCount && !this.#makeRoom()) {
+      this.#onClosed({ isNew: true });
+      socket.destroy();
+      return;
+    }
+    this.#states.set(socket, new ConnectionState(socket));
+    socket.once("close", () => this.#states.delete(socket));
+  }
+
+  /**
+   * Returns the state of a connection.
+   *
+   * @param socket Connection.
+   * @returns Its state; undefined if it was closed.
+   */
+  find(socket: Socket): ConnectionState | undefined {
+    return this.#states.get(socket);
+  }
+
+  #makeRoom(): boolean {
+    const closed = chooseClosed(this.#states.values(), {
+      count: Math.max(1, Math.floor(this.#maxCount * CLOSED_RATIO)),
+      nowMs: performance.now(),
+    });
+    for (const { socket } of closed) {
+      this.#states.delete(socket);
+      this.#onClosed({ isNew: false });
+      socket.destroy();
+    }
+    return closed.length > 0;
+  }
+}
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -1,5 +1,6 @@
 /** Connects the links to the state and the services of the daemon. */
 import type { CallGraph } from "../decisions/call_graph.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigPeer } from "../link/config_peer.ts";
 import type { LinkServerHost } from "../link/link_server.ts";
 import type { LinkHost, PeerLink } from "../link/peer_link.ts";
@@ -36,6 +37,8 @@
   publisher: StatePublisher;
   /** A function, because the directory is constructed later, with this host. */
   directory: () => MemberDirectory;
+  /** Account of what is held for callers, here and at peers. */
+  memory: CallerMemory;
   log: Logger;
 };
 
@@ -88,6 +91,59 @@
 
   /** @inheritdoc */
   serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
+    const bodyBytes = request.body?.length ?? 0;
+    if (bodyBytes === 0) {
+      return this.#serveInTime(request, receiver);
+    }
+    const { memory } = this.#parts;
+    if (memory.isFull) {
+      receiver.onFailure({
+        kind: "memory_short",
+        isNotRun: true,
+        hasReached: false,
+      });
+      return { cancel: () => {} };
+    }
+    return this.#serveHolding(bodyBytes, request, receiver);
+  }
+
+  /** Serves a request and counts its body until it ends. */
+  #serveHolding(
+    bodyBytes: number,
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+  ): RequestHandle {
+    const { memory } = this.#parts;
+    let isHeld = true;
+    const release = () => {
+      if (isHeld) {
+        isHeld = false;
+        memory.release(bodyBytes);
+      }
+    };
+    memory.hold(bodyBytes);
+    const handle = this.#serveInTime(request, {
+      onAnswer: (answer) => {
+        release();
+        receiver.onAnswer(answer);
+      },
+      onFailure: (failure) => {
+        release();
+        receiver.onFailure(failure);
+      },
+    });
+    return {
+      cancel: () => {
+        release();
+        handle.cancel();
+      },
+    };
+  }
+
+  #serveInTime(
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+  ): RequestHandle {
     const waitedMs = this.#waitedMaxMs();
     if (waitedMs === 0) {
       return this.#parts.gate.serve(request, receiver);
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type {
   ForwardedRequest,
   ForwardFailure,
@@ -12,6 +13,7 @@
 } from "./daemon_link_host.ts";
 
 const STALLED_MS = 3_000;
+const MEMORY_MAX_BYTES = 1_000;
 
 function createHost() {
   const served: ForwardedRequest[] = [];
@@ -23,15 +25,24 @@
     },
   };
   const config = { version: 1 };
+  const memory = new CallerMemory(MEMORY_MAX_BYTES);
   const host = new DaemonLinkHost(
-    { gate, config, log: new NullLogger() } as unknown as DaemonLinkHostParts,
+    {
+      gate,
+      config,
+      memory,
+      log: new NullLogger(),
+    } as unknown as DaemonLinkHostParts,
   );
-  const serve = (remainingMs: number) =>
-    host.serve({ remainingMs } as ForwardedRequest, {
+  const serve = (remainingMs: number, bodyBytes = 0) =>
+    host.serve({
+      remainingMs,
+      body: bodyBytes === 0 ? null : new Uint8Array(bodyBytes),
+    } as unknown as ForwardedRequest, {
       onAnswer: () => {},
       onFailure: (failure) => failures.push(failure),
     });
-  return { host, served, failures, serve };
+  return { host, served, failures, serve, memory };
 }
 
 // A process that was paused reads requests that were sent before. Their callers
@@ -90,3 +101,20 @@
   }
   assert.deepEqual([one.queriesCount, two.queriesCount], [1, 1]);
 });
+
+// Guards against peers that together send more bodies than the process can hold.
+test("a request with a body is refused as not run while too much is held", () => {
+  const { served, failures, serve, memory } = createHost();
+  const { cancel } = serve(500, MEMORY_MAX_BYTES + 1);
+  serve(500, 1);
+  serve(500);
+  assert.equal(served.length, 2);
+  assert.deepEqual(failures, [
+    { kind: "memory_short", isNotRun: true, hasReached: false },
+  ]);
+  cancel();
+  cancel();
+  assert.equal(memory.heldBytes, 0);
+  serve(500, 1);
+  assert.equal(served.length, 3);
+});
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -11,6 +11,7 @@
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
 import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
+import { type CallerLimits, createCallerLimits } from "./caller_limits.ts";
 import { ConfigFollower } from "./config_follower.ts";
 import { DaemonLinkHost } from "./daemon_link_host.ts";
 import { DecisionLog } from "./decision_log.ts";
@@ -82,6 +83,7 @@
   readonly #announcements: UpstreamAnnouncements;
   readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
+  readonly #callerLimits: CallerLimits;
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
 
@@ -94,6 +96,7 @@
     const decisions = new DecisionLog(log);
     this.#settings = settings;
     this.#options = options;
+    this.#callerLimits = createCallerLimits(settings, log);
     this.#loop = new EventLoop((part, error) =>
       log.error("Control part failed", { part, ...errorFields(error) })
     );
@@ -111,7 +114,10 @@
       settings.upstream,
       platform.headers,
       {
-        connectionsMaxCount: CONNECTIONS_MAX_COUNT,
+        connectionsMaxCount: Math.min(
+          CONNECTIONS_MAX_COUNT,
+          this.#callerLimits.upstreamConnectionsMaxCount,
+        ),
         isIdempotent: (routeName) =>
           this.#config.routes?.route(routeName)?.idempotent ?? false,
         onMisdirected: () => this.#upstream.markReplaced(),
@@ -143,6 +149,7 @@
       graph: this.#callGraph,
       publisher: this.#publisher,
       directory: () => this.#directory,
+      memory: this.#callerLimits.memory,
       log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
@@ -154,7 +161,10 @@
       log,
     });
     this.#outboundService = this.#createOutboundService(decisions);
-    this.#outboundListener = new OutboundListener(this.#outboundService);
+    this.#outboundListener = new OutboundListener(
+      this.#outboundService,
+      this.#callerLimits,
+    );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
       upstream: this.#upstream,
@@ -171,8 +181,9 @@
         watchElection: this.#watchElection,
         platform,
         graph: this.#callGraph,
-      })
-    );
+        callerMemory: this.#callerLimits.memory,
+        callerConnectionsCount: () => this.#outboundListener.connectionsCount,
+      }), (reason) => this.#callerLimits.refusals.countOf(reason));
     this.#listeners = this.#createListeners();
     this.#registerParts();
   }
@@ -391,6 +402,7 @@
     this.#directory.tick(nowMs, stalledMs);
     this.#linkServer.tick(nowMs, stalledMs);
     this.#watchElection.tick(nowMs);
+    this.#outboundListener.tick(nowMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
--- a/src/fleet/http_answer_sender.ts
+++ b/src/fleet/http_answer_sender.ts
@@ -58,7 +58,7 @@
     this.isSent = true;
     const { status, message } = errorAnswer(kind);
     const response = this.#response;
-    if (this.#options.closesConnection() || kind === "body_too_large") {
+    if (this.#options.closesConnection()) {
       response.shouldKeepAlive = false;
     }
     const retryAfterMs = this.#options.retryAfterMs(kind);
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -6,12 +6,20 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { BodyBuffer } from "../core/body_buffer.ts";
+import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
+import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
+import { BodyReception } from "./body_reception.ts";
+import type { CallerLimits } from "./caller_limits.ts";
+import {
+  CallerConnections,
+  type ConnectionState,
+} from "./caller_connections.ts";
 import type { AnswerSender } from "./forwarded_exchange.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 
@@ -27,6 +35,10 @@
  * event loop is busy.
  */
 const LISTEN_BACKLOG = 1_024;
+/** Bodies with many small chunks that are received at the same time. */
+const COSTLY_BODIES_MAX_COUNT = 2;
+/** Interval at which the progress of bodies is checked, in ms. */
+const PROGRESS_CHECK_MS = 1_000;
 
 /** A request with its complete body. */
 export type ReceivedRequest = {
@@ -50,13 +62,6 @@
 
 type ParserError = Error & { code?: string };
 
-type SocketState = {
-  /** Number of the newest request on the connection. */
-  newestNumber: number;
-  /** Whether the answer that closes the connection has been sent. */
-  isClosing: boolean;
-};
-
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
     (headers["content-length"] ?? "0") !== "0";
@@ -69,27 +74,44 @@
 export class OutboundListener {
   readonly #server: Server;
   readonly #handler: OutboundHandler;
-  readonly #sockets = new WeakMap<Socket, SocketState>();
+  readonly #memory: CallerMemory;
+  readonly #refusals: CallerRefusals;
+  readonly #connections: CallerConnections;
+  readonly #costlyBodies = new CostlyBodies(COSTLY_BODIES_MAX_COUNT);
+  readonly #receptions = new Set<BodyReception>();
   readonly #openResponses = new OpenResponses();
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
   #heldBytes = 0;
   #isStopping = false;
+  #progressCheckedAtMs = 0;
 
   /**
    * @param handler Handles each request.
+   * @param limits Bounds on what is held for callers.
    */
-  constructor(handler: OutboundHandler) {
+  constructor(handler: OutboundHandler, limits: CallerLimits) {
     this.#handler = handler;
+    this.#memory = limits.memory;
+    this.#refusals = limits.refusals;
+    this.#connections = new CallerConnections(
+      limits.connectionsMaxCount,
+      ({ isNew }) =>
+        this.#refusals.record(
+          isNew ? "connection_refused" : "connection_closed",
+          { connectionsCount: this.connectionsCount },
+        ),
+    );
     this.#server = createServer({
       maxHeaderSize: HEADER_MAX_BYTES,
       requestTimeout: 0,
       headersTimeout: 0,
       noDelay: true,
     }, (message, response) => this.#receive(message, response));
-    this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.set(socket, { newestNumber: 0, isClosing: false });
-    });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => this.#connections.add(socket),
+    );
     this.#server.on(
       "clientError",
       (error: ParserError, socket: Socket) =>
@@ -105,6 +127,11 @@
     return this.#heldBytes;
   }
 
+  /** Number of open connections. */
+  get connectionsCount(): number {
+    return this.#connections.count;
+  }
+
   /** Number of requests without a complete answer. */
   get openCount(): number {
     return this.#openCount;
@@ -128,10 +155,26 @@
    */
   applyLimits(limits: FleetConfig["limits"]): void {
     this.#bodyMaxBytes = limits.bodyMaxBytes;
+    this.#memory.setLargestBody(limits.bodyMaxBytes);
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /**
+   * Ends the bodies that have made no progress for long.
+   *
+   * @param nowMs Monotonic time, in ms.
+   */
+  tick(nowMs: number): void {
+    if (nowMs - this.#progressCheckedAtMs < PROGRESS_CHECK_MS) {
+      return;
+    }
+    this.#progressCheckedAtMs = nowMs;
+    for (const reception of this.#receptions) {
+      reception.checkProgress(nowMs);
+    }
+  }
+
   /**
    * From now on, closes each connection after the answer to its newest request.
    */
@@ -155,7 +198,7 @@
 
   #receive(message: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
-    const state = this.#sockets.get(message.socket);
+    const state = this.#connections.find(message.socket);
     // The answer that closes the connection has been sent, so this request gets
     // none. An HTTP/1.1 client retries the requests that it pipelined after the
     // answered one.
@@ -169,24 +212,29 @@
     const answerSender = new HttpAnswerSender(response, {
       retryAfterMs: (kind) => this.#handler.retryAfterMs(kind),
       closesConnection: () => this.#closesConnection(state, number),
-      onBody: (sizeBytes) => this.#heldBytes += sizeBytes,
+      onBody: (sizeBytes) => this.#holdAnswer(sizeBytes),
     });
     let onDisconnect = () => {};
+    let isHandled = false;
     response.once("close", () => {
       this.#openCount--;
-      this.#heldBytes -= answerSender.bodyBytes;
+      this.#holdAnswer(-answerSender.bodyBytes);
+      state.forwardedCount -= isHandled ? 1 : 0;
+      state.endedAtMs = performance.now();
       if (!answerSender.isSent) {
         onDisconnect();
       }
     });
     const handle = (body: Uint8Array | null) => {
+      isHandled = true;
+      state.forwardedCount++;
       onDisconnect = this.#handler.handle(
         { message, body, arrivedAtMs },
         answerSender,
       );
     };
     if (hasBody(message)) {
-      this.#readBody(message, answerSender, handle);
+      this.#receiveBody(message, response, { state, answerSender, handle });
     } else {
       message.resume();
       handle(null);
@@ -198,35 +246,61 @@
    * it. While stopping, the answer to the newest request does. Earlier answers
    * precede it, because answers are sent in the order of the requests.
    */
-  #closesConnection(state: SocketState, number: number): boolean {
+  #closesConnection(state: ConnectionState, number: number): boolean {
     if (this.#isStopping && number === state.newestNumber) {
       state.isClosing = true;
     }
     return state.isClosing && number === state.newestNumber;
   }
 
-  #readBody(
+  #holdAnswer(sizeBytes: number): void {
+    this.#heldBytes += sizeBytes;
+    this.#memory.hold(sizeBytes);
+  }
+
+  #receiveBody(
     message: IncomingMessage,
-    answerSender: HttpAnswerSender,
-    handle: (body: Uint8Array | null) => void,
+    response: ServerResponse,
+    { state, answerSender, handle }: {
+      state: ConnectionState;
+      answerSender: HttpAnswerSender;
+      handle: (body: Uint8Array | null) => void;
+    },
   ): void {
-    const body = new BodyBuffer();
-    message.on("data", (chunk: Buffer) => {
-      if (answerSender.isSent) {
-        return;
-      }
-      if (body.sizeBytes + chunk.length <= this.#bodyMaxBytes) {
-        body.push(chunk);
-        return;
-      }
-      body.clear();
-      answerSender.fail("body_too_large");
+    const endReceiving = () => {
+      state.reception = undefined;
+      this.#receptions.delete(reception);
+    };
+    const reception = new BodyReception(message, {
+      memory: this.#memory,
+      costlyBodies: this.#costlyBodies,
+      bodyMaxBytes: this.#bodyMaxBytes,
+      onComplete: (body) => {
+        endReceiving();
+        handle(body);
+      },
+      onRefused: (kind) => {
+        endReceiving();
+        this.#refusals.record(kind, {
+          heldBytes: this.#memory.heldBytes,
+          bodyBytes: reception.claimBytes,
+        });
+        // The rest of the body follows, so no other request can be read. While
+        // earlier requests run, reading goes on to notice a disconnect.
+        state.isClosing = true;
+        if (state.forwardedCount === 0) {
+          message.socket.pause();
+        }
+        answerSender.fail(kind);
+      },
     });
-    message.on("end", () => {
-      if (!answerSender.isSent) {
-        handle(body.sizeBytes === 0 ? null : body.concat());
-      }
+    state.reception = reception;
+    this.#receptions.add(reception);
+    response.once("close", () => {
+      endReceiving();
+      reception.end();
     });
+    reception.start();
   }
 }
 
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -37,6 +37,8 @@
   "shed",
   "queue_full",
   "upstream_refused",
+  "memory_short",
+  "chunks_too_small",
 ];
 
 /** Parts of the daemon that {@link OutboundService} uses. */
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,6 +1,7 @@
 /** Current values of the gauges of a daemon. */
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigFollower } from "./config_follower.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
@@ -17,6 +18,9 @@
   watchElection: WatchElection;
   platform: FleetPlatform;
   graph: CallGraph;
+  callerMemory: CallerMemory;
+  /** Number of open connections of callers. */
+  callerConnectionsCount: () => number;
 };
 
 /**
@@ -44,5 +48,8 @@
     storeEra: platform.store.era,
     callEdgesCount: graph.edgesCount,
     logLinesDroppedCount: platform.droppedLinesCount(),
+    callerHeldBytes: parts.callerMemory.heldBytes,
+    callerHeldMaxBytes: parts.callerMemory.maxBytes,
+    callerConnectionsCount: parts.callerConnectionsCount(),
   };
 }
--- a/src/reference_pages/error_advice.ts
+++ b/src/reference_pages/error_advice.ts
@@ -7,6 +7,10 @@
   header_timeout: "Send the headers of a request without pauses",
   header_too_large: "Correct the caller; headers may take 16,384 bytes",
   body_too_large: "Raise the route's `bodyMaxBytes` or correct the caller",
+  body_timeout: "Send the body of a request without long pauses",
+  memory_short: "Look for callers with many large or unfinished bodies; see " +
+    "OPERATIONS.md",
+  chunks_too_small: "Send the body in larger chunks; see OPERATIONS.md",
   tenant_denied: "Compare the caller's token with the tenant's `tokenSha256`",
   no_route: "Add the route, or correct the caller's method or path",
   shed: "Expected under overload, least important class first; find the " +
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a daemon on a deployment platform, in Prometheus text format. */
 import { Counter, Gauge, Registry } from "prom-client";
+import { CALLER_REFUSALS, type CallerRefusal } from "./caller_refusals.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
 
 /** Current values of the gauges of a daemon on a deployment platform. */
@@ -22,6 +23,11 @@
   /** Pairs of a calling and a called route that are known, here or at peers. */
   readonly callEdgesCount: number;
   readonly logLinesDroppedCount: number;
+  /** Bytes that are held for callers, or that they have announced. */
+  readonly callerHeldBytes: number;
+  /** Bound of `callerHeldBytes`. */
+  readonly callerHeldMaxBytes: number;
+  readonly callerConnectionsCount: number;
 };
 
 const GAUGE_HELP: Readonly<Record<keyof FleetGauges, string>> = {
@@ -39,6 +45,9 @@
   storeEra: "Rises when the store is restored from a copy",
   callEdgesCount: "Known pairs of a calling and a called route",
   logLinesDroppedCount: "Log lines that nobody read in time",
+  callerHeldBytes: "Bytes that are held for callers, or that they announced",
+  callerHeldMaxBytes: "Bytes from which on callers are refused",
+  callerConnectionsCount: "Open connections of callers",
 };
 
 /** Maximum number of routes with their own series; all others share one. */
@@ -67,9 +76,25 @@
 
   /**
    * @param readGauges Reads the current values of the gauges.
+   * @param refusalsCount Returns how often callers were refused for a reason.
    */
-  constructor(readGauges: () => FleetGauges) {
+  constructor(
+    readGauges: () => FleetGauges,
+    refusalsCount: (reason: CallerRefusal) => number = () => 0,
+  ) {
     this.#readGauges = readGauges;
+    new Counter({
+      name: "goldcrest_fleet_callers_refused_total",
+      help: "Callers refused or closed to protect the process",
+      labelNames: ["reason"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const reason of CALLER_REFUSALS) {
+          this.inc({ reason }, refusalsCount(reason));
+        }
+      },
+    });
     for (const field of Object.keys(GAUGE_HELP) as (keyof FleetGauges)[]) {
       const gauge = new Gauge({
         name: gaugeName(field),
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -17,6 +17,9 @@
     callEdgesCount: 3,
     storeCallsCount: 3,
     storeEra: 1,
+    callerHeldBytes: 0,
+    callerHeldMaxBytes: 0,
+    callerConnectionsCount: 0,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
