--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from "undici";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
-import { isBodylessStatus } from "../core/http_status.ts";
+import { isBodylessStatus, isValidStatus } from "../core/http_status.ts";
 import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
 import type {
   ForwardFailure,
@@ -123,6 +123,15 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
+    if (!isValidStatus(status)) {
+      this.#fail({
+        kind: "upstream_failed",
+        isNotRun: false,
+        hasReached: true,
+      });
+      controller.abort(new Error("The answer has no valid status"));
+      return;
+    }
     if (status < STATUS_FINAL_MIN) {
       this.#informationalCount++;
       if (this.#informationalCount > INFORMATIONAL_MAX_COUNT) {
--- a/src/proxy/http_answer_source.ts
+++ b/src/proxy/http_answer_source.ts
@@ -1,6 +1,7 @@
 /** Adapts undici's dispatch to the answer interfaces. */
 import type { Dispatcher } from "undici";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
+import { isValidStatus } from "../core/http_status.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import { RelayError } from "../errors/relay_error.ts";
 import type {
@@ -70,7 +71,19 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (this.#finished || status < 200) {
+    if (this.#finished) {
+      return;
+    }
+    if (!isValidStatus(status)) {
+      this.#finished = true;
+      controller.abort(new Error("The answer has no valid status"));
+      this.#receiver.onFailure({
+        kind: this.#options.connectionLostKind,
+        outcome: "unknown",
+      });
+      return;
+    }
+    if (status < 200) {
       return;
     }
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
