--- a/src/fleet/caller_connections.ts
+++ b/src/decisions/memory/caller_connections.ts
@@ -1,10 +1,5 @@
 /** Bound on the connections of callers. */
-import type { Socket } from "node:net";
-import {
-  type CallerConnection,
-  chooseClosed,
-} from "../decisions/memory/connection_order.ts";
-import type { BodyReception } from "./body_reception.ts";
+import { type CallerConnection, chooseClosed } from "./connection_order.ts";
 
 /**
  * Part of the connections that is closed at once when there are too many, since
@@ -12,9 +7,25 @@
  */
 const CLOSED_RATIO = 1 / 64;
 
+/** A connection that can be closed. */
+export interface Closable {
+  /** Closes the connection at once. */
+  destroy(): unknown;
+  /** Calls a function when the connection has closed. */
+  once(event: "close", listener: () => void): unknown;
+}
+
+/** Body that is received on a connection. */
+export type ReceivedBody = {
+  /** Bytes that are held or announced. */
+  readonly claimBytes: number;
+  /** Monotonic time of the last bytes, in ms. */
+  readonly progressAtMs: number;
+};
+
 /** State of a connection and of its requests. */
 export class ConnectionState implements CallerConnection {
-  readonly socket: Socket;
+  readonly socket: Closable;
   /** Number of the newest request on the connection. */
   newestNumber = 0;
   /** Whether the answer that closes the connection has been sent. */
@@ -22,14 +33,14 @@
   /** @inheritdoc */
   forwardedCount = 0;
   /** Body that is being received; undefined without one. */
-  reception: BodyReception | undefined;
+  reception: ReceivedBody | undefined;
   /** Monotonic time at which the last request ended, in ms. */
   endedAtMs = performance.now();
 
   /**
    * @param socket Connection.
    */
-  constructor(socket: Socket) {
+  constructor(socket: Closable) {
     this.socket = socket;
   }
 
@@ -51,7 +62,7 @@
 export class CallerConnections {
   readonly #maxCount: number;
   readonly #onClosed: ClosedHandler;
-  readonly #states = new Map<Socket, ConnectionState>();
+  readonly #states = new Map<Closable, ConnectionState>();
 
   /**
    * @param maxCount Maximum number of connections.
@@ -73,7 +84,7 @@
    *
    * @param socket Connection that was accepted.
    */
-  add(socket: Socket): void {
+  add(socket: Closable): void {
     if (this.#states.size >= this.#maxCount && !this.#makeRoom()) {
       this.#onClosed({ isNew: true });
       socket.destroy();
@@ -89,7 +100,7 @@
    * @param socket Connection.
    * @returns Its state; undefined if it was closed.
    */
-  find(socket: Socket): ConnectionState | undefined {
+  find(socket: Closable): ConnectionState | undefined {
     return this.#states.get(socket);
   }
 
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -6,6 +6,10 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import {
+  CallerConnections,
+  type ConnectionState,
+} from "../decisions/memory/caller_connections.ts";
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
@@ -16,10 +20,6 @@
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import { BodyReception } from "./body_reception.ts";
 import type { CallerLimits } from "./caller_limits.ts";
-import {
-  CallerConnections,
-  type ConnectionState,
-} from "./caller_connections.ts";
 import type { AnswerSender } from "./forwarded_exchange.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 
