--- a/src/fleet/body_reception.ts
+++ b/src/fleet/body_reception.ts
@@ -1,6 +1,7 @@
 /** Receives the body of one request, within the bounds of the process. */
 import type { IncomingMessage } from "node:http";
 import { BodyBuffer } from "../core/body_buffer.ts";
+import { continueReading, stopReading } from "../core/stop_reading.ts";
 import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
 import type {
   CallerMemory,
@@ -49,6 +50,8 @@
   #body = new BodyBuffer();
   #state: "receiving" | "complete" | "ended" = "receiving";
   #chunksCount = 0;
+  /** Whether reading continues in the next iteration of the event loop. */
+  #isWaiting = false;
   #startedAtMs = performance.now();
   /** @inheritdoc */
   claimBytes = 0;
@@ -146,10 +149,14 @@
       this.#refuse("chunks_too_small");
       return;
     }
-    const { socket } = this.#message;
-    if (!socket.isPaused()) {
-      socket.pause();
-      setImmediate(() => socket.resume());
+    if (!this.#isWaiting) {
+      this.#isWaiting = true;
+      const message = this.#message;
+      stopReading(message, () =>
+        setImmediate(() => {
+          this.#isWaiting = false;
+          continueReading(message);
+        }));
     }
   }
 
