--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -10,6 +10,7 @@
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
 import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
+import { type CallerLimits, createCallerLimits } from "./caller_limits.ts";
 import { ConfigFollower } from "./config_follower.ts";
 import { createOutboundService } from "./create_outbound_service.ts";
 import { DaemonLinkHost } from "./daemon_link_host.ts";
@@ -84,6 +85,7 @@
   readonly #announcements: UpstreamAnnouncements;
   readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
+  readonly #callerLimits: CallerLimits;
   #lastTickAtMs = performance.now();
   #metricsRotatedAtMs = performance.now();
 
@@ -96,6 +98,7 @@
     const decisions = new DecisionLog(log);
     this.#settings = settings;
     this.#options = options;
+    this.#callerLimits = createCallerLimits(settings, log);
     this.#loop = new EventLoop((part, error) =>
       log.error("Control part failed", { part, ...errorFields(error) })
     );
@@ -113,7 +116,10 @@
       settings.upstream,
       platform.headers,
       {
-        connectionsMaxCount: CONNECTIONS_MAX_COUNT,
+        connectionsMaxCount: Math.min(
+          CONNECTIONS_MAX_COUNT,
+          this.#callerLimits.upstreamConnectionsMaxCount,
+        ),
         isIdempotent: (routeName) =>
           this.#config.routes?.route(routeName)?.idempotent ?? false,
         onMisdirected: () => this.#upstream.markReplaced(),
@@ -159,6 +165,7 @@
       graph: this.#callGraph,
       publisher: this.#publisher,
       directory: () => this.#directory,
+      memory: this.#callerLimits.memory,
       log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
@@ -185,7 +192,10 @@
       decisions,
       random,
     });
-    this.#outboundListener = new OutboundListener(this.#outboundService);
+    this.#outboundListener = new OutboundListener(
+      this.#outboundService,
+      this.#callerLimits,
+    );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
       upstream: this.#upstream,
@@ -204,8 +214,9 @@
         graph: this.#callGraph,
         usage: this.#access.usage,
         currency: this.#access.currency,
-      })
-    );
+        callerMemory: this.#callerLimits.memory,
+        callerConnectionsCount: () => this.#outboundListener.connectionsCount,
+      }), (reason) => this.#callerLimits.refusals.countOf(reason));
     this.#listeners = this.#createListeners();
     this.#registerParts();
   }
@@ -394,6 +405,7 @@
     this.#watchElection.tick(nowMs);
     this.#access.currency.tick();
     this.#access.usage.tick(nowMs);
+    this.#outboundListener.tick(nowMs);
     this.#gate.tick(nowMs);
     if (this.#config.routes !== undefined) {
       this.#admission.step(this.#config.routes);
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,6 +1,7 @@
 /** Current values of the gauges of a daemon. */
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigFollower } from "./config_follower.ts";
 import type { CurrencyTracker } from "./currency_tracker.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
@@ -21,6 +22,9 @@
   graph: CallGraph;
   currency: CurrencyTracker;
   usage: FleetUsageCaps;
+  callerMemory: CallerMemory;
+  /** Number of open connections of callers. */
+  callerConnectionsCount: () => number;
 };
 
 /**
@@ -54,5 +58,8 @@
     currencyAgeMs: Math.round(currency.ageMs),
     ...usage.gauges,
     logLinesDroppedCount: platform.droppedLinesCount(),
+    callerHeldBytes: parts.callerMemory.heldBytes,
+    callerHeldMaxBytes: parts.callerMemory.maxBytes,
+    callerConnectionsCount: parts.callerConnectionsCount(),
   };
 }
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of a daemon on a deployment platform, in Prometheus text format. */
 import { Counter, Gauge, Registry } from "prom-client";
 import type { ErrorKind } from "../errors/error_kinds.ts";
+import { CALLER_REFUSALS, type CallerRefusal } from "./caller_refusals.ts";
 import { LatencyHistogram } from "./latency_histogram.ts";
 import { summaryLines } from "./summary_lines.ts";
 import { TenantLatencies } from "./tenant_latencies.ts";
@@ -39,6 +40,11 @@
   readonly usageOwnersCount: number;
   readonly usageTenantsOwnedCount: number;
   readonly logLinesDroppedCount: number;
+  /** Bytes that are held for callers, or that they have announced. */
+  readonly callerHeldBytes: number;
+  /** Bound of `callerHeldBytes`. */
+  readonly callerHeldMaxBytes: number;
+  readonly callerConnectionsCount: number;
 };
 
 const GAUGE_HELP: Readonly<Record<keyof FleetGauges, string>> = {
@@ -65,6 +71,9 @@
   usageOwnersCount: "Daemons that own usage caps for this one",
   usageTenantsOwnedCount: "Tenants whose usage cap this daemon owns",
   logLinesDroppedCount: "Log lines that nobody read in time",
+  callerHeldBytes: "Bytes that are held for callers, or that they announced",
+  callerHeldMaxBytes: "Bytes from which on callers are refused",
+  callerConnectionsCount: "Open connections of callers",
 };
 
 /** A finished request, besides its route and outcome. */
@@ -108,9 +117,25 @@
 
   /**
    * @param readGauges Reads the current values of the gauges.
+   * @param refusalsCount Returns how often callers were refused for a reason.
    */
-  constructor(readGauges: () => FleetGauges) {
+  constructor(
+    readGauges: () => FleetGauges,
+    refusalsCount: (reason: CallerRefusal) => number = () => 0,
+  ) {
     this.#readGauges = readGauges;
+    new Counter({
+      name: "goldcrest_fleet_callers_refused_total",
+      help: "Callers refused or closed to protect the process",
+      labelNames: ["reason"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const reason of CALLER_REFUSALS) {
+          this.inc({ reason }, refusalsCount(reason));
+        }
+      },
+    });
     for (const field of Object.keys(GAUGE_HELP) as (keyof FleetGauges)[]) {
       const gauge = new Gauge({
         name: gaugeName(field),
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -26,6 +26,9 @@
     usageTokensReturnedCount: 0,
     usageOwnersCount: 0,
     usageTenantsOwnedCount: 0,
+    callerHeldBytes: 0,
+    callerHeldMaxBytes: 0,
+    callerConnectionsCount: 0,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
