--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/entry_levels.ts
@@ -3,6 +3,7 @@
  * run is one execution of a request by an upstream.
  */
 import { MovingAverage } from "./moving_average.ts";
+import { divideFairly, type FlowDemands } from "./sharing/fair_share.ts";
 
 /** Load of a pool and the runs that this daemon's callers offer to it. */
 export type PoolLoad = {
@@ -13,6 +14,20 @@
    * rates; only their ratios matter.
    */
   readonly offered: readonly number[];
+  /**
+   * The same by flow: the flows of each class, with their offered runs. Without
+   * it, all requests of a class are admitted alike.
+   */
+  readonly flows?: readonly (FlowDemands | undefined)[] | undefined;
+};
+
+/** Request that a pool admits or refuses. */
+export type RankedRequest = {
+  readonly priority: number;
+  /** Random number in `[0, 1)`, the same for all pools that the request uses. */
+  readonly sample: number;
+  /** Name of its flow; undefined when its class has none. */
+  readonly flowName?: string | undefined;
 };
 
 /** Admitted part of the offered requests of a pool. */
@@ -25,6 +40,8 @@
 
 type PoolLevel = {
   admission: PoolAdmission | undefined;
+  /** Admitted share of each flow of the class that is admitted in part. */
+  flowRatios: ReadonlyMap<string, number> | undefined;
   isShedding: boolean;
   /** Mean share of the offered runs that was admitted. */
   readonly meanAdmittedRatio: MovingAverage;
@@ -111,6 +128,25 @@
   return offered.length;
 }
 
+/**
+ * Divides the room of the class that is admitted in part among its flows, so
+ * that a flow that needs little is not refused for the sake of a large one.
+ */
+function flowRatiosFor(
+  level: number,
+  { offered, flows }: PoolLoad,
+): ReadonlyMap<string, number> | undefined {
+  const priority = Math.floor(level);
+  const demands = flows?.[priority];
+  if (demands === undefined || demands.size < 2) {
+    return undefined;
+  }
+  const room = (level - priority) * (offered[priority] ?? 0);
+  return new Map(
+    divideFairly(demands, room).map((flow) => [flow.name, flow.admittedRatio]),
+  );
+}
+
 /**
  * Keeps the admission of each pool: a level, the number of classes, counted from
  * the most important one, that are admitted, and a small share of all classes.
@@ -132,7 +168,8 @@
    * @param load Load and offered runs.
    * @returns The new level.
    */
-  step(name: string, { busyRatio, offered }: PoolLoad): number {
+  step(name: string, load: PoolLoad): number {
+    const { busyRatio, offered } = load;
     const classesCount = offered.length;
     const pool = this.#poolOf(name);
     const admittedRatio = Math.min(
@@ -144,6 +181,7 @@
     );
     const admission = admissionFor(admittedRatio, offered);
     pool.admission = admission;
+    pool.flowRatios = flowRatiosFor(admission.level, load);
     pool.isShedding = admission.level < classesCount;
     pool.meanAdmittedRatio.add(admittedRatio);
     return admission.level;
@@ -153,15 +191,12 @@
    * Decides whether a pool admits a request.
    *
    * @param name Name of the pool.
-   * @param request Its class, and a random number in `[0, 1)` that is the same
-   *   for all pools that the request uses.
+   * @param request Its class, its flow and a random number.
    * @returns True when it is admitted, and before the first step.
    */
-  admits(
-    name: string,
-    { priority, sample }: { priority: number; sample: number },
-  ): boolean {
-    const admission = this.#pools.get(name)?.admission;
+  admits(name: string, { priority, sample, flowName }: RankedRequest): boolean {
+    const pool = this.#pools.get(name);
+    const admission = pool?.admission;
     if (admission === undefined || sample < admission.sharedRatio) {
       return true;
     }
@@ -169,7 +204,11 @@
     // of their class, [priority, priority + 1), so that a level with a fraction
     // admits part of a class.
     const { level, sharedRatio } = admission;
-    return priority + (sample - sharedRatio) / (1 - sharedRatio) < level;
+    const rank = (sample - sharedRatio) / (1 - sharedRatio);
+    const flowRatio = priority === Math.floor(level) && flowName !== undefined
+      ? pool?.flowRatios?.get(flowName)
+      : undefined;
+    return flowRatio === undefined ? priority + rank < level : rank < flowRatio;
   }
 
   /**
@@ -197,6 +236,7 @@
     if (pool === undefined) {
       pool = {
         admission: undefined,
+        flowRatios: undefined,
         isShedding: false,
         meanAdmittedRatio: new MovingAverage(ADMITTED_WEIGHT, 1),
       };
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -2,15 +2,12 @@
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import { EntryLevels } from "../decisions/entry_levels.ts";
+import { OfferedRequests } from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
 
-/**
- * Factor by which the counts of offered requests decay per control interval.
- */
-const OFFERED_DECAY = 0.95;
 /**
  * Maximum number of priority classes. Routes whose `priority` is larger belong
  * to the last, least important class.
@@ -25,12 +22,18 @@
   log: Logger;
 };
 
-/** Requests of a route that were offered, with decay. */
-type OfferedCounts = {
-  /** Requests with the priority of the route. */
-  routeCount: number;
-  /** Requests with another priority, that of their tenant, by priority. */
-  readonly byPriority: number[];
+/** Runs that are offered to a pool. */
+type OfferedRuns = {
+  /** Offered runs of each class. */
+  readonly byClass: number[];
+  /** The same by flow. */
+  readonly flows: Map<string, number>[];
+};
+
+/** Tenant and rank of a request; without them, those of its route apply. */
+export type RequestRank = {
+  readonly priority?: number;
+  readonly tenantName?: string | undefined;
 };
 
 /**
@@ -39,6 +42,13 @@
  */
 type RunsByPool = ReadonlyMap<string, number>;
 
+function createOfferedRuns(classesCount: number): OfferedRuns {
+  return {
+    byClass: new Array<number>(classesCount).fill(0),
+    flows: Array.from({ length: classesCount }, () => new Map()),
+  };
+}
+
 /**
  * Admits or refuses requests of callers. Each pool has an admission level that
  * is adjusted to its load; a request must pass the levels of all pools it uses.
@@ -46,7 +56,7 @@
 export class EntryAdmission {
   readonly #options: EntryAdmissionOptions;
   readonly #levels = new EntryLevels();
-  readonly #offeredByRoute = new Map<string, OfferedCounts>();
+  readonly #offered = new OfferedRequests();
   readonly #loggedClassesCounts = new Map<string, number>();
   #routes: FleetRoutes | undefined;
   #runsByPoolOfRoute = new Map<string, RunsByPool>();
@@ -74,19 +84,23 @@
    * Counts a request of a caller as offered and decides whether it is admitted.
    *
    * @param route Route of the request.
-   * @param ownPriority Priority of the request, that of its tenant or its route.
+   * @param rank Priority of the request in place of the route's, and its tenant.
    * @returns Pool whose level refuses the request; undefined when the request
    *   is admitted.
    */
   findRefusingPool(
     route: FleetRoute,
-    ownPriority: number = route.priority,
+    { priority: ownPriority = route.priority, tenantName }: RequestRank = {},
   ): string | undefined {
-    this.#countOffered(route, ownPriority);
+    const flowName = this.#offered.add({
+      routeName: route.name,
+      ownPriority: ownPriority === route.priority ? undefined : ownPriority,
+      tenantName,
+    });
     const sample = this.#options.random.nextFloat();
     const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
     for (const pool of this.#runsByPool(route.name).keys()) {
-      if (!this.#levels.admits(pool, { priority, sample })) {
+      if (!this.#levels.admits(pool, { priority, sample, flowName })) {
         return pool;
       }
     }
@@ -120,61 +134,43 @@
     const offered = this.#offeredByPool(routes);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
-      const offeredRuns = offered.get(name);
-      if (busyRatio !== undefined && offeredRuns !== undefined) {
+      const runs = offered.get(name);
+      if (busyRatio !== undefined && runs !== undefined) {
         const level = this.#levels.step(name, {
           busyRatio,
-          offered: offeredRuns,
+          offered: runs.byClass,
+          flows: runs.flows,
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
     }
-    for (const counts of this.#offeredByRoute.values()) {
-      counts.routeCount *= OFFERED_DECAY;
-      counts.byPriority.forEach((count, priority) =>
-        counts.byPriority[priority] = count * OFFERED_DECAY
-      );
-    }
+    this.#offered.decay();
   }
 
-  #countOffered({ name, priority }: FleetRoute, ownPriority: number): void {
-    let counts = this.#offeredByRoute.get(name);
-    if (counts === undefined) {
-      counts = { routeCount: 0, byPriority: [] };
-      this.#offeredByRoute.set(name, counts);
-    }
-    if (ownPriority === priority) {
-      counts.routeCount++;
-      return;
-    }
-    const index = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
-    counts.byPriority[index] = (counts.byPriority[index] ?? 0) + 1;
-  }
-
-  #offeredByPool(routes: FleetRoutes): Map<string, number[]> {
+  #offeredByPool(routes: FleetRoutes): Map<string, OfferedRuns> {
     const { config } = routes;
     const priorityMax = [...config.routes, ...config.tenants ?? []].reduce(
       (max, { priority = 0 }) => Math.max(max, priority),
       0,
     );
     const classesCount = Math.min(CLASSES_MAX_COUNT, priorityMax + 1);
-    const offered = new Map<string, number[]>();
-    for (const [routeName, counts] of this.#offeredByRoute) {
+    const offered = new Map<string, OfferedRuns>();
+    for (const { name, routeName, ownPriority, count } of this.#offered.flows) {
       const route = routes.route(routeName);
       if (route === undefined) {
-        this.#offeredByRoute.delete(routeName);
+        this.#offered.delete(name);
         continue;
       }
-      const classOf = (priority: number) =>
-        Math.min(priority, classesCount - 1);
+      const priority = Math.min(
+        ownPriority ?? route.priority,
+        classesCount - 1,
+      );
       for (const [pool, runs] of this.#runsByPool(routeName)) {
-        const byClass = offered.get(pool) ??
-          new Array<number>(classesCount).fill(0);
-        byClass[classOf(route.priority)]! += counts.routeCount * runs;
-        counts.byPriority.forEach((count, priority) =>
-          byClass[classOf(priority)]! += count * runs
-        );
-        offered.set(pool, byClass);
+        const { byClass, flows } = offered.get(pool) ??
+          createOfferedRuns(classesCount);
+        byClass[priority]! += count * runs;
+        flows[priority]!.set(name, count * runs);
+        offered.set(pool, { byClass, flows });
       }
     }
     return offered;
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -163,7 +163,9 @@
     let runsCount = 0;
     for (let index = 0; index < OFFERED_COUNT; index++) {
       const isImportant = index < 3;
-      const pool = admission.findRefusingPool(roster, isImportant ? 0 : 2);
+      const pool = admission.findRefusingPool(roster, {
+        priority: isImportant ? 0 : 2,
+      });
       if (pool === undefined) {
         runsCount++;
         admitted[isImportant ? "important" : "other"] += 1;
@@ -176,3 +178,60 @@
   assert.ok(admitted.important > 0.95 * 3 * COUNTED_STEPS_COUNT);
   assert.ok(admitted.other < 0.6 * 7 * COUNTED_STEPS_COUNT);
 });
+
+/**
+ * Simulates requests of several flows of one class, of which the pool can run
+ * half.
+ *
+ * @param offeredCounts Requests of each flow in one control interval.
+ * @returns Admitted share of each flow.
+ */
+function admittedFlowShares(
+  offeredCounts: Readonly<Record<string, number>>,
+): Record<string, number> {
+  const { admission, state } = createAdmission();
+  const routes = new FleetRoutes(CONFIG);
+  const roster = routes.route("roster") as FleetRoute;
+  const names = Object.keys(offeredCounts);
+  const totalCount = names
+    .reduce((sum, name) => sum + (offeredCounts[name] as number), 0);
+  const admitted = new Map(names.map((name) => [name, 0]));
+  for (let step = 0; step < COUNTED_STEPS_COUNT; step++) {
+    let runsCount = 0;
+    for (const tenantName of names) {
+      for (
+        let index = 0;
+        index < (offeredCounts[tenantName] as number);
+        index++
+      ) {
+        if (admission.findRefusingPool(roster, { tenantName }) === undefined) {
+          runsCount++;
+          admitted.set(tenantName, (admitted.get(tenantName) as number) + 1);
+        }
+      }
+    }
+    state.busyRatio += LOAD_WEIGHT *
+      (runsCount / (totalCount / 2) - state.busyRatio);
+    admission.step(routes);
+  }
+  return Object.fromEntries(names.map((name) => [
+    name,
+    (admitted.get(name) as number) /
+    ((offeredCounts[name] as number) * COUNTED_STEPS_COUNT),
+  ]));
+}
+
+// Guards against a tenant that sends many times its usual and takes the room of
+// the others: they were refused as often as it.
+test("under overload a tenant that sends much is refused before those that send little", () => {
+  const { hot, ...others } = admittedFlowShares({ hot: 40, a: 3, b: 3, c: 4 });
+  for (const share of Object.values(others)) {
+    assert.ok(share > 0.95, `${share}`);
+  }
+  assert.ok(hot !== undefined && hot > 0.25 && hot < 0.5, `${hot}`);
+});
+
+test("under overload equal flows of one class are admitted alike", () => {
+  const shares = Object.values(admittedFlowShares({ a: 12, b: 12, c: 12 }));
+  assert.ok(Math.max(...shares) - Math.min(...shares) < 0.05, `${shares}`);
+});
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -155,7 +155,7 @@
     if (!request.isCall) {
       const refusingPool = this.#parts.admission.findRefusingPool(
         route,
-        request.priority,
+        request,
       );
       if (refusingPool !== undefined) {
         return this.#refuse(received, "shed", answerSender, {
