--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -268,7 +268,10 @@
     },
   ): void {
     const endReceiving = () => {
-      state.reception = undefined;
+      // The body of a later request may be received when this one is answered.
+      if (state.reception === reception) {
+        state.reception = undefined;
+      }
       this.#receptions.delete(reception);
     };
     const reception = new BodyReception(message, {
