--- a/src/fleet/upstream_connections.ts
+++ b/src/fleet/upstream_connections.ts
@@ -1,5 +1,5 @@
 /** Persistent connections to the upstream, and the choice of one per request. */
-import { Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher, errors } from "undici";
 import {
   chooseConnection,
   type ConnectionUse,
@@ -49,6 +49,7 @@
   /** Open connections without a request, with the newest answer last. */
   readonly #idle: Connection[] = [];
   readonly #waiting: WaitingRequest[] = [];
+  #isDestroyed = false;
 
   /**
    * @param origin Origin of the upstream.
@@ -71,6 +72,10 @@
     handler: ConnectionHandler,
     use: ConnectionUse,
   ): void {
+    if (this.#isDestroyed) {
+      queueMicrotask(() => failUnsent(handler));
+      return;
+    }
     const connection = this.#take(use);
     if (connection === undefined) {
       this.#waiting.push({ options, handler, use });
@@ -81,8 +86,12 @@
     connection.client.dispatch(options, handler);
   }
 
-  /** Closes all connections. */
+  /** Closes all connections. Requests that wait or follow fail. */
   async destroy(): Promise<void> {
+    this.#isDestroyed = true;
+    for (const { handler } of this.#waiting.splice(0)) {
+      failUnsent(handler);
+    }
     const connections = [...this.#all];
     this.#all.clear();
     this.#idle.length = 0;
@@ -163,3 +172,12 @@
     }
   }
 }
+
+/** Reports that a request has failed before it was given a connection. */
+function failUnsent(handler: ConnectionHandler): void {
+  // There is no controller without a connection, nor does undici pass one then.
+  handler.onResponseError?.(
+    undefined as unknown as Dispatcher.DispatchController,
+    new errors.ClientDestroyedError(),
+  );
+}
--- a/src/fleet/upstream_connections_test.ts
+++ b/src/fleet/upstream_connections_test.ts
@@ -147,3 +147,22 @@
   assert.equal(await send(fixture, "once"), 200);
   assert.equal(fixture.openedCount(), 3);
 });
+
+// Guards against a process that does not end because connections are opened
+// after it has closed them, and against requests that never get a result.
+test("requests that wait when the connections are closed fail", async (t) => {
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => response,
+  });
+  const running = send(fixture, "once");
+  const waiting = [send(fixture, "once"), send(fixture, "repeatable")];
+  await delay(STALE_MS);
+  await fixture.connections.destroy();
+  const statuses = await Promise.race([
+    Promise.all([running, ...waiting]),
+    delay(STALE_MS),
+  ]);
+  assert.deepEqual(statuses, [0, 0, 0]);
+  assert.equal(fixture.openedCount(), 1);
+});
