--- a/src/fleet/upstream_connections.ts
+++ b/src/fleet/upstream_connections.ts
@@ -13,6 +13,11 @@
    * else, with whether a complete answer has arrived.
    */
   onConnectionFree: ((isAnswered: boolean) => void) | undefined;
+  /**
+   * Set while the request waits for a connection; removes it from the queue
+   * without a result.
+   */
+  stopWaiting?: (() => void) | undefined;
 }
 
 type Connection = {
@@ -78,7 +83,7 @@
     }
     const connection = this.#take(use);
     if (connection === undefined) {
-      this.#waiting.push({ options, handler, use });
+      this.#wait({ options, handler, use });
       return;
     }
     connection.isBusy = true;
@@ -165,9 +170,20 @@
     }
   }
 
+  #wait(request: WaitingRequest): void {
+    this.#waiting.push(request);
+    request.handler.stopWaiting = () => {
+      const index = this.#waiting.indexOf(request);
+      if (index >= 0) {
+        this.#waiting.splice(index, 1);
+      }
+    };
+  }
+
   #startWaiting(): void {
     const next = this.#waiting.shift();
     if (next !== undefined) {
+      next.handler.stopWaiting = undefined;
       this.dispatch(next.options, next.handler, next.use);
     }
   }
--- a/src/fleet/upstream_connections_test.ts
+++ b/src/fleet/upstream_connections_test.ts
@@ -166,3 +166,40 @@
   assert.deepEqual(statuses, [0, 0, 0]);
   assert.equal(fixture.openedCount(), 1);
 });
+
+// Guards against bodies that are held, and connections that are opened, for
+// callers that have disconnected.
+test("a request that is cancelled while it waits gets no connection", async (t) => {
+  const responses: ServerResponse[] = [];
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => {
+      responses.push(response);
+      return response;
+    },
+  });
+  const running = send(fixture, "once");
+  let isStarted = false;
+  const waiting: ConnectionHandler = {
+    onConnectionFree: undefined,
+    onRequestStart: () => {
+      isStarted = true;
+      throw new Error("Cancelled");
+    },
+    onResponseError: () => waiting.onConnectionFree?.(false),
+  };
+  fixture.connections.dispatch(
+    { method: "POST", path: "/", body: "b" },
+    waiting,
+    "once",
+  );
+  waiting.stopWaiting?.();
+  while (responses.length === 0) {
+    await delay(1);
+  }
+  responses[0]?.destroy();
+  assert.equal(await running, 0);
+  await delay(STALE_MS);
+  assert.equal(isStarted, false);
+  assert.equal(fixture.openedCount(), 1);
+});
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -81,6 +81,8 @@
   bodyBytes = 0;
   /** @inheritdoc */
   onConnectionFree: ConnectionHandler["onConnectionFree"];
+  /** @inheritdoc */
+  stopWaiting: ConnectionHandler["stopWaiting"];
   #startedAtMs = performance.now();
 
   /**
@@ -103,6 +105,7 @@
   cancel(): void {
     this.#isDone = true;
     this.#releaseBody();
+    this.stopWaiting?.();
     this.#controller?.abort(new Error("Cancelled"));
   }
 
