--- a/src/decisions/capacity/limit_trial.ts
+++ b/src/decisions/capacity/limit_trial.ts
@@ -3,6 +3,12 @@
 
 /** Phases of each limit after which a trial ends without a result. */
 const PHASES_MAX_COUNT = 5;
+/**
+ * Phases of each limit after which a trial of a higher limit ends that has had
+ * too few runs. A phase has three runs per slot, so that at a limit of 1 or 2 the
+ * usual number of phases would never show anything.
+ */
+const SPARSE_PHASES_MAX_COUNT = 12;
 /** Runs with each limit without which nothing is decided. */
 const RUNS_MIN_COUNT = 30;
 /** Standard errors by which the throughputs must differ. */
@@ -106,7 +112,10 @@
       this.#tried.count < RUNS_MIN_COUNT ||
       this.#present.count < RUNS_MIN_COUNT
     ) {
-      this.#result = isEnd ? "notBetter" : undefined;
+      const isSparseEnd = this.#isRaise
+        ? phasesCount >= 2 * SPARSE_PHASES_MAX_COUNT
+        : isEnd;
+      this.#result = isSparseEnd ? "notBetter" : undefined;
       return;
     }
     const tried = this.#throughput(this.#tried);
