--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -1,5 +1,5 @@
 /** One HTTP exchange with the local upstream. */
-import type { Dispatcher } from "undici";
+import { type Dispatcher, errors } from "undici";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
 import { isBodylessStatus, isValidStatus } from "../core/http_status.ts";
@@ -247,14 +247,23 @@
   }
 
   /** Called by undici when the exchange fails. */
-  onResponseError(): void {
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
     this.onConnectionFree?.(false);
     this.#endCloseDelimited();
     // undici starts a request only on an open connection. A failure before the
-    // start therefore proves that no byte was written.
+    // start therefore proves that no byte was written. A request that undici
+    // does not take, like one with two `host` headers, says nothing of the
+    // upstream.
     const isSent = this.#controller !== undefined;
     this.#fail({
-      kind: isSent ? "upstream_failed" : "no_upstream",
+      kind: isSent
+        ? "upstream_failed"
+        : error instanceof errors.InvalidArgumentError
+        ? "bad_request"
+        : "no_upstream",
       isNotRun: !isSent,
       hasReached: isSent,
     });
