--- a/src/fleet/upstream_connections.ts
+++ b/src/fleet/upstream_connections.ts
@@ -86,9 +86,7 @@
       this.#wait({ options, handler, use });
       return;
     }
-    connection.isBusy = true;
-    handler.onConnectionFree = connection.onFree;
-    connection.client.dispatch(options, handler);
+    send(connection, { options, handler });
   }
 
   /** Closes all connections. Requests that wait or follow fail. */
@@ -180,15 +178,28 @@
     };
   }
 
+  /** Sends the request that has waited longest if there is a connection. */
   #startWaiting(): void {
-    const next = this.#waiting.shift();
-    if (next !== undefined) {
+    const [next] = this.#waiting;
+    const connection = next && this.#take(next.use);
+    if (next !== undefined && connection !== undefined) {
+      this.#waiting.shift();
       next.handler.stopWaiting = undefined;
-      this.dispatch(next.options, next.handler, next.use);
+      send(connection, next);
     }
   }
 }
 
+/** Sends a request over a connection that is not busy. */
+function send(
+  connection: Connection,
+  { options, handler }: Omit<WaitingRequest, "use">,
+): void {
+  connection.isBusy = true;
+  handler.onConnectionFree = connection.onFree;
+  connection.client.dispatch(options, handler);
+}
+
 /** Reports that a request has failed before it was given a connection. */
 function failUnsent(handler: ConnectionHandler): void {
   // There is no controller without a connection, nor does undici pass one then.
--- a/src/fleet/upstream_connections_test.ts
+++ b/src/fleet/upstream_connections_test.ts
@@ -203,3 +203,24 @@
   assert.equal(isStarted, false);
   assert.equal(fixture.openedCount(), 1);
 });
+
+// The close of a connection that was replaced is no reason to start a request,
+// and must not put the one that has waited longest behind the others.
+test("waiting requests start in their order after a connection was replaced", async (t) => {
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => {
+      setTimeout(() => response.end("x"), 20);
+      return response;
+    },
+  });
+  await send(fixture, "once");
+  await delay(STALE_MS);
+  const started: number[] = [];
+  await Promise.all(
+    [0, 1, 2].map((number) =>
+      send(fixture, "once", () => started.push(number))
+    ),
+  );
+  assert.deepEqual(started, [0, 1, 2]);
+});
