--- a/src/fleet/upstream_connections.ts
+++ b/src/fleet/upstream_connections.ts
@@ -1,5 +1,5 @@
 /** Persistent connections to the upstream, and the choice of one per request. */
-import { Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher, errors } from "undici";
 import {
   chooseConnection,
   type ConnectionUse,
@@ -13,6 +13,11 @@
    * else, with whether a complete answer has arrived.
    */
   onConnectionFree: ((isAnswered: boolean) => void) | undefined;
+  /**
+   * Set while the request waits for a connection; removes it from the queue
+   * without a result.
+   */
+  stopWaiting?: (() => void) | undefined;
 }
 
 type Connection = {
@@ -49,6 +54,7 @@
   /** Open connections without a request, with the newest answer last. */
   readonly #idle: Connection[] = [];
   readonly #waiting: WaitingRequest[] = [];
+  #isDestroyed = false;
 
   /**
    * @param origin Origin of the upstream.
@@ -71,18 +77,24 @@
     handler: ConnectionHandler,
     use: ConnectionUse,
   ): void {
+    if (this.#isDestroyed) {
+      queueMicrotask(() => failUnsent(handler));
+      return;
+    }
     const connection = this.#take(use);
     if (connection === undefined) {
-      this.#waiting.push({ options, handler, use });
+      this.#wait({ options, handler, use });
       return;
     }
-    connection.isBusy = true;
-    handler.onConnectionFree = connection.onFree;
-    connection.client.dispatch(options, handler);
+    send(connection, { options, handler });
   }
 
-  /** Closes all connections. */
+  /** Closes all connections. Requests that wait or follow fail. */
   async destroy(): Promise<void> {
+    this.#isDestroyed = true;
+    for (const { handler } of this.#waiting.splice(0)) {
+      failUnsent(handler);
+    }
     const connections = [...this.#all];
     this.#all.clear();
     this.#idle.length = 0;
@@ -156,10 +168,43 @@
     }
   }
 
+  #wait(request: WaitingRequest): void {
+    this.#waiting.push(request);
+    request.handler.stopWaiting = () => {
+      const index = this.#waiting.indexOf(request);
+      if (index >= 0) {
+        this.#waiting.splice(index, 1);
+      }
+    };
+  }
+
+  /** Sends the request that has waited longest if there is a connection. */
   #startWaiting(): void {
-    const next = this.#waiting.shift();
-    if (next !== undefined) {
-      this.dispatch(next.options, next.handler, next.use);
+    const [next] = this.#waiting;
+    const connection = next && this.#take(next.use);
+    if (next !== undefined && connection !== undefined) {
+      this.#waiting.shift();
+      next.handler.stopWaiting = undefined;
+      send(connection, next);
     }
   }
 }
+
+/** Sends a request over a connection that is not busy. */
+function send(
+  connection: Connection,
+  { options, handler }: Omit<WaitingRequest, "use">,
+): void {
+  connection.isBusy = true;
+  handler.onConnectionFree = connection.onFree;
+  connection.client.dispatch(options, handler);
+}
+
+/** Reports that a request has failed before it was given a connection. */
+function failUnsent(handler: ConnectionHandler): void {
+  // There is no controller without a connection, nor does undici pass one then.
+  handler.onResponseError?.(
+    undefined as unknown as Dispatcher.DispatchController,
+    new errors.ClientDestroyedError(),
+  );
+}
--- a/src/fleet/upstream_connections_test.ts
+++ b/src/fleet/upstream_connections_test.ts
@@ -147,3 +147,80 @@
   assert.equal(await send(fixture, "once"), 200);
   assert.equal(fixture.openedCount(), 3);
 });
+
+// Guards against a process that does not end because connections are opened
+// after it has closed them, and against requests that never get a result.
+test("requests that wait when the connections are closed fail", async (t) => {
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => response,
+  });
+  const running = send(fixture, "once");
+  const waiting = [send(fixture, "once"), send(fixture, "repeatable")];
+  await delay(STALE_MS);
+  await fixture.connections.destroy();
+  const statuses = await Promise.race([
+    Promise.all([running, ...waiting]),
+    delay(STALE_MS),
+  ]);
+  assert.deepEqual(statuses, [0, 0, 0]);
+  assert.equal(fixture.openedCount(), 1);
+});
+
+// Guards against bodies that are held, and connections that are opened, for
+// callers that have disconnected.
+test("a request that is cancelled while it waits gets no connection", async (t) => {
+  const responses: ServerResponse[] = [];
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => {
+      responses.push(response);
+      return response;
+    },
+  });
+  const running = send(fixture, "once");
+  let isStarted = false;
+  const waiting: ConnectionHandler = {
+    onConnectionFree: undefined,
+    onRequestStart: () => {
+      isStarted = true;
+      throw new Error("Cancelled");
+    },
+    onResponseError: () => waiting.onConnectionFree?.(false),
+  };
+  fixture.connections.dispatch(
+    { method: "POST", path: "/", body: "b" },
+    waiting,
+    "once",
+  );
+  waiting.stopWaiting?.();
+  while (responses.length === 0) {
+    await delay(1);
+  }
+  responses[0]?.destroy();
+  assert.equal(await running, 0);
+  await delay(STALE_MS);
+  assert.equal(isStarted, false);
+  assert.equal(fixture.openedCount(), 1);
+});
+
+// The close of a connection that was replaced is no reason to start a request,
+// and must not put the one that has waited longest behind the others.
+test("waiting requests start in their order after a connection was replaced", async (t) => {
+  const fixture = await start(t, {
+    maxCount: 1,
+    answer: (response) => {
+      setTimeout(() => response.end("x"), 20);
+      return response;
+    },
+  });
+  await send(fixture, "once");
+  await delay(STALE_MS);
+  const started: number[] = [];
+  await Promise.all(
+    [0, 1, 2].map((number) =>
+      send(fixture, "once", () => started.push(number))
+    ),
+  );
+  assert.deepEqual(started, [0, 1, 2]);
+});
