--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -225,6 +225,7 @@
     for (const tenantGrant of grant.tenants) {
       const tenant = this.#tenants.get(tenantGrant.tenantName);
       if (tenant !== undefined) {
+        tenant.handleAnswer(ownerName);
         tenant.addGranted(tenantGrant.grantedCount, {
           ownerName,
           askedAtMs: ask.sentAtMs,
@@ -270,6 +271,7 @@
   }
 
   #askUrgently(tenant: TenantTokens, nowMs: number): void {
+    tenant.checkFormer(this.#options.view, nowMs);
     const ownerName = tenant.askedOwner;
     if (
       ownerName === undefined || nowMs < tenant.askAgainAtMs ||
@@ -334,6 +336,7 @@
   /** Moves a tenant to its owner, and leases the share to it when it may. */
   #moveTenant(tenant: TenantTokens, nowMs: number): void {
     const { tenantName, pointer } = tenant;
+    tenant.checkFormer(this.#options.view, nowMs);
     const isLeased = pointer.owner !== undefined &&
       this.#bookOf(pointer.owner).has(tenantName);
     const left = pointer.choose(this.#options.view, isLeased, nowMs);
--- /dev/null
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../../core/random.ts";
+import { CapAsker } from "./cap_asker.ts";
+import type { CapAsk } from "./cap_messages.ts";
+import { rankCapOwners } from "./owner_choice.ts";
+import type { CapDecision } from "./tenant_waiters.ts";
+
+const CAPS = new Map([
+  ["t", { ratePerS: 100, burstCount: 90, windowMs: 5_000 }],
+]);
+const CANDIDATES = ["a", "b"];
+const [FIRST, SECOND] = rankCapOwners("t", CANDIDATES) as [string, string];
+
+/** Asker whose owner has changed from the first to the second candidate. */
+class MovedAsker {
+  readonly asks: { ownerName: string; ask: CapAsk }[] = [];
+  readonly connected = new Set(CANDIDATES);
+  readonly asker: CapAsker;
+
+  constructor() {
+    const usable = new Set(CANDIDATES);
+    this.asker = new CapAsker({
+      view: {
+        ownName: "own",
+        candidates: CANDIDATES,
+        upSinceMs: (name) => usable.has(name) ? 0 : undefined,
+        isConnected: (name) => this.connected.has(name),
+      },
+      processId: 1,
+      leasesFromMs: 0,
+      membersCount: () => 3,
+      random: new SeededRandom(1),
+      send: (ownerName, ask) => this.asks.push({ ownerName, ask }),
+    });
+    this.asker.applyCaps(CAPS, 0);
+    // The first owner announces its stop.
+    usable.delete(FIRST);
+    this.asker.tick(10);
+  }
+
+  /** Starts a request. Returns its decisions. */
+  admit(nowMs: number): CapDecision[] {
+    const decisions: CapDecision[] = [];
+    this.asker.admit("t", (decision) => decisions.push(decision), nowMs);
+    return decisions;
+  }
+
+  /** Answers the last ask for one request. Returns the name of its owner. */
+  answer(isGranted: boolean, nowMs: number): string {
+    const { ownerName, ask } = this.asks.at(-1)!;
+    this.asker.handleGrant(ownerName, {
+      processId: ask.processId,
+      sequence: ask.sequence,
+      listNumber: ask.listNumber,
+      tenants: [{
+        tenantName: "t",
+        grantedCount: isGranted ? 1 : 0,
+        deniedCount: isGranted ? 0 : 1,
+        roomInMs: isGranted ? 0 : 2_000,
+        carriedCount: 0,
+      }],
+    }, nowMs);
+    return ownerName;
+  }
+}
+
+// Guards against requests that ask the former owner for good, which refuses them
+// or is no longer there, although the present owner has tokens.
+test("the former owner is asked only for what the owner has denied", () => {
+  const moved = new MovedAsker();
+  const first = moved.admit(100);
+  assert.equal(moved.answer(false, 110), SECOND);
+  assert.equal(moved.answer(true, 120), FIRST);
+  assert.deepEqual(first, [{ isAdmitted: true }]);
+  const second = moved.admit(200);
+  assert.equal(moved.answer(true, 210), SECOND);
+  assert.deepEqual(second, [{ isAdmitted: true }]);
+});
+
+// Guards against requests that wait for an owner whose process has ended.
+test("a former owner that is lost is not asked", () => {
+  const moved = new MovedAsker();
+  moved.admit(100);
+  assert.equal(moved.answer(false, 110), SECOND);
+  assert.equal(moved.asks.at(-1)!.ownerName, FIRST);
+  moved.connected.delete(FIRST);
+  moved.asker.tick(150);
+  const second = moved.admit(160);
+  assert.equal(moved.answer(true, 170), SECOND);
+  assert.equal(second.length, 0);
+  assert.equal(moved.asker.counts.refusedCount, 0);
+});
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -92,6 +92,35 @@
     this.askAgainAtMs = -Infinity;
   }
 
+  /**
+   * Returns to the owner after an answer of the former one, so that the former
+   * one is only asked for requests that the owner has denied.
+   *
+   * @param ownerName Name of the owner that has answered.
+   */
+  handleAnswer(ownerName: string): void {
+    if (ownerName === this.#formerAsked) {
+      this.#formerAsked = undefined;
+    }
+  }
+
+  /**
+   * Returns to the owner when the former one is lost or was left long ago.
+   * Otherwise, requests would wait for answers that never come.
+   *
+   * @param view Connections to the candidates.
+   * @param nowMs Monotonic time, in ms.
+   */
+  checkFormer(view: CandidateView, nowMs: number): void {
+    if (
+      this.#formerAsked !== undefined &&
+      (this.#formerAsked !== this.pointer.recentFormer(nowMs) ||
+        !view.isConnected(this.#formerAsked))
+    ) {
+      this.#formerAsked = undefined;
+    }
+  }
+
   /**
    * Adds granted tokens: to waiting requests first, then to the stock.
    *
