--- a/src/decisions/caps/cap_asker_test.ts
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -91,3 +91,19 @@
   assert.equal(second.length, 0);
   assert.equal(moved.asker.counts.refusedCount, 0);
 });
+
+// Guards against callers that are told to return after a time that an owner said
+// long ago, when the bucket was empty.
+test("a grant ends the time that an earlier denial has told", () => {
+  const moved = new MovedAsker();
+  moved.connected.delete(FIRST);
+  moved.admit(100);
+  assert.equal(moved.answer(false, 110), SECOND);
+  moved.admit(300);
+  assert.equal(moved.answer(true, 310), SECOND);
+  const unanswered = moved.admit(60_000);
+  moved.asker.tick(60_100);
+  const [decision] = unanswered;
+  assert.ok(decision?.isAdmitted === false);
+  assert.ok(decision.retryAfterMs <= 1_000, `${decision.retryAfterMs} ms`);
+});
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -76,6 +76,7 @@
       this.#cap = cap;
       this.stock.clear();
       this.#carriedCount = 0;
+      this.waiters.roomInMs = 0;
     }
   }
 
@@ -131,6 +132,9 @@
     count: number,
     { ownerName, askedAtMs, nowMs }: GrantTimes,
   ): void {
+    if (count > 0) {
+      this.waiters.roomInMs = 0;
+    }
     const expiresAtMs = askedAtMs + tokenLifetimeMs(this.#cap);
     if (expiresAtMs <= nowMs) {
       this.stock.addExpired(count, ownerName);
