--- a/src/decisions/large_answers.ts
+++ b/src/decisions/memory/large_answers.ts
@@ -1,5 +1,5 @@
 /** Admission of requests by the memory that their answers will take. */
-import { MovingAverage } from "./moving_average.ts";
+import { MovingAverage } from "../moving_average.ts";
 
 /** Mean size of a route's answers from which on its requests may be refused. */
 const LARGE_MIN_BYTES = 1_048_576;
--- a/src/decisions/choose_upstream.ts
+++ b/src/decisions/placement/choose_upstream.ts
@@ -1,5 +1,5 @@
 /** Chooses the upstream with the lowest expected cost for a request. */
-import type { RandomSource } from "../core/random.ts";
+import type { RandomSource } from "../../core/random.ts";
 
 /** Properties of one upstream on which the choice depends. */
 export type UpstreamCandidate = {
--- a/src/decisions/link_subset.ts
+++ b/src/decisions/placement/link_subset.ts
@@ -1,5 +1,5 @@
 /** Bounded, stable set of members to which one daemon keeps links. */
-import { hash32 } from "../core/hash.ts";
+import { hash32 } from "../../core/hash.ts";
 
 /** Properties of a member on which the selection depends. */
 export type LinkCandidate = {
--- a/src/decisions/entry_levels.ts
+++ b/src/decisions/sharing/entry_levels.ts
@@ -2,8 +2,8 @@
  * Admission levels of the pools, from their load and the offered requests. A
  * run is one execution of a request by an upstream.
  */
-import { MovingAverage } from "./moving_average.ts";
-import { divideFairly, type FlowDemands } from "./sharing/fair_share.ts";
+import { MovingAverage } from "../moving_average.ts";
+import { divideFairly, type FlowDemands } from "./fair_share.ts";
 
 /** Load of a pool and the runs that this daemon's callers offer to it. */
 export type PoolLoad = {
--- a/src/fleet/body_reception.ts
+++ b/src/fleet/body_reception.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { continueReading, stopReading } from "../core/stop_reading.ts";
-import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
+import { hasTooManyChunks } from "../decisions/memory/chunk_allowance.ts";
 import type {
   CallerMemory,
   ReceivedCaller,
--- a/src/fleet/channel_table.ts
+++ b/src/fleet/channel_table.ts
@@ -4,7 +4,7 @@
 import {
   chooseUpstream,
   type UpstreamCandidate,
-} from "../decisions/choose_upstream.ts";
+} from "../decisions/placement/choose_upstream.ts";
 import type { UpstreamChannel } from "../link/upstream_channel.ts";
 
 /** Weight of the newest run in the mean run time of a route. */
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -1,7 +1,7 @@
 /** Admission control of callers' requests by the load of the pools they use. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
-import { EntryLevels } from "../decisions/entry_levels.ts";
+import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
 import { OfferedRequests } from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,7 +1,7 @@
 /** Routes, admits and forwards requests of callers and downstream calls. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
-import { LargeAnswers } from "../decisions/large_answers.ts";
+import { LargeAnswers } from "../decisions/memory/large_answers.ts";
 import { bearerKey } from "../decisions/tenants/credential.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
--- a/src/fleet/peer_links.ts
+++ b/src/fleet/peer_links.ts
@@ -1,5 +1,5 @@
 /** Links to a bounded part of the known members. */
-import { selectLinks } from "../decisions/link_subset.ts";
+import { selectLinks } from "../decisions/placement/link_subset.ts";
 import type { WatcherCandidate } from "../decisions/watcher_election.ts";
 import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -4,7 +4,7 @@
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import { CallTimes } from "./call_times.ts";
-import type { SlotRequest } from "../decisions/slot_queue.ts";
+import type { SlotRequest } from "../decisions/sharing/slot_queue.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type {
   ForwardedRequest,
--- a/src/fleet/start_control.ts
+++ b/src/fleet/start_control.ts
@@ -1,5 +1,5 @@
 /** Controls when requests may be started at the local upstream. */
-import { StartRate } from "../decisions/start_rate.ts";
+import { StartRate } from "../decisions/capacity/start_rate.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { UpstreamSignals } from "./upstream_signals.ts";
 
--- a/src/fleet/upstream_connections.ts
+++ b/src/fleet/upstream_connections.ts
@@ -4,7 +4,7 @@
   chooseConnection,
   type ConnectionUse,
   insertIdle,
-} from "./choose_connection.ts";
+} from "../decisions/placement/choose_connection.ts";
 
 /** undici handler that tells when its exchange no longer needs the connection. */
 export interface ConnectionHandler extends Dispatcher.DispatchHandler {
--- a/src/fleet/upstream_connections_test.ts
+++ b/src/fleet/upstream_connections_test.ts
@@ -3,7 +3,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { listenOn } from "../core/listen_on.ts";
-import type { ConnectionUse } from "./choose_connection.ts";
+import type { ConnectionUse } from "../decisions/placement/choose_connection.ts";
 import {
   type ConnectionHandler,
   UpstreamConnections,
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -3,7 +3,7 @@
 import { BodyBuffer } from "../core/body_buffer.ts";
 import { decodeRawHeaders } from "../core/decode_raw_headers.ts";
 import { isBodylessStatus, isValidStatus } from "../core/http_status.ts";
-import { hasTooManyChunks } from "../decisions/chunk_allowance.ts";
+import { hasTooManyChunks } from "../decisions/memory/chunk_allowance.ts";
 import type {
   ForwardFailure,
   RequestHandle,
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -1,7 +1,7 @@
 /** Concurrency limit and queue of the local upstream. */
 import type { CallObserver } from "../decisions/call_graph.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
-import { SlotQueue } from "../decisions/slot_queue.ts";
+import { SlotQueue } from "../decisions/sharing/slot_queue.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { LoadReport } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
--- a/src/testing/pool_simulation.ts
+++ b/src/testing/pool_simulation.ts
@@ -1,6 +1,6 @@
 /** Callers that choose among the upstreams of a pool, on a virtual clock. */
 import { SeededRandom } from "../core/random.ts";
-import { chooseUpstream } from "../decisions/choose_upstream.ts";
+import { chooseUpstream } from "../decisions/placement/choose_upstream.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import { UpstreamLoad } from "../link/upstream_channel.ts";
 import {
