--- a/src/decisions/memory/caller_memory.ts
+++ b/src/decisions/memory/caller_memory.ts
@@ -46,7 +46,7 @@
  * memory.start(caller, { announcedBytes: 60_000, nowMs });
  * memory.add(caller, chunk.length, nowMs);
  * memory.forward(caller);
- * memory.end(caller);
+ * memory.end(caller, nowMs);
  */
 export class CallerMemory {
   readonly #derivedMaxBytes: number;
@@ -156,10 +156,12 @@
    * Releases the bytes of a caller.
    *
    * @param caller Caller; nothing happens if it was released before.
+   * @param nowMs Monotonic time, in ms.
    */
-  end(caller: ReceivedCaller): void {
+  end(caller: ReceivedCaller, nowMs: number): void {
     if (this.#receiving.delete(caller)) {
       this.#receivingBytes -= caller.claimBytes;
+      this.#collect(nowMs);
       this.#uncollectedBytes += caller.receivedBytes;
     } else if (this.#forwarded.delete(caller)) {
       this.#otherBytes -= caller.claimBytes;
@@ -196,7 +198,7 @@
     for (
       const caller of chooseEvicted(this.#receiving, { excessBytes, nowMs })
     ) {
-      this.end(caller);
+      this.end(caller, nowMs);
       caller.evict();
     }
   }
--- a/src/decisions/memory/caller_memory_test.ts
+++ b/src/decisions/memory/caller_memory_test.ts
@@ -55,8 +55,8 @@
   const [other] = startCallers(memory, 1, 400) as [StubCaller];
   assert.equal(forwarded.isEvicted, false);
   assert.equal(other.isEvicted, true);
-  memory.end(forwarded);
-  memory.end(forwarded);
+  memory.end(forwarded, 0);
+  memory.end(forwarded, 0);
   assert.equal(memory.heldBytes, 0);
 });
 
@@ -95,9 +95,21 @@
   const memory = new CallerMemory(MAX_BYTES);
   const [refused] = startCallers(memory, 1, 0) as [StubCaller];
   memory.add(refused, MAX_BYTES, 0);
-  memory.end(refused);
+  memory.end(refused, 0);
   assert.equal(countEvicted(startCallers(memory, 2, 200)), 1);
   const later = new StubCaller();
   memory.start(later, { announcedBytes: 800, nowMs: 1_000 });
   assert.equal(later.isEvicted, false);
 });
+
+// Guards against the bytes of a body whose connection is lost, long after the
+// last refusal, counting as collected at once.
+test("bytes that are released late count from then on", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const [lost] = startCallers(memory, 1, 0) as [StubCaller];
+  memory.add(lost, MAX_BYTES, 0);
+  memory.end(lost, 60_000);
+  const next = new StubCaller();
+  memory.start(next, { announcedBytes: MAX_BYTES, nowMs: 60_000 });
+  assert.equal(next.isEvicted, true);
+});
--- a/src/fleet/body_reception.ts
+++ b/src/fleet/body_reception.ts
@@ -110,7 +110,7 @@
   end(): void {
     this.#state = "ended";
     this.#body.clear();
-    this.#options.memory.end(this);
+    this.#options.memory.end(this, performance.now());
     this.#options.costlyBodies.delete(this);
   }
 
