--- a/bench/hop/bench_daemon.ts
+++ b/bench/hop/bench_daemon.ts
@@ -5,14 +5,7 @@
  */
 import process from "node:process";
 import { z } from "zod";
-import { createDaemon } from "../../src/daemon/create_daemon.ts";
-import { settingsSchema } from "../../src/schemas/settings_schema.ts";
-import { JsonLogger } from "../../src/telemetry/logger.ts";
-import {
-  StubConfig,
-  StubDirectory,
-} from "../../src/testing/data_path_fixtures.ts";
-import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
+import { createFixedDaemon } from "../../src/testing/fixed_daemon.ts";
 
 const SLOTS = { slotsCount: 1_000, connectionsMaxCount: 64 };
 const DATA_CENTRE = "dakar-plateau";
@@ -31,32 +24,24 @@
 });
 
 const options = benchSettingsSchema.parse(JSON.parse(process.argv[2] ?? ""));
-const settings = settingsSchema.parse({
-  instance: { id: options.instanceId, dataCentre: DATA_CENTRE },
-  listeners: ANY_PORT_LISTENERS,
-  platform: { url: "http://127.0.0.1:9" },
-  peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
-});
 const route = { pool: POOL, class: "standard", idempotent: true };
-const config = new StubConfig({
-  routes: {
+const { daemon, directory } = createFixedDaemon({
+  instanceId: options.instanceId,
+  dataCentre: DATA_CENTRE,
+  tables: {
     routes: {
-      read: { match: { method: "GET", pathPrefix: "/logs" }, ...route },
-      write: { match: { method: "POST", pathPrefix: "/logs" }, ...route },
+      routes: {
+        read: { match: { method: "GET", pathPrefix: "/logs" }, ...route },
+        write: { match: { method: "POST", pathPrefix: "/logs" }, ...route },
+      },
     },
-  },
-  pools: {
     pools: {
-      [POOL]: { dataCentres: [DATA_CENTRE], endpointsCount: 1, ...SLOTS },
+      pools: {
+        [POOL]: { dataCentres: [DATA_CENTRE], endpointsCount: 1, ...SLOTS },
+      },
     },
   },
 });
-const directory = new StubDirectory();
-const daemon = createDaemon(settings, {
-  config,
-  directory,
-  log: new JsonLogger({ level: "warn" }),
-});
 const bound = await daemon.listen();
 if (options.upstreamPort !== undefined) {
   daemon.attachUpstream({
--- a/bench/hop/fleet_daemons.ts
+++ b/bench/hop/fleet_daemons.ts
@@ -1,20 +1,23 @@
 /** Two fleet daemons of one build, and the upstream beside the second. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
+import {
+  CONTROL_PORT,
+  DAEMON_NODE_FLAGS,
+  OUTBOUND_PORT,
+  writeDaemonSettings,
+} from "../../platform/testing/daemon_settings.ts";
+import { sendHeartbeat } from "../../platform/testing/send_heartbeat.ts";
 import type {
   ProgramGroup,
   StartedProgram,
 } from "../../stand_ins/program_group.ts";
 
-/** Limits of the heap, as in the deploy file. */
-const NODE_FLAGS = ["--max-old-space-size=160", "--max-semi-space-size=16"];
-const OUTBOUND_PORT = 8_304;
-const CONTROL_PORT = 8_306;
 const READY_POLL_MS = 50;
 const START_MAX_MS = 15_000;
 const SLOTS_COUNT = 39;
@@ -49,62 +52,27 @@
 };
 
 function startDaemon(options: DaemonOptions): ChildProcess {
-  const { ip, name } = options;
-  const file = join(mkdtempSync(join(tmpdir(), "bench-")), "settings.jsonc");
-  const platformFields = {
-    node: name,
-    ip,
-    zone: "a",
-    service: options.pool,
-    app_addr: `127.0.0.1:${options.upstreamPort}`,
-    listen: {
-      outbound: `${ip}:${OUTBOUND_PORT}`,
-      inbound: `${ip}:8300`,
-      ready: `${ip}:8302`,
-      control: `${ip}:${CONTROL_PORT}`,
-    },
+  const { name } = options;
+  const file = writeDaemonSettings(mkdtempSync(join(tmpdir(), "bench-")), {
+    ...options,
     heartbeat: "600s",
-    platform: { address: `127.0.0.1:${options.storePort}` },
-    bounds: {
-      drain: "100ms",
-      grace: "500ms",
-      retry_budget_ratio: 0.2,
-      budget_window: "10s",
-      budget_slack: 48,
-    },
-  };
-  writeFileSync(
-    file,
-    JSON.stringify({ logLevel: "info", metricsPort: 7621, platformFields }),
-  );
+    drain: "100ms",
+    grace: "500ms",
+  });
   const profileFlags = options.profileFolder === undefined ? [] : [
     "--cpu-prof",
     `--cpu-prof-dir=${options.profileFolder}`,
     `--cpu-prof-name=${name}.cpuprofile`,
   ];
   const main = join(options.build, "platform/main.js");
-  return spawn(process.execPath, [...NODE_FLAGS, ...profileFlags, main], {
-    env: { ...process.env, GOLDCRESTRELAY_CONFIG: file },
-    stdio: ["ignore", "ignore", "inherit"],
-  });
-}
-
-async function sendHeartbeat(ip: string, pool: string, port: number) {
-  const id = `i-${pool}`;
-  const answer = await fetch(
-    `http://${ip}:${CONTROL_PORT}/v1/rpc?call=instances.heartbeat&of=${id}`,
+  return spawn(
+    process.execPath,
+    [...DAEMON_NODE_FLAGS, ...profileFlags, main],
     {
-      method: "POST",
-      headers: { connection: "close" },
-      body: JSON.stringify({
-        address: `127.0.0.1:${port}`,
-        born: 1,
-        info: { service: pool, version: "v1", zone: "a", slots: SLOTS_COUNT },
-        status: { state: "ready", sequence: 1, cold_remaining: "0ms" },
-      }),
+      env: { ...process.env, GOLDCRESTRELAY_CONFIG: file },
+      stdio: ["ignore", "ignore", "inherit"],
     },
   );
-  await answer.text();
 }
 
 /** Repeats an operation until it returns true; throws after 15 s. */
@@ -154,8 +122,15 @@
     })
   );
   for (const [position, pool] of pools.entries()) {
+    const address = { host: ips[position] as string, port: CONTROL_PORT };
     await retry(async () => {
-      await sendHeartbeat(ips[position] as string, pool, port);
+      await sendHeartbeat(address, {
+        id: `i-${pool}`,
+        pool,
+        dataCentre: "a",
+        upstreamPort: port,
+        slots: SLOTS_COUNT,
+      });
       return true;
     });
   }
--- a/src/proxy/odd_status_test.ts
+++ b/src/proxy/odd_status_test.ts
@@ -4,6 +4,7 @@
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
+import { ODD_STATUSES } from "../testing/odd_statuses.ts";
 import { waitFor } from "../testing/wait_for.ts";
 import type { Failure, ForwardRequest } from "./answer_receiver.ts";
 import { HttpUpstreamClient } from "./upstream_client.ts";
@@ -57,22 +58,10 @@
   });
 }
 
-const STATUSES = [
-  "000",
-  "00",
-  "0",
-  "099",
-  "600",
-  "999",
-  "1000",
-  "2x0",
-  "abc",
-];
-
 // Guards against a caller that takes such bytes for an answer, or that waits
 // until its deadline, and against a connection that is used for another request.
 for (
-  const [status, body] of STATUSES.flatMap((status) =>
+  const [status, body] of ODD_STATUSES.flatMap((status) =>
     [[status, "body"], [status, ""]] as const
   )
 ) {
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -5,7 +5,7 @@
 import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
-import { MsEvents } from "./ms_events.ts";
+import { VirtualSchedule } from "../../bench/membership/virtual_schedule.ts";
 import { type CapNetwork, SimulatedCapDaemon } from "./simulated_cap_daemon.ts";
 
 /** Options of {@link CapSimulation}. */
@@ -31,7 +31,7 @@
 export class CapSimulation {
   readonly #options: CapSimulationOptions;
   readonly random: RandomSource;
-  readonly #events = new MsEvents();
+  readonly #events = new VirtualSchedule();
   readonly #daemons: SimulatedCapDaemon[] = [];
   readonly #byName = new Map<string, SimulatedCapDaemon>();
   /** Side of the partition by daemon; 0 without a partition. */
@@ -83,14 +83,14 @@
     return this.#events.nowMs;
   }
 
-  /** Calls a function at a time in the future. */
+  /** Calls a function at a whole ms in the future. */
   at(atMs: number, action: () => void): void {
-    this.#events.at(atMs, action);
+    this.#events.at(Math.max(Math.ceil(atMs), this.nowMs + 1), action);
   }
 
   /** Runs until a time. */
   run(untilMs: number): void {
-    this.#events.run(untilMs);
+    this.#events.runUntil(untilMs);
   }
 
   /** Sends a request of a tenant to a daemon. */
