--- a/src/decisions/caps/cap_owner.ts
+++ b/src/decisions/caps/cap_owner.ts
@@ -18,6 +18,8 @@
 /** Time after which a member that is not heard of is forgotten. */
 const FORGET_MS = 60_000;
 
+/** Time that is told to members while this owner has no bucket of the tenant. */
+const NO_BUCKET_ROOM_MS = 1_000;
 /** Time without a tick after which ended leases are looked for. */
 const TICK_MISSING_MAX_MS = 300;
 
@@ -34,12 +36,6 @@
   membersCount: number;
 };
 
-/** Numbers of tokens since the start of an owner. */
-export type OwnerCounts = {
-  readonly grantedCount: number;
-  readonly creditedCount: number;
-};
-
 /**
  * Answers asks for tokens. Each member leases its share (one of all members) of
  * a tenant's rate to one owner at a time; an owner earns only what is leased to
@@ -52,19 +48,15 @@
   #membersCount = 1;
   #tickedAtMs = -Infinity;
   #grantedCount = 0;
-  #creditedCount = 0;
 
   /** Tenants of which at least one member uses this owner. */
   get ownedCount(): number {
     return this.#buckets.size;
   }
 
-  /** Numbers of tokens since the start. */
-  get counts(): OwnerCounts {
-    return {
-      grantedCount: this.#grantedCount,
-      creditedCount: this.#creditedCount,
-    };
+  /** Number of granted tokens since the start. */
+  get grantedCount(): number {
+    return this.#grantedCount;
   }
 
   /**
@@ -168,7 +160,6 @@
 
   #credit({ tenants }: CapAsk, nowMs: number): void {
     for (const { tenantName, returnedCount, carriedCount } of tenants) {
-      this.#creditedCount += returnedCount;
       this.#buckets.get(tenantName)
         ?.credit(returnedCount + carriedCount, nowMs);
     }
@@ -265,7 +256,9 @@
       tenantName,
       grantedCount: taken + prefetched,
       deniedCount,
-      roomInMs: deniedCount > 0 ? bucket?.roomInMs(deniedCount) ?? 1_000 : 0,
+      roomInMs: deniedCount > 0
+        ? bucket?.roomInMs(deniedCount) ?? NO_BUCKET_ROOM_MS
+        : 0,
       carriedCount: 0,
     };
   }
--- a/src/decisions/caps/lease_book.ts
+++ b/src/decisions/caps/lease_book.ts
@@ -63,11 +63,6 @@
     return true;
   }
 
-  /** Sends the list again: the owner may have lost it. */
-  repeatList(): void {
-    this.#isAcknowledged = false;
-  }
-
   /** Gives up telling an owner that cannot be reached. */
   giveUp(): void {
     if (this.#leased.size === 0) {
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -19,6 +19,8 @@
  * expire, and a small cap would be spread over many daemons.
  */
 const STOCK_DEMAND_MIN_PER_S = 8;
+/** Minimum time between two wishes for the stock. */
+const PREFETCH_INTERVAL_MS = 100;
 /** Time without prefetching after an owner has granted less than was wanted. */
 const PREFETCH_PAUSE_MS = 500;
 /** Minimum time until an owner that had no token is asked again. */
@@ -223,7 +225,7 @@
       return undefined;
     }
     if (prefetchCount > 0) {
-      this.#prefetchAtMs = nowMs + 100;
+      this.#prefetchAtMs = nowMs + PREFETCH_INTERVAL_MS;
     }
     const { tenantName } = this;
     return {
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -3,13 +3,14 @@
 import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { ChannelTable } from "./channel_table.ts";
 import type { AnswerSender, RoutedRequest } from "./routed_request.ts";
-import type { UsageCapGate, UsageDecision } from "./usage_cap_gate.ts";
+import type { UsageCapGate } from "./usage_cap_gate.ts";
 import type {
   ForwardFailure,
   RequestHandle,
@@ -285,7 +286,7 @@
     this.#end("cancelled");
   }
 
-  #onUsageDecision(decision: UsageDecision, hasWaited: boolean): void {
+  #onUsageDecision(decision: CapDecision, hasWaited: boolean): void {
     if (!decision.isAdmitted) {
       const { retryAfterMs } = decision;
       this.#machine.send("turnedAway", { kind: "usage_capped", retryAfterMs });
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ResultReceiver } from "../link/upstream_channel.ts";
 import { type ExchangeParts, ForwardedExchange } from "./forwarded_exchange.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import type { UsageDecision } from "./usage_cap_gate.ts";
 
 const REQUEST = {
   requestId: "a",
@@ -59,7 +59,7 @@
 /** Starts a request of a tenant whose usage cap decides later. */
 function startWaiting({ expiresInMs = 1_000, recheck = "" } = {}) {
   const events: string[] = [];
-  let decide: (decision: UsageDecision) => void = () => {};
+  let decide: (decision: CapDecision) => void = () => {};
   const parts = {
     channels: { choose: () => void events.push("chosen") },
     budget: { recordRequest: () => {} },
@@ -91,7 +91,7 @@
   return {
     events,
     exchange,
-    decide: (decision: UsageDecision) => decide(decision),
+    decide: (decision: CapDecision) => decide(decision),
   };
 }
 
--- a/src/fleet/usage_cap_gate.ts
+++ b/src/fleet/usage_cap_gate.ts
@@ -1,13 +1,5 @@
 /** Extension point for the usage caps of tenants. */
-
-/** Decision on one request of a tenant. */
-export type UsageDecision =
-  | { isAdmitted: true }
-  | {
-    isAdmitted: false;
-    /** Time after which the tenant has capacity again, in ms. */
-    retryAfterMs: number;
-  };
+import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 
 /** Decides which requests of a tenant its usage cap admits. */
 export interface UsageCapGate {
@@ -22,7 +14,7 @@
    */
   admit(
     tenantName: string,
-    onDecision: (decision: UsageDecision) => void,
+    onDecision: (decision: CapDecision) => void,
   ): () => void;
 }
 
@@ -31,7 +23,7 @@
   /** @inheritdoc */
   admit(
     _tenantName: string,
-    onDecision: (decision: UsageDecision) => void,
+    onDecision: (decision: CapDecision) => void,
   ): () => void {
     onDecision({ isAdmitted: true });
     return () => {};
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -7,6 +7,7 @@
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
 import type { CandidateView } from "../decisions/caps/owner_pointer.ts";
+import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import {
   decodeUsageAsk,
   decodeUsageGrant,
@@ -15,7 +16,7 @@
 } from "../link/usage_frames.ts";
 import type { FleetTenant, MemberRecord } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
-import type { UsageCapGate, UsageDecision } from "./usage_cap_gate.ts";
+import type { UsageCapGate } from "./usage_cap_gate.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
 
 /**
@@ -122,7 +123,7 @@
     return {
       usageCapRefusalsCount: refusedCount,
       usageTokensRequestedCount: requestedCount,
-      usageTokensGrantedCount: this.#owner.counts.grantedCount,
+      usageTokensGrantedCount: this.#owner.grantedCount,
       usageTokensReturnedCount: returnedCount,
       usageOwnersCount: this.#asker.owners.size,
       usageTenantsOwnedCount: this.#owner.ownedCount,
@@ -132,15 +133,13 @@
   /** @inheritdoc */
   admit(
     tenantName: string,
-    onDecision: (decision: UsageDecision) => void,
+    onDecision: (decision: CapDecision) => void,
   ): () => void {
-    if (!this.#tenantNames.has(tenantName)) {
-      onDecision({ isAdmitted: true });
-      return () => {};
-    }
+    let isDecided = false;
     const cancel = this.#asker.admit(
       tenantName,
       (decision) => {
+        isDecided = true;
         if (!decision.isAdmitted) {
           this.#log.recordRefusal(tenantName, performance.now());
         }
@@ -148,7 +147,9 @@
       },
       performance.now(),
     );
-    this.#scheduleStep();
+    if (!isDecided) {
+      this.#scheduleStep();
+    }
     return cancel;
   }
 
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { SeededRandom } from "../core/random.ts";
+import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { FleetTenant } from "../schemas/fleet_schema.ts";
 import { type Logger, NullLogger } from "../telemetry/logger.ts";
 import { waitFor } from "../testing/wait_for.ts";
-import type { UsageDecision } from "./usage_cap_gate.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
 import { FleetUsageCaps } from "./usage_caps.ts";
 
@@ -71,7 +71,7 @@
 function admit(
   daemon: FleetUsageCaps,
   tenantName = TENANT.name,
-): Promise<UsageDecision> {
+): Promise<CapDecision> {
   return new Promise((resolve) => daemon.admit(tenantName, resolve));
 }
 
