--- a/src/decisions/fleet_routes.ts
+++ b/src/decisions/fleet_routes.ts
@@ -19,6 +19,8 @@
   readonly config: FleetConfig;
   /** Tenants by key; undefined when no request needs a key. */
   readonly tenants: TenantKeys | undefined;
+  /** Least important priority of a route or tenant; 0 is the most important. */
+  readonly lowestPriority: number;
   readonly #byHost = new Map<string, FleetRoute[]>();
   readonly #byName = new Map<string, FleetRoute>();
   readonly #splits = new Map<string, SplitState>();
@@ -29,6 +31,10 @@
   constructor(config: FleetConfig) {
     this.config = config;
     this.tenants = config.tenants && new TenantKeys(config.tenants);
+    this.lowestPriority = [...config.routes, ...config.tenants ?? []].reduce(
+      (lowest, { priority = 0 }) => Math.max(lowest, priority),
+      0,
+    );
     for (const route of config.routes) {
       const list = this.#byHost.get(route.host) ?? [];
       list.push(route);
--- a/src/decisions/sharing/entry_levels.ts
+++ b/src/decisions/sharing/entry_levels.ts
@@ -15,10 +15,10 @@
    */
   readonly offered: readonly number[];
   /**
-   * The same by flow: the flows of each class, with their offered runs. Without
-   * it, all requests of a class are admitted alike.
+   * Returns the offered runs of a class by flow. It is called only for a class
+   * that is admitted in part; without it, all of its requests are admitted alike.
    */
-  readonly flows?: readonly (FlowDemands | undefined)[] | undefined;
+  readonly demandsOf?: (priority: number) => FlowDemands;
 };
 
 /** Request that a pool admits or refuses. */
@@ -134,10 +134,10 @@
  */
 function flowRatiosFor(
   level: number,
-  { offered, flows }: PoolLoad,
+  { offered, demandsOf }: PoolLoad,
 ): ReadonlyMap<string, number> | undefined {
   const priority = Math.floor(level);
-  const demands = flows?.[priority];
+  const demands = priority < offered.length ? demandsOf?.(priority) : undefined;
   if (demands === undefined || demands.size < 2) {
     return undefined;
   }
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -2,7 +2,11 @@
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
-import { OfferedRequests } from "../decisions/sharing/offered_requests.ts";
+import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
+import {
+  type OfferedFlow,
+  OfferedRequests,
+} from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
@@ -22,14 +26,6 @@
   log: Logger;
 };
 
-/** Runs that are offered to a pool. */
-type OfferedRuns = {
-  /** Offered runs of each class. */
-  readonly byClass: number[];
-  /** The same by flow. */
-  readonly flows: Map<string, number>[];
-};
-
 /** Tenant and rank of a request; without them, those of its route apply. */
 export type RequestRank = {
   readonly priority?: number;
@@ -42,11 +38,18 @@
  */
 type RunsByPool = ReadonlyMap<string, number>;
 
-function createOfferedRuns(classesCount: number): OfferedRuns {
-  return {
-    byClass: new Array<number>(classesCount).fill(0),
-    flows: Array.from({ length: classesCount }, () => new Map()),
-  };
+function classesCountOf({ lowestPriority }: FleetRoutes): number {
+  return Math.min(CLASSES_MAX_COUNT, lowestPriority + 1);
+}
+
+/** Class of a flow; undefined when its route does not exist any more. */
+function classOf(
+  { routeName, ownPriority }: OfferedFlow,
+  routes: FleetRoutes,
+): number | undefined {
+  const route = routes.route(routeName);
+  return route &&
+    Math.min(ownPriority ?? route.priority, classesCountOf(routes) - 1);
 }
 
 /**
@@ -134,12 +137,12 @@
     const offered = this.#offeredByPool(routes);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
-      const runs = offered.get(name);
-      if (busyRatio !== undefined && runs !== undefined) {
+      const offeredRuns = offered.get(name);
+      if (busyRatio !== undefined && offeredRuns !== undefined) {
         const level = this.#levels.step(name, {
           busyRatio,
-          offered: runs.byClass,
-          flows: runs.flows,
+          offered: offeredRuns,
+          demandsOf: (priority) => this.#demandsOf(name, priority, routes),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
@@ -147,35 +150,41 @@
     this.#offered.decay();
   }
 
-  #offeredByPool(routes: FleetRoutes): Map<string, OfferedRuns> {
-    const { config } = routes;
-    const priorityMax = [...config.routes, ...config.tenants ?? []].reduce(
-      (max, { priority = 0 }) => Math.max(max, priority),
-      0,
-    );
-    const classesCount = Math.min(CLASSES_MAX_COUNT, priorityMax + 1);
-    const offered = new Map<string, OfferedRuns>();
-    for (const { name, routeName, ownPriority, count } of this.#offered.flows) {
-      const route = routes.route(routeName);
-      if (route === undefined) {
-        this.#offered.delete(name);
+  #offeredByPool(routes: FleetRoutes): Map<string, number[]> {
+    const classesCount = classesCountOf(routes);
+    const offered = new Map<string, number[]>();
+    for (const flow of this.#offered.flows) {
+      const priority = classOf(flow, routes);
+      if (priority === undefined) {
+        this.#offered.delete(flow.name);
         continue;
       }
-      const priority = Math.min(
-        ownPriority ?? route.priority,
-        classesCount - 1,
-      );
-      for (const [pool, runs] of this.#runsByPool(routeName)) {
-        const { byClass, flows } = offered.get(pool) ??
-          createOfferedRuns(classesCount);
-        byClass[priority]! += count * runs;
-        flows[priority]!.set(name, count * runs);
-        offered.set(pool, { byClass, flows });
+      for (const [pool, runs] of this.#runsByPool(flow.routeName)) {
+        const byClass = offered.get(pool) ??
+          new Array<number>(classesCount).fill(0);
+        byClass[priority]! += flow.count * runs;
+        offered.set(pool, byClass);
       }
     }
     return offered;
   }
 
+  /** Runs that the flows of a class offer to a pool. */
+  #demandsOf(
+    pool: string,
+    priority: number,
+    routes: FleetRoutes,
+  ): FlowDemands {
+    const demands = new Map<string, number>();
+    for (const flow of this.#offered.flows) {
+      const runs = this.#runsByPool(flow.routeName).get(pool);
+      if (runs !== undefined && classOf(flow, routes) === priority) {
+        demands.set(flow.name, flow.count * runs);
+      }
+    }
+    return demands;
+  }
+
   #runsByPool(routeName: string): RunsByPool {
     const cached = this.#runsByPoolOfRoute.get(routeName);
     if (cached !== undefined) {
--- a/src/telemetry/tenant_latencies.ts
+++ b/src/telemetry/tenant_latencies.ts
@@ -1,5 +1,6 @@
 /** Latencies of the requests of callers by tenant and priority class. */
 import { LatencyHistogram } from "./latency_histogram.ts";
+import { OTHER_TENANTS } from "./request_metrics.ts";
 import { summaryLines } from "./summary_lines.ts";
 
 /**
@@ -9,7 +10,6 @@
 const SERIES_MAX_COUNT = 128;
 /** Classes with their own series; all less important ones share the last. */
 const CLASSES_MAX_COUNT = 8;
-const OTHER_TENANTS = "other_tenants";
 const METRIC = "goldcrest_fleet_tenant_latency_ms";
 
 type Series = {
