--- a/src/decisions/memory/machine_bounds.ts
+++ b/src/decisions/memory/machine_bounds.ts
@@ -22,6 +22,8 @@
  * for links, listeners and files.
  */
 const UPSTREAM_RATIO = 0.2;
+/** Bound on those; the open requests are already limited by the slots. */
+const UPSTREAM_MAX_COUNT = 2_000;
 
 /** Limits of the machine; undefined for those that are not stated. */
 export type MachineLimits = {
@@ -62,6 +64,6 @@
       Math.floor((memoryMaxBytes - OWN_MEMORY_BYTES) * HELD_RATIO),
     ),
     callersMaxCount: portion(CALLERS_RATIO),
-    upstreamMaxCount: portion(UPSTREAM_RATIO),
+    upstreamMaxCount: Math.min(UPSTREAM_MAX_COUNT, portion(UPSTREAM_RATIO)),
   };
 }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -1,9 +1,7 @@
 /** Daemon on a deployment platform: constructs its parts and connects them. */
 import type { Stream } from "most";
-import { SystemClock } from "../core/clock.ts";
 import { EventLoop } from "../core/event_loop.ts";
 import type { RandomSource } from "../core/random.ts";
-import { timerStream } from "../core/timer_stream.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/peer_link.ts";
@@ -12,7 +10,12 @@
 import { errorFields, type Logger } from "../telemetry/logger.ts";
 import { type CallerLimits, createCallerLimits } from "./caller_limits.ts";
 import { ConfigFollower } from "./config_follower.ts";
+import { ControlTick } from "./control_tick.ts";
 import { createOutboundService } from "./create_outbound_service.ts";
+import {
+  createUpstreamParts,
+  type UpstreamParts,
+} from "./create_upstream_parts.ts";
 import { DaemonLinkHost } from "./daemon_link_host.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EntryAdmission } from "./entry_admission.ts";
@@ -21,36 +24,23 @@
   FleetDaemonLifecycle,
 } from "./fleet_daemon_lifecycle.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
-import { FleetListeners } from "./fleet_listeners.ts";
+import {
+  createFleetListeners,
+  type FleetListeners,
+} from "./fleet_listeners.ts";
 import { readGauges } from "./read_gauges.ts";
 import { LocalUpstreamChannel } from "./local_upstream_channel.ts";
-import { LocalUpstream } from "./local_upstream.ts";
 import { MemberDirectory } from "./member_directory.ts";
 import { OutboundListener } from "./outbound_listener.ts";
 import type { OutboundService } from "./outbound_service.ts";
 import { ChannelTable } from "./channel_table.ts";
-import { ControlListener } from "./control_listener.ts";
 import { StatePublisher } from "./state_publisher.ts";
 import { StopSequence } from "./stop_sequence.ts";
 import { createTenantAccess, type TenantAccess } from "./tenant_access.ts";
 import { UpstreamAnnouncements } from "./upstream_announcements.ts";
-import { UpstreamGate } from "./upstream_gate.ts";
-import { UpstreamHttpClient } from "./upstream_http_client.ts";
 import type { UpstreamSignals } from "./upstream_signals.ts";
 import { WatchElection } from "./watch_election.ts";
 
-/** Control interval. */
-const TICK_MS = 100;
-/** Interval at which the latency histograms are rotated. */
-const METRICS_INTERVAL_MS = 30_000;
-/** A tick that is later than this shows that the process was stalled. */
-const STALL_MIN_MS = 250;
-/**
- * Maximum connections to the local upstream. It bounds the file descriptors;
- * the number of open requests is already limited by the slots.
- */
-const CONNECTIONS_MAX_COUNT = 2_000;
-
 /** Options of {@link FleetDaemon}. */
 export type FleetDaemonOptions = {
   platform: FleetPlatform;
@@ -67,9 +57,7 @@
   readonly #lifecycle: FleetDaemonLifecycle;
   readonly #stopSequence: StopSequence;
   readonly #config: ConfigFollower;
-  readonly #upstream: LocalUpstream;
-  readonly #upstreamClient: UpstreamHttpClient;
-  readonly #gate: UpstreamGate;
+  readonly #upstreamParts: UpstreamParts;
   readonly #publisher: StatePublisher;
   readonly #directory: MemberDirectory;
   readonly #watchElection: WatchElection;
@@ -86,8 +74,6 @@
   readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
   readonly #callerLimits: CallerLimits;
-  #lastTickAtMs = performance.now();
-  #metricsRotatedAtMs = performance.now();
 
   /**
    * @param settings Validated settings.
@@ -111,29 +97,17 @@
       log,
       onApplied: () => this.#onConfig(),
     });
-    this.#upstream = this.#createUpstream();
-    this.#upstreamClient = new UpstreamHttpClient(
-      settings.upstream,
-      platform.headers,
-      {
-        connectionsMaxCount: Math.min(
-          CONNECTIONS_MAX_COUNT,
-          this.#callerLimits.upstreamConnectionsMaxCount,
-        ),
-        isIdempotent: (routeName) =>
-          this.#config.routes?.route(routeName)?.idempotent ?? false,
-        onMisdirected: () => this.#upstream.markReplaced(),
-        onSignals: (signals) => this.#onSignals(signals),
-      },
-    );
-    this.#gate = new UpstreamGate({
-      upstream: this.#upstream,
-      client: this.#upstreamClient,
-      heartbeatMs: settings.heartbeatMs,
+    this.#upstreamParts = createUpstreamParts({
+      settings,
+      platform,
       observer: this.#callObserver,
       decisions,
       log,
-      requestIdHeader: platform.headers.requestId,
+      connectionsMaxCount: this.#callerLimits.upstreamConnectionsMaxCount,
+      isIdempotent: (routeName) =>
+        this.#config.routes?.route(routeName)?.idempotent ?? false,
+      onSignals: (signals) => this.#onSignals(signals),
+      onServingChanged: () => this.#publisher.publish(),
     });
     this.#watchElection = new WatchElection({
       directory: () => this.#directory,
@@ -161,7 +135,7 @@
       config: this.#config,
       currency: this.#access.currency,
       usageCaps: this.#access.usage,
-      gate: this.#gate,
+      gate: this.#upstreamParts.gate,
       graph: this.#callGraph,
       publisher: this.#publisher,
       directory: () => this.#directory,
@@ -180,7 +154,7 @@
       settings,
       platform,
       config: this.#config,
-      gate: this.#gate,
+      gate: this.#upstreamParts.gate,
       graph: this.#callGraph,
       observer: this.#callObserver,
       admission: this.#admission,
@@ -198,17 +172,17 @@
     );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
-      upstream: this.#upstream,
-      client: this.#upstreamClient,
+      upstream: this.#upstreamParts.upstream,
+      client: this.#upstreamParts.client,
       directory: this.#directory,
       log,
     });
     this.#metrics = new FleetMetrics(() =>
       readGauges({
         config: this.#config,
-        upstream: this.#upstream,
+        upstream: this.#upstreamParts.upstream,
         directory: this.#directory,
-        gate: this.#gate,
+        gate: this.#upstreamParts.gate,
         watchElection: this.#watchElection,
         platform,
         graph: this.#callGraph,
@@ -217,7 +191,13 @@
         callerMemory: this.#callerLimits.memory,
         callerConnectionsCount: () => this.#outboundListener.connectionsCount,
       }), (reason) => this.#callerLimits.refusals.countOf(reason));
-    this.#listeners = this.#createListeners();
+    this.#listeners = createFleetListeners({
+      link: this.#linkServer,
+      outbound: this.#outboundListener,
+      lifecycle: this.#lifecycle,
+      announcements: this.#announcements,
+      metrics: this.#metrics,
+    });
     this.#registerParts();
   }
 
@@ -265,11 +245,12 @@
     this.#listeners.close();
     this.#access.usage.close();
     this.#directory.close();
-    await this.#upstreamClient.close();
+    await this.#upstreamParts.client.close();
   }
 
   get #openCount(): number {
-    return this.#outboundListener.openCount + this.#gate.openCount;
+    return this.#outboundListener.openCount +
+      this.#upstreamParts.gate.openCount;
   }
 
   #createLifecycle(): FleetDaemonLifecycle {
@@ -294,34 +275,17 @@
       openCount: () => this.#openCount + this.#linkServer.unsentCount,
       closeIdle: () => this.#outboundListener.closeIdle(),
       refuseNew: (endsAtMs) => {
-        this.#gate.stop();
+        this.#upstreamParts.gate.stop();
         this.#outboundService.stop(endsAtMs);
         this.#publisher.publish();
       },
     });
   }
 
-  #createUpstream(): LocalUpstream {
-    return new LocalUpstream({
-      log: this.#options.log,
-      clock: new SystemClock(),
-      listener: {
-        onServing: () => {
-          this.#gate.updateLimit();
-          this.#publisher.publish();
-        },
-        onNotServing: () => {
-          this.#gate.refuseWaiting();
-          this.#publisher.publish();
-        },
-      },
-    });
-  }
-
   #createPublisher(): StatePublisher {
     return new StatePublisher({
-      upstream: this.#upstream,
-      gate: this.#gate,
+      upstream: this.#upstreamParts.upstream,
+      gate: this.#upstreamParts.gate,
       observer: this.#callObserver,
       peers: () => this.#linkServer,
       configVersion: () => this.#config.version,
@@ -344,7 +308,7 @@
     this.#channels.add(
       new LocalUpstreamChannel({
         member: ownRecord,
-        gate: this.#gate,
+        gate: this.#upstreamParts.gate,
         readState: () => this.#publisher.state,
       }),
     );
@@ -358,68 +322,37 @@
       onOwnChange: (record) => this.#linkServer.broadcastOwnRecord(record),
       onOwnRecord: ({ leftUpstream }) => {
         if (leftUpstream !== undefined) {
-          this.#upstream.restoreDeparture(leftUpstream);
+          this.#upstreamParts.upstream.restoreDeparture(leftUpstream);
         }
       },
     });
   }
 
-  #createListeners(): FleetListeners {
-    return new FleetListeners({
-      link: this.#linkServer,
-      outbound: this.#outboundListener,
-      readiness: new ControlListener(() => ({
-        status: this.#lifecycle.isReady ? 200 : 503,
-        body: JSON.stringify({ state: this.#lifecycle.stateName }),
-      })),
-      announcements: new ControlListener((request) =>
-        this.#announcements.handle(request)
-      ),
-      metrics: new ControlListener(async () => ({
-        status: 200,
-        contentType: "text/plain; version=0.0.4",
-        body: await this.#metrics.text(),
-      })),
-    });
-  }
-
   #registerParts(): void {
     this.#loop.register(this.#lifecycle);
     this.#loop.register(this.#config);
     this.#loop.register(this.#access.currency);
     this.#loop.register(this.#directory);
-    this.#loop.register({
-      name: "tick",
-      inputs: timerStream(TICK_MS),
-      handle: (nowMs: number) => this.#tick(nowMs),
-    });
-  }
-
-  #tick(nowMs: number): void {
-    const lateMs = nowMs - this.#lastTickAtMs - TICK_MS;
-    const stalledMs = lateMs > STALL_MIN_MS ? lateMs : 0;
-    this.#lastTickAtMs = nowMs;
-    this.#linkHost.tick(nowMs, stalledMs);
-    this.#directory.tick(nowMs, stalledMs);
-    this.#linkServer.tick(nowMs, stalledMs);
-    this.#watchElection.tick(nowMs);
-    this.#access.currency.tick();
-    this.#access.usage.tick(nowMs);
-    this.#outboundListener.tick(nowMs);
-    this.#gate.tick(nowMs);
-    if (this.#config.routes !== undefined) {
-      this.#admission.step(this.#config.routes);
-    }
-    this.#publisher.tick(nowMs);
-    if (nowMs - this.#metricsRotatedAtMs >= METRICS_INTERVAL_MS) {
-      this.#metricsRotatedAtMs = nowMs;
-      this.#metrics.rotate();
-    }
-    this.#stopSequence.tick(nowMs);
+    this.#loop.register(
+      new ControlTick({
+        linkHost: this.#linkHost,
+        directory: this.#directory,
+        linkServer: this.#linkServer,
+        watchElection: this.#watchElection,
+        access: this.#access,
+        outboundListener: this.#outboundListener,
+        gate: this.#upstreamParts.gate,
+        config: this.#config,
+        admission: this.#admission,
+        publisher: this.#publisher,
+        metrics: this.#metrics,
+        stopSequence: this.#stopSequence,
+      }),
+    );
   }
 
   #onSignals(signals: UpstreamSignals): void {
-    this.#gate.applySignals(signals);
+    this.#upstreamParts.gate.applySignals(signals);
     if (signals.isLeaving) {
       this.#announcements.markLeaving(signals.upstreamId);
     }
@@ -436,7 +369,9 @@
     this.#lifecycle.notify("configured");
     const { pool } = this.#settings;
     const own = config.pools.find(({ name }) => name === pool);
-    if (own !== undefined && this.#upstream.report === undefined) {
+    if (
+      own !== undefined && this.#upstreamParts.upstream.report === undefined
+    ) {
       this.#announcements.checkHealth(pool, own.healthPath).catch((error) =>
         this.#options.log.warn("Health check failed", errorFields(error))
       );
--- a/src/fleet/fleet_listeners.ts
+++ b/src/fleet/fleet_listeners.ts
@@ -1,8 +1,11 @@
 /** Listeners of a daemon on a deployment platform. */
 import type { LinkServer } from "../link/link_server.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
-import type { ControlListener } from "./control_listener.ts";
+import type { FleetMetrics } from "../telemetry/fleet_metrics.ts";
+import { ControlListener } from "./control_listener.ts";
+import type { FleetDaemonLifecycle } from "./fleet_daemon_lifecycle.ts";
 import type { OutboundListener } from "./outbound_listener.ts";
+import type { UpstreamAnnouncements } from "./upstream_announcements.ts";
 
 /** The listeners by what they serve. */
 export type FleetListenersOptions = {
@@ -56,3 +59,37 @@
     link.close();
   }
 }
+
+/** Parts of the daemon that its listeners serve. */
+export type ServedParts = Pick<FleetListenersOptions, "link" | "outbound"> & {
+  lifecycle: FleetDaemonLifecycle;
+  announcements: UpstreamAnnouncements;
+  metrics: FleetMetrics;
+};
+
+/**
+ * Creates the listeners of a daemon.
+ *
+ * @param parts What they serve.
+ * @returns Listeners that are not bound yet.
+ */
+export function createFleetListeners(
+  { link, outbound, lifecycle, announcements, metrics }: ServedParts,
+): FleetListeners {
+  return new FleetListeners({
+    link,
+    outbound,
+    readiness: new ControlListener(() => ({
+      status: lifecycle.isReady ? 200 : 503,
+      body: JSON.stringify({ state: lifecycle.stateName }),
+    })),
+    announcements: new ControlListener((request) =>
+      announcements.handle(request)
+    ),
+    metrics: new ControlListener(async () => ({
+      status: 200,
+      contentType: "text/plain; version=0.0.4",
+      body: await metrics.text(),
+    })),
+  });
+}
