--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -16,6 +16,12 @@
 /** The usual rate of a tenant is its cap divided by this. */
 const USUAL_RATIO = 1.6;
 const TRAFFIC_FROM_MS = 12_000;
+const RESTART_AT_MS = 18_000;
+/**
+ * Time after a restart of all daemons at which calm traffic is served again: the
+ * processes are down for 1.2 s at most, and lease after 1.5 s.
+ */
+const RESTART_MAX_MS = 4_000;
 
 /**
  * Random arrivals at the usual rate. All requests of a tenant go to a few
@@ -65,6 +71,7 @@
   ["large", { ratePerS: 256, burstCount: 20, windowMs: 5_000 }],
 ]);
 
+// Guards against refusals below the cap, also soon after a restart of all daemons.
 test("99 of 100 requests below the cap are admitted, with uneven and moving demand", () => {
   fc.assert(
     fc.property(
@@ -72,22 +79,34 @@
         seed: fc.integer(),
         daemonsCount: fc.constantFrom(3, 9, 65, 300),
         dataCentresCount: fc.integer({ min: 1, max: 4 }),
+        isRestarted: fc.boolean(),
       }),
-      (options) => {
+      ({ isRestarted, ...options }) => {
         const simulation = new CapSimulation({
           ...options,
           caps: CALM_CAPS,
           network: CALM_NETWORK,
         });
-        const count = offer(simulation, CALM_CAPS, {
+        offer(simulation, CALM_CAPS, {
           fromMs: TRAFFIC_FROM_MS,
           untilMs: 30_000,
         });
+        if (isRestarted) {
+          simulation.at(
+            RESTART_AT_MS,
+            () =>
+              simulation.restartAll({
+                knownMaxCount: 3,
+                completeAfterMs: 400,
+              }),
+          );
+          simulation.run(RESTART_AT_MS + RESTART_MAX_MS);
+        }
+        const { admittedCount, offeredCount } = simulation;
         simulation.run(31_000);
-        assert.ok(
-          simulation.admittedCount >= 0.99 * count,
-          `${simulation.admittedCount} of ${count}`,
-        );
+        const admitted = simulation.admittedCount - admittedCount;
+        const offered = simulation.offeredCount - offeredCount;
+        assert.ok(admitted >= 0.99 * offered, `${admitted} of ${offered}`);
         for (const [tenantName, cap] of CALM_CAPS) {
           const times = simulation.admittedAtMs(tenantName);
           assert.equal(
--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -8,6 +8,7 @@
   TenantGrant,
 } from "./cap_messages.ts";
 import { LeaseBook } from "./lease_book.ts";
+import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
 import { TenantTokens } from "./tenant_tokens.ts";
 import type { CapDecision } from "./tenant_waiters.ts";
@@ -29,13 +30,10 @@
   view: CandidateView;
   /** Random number of this process. */
   processId: number;
-  /**
-   * Monotonic time from which shares are leased, in ms. The leases of the
-   * process before have ended until then.
-   */
-  leasesFromMs: number;
-  /** Members that the daemon knows, including itself. */
-  membersCount: () => number;
+  /** Monotonic time of the start of the process, in ms. */
+  startedAtMs: number;
+  /** Members that the daemon knows. */
+  members: () => KnownMembers;
   random: RandomSource;
   /** Sends a message to an owner, which may be this daemon. */
   send: (ownerName: string, ask: CapAsk) => void;
@@ -53,6 +51,7 @@
   readonly #options: CapAskerOptions;
   readonly #tenants = new Map<string, TenantTokens>();
   readonly #books = new Map<string, LeaseBook>();
+  readonly #leaseStart: LeaseStart;
   #requestedCount = 0;
   #returnedCount = 0;
   #refusedCount = 0;
@@ -62,6 +61,7 @@
    */
   constructor(options: CapAskerOptions) {
     this.#options = options;
+    this.#leaseStart = new LeaseStart(options.startedAtMs);
   }
 
   /** Numbers since the start. */
@@ -156,8 +156,9 @@
    */
   tick(nowMs: number): void {
     this.#updateBooks(nowMs);
+    const mayLease = this.#leaseStart.mayLease(this.#options.members(), nowMs);
     for (const tenant of this.#tenants.values()) {
-      this.#moveTenant(tenant, nowMs);
+      this.#moveTenant(tenant, mayLease, nowMs);
       tenant.stock.expire(nowMs);
     }
     for (const [ownerName, book] of this.#books) {
@@ -321,12 +322,12 @@
     }
     const sequence = book.nextSequence(nowMs);
     book.open(sequence, { sentAtMs: nowMs, waitingCounts });
-    const { processId, membersCount, send } = this.#options;
+    const { processId, members, send } = this.#options;
     send(ownerName, {
       processId,
       sequence,
       sentAtMs: nowMs,
-      membersCount: membersCount(),
+      membersCount: members().count,
       listNumber: book.listNumber,
       leasedTenants: book.unacknowledged,
       tenants,
@@ -334,7 +335,7 @@
   }
 
   /** Moves a tenant to its owner, and leases the share to it when it may. */
-  #moveTenant(tenant: TenantTokens, nowMs: number): void {
+  #moveTenant(tenant: TenantTokens, mayLease: boolean, nowMs: number): void {
     const { tenantName, pointer } = tenant;
     tenant.checkFormer(this.#options.view, nowMs);
     const isLeased = pointer.owner !== undefined &&
@@ -347,10 +348,7 @@
         pointer.hold(left, book.endsAtMs, book.listNumber);
       }
     }
-    if (
-      pointer.owner !== undefined && nowMs >= this.#options.leasesFromMs &&
-      pointer.mayLease(nowMs)
-    ) {
+    if (pointer.owner !== undefined && mayLease && pointer.mayLease(nowMs)) {
       this.#bookOf(pointer.owner).set(tenantName, true);
     }
   }
--- a/src/decisions/caps/cap_asker_test.ts
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -28,8 +28,8 @@
         isConnected: (name) => this.connected.has(name),
       },
       processId: 1,
-      leasesFromMs: 0,
-      membersCount: () => 3,
+      startedAtMs: -1_500,
+      members: () => ({ count: 3, isComplete: true, isNew: false }),
       random: new SeededRandom(1),
       send: (ownerName, ask) => this.asks.push({ ownerName, ask }),
     });
--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -71,6 +71,7 @@
 type Fault =
   | "restart"
   | "restart two"
+  | "restart all"
   | "pause"
   | "partition"
   | "heal"
@@ -107,6 +108,11 @@
     case "restart two":
       restart(candidate);
       return restart(names[random.nextInt(names.length)]!);
+    case "restart all":
+      return simulation.restartAll({
+        knownMaxCount: 1 + random.nextInt(names.length),
+        completeAfterMs: 100 + random.nextInt(6_000),
+      });
     case "pause":
       return simulation.pause(candidate, 500 + random.nextInt(5_000));
     case "partition": {
@@ -139,6 +145,7 @@
       fault: fc.constantFrom<Fault>(
         "restart",
         "restart two",
+        "restart all",
         "pause",
         "partition",
         "partition",
@@ -187,3 +194,38 @@
     { seed: 12, numRuns: 40 },
   );
 });
+
+// Guards against shares that are divided by the few members that a daemon knows
+// until the store has told it all of them.
+test("the bound holds after a restart of all daemons with incomplete lists of members", () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.boolean(), (seed, isStoreDown) => {
+      const simulation = new CapSimulation({
+        seed,
+        daemonsCount: 12,
+        dataCentresCount: 3,
+        caps: CAPS,
+        network: FAULTY_NETWORK,
+      });
+      for (const [tenantName, cap] of CAPS) {
+        offer(simulation, tenantName, cap);
+      }
+      simulation.at(
+        8_000,
+        () =>
+          simulation.restartAll({
+            knownMaxCount: 6,
+            completeAfterMs: isStoreDown ? END_MS : 4_000,
+          }),
+      );
+      simulation.run(END_MS);
+      for (const [tenantName, cap] of CAPS) {
+        const excess = findExcess(simulation.admittedAtMs(tenantName), [
+          { fromMs: 0, untilMs: Infinity, cap },
+        ]);
+        assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+      }
+    }),
+    { seed: 13, numRuns: 8 },
+  );
+});
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -85,6 +85,7 @@
   #candidateNames: readonly string[] = [];
   #dataCentresCount = 1;
   #hasChanged = false;
+  #isListComplete = false;
   #membersQueriedAtMs = -Infinity;
   /** Era of the store at the last tick; 0 before its first answer. */
   #storeEra = 0;
@@ -125,6 +126,20 @@
     return this.#records.size + 1;
   }
 
+  /**
+   * Whether the watch of the store has delivered the record of this daemon. All
+   * members that were stored before it are then known, too, also when the watch
+   * delivers data that is seconds old.
+   */
+  get isListComplete(): boolean {
+    return this.#isListComplete;
+  }
+
+  /** Whether the store had no record of this daemon before its start. */
+  get isNewMember(): boolean {
+    return this.#registration.isNew;
+  }
+
   /** Record of this daemon, which is also sent to peers. */
   get ownRecord(): MemberRecord {
     return this.#registration.record;
@@ -160,6 +175,7 @@
       return;
     }
     const isOwn = name === this.ownRecord.name;
+    this.#isListComplete ||= isOwn;
     const record = decodeMemberRecord(name, value);
     if (record === undefined) {
       this.#options.log.warn("Entry of a member is not readable", { name });
--- a/src/fleet/own_registration.ts
+++ b/src/fleet/own_registration.ts
@@ -43,6 +43,7 @@
   #storedVersion: number | undefined;
   #writing: Promise<void> | undefined;
   #isRegistered = false;
+  #isNew = false;
   #mayExist = false;
   #checksCount = 0;
   #writeAtMs = 0;
@@ -76,6 +77,11 @@
     return this.#isRegistered;
   }
 
+  /** Whether the store had no record of this daemon before its start. */
+  get isNew(): boolean {
+    return this.#isNew;
+  }
+
   /**
    * Handles the stored record of this daemon.
    *
@@ -190,6 +196,9 @@
     }
     const record = this.#record;
     const checksCount = this.#checksCount;
+    const isFirstWrite = this.#storedVersion === undefined && !this.#mayExist;
+    // The watch may deliver the record before the answer arrives.
+    this.#isNew ||= isFirstWrite;
     const result = await this.#options.store.put(
       { kind: MEMBER_KIND, name: record.name, value: record },
       { expectedVersion: this.#storedVersion ?? "absent" },
@@ -206,6 +215,7 @@
     }
     // Another version is stored, by an earlier process or by an earlier write
     // whose answer was lost. The next tick writes the record if it differs.
+    this.#isNew &&= !isFirstWrite;
     this.#storedVersion = undefined;
     this.#mayExist = true;
     this.#writeAtMs = 0;
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -19,12 +19,6 @@
 import type { UsageCapGate } from "./usage_cap_gate.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
 
-/**
- * Time after the start in which this daemon leases no share. The leases of its
- * former process have ended until then, and its links are up.
- */
-const LEASES_DELAY_MS = 1_500;
-
 /** Link to a candidate. */
 export interface CandidateLink {
   /** Whether the peer is connected. */
@@ -41,6 +35,10 @@
   readonly ownRecord: Pick<MemberRecord, "name">;
   /** Number of known members, including this one. */
   readonly membersCount: number;
+  /** Whether the store has told all members since the start. */
+  readonly isListComplete: boolean;
+  /** Whether the store had no record of this daemon before its start. */
+  readonly isNewMember: boolean;
   /** Returns the link to a member; undefined for a member without one. */
   link(name: string): CandidateLink | undefined;
   /** Makes the next tick select the links again. */
@@ -110,8 +108,12 @@
       view: this.#createView(),
       // The time tells it from that of the former process under any seed.
       processId: hash32(`${Date.now()} ${random.nextFloat()}`),
-      leasesFromMs: performance.now() + LEASES_DELAY_MS,
-      membersCount: () => members().membersCount,
+      startedAtMs: performance.now(),
+      members: () => ({
+        count: members().membersCount,
+        isComplete: members().isListComplete,
+        isNew: members().isNewMember,
+      }),
       random,
       send: (ownerName, ask) => this.#send(ownerName, ask),
     });
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -33,6 +33,8 @@
       members: () => ({
         ownRecord: { name: ownName },
         membersCount: 2,
+        isListComplete: true,
+        isNewMember: false,
         reselectLinks: () => selectionsCount++,
         link: (name) => ({
           isUp: true,
@@ -128,6 +130,8 @@
     members: () => ({
       ownRecord: { name: "own" },
       membersCount: 3,
+      isListComplete: true,
+      isNewMember: false,
       reselectLinks: () => {},
       link: () => ({
         isUp: true,
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -17,6 +17,17 @@
   network: CapNetwork;
 };
 
+/** Members that daemons know for some time after their start. */
+export type IncompleteList = {
+  /** Members that a daemon knows at most, including itself. */
+  knownMaxCount: number;
+  /**
+   * Time after its start at which the store tells a daemon all members. Until
+   * then it asks a peer for the members that it knows, once per second.
+   */
+  completeAfterMs: number;
+};
+
 /** Time after which a daemon notices that a peer is cut off, at most. */
 const SILENCE_MAX_MS = 2_000;
 /** Time after which a daemon notices that the process of a peer has ended. */
@@ -24,8 +35,8 @@
 /** Time after which a link is up again, at most. */
 const REDIAL_MAX_MS = 1_000;
 const TICK_MS = 100;
-/** Time after its start in which a daemon leases nothing. */
-const LEASES_DELAY_MS = 1_500;
+/** Interval at which a daemon asks a peer for members. */
+const QUERY_INTERVAL_MS = 1_000;
 
 /** Daemons that admit requests under usage caps. Time is in ms from the start. */
 export class CapSimulation {
@@ -124,6 +135,7 @@
   /** Ends a daemon's process with all its state. */
   stop(daemonName: string): void {
     const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    daemon.isNew = false;
     daemon.isAlive = false;
     daemon.generation++;
     this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
@@ -153,13 +165,28 @@
     (this.#byName.get(daemonName) as SimulatedCapDaemon).isStopping = true;
   }
 
+  /** Ends all processes at once, and starts them 0.7 to 1.2 s later. */
+  restartAll(list?: IncompleteList): void {
+    for (const { name } of this.#daemons.filter(({ isAlive }) => isAlive)) {
+      this.stop(name);
+      this.at(
+        this.nowMs + 700 + this.random.nextInt(500),
+        () => this.start(name, list),
+      );
+    }
+  }
+
   /** Starts a daemon's process with empty state. */
-  start(daemonName: string): void {
+  start(daemonName: string, list?: IncompleteList): void {
     const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     if (daemon.isAlive) {
       return;
     }
     daemon.isAlive = true;
+    daemon.isListComplete = list === undefined;
+    if (list !== undefined) {
+      this.#limitList(daemon, list);
+    }
     daemon.isStopping = false;
     daemon.pausedUntilMs = 0;
     const generation = ++daemon.generation;
@@ -190,6 +217,7 @@
   join(): string {
     const daemon = this.#add(this.#daemons.length);
     daemon.known = new Set(this.names);
+    daemon.isNew = true;
     this.start(daemon.name);
     this.#announce((other) => other.known.add(daemon.name));
     return daemon.name;
@@ -238,12 +266,63 @@
     }
   }
 
+  /** Lets a daemon know only some members until the store tells it all. */
+  #limitList(daemon: SimulatedCapDaemon, list: IncompleteList): void {
+    const { names } = this;
+    const count = 1 + this.random.nextInt(list.knownMaxCount);
+    daemon.known = new Set([daemon.name]);
+    while (daemon.known.size < Math.min(count, names.length)) {
+      daemon.known.add(names[this.random.nextInt(names.length)]!);
+    }
+    const generation = daemon.generation + 1;
+    this.at(
+      this.nowMs + QUERY_INTERVAL_MS,
+      () => this.#queryMembers(daemon, generation),
+    );
+    this.at(this.nowMs + list.completeAfterMs, () => {
+      if (daemon.generation === generation) {
+        daemon.isListComplete = true;
+        this.#learn(daemon, names);
+      }
+    });
+  }
+
+  /** Learns of the members that a linked daemon knows. */
+  #queryMembers(daemon: SimulatedCapDaemon, generation: number): void {
+    if (daemon.generation !== generation || daemon.isListComplete) {
+      return;
+    }
+    const peers = this.#daemons.filter((peer) =>
+      peer !== daemon && this.#isReachable(daemon, peer) &&
+      (daemon.known.has(peer.name) || peer.known.has(daemon.name))
+    );
+    const peer = peers[this.random.nextInt(Math.max(1, peers.length))];
+    if (peer !== undefined) {
+      this.#learn(daemon, [peer.name, ...peer.known]);
+      this.#learn(peer, [daemon.name]);
+    }
+    this.at(
+      this.nowMs + QUERY_INTERVAL_MS,
+      () => this.#queryMembers(daemon, generation),
+    );
+  }
+
+  #learn(daemon: SimulatedCapDaemon, names: readonly string[]): void {
+    names.forEach((name) => daemon.known.add(name));
+    this.#updateCandidates(daemon);
+    this.#updateLinks((a) => a === daemon, REDIAL_MAX_MS);
+  }
+
   #createAsker(daemon: SimulatedCapDaemon, clockMs: number): CapAsker {
     return new CapAsker({
       view: daemon.createView((name) => this.#byName.get(name)!.isStopping),
       processId: this.random.nextInt(0x7fffffff),
-      leasesFromMs: clockMs + LEASES_DELAY_MS,
-      membersCount: () => daemon.known.size,
+      startedAtMs: clockMs,
+      members: () => ({
+        count: daemon.known.size,
+        isComplete: daemon.isListComplete,
+        isNew: daemon.isNew,
+      }),
       random: this.random,
       send: (ownerName, ask) => this.#sendAsk(daemon, ownerName, ask),
     });
--- a/src/testing/simulated_cap_daemon.ts
+++ b/src/testing/simulated_cap_daemon.ts
@@ -24,6 +24,10 @@
   /** Monotonic times since which links are up, by candidate. */
   readonly upSinceMs = new Map<string, number>();
   known = new Set<string>();
+  /** Whether the store has told all members since the start of the process. */
+  isListComplete = false;
+  /** Whether the store had no record of it before the start of the process. */
+  isNew = false;
   candidates: readonly string[] = [];
   isAlive = false;
   /** Whether the process will end soon and has told its peers. */
