--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -10,7 +10,7 @@
 import { LeaseBook } from "./lease_book.ts";
 import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
-import { TenantTokens } from "./tenant_tokens.ts";
+import { type GrantTimes, TenantTokens } from "./tenant_tokens.ts";
 import type { CapDecision } from "./tenant_waiters.ts";
 
 /** Minimum time between two asks to an owner while requests wait. */
@@ -227,13 +227,10 @@
       const tenant = this.#tenants.get(tenantGrant.tenantName);
       if (tenant !== undefined) {
         tenant.handleAnswer(ownerName);
-        tenant.addGranted(tenantGrant.grantedCount, {
-          ownerName,
-          askedAtMs: ask.sentAtMs,
-          nowMs,
-        });
+        const times = { ownerName, askedAtMs: ask.sentAtMs, nowMs };
+        tenant.addGranted(tenantGrant.grantedCount, times);
         tenant.carry(tenantGrant.carriedCount, nowMs);
-        this.#handleDenied(tenant, tenantGrant, ownerName, nowMs);
+        this.#handleDenied(tenant, tenantGrant, times);
       }
     }
   }
@@ -241,12 +238,16 @@
   #handleDenied(
     tenant: TenantTokens,
     { deniedCount, roomInMs }: TenantGrant,
-    ownerName: string,
-    nowMs: number,
+    { ownerName, askedAtMs, nowMs }: GrantTimes,
   ): void {
     if (deniedCount === 0) {
       return;
     }
+    if (!tenant.waiters.hasWaitedSince(askedAtMs)) {
+      // The requests that the owner was asked for have left.
+      this.#askUrgently(tenant, nowMs);
+      return;
+    }
     const isFormerLeft = tenant.deny(
       ownerName,
       roomInMs,
@@ -256,7 +257,10 @@
     if (isFormerLeft) {
       this.#askUrgently(tenant, nowMs);
     } else if (roomInMs > WAIT_MAX_MS) {
-      this.#refusedCount += tenant.waiters.refuseFirst(deniedCount);
+      this.#refusedCount += tenant.waiters.refuseFirst(
+        deniedCount,
+        askedAtMs,
+      );
     }
   }
 
--- a/src/decisions/caps/cap_asker_test.ts
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -107,3 +107,16 @@
   assert.ok(decision?.isAdmitted === false);
   assert.ok(decision.retryAfterMs <= 1_000, `${decision.retryAfterMs} ms`);
 });
+
+// Guards against a refusal of a request for which no token was asked yet.
+test("a denial refuses only requests that waited when the owner was asked", () => {
+  const moved = new MovedAsker();
+  moved.connected.delete(FIRST);
+  const cancel = moved.asker.admit("t", () => assert.fail(), 100);
+  cancel();
+  const second = moved.admit(110);
+  assert.equal(moved.answer(false, 120), SECOND);
+  assert.deepEqual(second, []);
+  assert.equal(moved.answer(true, 130), SECOND);
+  assert.deepEqual(second, [{ isAdmitted: true }]);
+});
--- a/src/decisions/caps/tenant_waiters.ts
+++ b/src/decisions/caps/tenant_waiters.ts
@@ -81,14 +81,27 @@
     this.#waiters.shift()?.onDecision({ isAdmitted: true });
   }
 
+  /**
+   * Returns whether a request has waited since a time.
+   *
+   * @param atMs Monotonic time, in ms.
+   */
+  hasWaitedSince(atMs: number): boolean {
+    const [first] = this.#waiters;
+    return first !== undefined && first.sinceMs <= atMs;
+  }
+
   /**
    * Refuses the requests that have waited longest.
    *
-   * @param count Requests to refuse.
+   * @param count Maximum requests to refuse.
+   * @param sinceMs Monotonic time since which they have waited, in ms.
    * @returns Number of refused requests.
    */
-  refuseFirst(count: number): number {
-    const refused = this.#waiters.splice(0, count);
+  refuseFirst(count: number, sinceMs = Infinity): number {
+    const later = this.#waiters.findIndex((waiter) => waiter.sinceMs > sinceMs);
+    const waitedCount = later < 0 ? this.#waiters.length : later;
+    const refused = this.#waiters.splice(0, Math.min(count, waitedCount));
     for (const { onDecision } of refused) {
       onDecision(this.createRefusal());
     }
