--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -78,7 +78,8 @@
   #reachedCount = 0;
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
-  #cancelUsage = () => {};
+  #lastFailure: ForwardFailure | undefined;
+  #endUsage = () => {};
 
   /**
    * @param request Admitted request.
@@ -105,17 +106,7 @@
    * call, and then forwards the request.
    */
   start(): void {
-    const { tenantName, isCall } = this.#request;
-    if (tenantName === undefined || isCall) {
-      this.#machine.send("admitted");
-      return;
-    }
-    let hasWaited = false;
-    this.#cancelUsage = this.#parts.usage.admit(
-      tenantName,
-      (decision) => this.#onUsageDecision(decision, hasWaited),
-    );
-    hasWaited = true;
+    this.#charge();
   }
 
   /** Cancels the request because its caller has disconnected. */
@@ -180,11 +171,15 @@
       this.#sendsCount < SENDS_MAX_COUNT && this.#reserveRetry();
   }
 
-  /** Action: keeps an error answer in case no retry succeeds, and retries. */
+  /**
+   * Action: keeps an error answer in case no retry succeeds, and charges the usage
+   * cap for a retry.
+   */
   retryAfterErrorAnswer(answer: UpstreamAnswer): void {
     this.#errorAnswer = answer;
     this.#mayHaveRun = true;
-    this.chooseUpstream();
+    this.#lastFailure = undefined;
+    this.#charge();
   }
 
   /**
@@ -204,9 +199,22 @@
     this.#answerSender.fail(kind, retryAfterMs);
   }
 
-  /** Action: ends the wait for the usage cap. */
-  cancelUsage(): void {
-    this.#cancelUsage();
+  /**
+   * Action: charges the usage cap for a retry, since the cap counts each run at an
+   * upstream.
+   */
+  chargeRetry(failure: ForwardFailure): void {
+    this.#lastFailure = failure;
+    this.#charge();
+  }
+
+  /**
+   * Action: answers with the failure of the last attempt, because the usage cap
+   * does not admit a retry. The request may have run, so that the refusal by the
+   * cap would be a wrong answer.
+   */
+  answerUnretried(): void {
+    this.#fail(this.#errorKindFor(this.#lastFailure));
   }
 
   /** Action: chooses an upstream that has not been tried. */
@@ -286,6 +294,32 @@
     this.#end("cancelled");
   }
 
+  #charge(): void {
+    const { tenantName, isCall } = this.#request;
+    if (tenantName === undefined || isCall) {
+      this.#machine.send("admitted", this.#lastFailure);
+      return;
+    }
+    this.#endUsage();
+    let isEnded = false;
+    let end = () => {};
+    this.#endUsage = () => {
+      isEnded = true;
+      end();
+      end = () => {};
+    };
+    let hasWaited = false;
+    end = this.#parts.usage.admit(
+      tenantName,
+      (decision) => this.#onUsageDecision(decision, hasWaited),
+    );
+    hasWaited = true;
+    // A request that is admitted at once may also end at once.
+    if (isEnded) {
+      end();
+    }
+  }
+
   #onUsageDecision(decision: CapDecision, hasWaited: boolean): void {
     if (!decision.isAdmitted) {
       const { retryAfterMs } = decision;
@@ -302,7 +336,7 @@
       this.#machine.send("turnedAway", { kind });
       return;
     }
-    this.#machine.send("admitted");
+    this.#machine.send("admitted", this.#lastFailure);
   }
 
   /**
@@ -359,6 +393,7 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
+    this.#endUsage();
     const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
       this.#request;
     this.#parts.onEnd(this.#request, outcome);
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -67,7 +67,7 @@
     usage: {
       admit: (_: string, onDecision: typeof decide) => {
         decide = onDecision;
-        return () => events.push("usage cancelled");
+        return () => events.push("usage ended");
       },
     },
     recheckKey: () => recheck || undefined,
@@ -102,24 +102,80 @@
   const admitted = startWaiting();
   assert.deepEqual(admitted.events, []);
   admitted.decide({ isAdmitted: true });
-  assert.deepEqual(admitted.events, ["chosen", "no_upstream -"]);
+  assert.deepEqual(admitted.events, ["chosen", "usage ended", "no_upstream -"]);
 
   const capped = startWaiting();
   capped.decide({ isAdmitted: false, retryAfterMs: 730 });
-  assert.deepEqual(capped.events, ["usage_capped 730"]);
+  assert.deepEqual(capped.events, ["usage ended", "usage_capped 730"]);
 
   const withdrawn = startWaiting({ recheck: "credential_unknown" });
   withdrawn.decide({ isAdmitted: true });
-  assert.deepEqual(withdrawn.events, ["credential_unknown -"]);
+  assert.deepEqual(withdrawn.events, ["usage ended", "credential_unknown -"]);
 
   const left = startWaiting();
   left.exchange.cancel();
   left.decide({ isAdmitted: true });
-  assert.deepEqual(left.events, ["usage cancelled"]);
+  assert.deepEqual(left.events, ["usage ended"]);
 });
 
 test("the wait for a usage cap ends at the deadline", () => {
   const { events, decide } = startWaiting({ expiresInMs: -1 });
   decide({ isAdmitted: true });
-  assert.deepEqual(events, ["usage cancelled", "deadline_exceeded -"]);
+  assert.deepEqual(events, ["usage ended", "deadline_exceeded -"]);
+});
+
+/** Returns what happens to a request whose attempts all fail while they run. */
+function failAttempts(decisions: CapDecision[]): string[] {
+  const events: string[] = [];
+  const channel = {
+    member: { name: "one" },
+    send: (_request: unknown, receiver: ResultReceiver) => {
+      events.push("sent");
+      const kind = "upstream_failed";
+      receiver.onFailure({ kind, isNotRun: false, hasReached: true });
+      return { cancel: () => {} };
+    },
+  };
+  const parts = {
+    channels: { choose: () => channel },
+    budget: { recordRequest: () => {}, take: () => true },
+    decisions: { record: () => {} },
+    daemonsCount: () => 1,
+    runsPerRequest: () => 1,
+    usage: {
+      admit: (_: string, onDecision: (decision: CapDecision) => void) => {
+        events.push("charged");
+        onDecision(decisions.shift()!);
+        return () => events.push("usage ended");
+      },
+    },
+    onEnd: () => {},
+  } as unknown as ExchangeParts;
+  const exchange = new ForwardedExchange(
+    {
+      ...REQUEST,
+      route: { ...REQUEST.route, idempotent: true },
+      tenantName: "amber",
+      expiresAtMs: performance.now() + 1_000,
+    },
+    { answer: () => {}, fail: (kind) => events.push(kind) },
+    parts,
+  );
+  exchange.start();
+  return events;
+}
+
+// Guards against runs beyond the usage cap, and against the answer that a request
+// has not run, although its first attempt may have run.
+test("a retry after a run is charged, and not sent without a token", () => {
+  const admitted = failAttempts([{ isAdmitted: true }, { isAdmitted: true }]);
+  const happened = ["charged", "sent", "charged", "sent", "upstream_failed"];
+  const withoutEnds = admitted.filter((event) => event !== "usage ended");
+  assert.deepEqual(withoutEnds, happened);
+  assert.equal(admitted.length - withoutEnds.length, 2);
+  const refused = failAttempts([
+    { isAdmitted: true },
+    { isAdmitted: false, retryAfterMs: 900 },
+  ]).filter((event) => event !== "usage ended");
+  assert.deepEqual(refused, ["charged", "sent", "charged", "upstream_failed"]);
 });
--- a/src/fleet/usage_cap_gate.ts
+++ b/src/fleet/usage_cap_gate.ts
@@ -9,8 +9,8 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns, in
    *   particular for a tenant without a cap; not called after a cancellation.
-   * @returns Function that cancels the request while it waits; without effect
-   *   after the decision.
+   * @returns Function to call once the request ends: it cancels a request that
+   *   waits. After it, no upstream may start the request.
    */
   admit(
     tenantName: string,
