--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -71,7 +71,8 @@
   ["large", { ratePerS: 256, burstCount: 20, windowMs: 5_000 }],
 ]);
 
-// Guards against refusals below the cap, also soon after a restart of all daemons.
+// Guards against refusals below the cap, also soon after a restart of all daemons
+// and while requests wait long in the queues of upstreams.
 test("99 of 100 requests below the cap are admitted, with uneven and moving demand", () => {
   fc.assert(
     fc.property(
@@ -80,13 +81,16 @@
         daemonsCount: fc.constantFrom(3, 9, 65, 300),
         dataCentresCount: fc.integer({ min: 1, max: 4 }),
         isRestarted: fc.boolean(),
+        queueMaxMs: fc.constantFrom(0, 600, 2_500),
       }),
-      ({ isRestarted, ...options }) => {
+      ({ isRestarted, queueMaxMs, ...options }) => {
         const simulation = new CapSimulation({
           ...options,
           caps: CALM_CAPS,
           network: CALM_NETWORK,
         });
+        simulation.queuedUntilMs = (nowMs) =>
+          nowMs + simulation.random.nextInt(queueMaxMs + 1);
         offer(simulation, CALM_CAPS, {
           fromMs: TRAFFIC_FROM_MS,
           untilMs: 30_000,
@@ -108,7 +112,7 @@
         const offered = simulation.offeredCount - offeredCount;
         assert.ok(admitted >= 0.99 * offered, `${admitted} of ${offered}`);
         for (const [tenantName, cap] of CALM_CAPS) {
-          const times = simulation.admittedAtMs(tenantName);
+          const times = simulation.startedAtMs(tenantName);
           assert.equal(
             findExcess(times, [{ fromMs: 0, untilMs: Infinity, cap }]),
             undefined,
--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -4,6 +4,7 @@
 import type {
   CapAsk,
   CapGrant,
+  CapHeld,
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
@@ -18,6 +19,9 @@
 /** Minimum time between two asks to an owner while no request waits. */
 const ASK_INTERVAL_MS = 100;
 
+/** Interval of the reports on held requests to an owner. */
+const HELD_INTERVAL_MS = 500;
+
 /**
  * Time after which an owner that is not used is forgotten. It is longer than the
  * time for which owners remember the numbers of messages.
@@ -37,6 +41,8 @@
   random: RandomSource;
   /** Sends a message to an owner, which may be this daemon. */
   send: (ownerName: string, ask: CapAsk) => void;
+  /** Sends a report to an owner, which may be this daemon. */
+  sendHeld: (ownerName: string, held: CapHeld) => void;
 };
 
 /** Numbers since the start of an asker. */
@@ -120,32 +126,50 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns.
    * @param nowMs Monotonic time, in ms.
-   * @returns Function that cancels the request while it waits.
+   * @returns Function to call once with the time at which the request ends. It
+   *   cancels a request that waits; after that, no upstream may start it.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
-  ): () => void {
+  ): (endedAtMs: number) => void {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
       onDecision({ isAdmitted: true });
       return () => {};
     }
     tenant.demand.record(nowMs);
-    const { waiters, stock } = tenant;
+    const { waiters, stock, held } = tenant;
     if (waiters.count === 0 && stock.take(nowMs)) {
+      held.charge(nowMs);
       onDecision({ isAdmitted: true });
-      return () => {};
+      return (endedAtMs) => held.end(nowMs, endedAtMs);
     }
-    const waiter = { sinceMs: nowMs, onDecision };
+    let isCharged = false;
+    const waiter = {
+      sinceMs: nowMs,
+      onDecision: (decision: CapDecision) => {
+        if (decision.isAdmitted) {
+          isCharged = true;
+          held.charge(nowMs);
+        }
+        onDecision(decision);
+      },
+    };
     if (!waiters.add(waiter)) {
       this.#refusedCount++;
       onDecision(waiters.createRefusal());
       return () => {};
     }
     this.#askUrgently(tenant, nowMs);
-    return () => waiters.remove(waiter);
+    return (endedAtMs) => {
+      if (isCharged) {
+        held.end(nowMs, endedAtMs);
+      } else {
+        waiters.remove(waiter);
+      }
+    };
   }
 
   /**
@@ -163,6 +187,7 @@
     }
     for (const [ownerName, book] of this.#books) {
       this.#askOnceDue(ownerName, book, nowMs);
+      this.#reportHeldOnceDue(ownerName, book, nowMs);
     }
     this.step(nowMs);
   }
@@ -308,6 +333,28 @@
     }
   }
 
+  #reportHeldOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
+    const { view, sendHeld } = this.#options;
+    if (
+      nowMs - book.heldSentAtMs < HELD_INTERVAL_MS ||
+      !view.isConnected(ownerName)
+    ) {
+      return;
+    }
+    const tenants: { tenantName: string; heldCount: number }[] = [];
+    for (const { tenantName, pointer, held } of this.#tenants.values()) {
+      const heldCount = pointer.owner === ownerName ? held.count(nowMs) : 0;
+      if (heldCount > 0) {
+        tenants.push({ tenantName, heldCount });
+      }
+    }
+    if (tenants.length > 0 || book.hasHeld) {
+      book.hasHeld = tenants.length > 0;
+      book.heldSentAtMs = nowMs;
+      sendHeld(ownerName, { tenants });
+    }
+  }
+
   #ask(ownerName: string, book: LeaseBook, nowMs: number): void {
     const waitingCounts = new Map<string, number>();
     const tenants: TenantAsk[] = [];
--- a/src/decisions/caps/cap_asker_test.ts
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -32,6 +32,7 @@
       members: () => ({ count: 3, isComplete: true, isNew: false }),
       random: new SeededRandom(1),
       send: (ownerName, ask) => this.asks.push({ ownerName, ask }),
+      sendHeld: () => {},
     });
     this.asker.applyCaps(CAPS, 0);
     // The first owner announces its stop.
@@ -113,7 +114,7 @@
   const moved = new MovedAsker();
   moved.connected.delete(FIRST);
   const cancel = moved.asker.admit("t", () => assert.fail(), 100);
-  cancel();
+  cancel(105);
   const second = moved.admit(110);
   assert.equal(moved.answer(false, 120), SECOND);
   assert.deepEqual(second, []);
--- a/src/decisions/caps/cap_bucket.ts
+++ b/src/decisions/caps/cap_bucket.ts
@@ -7,6 +7,7 @@
   type UsageCap,
   WAIT_MAX_MS,
 } from "./cap_limits.ts";
+import { GrantWindow } from "./grant_window.ts";
 
 const MS_PER_S = 1_000;
 /** Level, as a part of the depth, from which on tokens are prefetched. */
@@ -16,6 +17,10 @@
 /** Maximum time until the bucket has room that is told to callers. */
 const ROOM_MAX_MS = 10_000;
 
+/**
+ * Time that is told to callers while older requests leave no room in the window.
+ */
+const WINDOW_ROOM_MS = 1_000;
 /** Time that is told to callers while no member leases to this owner. */
 const NO_SHARE_ROOM_MS = 2_000;
 
@@ -34,6 +39,8 @@
   /** Callers that were told to return and may not have returned yet. */
   #returningCount = 0;
   #prefetches: Prefetch[] = [];
+  /** Granted tokens, and requests that have started or may start long after. */
+  readonly window = new GrantWindow();
 
   /**
    * @param cap Cap of the tenant.
@@ -88,6 +95,9 @@
    */
   changeShare(share: number, nowMs: number): void {
     this.refill(nowMs);
+    if (share < this.#share) {
+      this.window.scale(share / this.#share);
+    }
     this.#share = Math.min(1, share);
     this.#level = Math.min(this.#level, this.#depth);
   }
@@ -117,8 +127,12 @@
    */
   take(count: number, nowMs: number): number {
     this.refill(nowMs);
-    const granted = Math.min(count, Math.floor(this.#level));
+    const granted = Math.min(
+      count,
+      Math.floor(Math.min(this.#level, this.#windowRoom(nowMs))),
+    );
     this.#level -= granted;
+    this.window.add(granted, nowMs);
     return granted;
   }
 
@@ -143,18 +157,30 @@
         count,
         this.#level - this.#depth * COMFORTABLE_RATIO,
         prefetchMaxCount(this.#cap) * this.#share - recentCount,
+        this.#windowRoom(nowMs),
       )),
     );
     if (granted > 0) {
       this.#prefetches.push({ atMs: nowMs, count: granted });
       this.#level -= granted;
+      this.window.add(granted, nowMs);
     }
     return granted;
   }
 
   /**
-   * Adds tokens that a member returns unused, or that it brings from another
-   * owner, up to the depth.
+   * Adds tokens that a member returns unused, up to the depth.
+   *
+   * @param count Tokens.
+   * @param nowMs Monotonic time, in ms.
+   */
+  takeBack(count: number, nowMs: number): void {
+    this.credit(count, nowMs);
+    this.window.remove(count, nowMs - tokenLifetimeMs(this.#cap));
+  }
+
+  /**
+   * Adds tokens that a member brings from another owner, up to the depth.
    *
    * @param count Tokens.
    * @param nowMs Monotonic time, in ms.
@@ -192,7 +218,10 @@
       return NO_SHARE_ROOM_MS;
     }
     const missing = Math.max(0, 1 - this.#level) + this.#returningCount;
-    const roomMs = missing / ratePerS * MS_PER_S;
+    const roomMs = Math.max(
+      missing / ratePerS * MS_PER_S,
+      this.#windowRoom(this.#refilledAtMs) < 1 ? WINDOW_ROOM_MS : 0,
+    );
     if (roomMs > WAIT_MAX_MS) {
       // The backlog is bounded, so that callers that never return do not delay
       // the others.
@@ -203,4 +232,8 @@
     }
     return Math.min(ROOM_MAX_MS, Math.ceil(roomMs));
   }
+
+  #windowRoom(nowMs: number): number {
+    return this.window.roomCount(this.#cap, this.#share, nowMs);
+  }
 }
--- a/src/decisions/caps/cap_messages.ts
+++ b/src/decisions/caps/cap_messages.ts
@@ -53,3 +53,13 @@
   readonly listNumber: number;
   readonly tenants: readonly TenantGrant[];
 };
+
+/** Report of a daemon to an owner on requests that started late, or may do so. */
+export type CapHeld = {
+  /** Tenants with such requests; all others have none. */
+  readonly tenants: readonly {
+    readonly tenantName: string;
+    /** See {@link HeldCharges}. */
+    readonly heldCount: number;
+  }[];
+};
--- a/src/decisions/caps/cap_owner.ts
+++ b/src/decisions/caps/cap_owner.ts
@@ -4,6 +4,7 @@
 import type {
   CapAsk,
   CapGrant,
+  CapHeld,
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
@@ -158,10 +159,27 @@
     };
   }
 
+  /**
+   * Handles the report of a member on requests that started late, or may do so.
+   *
+   * @param memberName Name of the member; may be this daemon.
+   * @param held The report.
+   * @param nowMs Monotonic time, in ms.
+   */
+  handleHeld(memberName: string, held: CapHeld, nowMs: number): void {
+    const counts = new Map(
+      held.tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
+    );
+    for (const [tenantName, bucket] of this.#buckets) {
+      bucket.window.setHeld(memberName, counts.get(tenantName) ?? 0, nowMs);
+    }
+  }
+
   #credit({ tenants }: CapAsk, nowMs: number): void {
     for (const { tenantName, returnedCount, carriedCount } of tenants) {
-      this.#buckets.get(tenantName)
-        ?.credit(returnedCount + carriedCount, nowMs);
+      const bucket = this.#buckets.get(tenantName);
+      bucket?.credit(carriedCount, nowMs);
+      bucket?.takeBack(returnedCount, nowMs);
     }
   }
 
--- a/src/decisions/caps/hand_over_test.ts
+++ b/src/decisions/caps/hand_over_test.ts
@@ -51,7 +51,7 @@
 }
 
 function checkBound(simulation: CapSimulation, cap: UsageCap): void {
-  const times = simulation.admittedAtMs(TENANT);
+  const times = simulation.startedAtMs(TENANT);
   const inForce = { fromMs: 0, untilMs: Infinity, cap };
   assert.equal(findExcess(times, [inForce]), undefined);
 }
--- a/src/decisions/caps/lease_book.ts
+++ b/src/decisions/caps/lease_book.ts
@@ -22,6 +22,11 @@
   /** Monotonic time of the last message, each of which renews the lease. */
   sentAtMs = -Infinity;
 
+  /** Monotonic time of the last report on held requests. */
+  heldSentAtMs = -Infinity;
+  /** Whether the last report on held requests named any. */
+  hasHeld = false;
+
   /** Whether any tenant is leased, or the owner still has to learn a change. */
   get isActive(): boolean {
     return this.#leased.size > 0 || !this.#isAcknowledged;
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -8,6 +8,7 @@
 } from "./cap_limits.ts";
 import type { TenantAsk } from "./cap_messages.ts";
 import { DemandMeter } from "./demand_meter.ts";
+import { HeldCharges } from "./held_charges.ts";
 import { type CandidateView, OwnerPointer } from "./owner_pointer.ts";
 import { TenantWaiters } from "./tenant_waiters.ts";
 import { TokenStock } from "./token_stock.ts";
@@ -43,6 +44,7 @@
   readonly stock = new TokenStock();
   readonly demand = new DemandMeter();
   readonly waiters: TenantWaiters;
+  readonly held: HeldCharges;
   #cap: UsageCap;
   #formerAsked: string | undefined;
   #carriedCount = 0;
@@ -61,6 +63,7 @@
     this.#cap = cap;
     this.pointer = new OwnerPointer(tenantName);
     this.waiters = new TenantWaiters(random);
+    this.held = new HeldCharges(cap.windowMs);
   }
 
   /** Owner that is asked next: the owner or, after a move, the former one. */
--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -186,7 +186,7 @@
         }
         simulation.run(END_MS);
         for (const [tenantName, caps] of capsInForce) {
-          const excess = findExcess(simulation.admittedAtMs(tenantName), caps);
+          const excess = findExcess(simulation.startedAtMs(tenantName), caps);
           assert.equal(excess, undefined, `${tenantName}: ${excess}`);
         }
       },
@@ -195,6 +195,43 @@
   );
 });
 
+// Guards against requests that are charged in one window and start in the next,
+// because they have waited in the queue of an upstream.
+test("the bound holds for the starts of requests that wait for a slow upstream", () => {
+  fc.assert(
+    fc.property(
+      fc.integer(),
+      fc.integer({ min: 300, max: 4_500 }),
+      fc.integer({ min: 0, max: 8_000 }),
+      (seed, stallMs, pauseMs) => {
+        const simulation = new CapSimulation({
+          seed,
+          daemonsCount: 12,
+          dataCentresCount: 3,
+          caps: CAPS,
+          network: FAULTY_NETWORK,
+        });
+        // Upstreams start nothing for a while, and then all that has waited.
+        simulation.queuedUntilMs = (nowMs) => {
+          const passedMs = nowMs % (stallMs + pauseMs);
+          return passedMs < stallMs ? nowMs - passedMs + stallMs : nowMs;
+        };
+        for (const [tenantName, cap] of CAPS) {
+          offer(simulation, tenantName, cap);
+        }
+        simulation.run(END_MS);
+        for (const [tenantName, cap] of CAPS) {
+          const excess = findExcess(simulation.startedAtMs(tenantName), [
+            { fromMs: 0, untilMs: Infinity, cap },
+          ]);
+          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+        }
+      },
+    ),
+    { seed: 14, numRuns: 10 },
+  );
+});
+
 // Guards against shares that are divided by the few members that a daemon knows
 // until the store has told it all of them.
 test("the bound holds after a restart of all daemons with incomplete lists of members", () => {
@@ -220,7 +257,7 @@
       );
       simulation.run(END_MS);
       for (const [tenantName, cap] of CAPS) {
-        const excess = findExcess(simulation.admittedAtMs(tenantName), [
+        const excess = findExcess(simulation.startedAtMs(tenantName), [
           { fromMs: 0, untilMs: Infinity, cap },
         ]);
         assert.equal(excess, undefined, `${tenantName}: ${excess}`);
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -3,7 +3,7 @@
 import type { RandomSource } from "../core/random.ts";
 import { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
-import type { CapAsk } from "../decisions/caps/cap_messages.ts";
+import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
 import type { CandidateView } from "../decisions/caps/owner_pointer.ts";
@@ -11,10 +11,13 @@
 import {
   decodeUsageAsk,
   decodeUsageGrant,
+  decodeUsageHeld,
   encodeUsageAsk,
   encodeUsageGrant,
+  encodeUsageHeld,
 } from "../link/usage_frames.ts";
 import type { FleetTenant, MemberRecord } from "../schemas/fleet_schema.ts";
+import { FRAME } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { UsageCapGate } from "./usage_cap_gate.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
@@ -116,6 +119,7 @@
       }),
       random,
       send: (ownerName, ask) => this.#send(ownerName, ask),
+      sendHeld: (ownerName, held) => this.#sendHeld(ownerName, held),
     });
   }
 
@@ -138,7 +142,7 @@
     onDecision: (decision: CapDecision) => void,
   ): () => void {
     let isDecided = false;
-    const cancel = this.#asker.admit(
+    const end = this.#asker.admit(
       tenantName,
       (decision) => {
         isDecided = true;
@@ -152,7 +156,7 @@
     if (!isDecided) {
       this.#scheduleStep();
     }
-    return cancel;
+    return () => end(performance.now());
   }
 
   /**
@@ -218,8 +222,12 @@
     frame: readonly unknown[],
     peerName: string,
   ): readonly unknown[] | undefined {
-    const ask = decodeUsageAsk(frame);
-    const grant = this.#owner.handle(peerName, ask, performance.now());
+    const nowMs = performance.now();
+    if (frame[0] === FRAME.usageHeld) {
+      this.#owner.handleHeld(peerName, decodeUsageHeld(frame), nowMs);
+      return undefined;
+    }
+    const grant = this.#owner.handle(peerName, decodeUsageAsk(frame), nowMs);
     return grant && encodeUsageGrant(grant);
   }
 
@@ -289,6 +297,15 @@
     }
   }
 
+  #sendHeld(ownerName: string, held: CapHeld): void {
+    const { members } = this.#options;
+    if (ownerName === members().ownRecord.name) {
+      this.#owner.handleHeld(ownerName, held, performance.now());
+    } else {
+      members().link(ownerName)?.sendUsageAsk(encodeUsageHeld(held));
+    }
+  }
+
   /** Sets the timer for waiting requests; without them there is none. */
   #scheduleStep(): void {
     const nowMs = performance.now();
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -123,6 +123,7 @@
       case FRAME.config:
         return this.#host.onConfig(frame[1]);
       case FRAME.usageAsk:
+      case FRAME.usageHeld:
         return this.#onUsageAsk(frame);
       case FRAME.memberQuery:
         return this.socket.send([FRAME.members, this.#host.members]);
--- a/src/link/usage_frames.ts
+++ b/src/link/usage_frames.ts
@@ -1,9 +1,14 @@
 /** Encodes and decodes the messages about usage caps. */
-import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import type {
+  CapAsk,
+  CapGrant,
+  CapHeld,
+} from "../decisions/caps/cap_messages.ts";
 import {
   FRAME,
   usageAskFrameSchema,
   usageGrantFrameSchema,
+  usageHeldFrameSchema,
 } from "../schemas/link_schema.ts";
 
 /** Parts of a token are sent in hundredths, rounded down. */
@@ -73,6 +78,36 @@
   };
 }
 
+/**
+ * Encodes a report to an owner.
+ *
+ * @param held The report.
+ * @returns Frame for a link.
+ */
+export function encodeUsageHeld({ tenants }: CapHeld): readonly unknown[] {
+  return [
+    FRAME.usageHeld,
+    tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
+  ];
+}
+
+/**
+ * Decodes a report to an owner.
+ *
+ * @param frame Frame of a link.
+ * @returns The report.
+ * @throws {z.ZodError} When the frame does not have the expected form.
+ */
+export function decodeUsageHeld(frame: unknown): CapHeld {
+  const [, tenants] = usageHeldFrameSchema.parse(frame);
+  return {
+    tenants: tenants.map(([tenantName, heldCount]) => ({
+      tenantName,
+      heldCount,
+    })),
+  };
+}
+
 /**
  * Encodes the answer of an owner.
  *
--- a/src/link/usage_frames_test.ts
+++ b/src/link/usage_frames_test.ts
@@ -1,13 +1,19 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import type {
+  CapAsk,
+  CapGrant,
+  CapHeld,
+} from "../decisions/caps/cap_messages.ts";
 import { FRAME } from "../schemas/link_schema.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
 import {
   decodeUsageAsk,
   decodeUsageGrant,
+  decodeUsageHeld,
   encodeUsageAsk,
   encodeUsageGrant,
+  encodeUsageHeld,
 } from "./usage_frames.ts";
 
 const ASK: CapAsk = {
@@ -50,6 +56,8 @@
   const renewal = { ...ASK, leasedTenants: undefined, tenants: [] };
   assert.deepEqual(decodeUsageAsk(transfer(encodeUsageAsk(renewal))), renewal);
   assert.deepEqual(decodeUsageGrant(transfer(encodeUsageGrant(GRANT))), GRANT);
+  const held: CapHeld = { tenants: [{ tenantName: "amber", heldCount: 4 }] };
+  assert.deepEqual(decodeUsageHeld(transfer(encodeUsageHeld(held))), held);
 });
 
 // Guards against parts of tokens that add up to more than was granted.
@@ -67,5 +75,6 @@
 });
 
 test("the kinds of frames are those that peers of this version know", () => {
-  assert.deepEqual([FRAME.usageAsk, FRAME.usageGrant], [16, 17]);
+  const { usageAsk, usageGrant, usageHeld } = FRAME;
+  assert.deepEqual([usageAsk, usageGrant, usageHeld], [16, 17, 18]);
 });
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -36,6 +36,7 @@
   currency: 15,
   usageAsk: 16,
   usageGrant: 17,
+  usageHeld: 18,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -207,6 +208,13 @@
     ),
 ]);
 
+/** Schema of a report to the owner of usage caps, which has no answer. */
+export const usageHeldFrameSchema = z.tuple([
+  z.literal(FRAME.usageHeld),
+  z.array(z.tuple([z.string(), countSchema]))
+    .describe("Tenant, requests that started late or may do so"),
+]);
+
 /** Schema of the answer of the owner of usage caps. */
 export const usageGrantFrameSchema = z.tuple([
   z.literal(FRAME.usageGrant),
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -2,7 +2,11 @@
 import { type RandomSource, SeededRandom } from "../core/random.ts";
 import { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
-import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import type {
+  CapAsk,
+  CapGrant,
+  CapHeld,
+} from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
 import { VirtualSchedule } from "../../bench/membership/virtual_schedule.ts";
@@ -35,6 +39,8 @@
 /** Time after which a link is up again, at most. */
 const REDIAL_MAX_MS = 1_000;
 const TICK_MS = 100;
+/** Time for which a request runs at its upstream. */
+const RUN_MS = 40;
 /** Interval at which a daemon asks a peer for members. */
 const QUERY_INTERVAL_MS = 1_000;
 
@@ -47,13 +53,15 @@
   readonly #byName = new Map<string, SimulatedCapDaemon>();
   /** Side of the partition by daemon; 0 without a partition. */
   readonly #sides = new Map<string, number>();
-  readonly #admittedAtMs = new Map<string, number[]>();
+  readonly #startedAtMs = new Map<string, number[]>();
   #caps: ReadonlyMap<string, UsageCap>;
   #capsVersion = 0;
   /** Refused requests by tenant. */
   readonly refusedCounts = new Map<string, number>();
   messagesCount = 0;
   admittedCount = 0;
+  /** Returns until when an admitted request waits in the queue of an upstream. */
+  queuedUntilMs = (admittedAtMs: number) => admittedAtMs;
   /** Requests that a running daemon has received. */
   offeredCount = 0;
 
@@ -84,9 +92,9 @@
     return this.#daemons[0]!.candidates;
   }
 
-  /** Times of the admitted requests of a tenant, in order. */
-  admittedAtMs(tenantName: string): readonly number[] {
-    return this.#admittedAtMs.get(tenantName) ?? [];
+  /** Times at which an upstream has started requests of a tenant, in order. */
+  startedAtMs(tenantName: string): readonly number[] {
+    return this.#startedAtMs.get(tenantName) ?? [];
   }
 
   /** Simulated time, in ms from the start. */
@@ -118,20 +126,39 @@
       return;
     }
     this.offeredCount++;
-    daemon.asker!.admit(tenantName, (decision) => {
+    const { generation } = daemon;
+    const end = daemon.asker!.admit(tenantName, (decision) => {
       if (!decision.isAdmitted) {
         const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
         this.refusedCounts.set(tenantName, refusedCount + 1);
         return;
       }
       this.admittedCount++;
-      const times = this.#admittedAtMs.get(tenantName) ?? [];
-      times.push(this.nowMs);
-      this.#admittedAtMs.set(tenantName, times);
+      const startsAtMs = this.queuedUntilMs(this.nowMs);
+      if (startsAtMs <= this.nowMs) {
+        this.#recordStart(tenantName);
+      }
+      this.at(Math.max(startsAtMs, this.nowMs) + RUN_MS, () => {
+        end(daemon.clockMs(this.nowMs));
+      });
+      if (startsAtMs > this.nowMs) {
+        this.at(startsAtMs, () => {
+          // The requests of a daemon that has ended are cancelled in the queue.
+          if (daemon.generation === generation) {
+            this.#recordStart(tenantName);
+          }
+        });
+      }
     }, daemon.clockMs(this.nowMs));
     this.#scheduleStep(daemon);
   }
 
+  #recordStart(tenantName: string): void {
+    const times = this.#startedAtMs.get(tenantName) ?? [];
+    times.push(this.nowMs);
+    this.#startedAtMs.set(tenantName, times);
+  }
+
   /** Ends a daemon's process with all its state. */
   stop(daemonName: string): void {
     const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
@@ -325,6 +352,7 @@
       }),
       random: this.random,
       send: (ownerName, ask) => this.#sendAsk(daemon, ownerName, ask),
+      sendHeld: (ownerName, held) => this.#sendHeld(daemon, ownerName, held),
     });
   }
 
@@ -393,6 +421,21 @@
     });
   }
 
+  #sendHeld(
+    daemon: SimulatedCapDaemon,
+    ownerName: string,
+    held: CapHeld,
+  ): void {
+    const owner = this.#byName.get(ownerName) as SimulatedCapDaemon;
+    const handle = () =>
+      owner.owner.handleHeld(daemon.name, held, owner.clockMs(this.nowMs));
+    if (owner === daemon) {
+      handle();
+    } else {
+      this.#deliver(daemon, owner, handle);
+    }
+  }
+
   #sendGrant(
     owner: SimulatedCapDaemon,
     daemon: SimulatedCapDaemon,
