--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -195,6 +195,44 @@
   );
 });
 
+// Guards against a divisor that falls on both sides once the members of the other
+// side are forgotten.
+test("the bound holds in a partition after which each side forgets the other", () => {
+  fc.assert(
+    fc.property(
+      fc.integer(),
+      fc.integer({ min: 2, max: 30 }),
+      fc.integer({ min: 1, max: 29 }),
+      (seed, daemonsCount, firstSideCount) => {
+        const simulation = new CapSimulation({
+          seed,
+          daemonsCount,
+          dataCentresCount: 2,
+          caps: CAPS,
+          network: FAULTY_NETWORK,
+        });
+        for (const [tenantName, cap] of CAPS) {
+          offer(simulation, tenantName, cap);
+        }
+        const firstSide = new Set(simulation.names.slice(0, firstSideCount));
+        simulation.at(
+          7_000,
+          () => simulation.partition((name) => firstSide.has(name)),
+        );
+        simulation.at(10_000, () => simulation.forgetUnreachable());
+        simulation.run(END_MS);
+        for (const [tenantName, cap] of CAPS) {
+          const excess = findExcess(simulation.startedAtMs(tenantName), [
+            { fromMs: 0, untilMs: Infinity, cap },
+          ]);
+          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+        }
+      },
+    ),
+    { seed: 15, numRuns: 10 },
+  );
+});
+
 // Guards against requests that are charged in one window and start in the next,
 // because they have waited in the queue of an upstream.
 test("the bound holds for the starts of requests that wait for a slow upstream", () => {
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -6,6 +6,7 @@
 import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
+import { RetainedMembers } from "../decisions/caps/retained_members.ts";
 import type { CandidateView } from "../decisions/caps/owner_pointer.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import {
@@ -36,8 +37,6 @@
 export interface UsageCapMembers {
   /** Record of this daemon. */
   readonly ownRecord: Pick<MemberRecord, "name">;
-  /** Number of known members, including this one. */
-  readonly membersCount: number;
   /** Whether the store has told all members since the start. */
   readonly isListComplete: boolean;
   /** Whether the store had no record of this daemon before its start. */
@@ -95,6 +94,7 @@
   readonly #asker: CapAsker;
   readonly #log: UsageCapLog;
   readonly #upSinceMs = new Map<string, number>();
+  readonly #retained: RetainedMembers;
   #tenantNames: ReadonlySet<string> = new Set();
   #candidates: readonly string[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -107,13 +107,15 @@
     this.#options = options;
     const { random, members } = options;
     this.#log = new UsageCapLog(options.log);
+    const startedAtMs = performance.now();
+    this.#retained = new RetainedMembers(startedAtMs);
     this.#asker = new CapAsker({
       view: this.#createView(),
       // The time tells it from that of the former process under any seed.
       processId: hash32(`${Date.now()} ${random.nextFloat()}`),
-      startedAtMs: performance.now(),
+      startedAtMs,
       members: () => ({
-        count: members().membersCount,
+        count: this.#retained.count(performance.now()),
         isComplete: members().isListComplete,
         isNew: members().isNewMember,
       }),
@@ -184,12 +186,13 @@
 
   /**
    * Selects the members to which this daemon needs a link: all that may own a
-   * bucket.
+   * bucket. Called with each change of the known members.
    *
    * @param records Records of all members, including this one.
    * @returns Their names; none without a tenant with a cap.
    */
   selectLinked(records: readonly MemberRecord[]): readonly string[] {
+    this.#retained.update(records, performance.now());
     if (this.#tenantNames.size === 0) {
       return [];
     }
@@ -211,7 +214,7 @@
       return;
     }
     this.#followLinks(nowMs);
-    this.#owner.tick(this.#options.members().membersCount, nowMs);
+    this.#owner.tick(this.#retained.count(nowMs), nowMs);
     this.#asker.tick(nowMs);
     this.#log.tick(nowMs, this.#asker.owners);
     this.#scheduleStep();
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -32,7 +32,6 @@
     new FleetUsageCaps({
       members: () => ({
         ownRecord: { name: ownName },
-        membersCount: 2,
         isListComplete: true,
         isNewMember: false,
         reselectLinks: () => selectionsCount++,
@@ -129,7 +128,6 @@
   const daemon = new FleetUsageCaps({
     members: () => ({
       ownRecord: { name: "own" },
-      membersCount: 3,
       isListComplete: true,
       isNewMember: false,
       reselectLinks: () => {},
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -8,6 +8,7 @@
   CapHeld,
 } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
+import { RetainedMembers } from "../decisions/caps/retained_members.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
 import { VirtualSchedule } from "../../bench/membership/virtual_schedule.ts";
 import { type CapNetwork, SimulatedCapDaemon } from "./simulated_cap_daemon.ts";
@@ -220,8 +221,9 @@
     daemon.upSinceMs.clear();
     daemon.capsVersion = this.#capsVersion;
     daemon.owner = new CapOwner();
-    this.#updateCandidates(daemon);
     const clockMs = daemon.clockMs(this.nowMs);
+    daemon.retained = new RetainedMembers(clockMs);
+    this.#updateCandidates(daemon);
     daemon.asker = this.#createAsker(daemon, clockMs);
     daemon.owner.applyCaps(this.#caps, clockMs);
     daemon.asker.applyCaps(this.#caps, clockMs);
@@ -240,6 +242,21 @@
     this.#updateLinks(() => true, SILENCE_MAX_MS);
   }
 
+  /**
+   * Lets all daemons forget the members that they do not reach, as after 10
+   * minutes.
+   */
+  forgetUnreachable(): void {
+    for (const daemon of this.#daemons) {
+      daemon.known = new Set(
+        [...daemon.known].filter((name) =>
+          this.#isReachable(daemon, this.#byName.get(name)!)
+        ),
+      );
+      this.#updateCandidates(daemon);
+    }
+  }
+
   /** Adds a daemon, of which the others learn within a second. */
   join(): string {
     const daemon = this.#add(this.#daemons.length);
@@ -346,7 +363,7 @@
       processId: this.random.nextInt(0x7fffffff),
       startedAtMs: clockMs,
       members: () => ({
-        count: daemon.known.size,
+        count: daemon.retained.count(daemon.clockMs(this.nowMs)),
         isComplete: daemon.isListComplete,
         isNew: daemon.isNew,
       }),
@@ -357,9 +374,9 @@
   }
 
   #updateCandidates(daemon: SimulatedCapDaemon): void {
-    daemon.candidates = listCapCandidates(
-      [...daemon.known].map((name) => this.#byName.get(name)!),
-    );
+    const members = [...daemon.known].map((name) => this.#byName.get(name)!);
+    daemon.candidates = listCapCandidates(members);
+    daemon.retained.update(members, daemon.clockMs(this.nowMs));
   }
 
   #tick(daemon: SimulatedCapDaemon, generation: number): void {
@@ -373,7 +390,7 @@
       return;
     }
     const clockMs = daemon.clockMs(this.nowMs);
-    daemon.owner.tick(daemon.known.size, clockMs);
+    daemon.owner.tick(daemon.retained.count(clockMs), clockMs);
     daemon.asker!.tick(clockMs);
     this.#scheduleStep(daemon);
     this.at(this.nowMs + TICK_MS, () => this.#tick(daemon, generation));
--- a/src/testing/simulated_cap_daemon.ts
+++ b/src/testing/simulated_cap_daemon.ts
@@ -3,6 +3,7 @@
 import type { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { CandidateView } from "../decisions/caps/owner_pointer.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
+import { RetainedMembers } from "../decisions/caps/retained_members.ts";
 
 /** Behaviour of the simulated network. */
 export type CapNetwork = {
@@ -24,6 +25,7 @@
   /** Monotonic times since which links are up, by candidate. */
   readonly upSinceMs = new Map<string, number>();
   known = new Set<string>();
+  retained = new RetainedMembers(0);
   /** Whether the store has told all members since the start of the process. */
   isListComplete = false;
   /** Whether the store had no record of it before the start of the process. */
