--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -20,7 +20,9 @@
 const ASK_INTERVAL_MS = 100;
 
 /** Interval of the reports on held requests to an owner. */
-const HELD_INTERVAL_MS = 500;
+const HELD_INTERVAL_MS = 200;
+/** Time for which a report holds, so that two may be lost or late. */
+const HELD_AHEAD_MS = 800;
 
 /**
  * Time after which an owner that is not used is forgotten. It is longer than the
@@ -126,14 +128,15 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns.
    * @param nowMs Monotonic time, in ms.
-   * @returns Function to call once with the time at which the request ends. It
-   *   cancels a request that waits; after that, no upstream may start it.
+   * @returns Function to call once when the request ends, with the latest time at
+   *   which an upstream has started it. It cancels a request that waits; after that,
+   *   no upstream may start it.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
-  ): (endedAtMs: number) => void {
+  ): (startedAtMs: number) => void {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
       onDecision({ isAdmitted: true });
@@ -144,7 +147,7 @@
     if (waiters.count === 0 && stock.take(nowMs)) {
       held.charge(nowMs);
       onDecision({ isAdmitted: true });
-      return (endedAtMs) => held.end(nowMs, endedAtMs);
+      return (startedAtMs) => held.end(nowMs, startedAtMs);
     }
     let isCharged = false;
     const waiter = {
@@ -163,9 +166,9 @@
       return () => {};
     }
     this.#askUrgently(tenant, nowMs);
-    return (endedAtMs) => {
+    return (startedAtMs) => {
       if (isCharged) {
-        held.end(nowMs, endedAtMs);
+        held.end(nowMs, startedAtMs);
       } else {
         waiters.remove(waiter);
       }
@@ -334,7 +337,7 @@
   }
 
   #reportHeldOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
-    const { view, sendHeld } = this.#options;
+    const { view, processId, sendHeld } = this.#options;
     if (
       nowMs - book.heldSentAtMs < HELD_INTERVAL_MS ||
       !view.isConnected(ownerName)
@@ -343,7 +346,9 @@
     }
     const tenants: { tenantName: string; heldCount: number }[] = [];
     for (const { tenantName, pointer, held } of this.#tenants.values()) {
-      const heldCount = pointer.owner === ownerName ? held.count(nowMs) : 0;
+      const heldCount = pointer.owner === ownerName
+        ? held.maxCount(nowMs, HELD_AHEAD_MS)
+        : 0;
       if (heldCount > 0) {
         tenants.push({ tenantName, heldCount });
       }
@@ -351,7 +356,8 @@
     if (tenants.length > 0 || book.hasHeld) {
       book.hasHeld = tenants.length > 0;
       book.heldSentAtMs = nowMs;
-      sendHeld(ownerName, { tenants });
+      const sequence = ++book.heldSequence;
+      sendHeld(ownerName, { processId, sequence, tenants });
     }
   }
 
--- a/src/decisions/caps/cap_messages.ts
+++ b/src/decisions/caps/cap_messages.ts
@@ -56,6 +56,10 @@
 
 /** Report of a daemon to an owner on requests that started late, or may do so. */
 export type CapHeld = {
+  /** Random number of the daemon's process. */
+  readonly processId: number;
+  /** Increases with each report of the process to this owner. */
+  readonly sequence: number;
   /** Tenants with such requests; all others have none. */
   readonly tenants: readonly {
     readonly tenantName: string;
--- a/src/decisions/caps/cap_owner.ts
+++ b/src/decisions/caps/cap_owner.ts
@@ -35,6 +35,8 @@
   tenantNames: ReadonlySet<string>;
   expiresAtMs: number;
   membersCount: number;
+  /** Number of the newest report on held requests. */
+  heldSequence: number;
 };
 
 /**
@@ -161,12 +163,21 @@
 
   /**
    * Handles the report of a member on requests that started late, or may do so.
+   * An overtaken report is ignored.
    *
    * @param memberName Name of the member; may be this daemon.
    * @param held The report.
    * @param nowMs Monotonic time, in ms.
    */
   handleHeld(memberName: string, held: CapHeld, nowMs: number): void {
+    const lessee = this.#lessees.get(memberName);
+    if (
+      lessee?.processId !== held.processId ||
+      held.sequence <= lessee.heldSequence
+    ) {
+      return;
+    }
+    lessee.heldSequence = held.sequence;
     const counts = new Map(
       held.tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
     );
@@ -200,6 +211,7 @@
       tenantNames: known?.tenantNames ?? new Set(),
       expiresAtMs: known?.expiresAtMs ?? 0,
       membersCount: 1,
+      heldSequence: 0,
     };
     this.#lessees.set(memberName, lessee);
     return lessee;
--- a/src/decisions/caps/grant_window.ts
+++ b/src/decisions/caps/grant_window.ts
@@ -6,12 +6,10 @@
 const CELL_MS = 100;
 /**
  * Time for which grants are counted, in windows. Tokens are used up to 400 ms after
- * they were granted, and a member reports requests that were charged longer than a
- * window ago every 500 ms; one report may be lost.
+ * they were granted. A full bucket grants no more in that time than is allowed, so
+ * that the limit takes effect only as far as there are older requests.
  */
-const COUNTED_RATIO = 1.3;
-/** Part of the rate in a window that may be granted; a tenth may exceed the cap. */
-const ALLOWED_RATIO = 1.1;
+const COUNTED_RATIO = 1.1;
 
 type Held = { readonly count: number; readonly atMs: number };
 
@@ -121,8 +119,8 @@
     if (heldCount === 0) {
       return Infinity;
     }
-    const rateCount = cap.ratePerS * cap.windowMs / MS_PER_S * ALLOWED_RATIO;
-    const maxCount = (rateCount + bucketDepth(cap)) * share;
+    const earnedCount = cap.ratePerS * spanMs / MS_PER_S;
+    const maxCount = (earnedCount + bucketDepth(cap)) * share;
     return Math.max(0, maxCount - this.#count - heldCount);
   }
 }
--- a/src/decisions/caps/held_charges.ts
+++ b/src/decisions/caps/held_charges.ts
@@ -3,17 +3,16 @@
 /** Span whose changes are summed up. */
 const CELL_MS = 100;
 /**
- * Requests that end within this time of their charge are not counted. The bound
+ * Requests that start within this time of their charge are not counted. The bound
  * allows for it: the cap may be exceeded by a tenth of the window, of which stocks
  * and tokens on the way take 400 ms.
  */
-const ENDS_SOON_MS = 100;
+const STARTS_SOON_MS = 100;
 
 /**
  * Counts the requests of one tenant at one daemon that were charged longer than a
  * window ago and may have been started within the window: those that have not
- * ended, and those that ended within it. The moment of the start is not known at
- * the daemon that is charged, so the end stands for it.
+ * ended, and those that have ended and were started within it.
  */
 export class HeldCharges {
   readonly #windowMs: number;
@@ -38,24 +37,26 @@
   }
 
   /**
-   * Records that no upstream will start a request any more.
+   * Records that a request has ended.
    *
    * @param chargedAtMs Monotonic time at which it was charged, in ms.
-   * @param nowMs Monotonic time, in ms.
+   * @param startedAtMs Latest monotonic time at which an upstream has started it,
+   *   in ms.
    */
-  end(chargedAtMs: number, nowMs: number): void {
-    const cell = nowMs - chargedAtMs <= ENDS_SOON_MS
+  end(chargedAtMs: number, startedAtMs: number): void {
+    const cell = startedAtMs - chargedAtMs <= STARTS_SOON_MS
       ? this.#firstCell(chargedAtMs)
-      : Math.ceil((nowMs + this.#windowMs) / CELL_MS);
+      : Math.ceil((startedAtMs + this.#windowMs) / CELL_MS);
     this.#change(cell, -1);
   }
 
   /**
-   * Returns the number of these requests.
+   * Returns the largest number of these requests within a time from now on.
    *
    * @param nowMs Monotonic time, in ms.
+   * @param aheadMs The time, in ms.
    */
-  count(nowMs: number): number {
+  maxCount(nowMs: number, aheadMs: number): number {
     const nowCell = Math.floor(nowMs / CELL_MS);
     for (const [cell, change] of this.#changes) {
       if (cell <= nowCell) {
@@ -63,7 +64,16 @@
         this.#changes.delete(cell);
       }
     }
-    return this.#count;
+    let count = this.#count;
+    let maxCount = count;
+    if (this.#changes.size > 0) {
+      const lastCell = Math.floor((nowMs + aheadMs) / CELL_MS);
+      for (let cell = nowCell + 1; cell <= lastCell; cell++) {
+        count += this.#changes.get(cell) ?? 0;
+        maxCount = Math.max(maxCount, count);
+      }
+    }
+    return maxCount;
   }
 
   #firstCell(chargedAtMs: number): number {
--- a/src/decisions/caps/lease_book.ts
+++ b/src/decisions/caps/lease_book.ts
@@ -24,6 +24,8 @@
 
   /** Monotonic time of the last report on held requests. */
   heldSentAtMs = -Infinity;
+  /** Number of the last report on held requests. */
+  heldSequence = 0;
   /** Whether the last report on held requests named any. */
   hasHeld = false;
 
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -79,7 +79,9 @@
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
-  #endUsage = () => {};
+  #endUsage = (_startedAtMs: number) => {};
+  /** Time at which the upstream started the request whose answer is relayed. */
+  #startedAtMs: number | undefined;
 
   /**
    * @param request Admitted request.
@@ -268,6 +270,7 @@
       this.#request.route.name,
       answer.runMs,
     );
+    this.#startedAtMs = performance.now() - answer.runMs;
     this.#sendAnswer(answer);
   }
 
@@ -300,13 +303,13 @@
       this.#machine.send("admitted", this.#lastFailure);
       return;
     }
-    this.#endUsage();
-    let isEnded = false;
-    let end = () => {};
-    this.#endUsage = () => {
-      isEnded = true;
-      end();
-      end = () => {};
+    this.#endUsage(performance.now());
+    let endedWithMs: number | undefined;
+    let end: ((startedAtMs: number) => void) | undefined;
+    this.#endUsage = (startedAtMs) => {
+      endedWithMs ??= startedAtMs;
+      end?.(startedAtMs);
+      end = undefined;
     };
     let hasWaited = false;
     end = this.#parts.usage.admit(
@@ -315,8 +318,8 @@
     );
     hasWaited = true;
     // A request that is admitted at once may also end at once.
-    if (isEnded) {
-      end();
+    if (endedWithMs !== undefined) {
+      end(endedWithMs);
     }
   }
 
@@ -393,7 +396,7 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
-    this.#endUsage();
+    this.#endUsage(this.#startedAtMs ?? performance.now());
     const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
       this.#request;
     this.#parts.onEnd(this.#request, outcome);
--- a/src/fleet/usage_cap_gate.ts
+++ b/src/fleet/usage_cap_gate.ts
@@ -9,13 +9,14 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns, in
    *   particular for a tenant without a cap; not called after a cancellation.
-   * @returns Function to call once the request ends: it cancels a request that
-   *   waits. After it, no upstream may start the request.
+   * @returns Function to call once the request ends, with the latest monotonic time
+   *   at which an upstream has started it, in ms. It cancels a request that waits;
+   *   after it, no upstream may start the request.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): () => void;
+  ): (startedAtMs: number) => void;
 }
 
 /** Admits all requests at once. */
@@ -24,7 +25,7 @@
   admit(
     _tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): () => void {
+  ): (startedAtMs: number) => void {
     onDecision({ isAdmitted: true });
     return () => {};
   }
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -142,7 +142,7 @@
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): () => void {
+  ): (startedAtMs: number) => void {
     let isDecided = false;
     const end = this.#asker.admit(
       tenantName,
@@ -158,7 +158,7 @@
     if (!isDecided) {
       this.#scheduleStep();
     }
-    return () => end(performance.now());
+    return end;
   }
 
   /**
--- a/src/link/usage_frames.ts
+++ b/src/link/usage_frames.ts
@@ -84,10 +84,12 @@
  * @param held The report.
  * @returns Frame for a link.
  */
-export function encodeUsageHeld({ tenants }: CapHeld): readonly unknown[] {
+export function encodeUsageHeld(held: CapHeld): readonly unknown[] {
   return [
     FRAME.usageHeld,
-    tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
+    held.processId,
+    held.sequence,
+    held.tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
   ];
 }
 
@@ -99,8 +101,10 @@
  * @throws {z.ZodError} When the frame does not have the expected form.
  */
 export function decodeUsageHeld(frame: unknown): CapHeld {
-  const [, tenants] = usageHeldFrameSchema.parse(frame);
+  const [, processId, sequence, tenants] = usageHeldFrameSchema.parse(frame);
   return {
+    processId,
+    sequence,
     tenants: tenants.map(([tenantName, heldCount]) => ({
       tenantName,
       heldCount,
--- a/src/link/usage_frames_test.ts
+++ b/src/link/usage_frames_test.ts
@@ -56,7 +56,11 @@
   const renewal = { ...ASK, leasedTenants: undefined, tenants: [] };
   assert.deepEqual(decodeUsageAsk(transfer(encodeUsageAsk(renewal))), renewal);
   assert.deepEqual(decodeUsageGrant(transfer(encodeUsageGrant(GRANT))), GRANT);
-  const held: CapHeld = { tenants: [{ tenantName: "amber", heldCount: 4 }] };
+  const held: CapHeld = {
+    processId: 0xfffffff0,
+    sequence: 3,
+    tenants: [{ tenantName: "amber", heldCount: 4 }],
+  };
   assert.deepEqual(decodeUsageHeld(transfer(encodeUsageHeld(held))), held);
 });
 
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -211,6 +211,8 @@
 /** Schema of a report to the owner of usage caps, which has no answer. */
 export const usageHeldFrameSchema = z.tuple([
   z.literal(FRAME.usageHeld),
+  z.number().describe("Random number of the sender's process"),
+  z.number().describe("Number of the report; rises with each"),
   z.array(z.tuple([z.string(), countSchema]))
     .describe("Tenant, requests that started late or may do so"),
 ]);
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -139,9 +139,11 @@
       if (startsAtMs <= this.nowMs) {
         this.#recordStart(tenantName);
       }
-      this.at(Math.max(startsAtMs, this.nowMs) + RUN_MS, () => {
-        end(daemon.clockMs(this.nowMs));
-      });
+      const startedAtMs = daemon.clockMs(Math.max(startsAtMs, this.nowMs));
+      this.at(
+        Math.max(startsAtMs, this.nowMs) + RUN_MS,
+        () => end(startedAtMs),
+      );
       if (startsAtMs > this.nowMs) {
         this.at(startsAtMs, () => {
           // The requests of a daemon that has ended are cancelled in the queue.
