--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -4,12 +4,14 @@
 import type {
   CapAsk,
   CapGrant,
+  CapHeld,
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
 import { LeaseBook } from "./lease_book.ts";
+import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
-import { TenantTokens } from "./tenant_tokens.ts";
+import { type GrantTimes, TenantTokens } from "./tenant_tokens.ts";
 import type { CapDecision } from "./tenant_waiters.ts";
 
 /** Minimum time between two asks to an owner while requests wait. */
@@ -17,6 +19,11 @@
 /** Minimum time between two asks to an owner while no request waits. */
 const ASK_INTERVAL_MS = 100;
 
+/** Interval of the reports on held requests to an owner. */
+const HELD_INTERVAL_MS = 200;
+/** Time for which a report holds, so that two may be lost or late. */
+const HELD_AHEAD_MS = 800;
+
 /**
  * Time after which an owner that is not used is forgotten. It is longer than the
  * time for which owners remember the numbers of messages.
@@ -29,16 +36,15 @@
   view: CandidateView;
   /** Random number of this process. */
   processId: number;
-  /**
-   * Monotonic time from which shares are leased, in ms. The leases of the
-   * process before have ended until then.
-   */
-  leasesFromMs: number;
-  /** Members that the daemon knows, including itself. */
-  membersCount: () => number;
+  /** Monotonic time of the start of the process, in ms. */
+  startedAtMs: number;
+  /** Members that the daemon knows. */
+  members: () => KnownMembers;
   random: RandomSource;
   /** Sends a message to an owner, which may be this daemon. */
   send: (ownerName: string, ask: CapAsk) => void;
+  /** Sends a report to an owner, which may be this daemon. */
+  sendHeld: (ownerName: string, held: CapHeld) => void;
 };
 
 /** Numbers since the start of an asker. */
@@ -53,6 +59,7 @@
   readonly #options: CapAskerOptions;
   readonly #tenants = new Map<string, TenantTokens>();
   readonly #books = new Map<string, LeaseBook>();
+  readonly #leaseStart: LeaseStart;
   #requestedCount = 0;
   #returnedCount = 0;
   #refusedCount = 0;
@@ -62,6 +69,7 @@
    */
   constructor(options: CapAskerOptions) {
     this.#options = options;
+    this.#leaseStart = new LeaseStart(options.startedAtMs);
   }
 
   /** Numbers since the start. */
@@ -120,32 +128,51 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns.
    * @param nowMs Monotonic time, in ms.
-   * @returns Function that cancels the request while it waits.
+   * @returns Function to call once when the request ends, with the latest time at
+   *   which an upstream has started it. It cancels a request that waits; after that,
+   *   no upstream may start it.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
-  ): () => void {
+  ): (startedAtMs: number) => void {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
       onDecision({ isAdmitted: true });
       return () => {};
     }
     tenant.demand.record(nowMs);
-    const { waiters, stock } = tenant;
+    const { waiters, stock, held } = tenant;
     if (waiters.count === 0 && stock.take(nowMs)) {
+      held.charge(nowMs);
       onDecision({ isAdmitted: true });
-      return () => {};
+      return (startedAtMs) => held.end(nowMs, startedAtMs);
     }
-    const waiter = { sinceMs: nowMs, onDecision };
+    let isCharged = false;
+    const waiter = {
+      sinceMs: nowMs,
+      onDecision: (decision: CapDecision) => {
+        if (decision.isAdmitted) {
+          isCharged = true;
+          held.charge(nowMs);
+        }
+        onDecision(decision);
+      },
+    };
     if (!waiters.add(waiter)) {
       this.#refusedCount++;
       onDecision(waiters.createRefusal());
       return () => {};
     }
     this.#askUrgently(tenant, nowMs);
-    return () => waiters.remove(waiter);
+    return (startedAtMs) => {
+      if (isCharged) {
+        held.end(nowMs, startedAtMs);
+      } else {
+        waiters.remove(waiter);
+      }
+    };
   }
 
   /**
@@ -156,12 +183,14 @@
    */
   tick(nowMs: number): void {
     this.#updateBooks(nowMs);
+    const mayLease = this.#leaseStart.mayLease(this.#options.members(), nowMs);
     for (const tenant of this.#tenants.values()) {
-      this.#moveTenant(tenant, nowMs);
+      this.#moveTenant(tenant, mayLease, nowMs);
       tenant.stock.expire(nowMs);
     }
     for (const [ownerName, book] of this.#books) {
       this.#askOnceDue(ownerName, book, nowMs);
+      this.#reportHeldOnceDue(ownerName, book, nowMs);
     }
     this.step(nowMs);
   }
@@ -226,13 +255,10 @@
       const tenant = this.#tenants.get(tenantGrant.tenantName);
       if (tenant !== undefined) {
         tenant.handleAnswer(ownerName);
-        tenant.addGranted(tenantGrant.grantedCount, {
-          ownerName,
-          askedAtMs: ask.sentAtMs,
-          nowMs,
-        });
+        const times = { ownerName, askedAtMs: ask.sentAtMs, nowMs };
+        tenant.addGranted(tenantGrant.grantedCount, times);
         tenant.carry(tenantGrant.carriedCount, nowMs);
-        this.#handleDenied(tenant, tenantGrant, ownerName, nowMs);
+        this.#handleDenied(tenant, tenantGrant, times);
       }
     }
   }
@@ -240,12 +266,16 @@
   #handleDenied(
     tenant: TenantTokens,
     { deniedCount, roomInMs }: TenantGrant,
-    ownerName: string,
-    nowMs: number,
+    { ownerName, askedAtMs, nowMs }: GrantTimes,
   ): void {
     if (deniedCount === 0) {
       return;
     }
+    if (!tenant.waiters.hasWaitedSince(askedAtMs)) {
+      // The requests that the owner was asked for have left.
+      this.#askUrgently(tenant, nowMs);
+      return;
+    }
     const isFormerLeft = tenant.deny(
       ownerName,
       roomInMs,
@@ -255,7 +285,10 @@
     if (isFormerLeft) {
       this.#askUrgently(tenant, nowMs);
     } else if (roomInMs > WAIT_MAX_MS) {
-      this.#refusedCount += tenant.waiters.refuseFirst(deniedCount);
+      this.#refusedCount += tenant.waiters.refuseFirst(
+        deniedCount,
+        askedAtMs,
+      );
     }
   }
 
@@ -303,6 +336,31 @@
     }
   }
 
+  #reportHeldOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
+    const { view, processId, sendHeld } = this.#options;
+    if (
+      nowMs - book.heldSentAtMs < HELD_INTERVAL_MS ||
+      !view.isConnected(ownerName)
+    ) {
+      return;
+    }
+    const tenants: { tenantName: string; heldCount: number }[] = [];
+    for (const { tenantName, pointer, held } of this.#tenants.values()) {
+      const heldCount = pointer.owner === ownerName
+        ? held.maxCount(nowMs, HELD_AHEAD_MS)
+        : 0;
+      if (heldCount > 0) {
+        tenants.push({ tenantName, heldCount });
+      }
+    }
+    if (tenants.length > 0 || book.hasHeld) {
+      book.hasHeld = tenants.length > 0;
+      book.heldSentAtMs = nowMs;
+      const sequence = ++book.heldSequence;
+      sendHeld(ownerName, { processId, sequence, tenants });
+    }
+  }
+
   #ask(ownerName: string, book: LeaseBook, nowMs: number): void {
     const waitingCounts = new Map<string, number>();
     const tenants: TenantAsk[] = [];
@@ -321,12 +379,12 @@
     }
     const sequence = book.nextSequence(nowMs);
     book.open(sequence, { sentAtMs: nowMs, waitingCounts });
-    const { processId, membersCount, send } = this.#options;
+    const { processId, members, send } = this.#options;
     send(ownerName, {
       processId,
       sequence,
       sentAtMs: nowMs,
-      membersCount: membersCount(),
+      membersCount: members().count,
       listNumber: book.listNumber,
       leasedTenants: book.unacknowledged,
       tenants,
@@ -334,7 +392,7 @@
   }
 
   /** Moves a tenant to its owner, and leases the share to it when it may. */
-  #moveTenant(tenant: TenantTokens, nowMs: number): void {
+  #moveTenant(tenant: TenantTokens, mayLease: boolean, nowMs: number): void {
     const { tenantName, pointer } = tenant;
     tenant.checkFormer(this.#options.view, nowMs);
     const isLeased = pointer.owner !== undefined &&
@@ -347,10 +405,7 @@
         pointer.hold(left, book.endsAtMs, book.listNumber);
       }
     }
-    if (
-      pointer.owner !== undefined && nowMs >= this.#options.leasesFromMs &&
-      pointer.mayLease(nowMs)
-    ) {
+    if (pointer.owner !== undefined && mayLease && pointer.mayLease(nowMs)) {
       this.#bookOf(pointer.owner).set(tenantName, true);
     }
   }
--- a/src/decisions/caps/cap_owner.ts
+++ b/src/decisions/caps/cap_owner.ts
@@ -4,6 +4,7 @@
 import type {
   CapAsk,
   CapGrant,
+  CapHeld,
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
@@ -34,6 +35,8 @@
   tenantNames: ReadonlySet<string>;
   expiresAtMs: number;
   membersCount: number;
+  /** Number of the newest report on held requests. */
+  heldSequence: number;
 };
 
 /**
@@ -158,10 +161,36 @@
     };
   }
 
+  /**
+   * Handles the report of a member on requests that started late, or may do so.
+   * An overtaken report is ignored.
+   *
+   * @param memberName Name of the member; may be this daemon.
+   * @param held The report.
+   * @param nowMs Monotonic time, in ms.
+   */
+  handleHeld(memberName: string, held: CapHeld, nowMs: number): void {
+    const lessee = this.#lessees.get(memberName);
+    if (
+      lessee?.processId !== held.processId ||
+      held.sequence <= lessee.heldSequence
+    ) {
+      return;
+    }
+    lessee.heldSequence = held.sequence;
+    const counts = new Map(
+      held.tenants.map(({ tenantName, heldCount }) => [tenantName, heldCount]),
+    );
+    for (const [tenantName, bucket] of this.#buckets) {
+      bucket.window.setHeld(memberName, counts.get(tenantName) ?? 0, nowMs);
+    }
+  }
+
   #credit({ tenants }: CapAsk, nowMs: number): void {
     for (const { tenantName, returnedCount, carriedCount } of tenants) {
-      this.#buckets.get(tenantName)
-        ?.credit(returnedCount + carriedCount, nowMs);
+      const bucket = this.#buckets.get(tenantName);
+      bucket?.credit(carriedCount, nowMs);
+      bucket?.takeBack(returnedCount, nowMs);
     }
   }
 
@@ -182,6 +211,7 @@
       tenantNames: known?.tenantNames ?? new Set(),
       expiresAtMs: known?.expiresAtMs ?? 0,
       membersCount: 1,
+      heldSequence: 0,
     };
     this.#lessees.set(memberName, lessee);
     return lessee;
--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -71,6 +71,7 @@
 type Fault =
   | "restart"
   | "restart two"
+  | "restart all"
   | "pause"
   | "partition"
   | "heal"
@@ -107,6 +108,11 @@
     case "restart two":
       restart(candidate);
       return restart(names[random.nextInt(names.length)]!);
+    case "restart all":
+      return simulation.restartAll({
+        knownMaxCount: 1 + random.nextInt(names.length),
+        completeAfterMs: 100 + random.nextInt(6_000),
+      });
     case "pause":
       return simulation.pause(candidate, 500 + random.nextInt(5_000));
     case "partition": {
@@ -139,6 +145,7 @@
       fault: fc.constantFrom<Fault>(
         "restart",
         "restart two",
+        "restart all",
         "pause",
         "partition",
         "partition",
@@ -179,7 +186,7 @@
         }
         simulation.run(END_MS);
         for (const [tenantName, caps] of capsInForce) {
-          const excess = findExcess(simulation.admittedAtMs(tenantName), caps);
+          const excess = findExcess(simulation.startedAtMs(tenantName), caps);
           assert.equal(excess, undefined, `${tenantName}: ${excess}`);
         }
       },
@@ -187,3 +194,113 @@
     { seed: 12, numRuns: 40 },
   );
 });
+
+// Guards against a divisor that falls on both sides once the members of the other
+// side are forgotten.
+test("the bound holds in a partition after which each side forgets the other", () => {
+  fc.assert(
+    fc.property(
+      fc.integer(),
+      fc.integer({ min: 2, max: 30 }),
+      fc.integer({ min: 1, max: 29 }),
+      (seed, daemonsCount, firstSideCount) => {
+        const simulation = new CapSimulation({
+          seed,
+          daemonsCount,
+          dataCentresCount: 2,
+          caps: CAPS,
+          network: FAULTY_NETWORK,
+        });
+        for (const [tenantName, cap] of CAPS) {
+          offer(simulation, tenantName, cap);
+        }
+        const firstSide = new Set(simulation.names.slice(0, firstSideCount));
+        simulation.at(
+          7_000,
+          () => simulation.partition((name) => firstSide.has(name)),
+        );
+        simulation.at(10_000, () => simulation.forgetUnreachable());
+        simulation.run(END_MS);
+        for (const [tenantName, cap] of CAPS) {
+          const excess = findExcess(simulation.startedAtMs(tenantName), [
+            { fromMs: 0, untilMs: Infinity, cap },
+          ]);
+          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+        }
+      },
+    ),
+    { seed: 15, numRuns: 10 },
+  );
+});
+
+// Guards against requests that are charged in one window and start in the next,
+// because they have waited in the queue of an upstream.
+test("the bound holds for the starts of requests that wait for a slow upstream", () => {
+  fc.assert(
+    fc.property(
+      fc.integer(),
+      fc.integer({ min: 300, max: 4_500 }),
+      fc.integer({ min: 0, max: 8_000 }),
+      (seed, stallMs, pauseMs) => {
+        const simulation = new CapSimulation({
+          seed,
+          daemonsCount: 12,
+          dataCentresCount: 3,
+          caps: CAPS,
+          network: FAULTY_NETWORK,
+        });
+        // Upstreams start nothing for a while, and then all that has waited.
+        simulation.queuedUntilMs = (nowMs) => {
+          const passedMs = nowMs % (stallMs + pauseMs);
+          return passedMs < stallMs ? nowMs - passedMs + stallMs : nowMs;
+        };
+        for (const [tenantName, cap] of CAPS) {
+          offer(simulation, tenantName, cap);
+        }
+        simulation.run(END_MS);
+        for (const [tenantName, cap] of CAPS) {
+          const excess = findExcess(simulation.startedAtMs(tenantName), [
+            { fromMs: 0, untilMs: Infinity, cap },
+          ]);
+          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+        }
+      },
+    ),
+    { seed: 14, numRuns: 10 },
+  );
+});
+
+// Guards against shares that are divided by the few members that a daemon knows
+// until the store has told it all of them.
+test("the bound holds after a restart of all daemons with incomplete lists of members", () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.boolean(), (seed, isStoreDown) => {
+      const simulation = new CapSimulation({
+        seed,
+        daemonsCount: 12,
+        dataCentresCount: 3,
+        caps: CAPS,
+        network: FAULTY_NETWORK,
+      });
+      for (const [tenantName, cap] of CAPS) {
+        offer(simulation, tenantName, cap);
+      }
+      simulation.at(
+        8_000,
+        () =>
+          simulation.restartAll({
+            knownMaxCount: 6,
+            completeAfterMs: isStoreDown ? END_MS : 4_000,
+          }),
+      );
+      simulation.run(END_MS);
+      for (const [tenantName, cap] of CAPS) {
+        const excess = findExcess(simulation.startedAtMs(tenantName), [
+          { fromMs: 0, untilMs: Infinity, cap },
+        ]);
+        assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+      }
+    }),
+    { seed: 13, numRuns: 8 },
+  );
+});
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -3,28 +3,26 @@
 import type { RandomSource } from "../core/random.ts";
 import { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
-import type { CapAsk } from "../decisions/caps/cap_messages.ts";
+import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
+import { RetainedMembers } from "../decisions/caps/retained_members.ts";
 import type { CandidateView } from "../decisions/caps/owner_pointer.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import {
   decodeUsageAsk,
   decodeUsageGrant,
+  decodeUsageHeld,
   encodeUsageAsk,
   encodeUsageGrant,
+  encodeUsageHeld,
 } from "../link/usage_frames.ts";
 import type { FleetTenant, MemberRecord } from "../schemas/fleet_schema.ts";
+import { FRAME } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { UsageCapGate } from "./usage_cap_gate.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
 
-/**
- * Time after the start in which this daemon leases no share. The leases of its
- * former process have ended until then, and its links are up.
- */
-const LEASES_DELAY_MS = 1_500;
-
 /** Link to a candidate. */
 export interface CandidateLink {
   /** Whether the peer is connected. */
@@ -39,8 +37,10 @@
 export interface UsageCapMembers {
   /** Record of this daemon. */
   readonly ownRecord: Pick<MemberRecord, "name">;
-  /** Number of known members, including this one. */
-  readonly membersCount: number;
+  /** Whether the store has told all members since the start. */
+  readonly isListComplete: boolean;
+  /** Whether the store had no record of this daemon before its start. */
+  readonly isNewMember: boolean;
   /** Returns the link to a member; undefined for a member without one. */
   link(name: string): CandidateLink | undefined;
   /** Makes the next tick select the links again. */
@@ -94,6 +94,7 @@
   readonly #asker: CapAsker;
   readonly #log: UsageCapLog;
   readonly #upSinceMs = new Map<string, number>();
+  readonly #retained: RetainedMembers;
   #tenantNames: ReadonlySet<string> = new Set();
   #candidates: readonly string[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -106,14 +107,21 @@
     this.#options = options;
     const { random, members } = options;
     this.#log = new UsageCapLog(options.log);
+    const startedAtMs = performance.now();
+    this.#retained = new RetainedMembers(startedAtMs);
     this.#asker = new CapAsker({
       view: this.#createView(),
       // The time tells it from that of the former process under any seed.
       processId: hash32(`${Date.now()} ${random.nextFloat()}`),
-      leasesFromMs: performance.now() + LEASES_DELAY_MS,
-      membersCount: () => members().membersCount,
+      startedAtMs,
+      members: () => ({
+        count: this.#retained.count(performance.now()),
+        isComplete: members().isListComplete,
+        isNew: members().isNewMember,
+      }),
       random,
       send: (ownerName, ask) => this.#send(ownerName, ask),
+      sendHeld: (ownerName, held) => this.#sendHeld(ownerName, held),
     });
   }
 
@@ -134,9 +142,9 @@
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): () => void {
+  ): (startedAtMs: number) => void {
     let isDecided = false;
-    const cancel = this.#asker.admit(
+    const end = this.#asker.admit(
       tenantName,
       (decision) => {
         isDecided = true;
@@ -150,7 +158,7 @@
     if (!isDecided) {
       this.#scheduleStep();
     }
-    return cancel;
+    return end;
   }
 
   /**
@@ -178,12 +186,13 @@
 
   /**
    * Selects the members to which this daemon needs a link: all that may own a
-   * bucket.
+   * bucket. Called with each change of the known members.
    *
    * @param records Records of all members, including this one.
    * @returns Their names; none without a tenant with a cap.
    */
   selectLinked(records: readonly MemberRecord[]): readonly string[] {
+    this.#retained.update(records, performance.now());
     if (this.#tenantNames.size === 0) {
       return [];
     }
@@ -205,7 +214,7 @@
       return;
     }
     this.#followLinks(nowMs);
-    this.#owner.tick(this.#options.members().membersCount, nowMs);
+    this.#owner.tick(this.#retained.count(nowMs), nowMs);
     this.#asker.tick(nowMs);
     this.#log.tick(nowMs, this.#asker.owners);
     this.#scheduleStep();
@@ -216,8 +225,12 @@
     frame: readonly unknown[],
     peerName: string,
   ): readonly unknown[] | undefined {
-    const ask = decodeUsageAsk(frame);
-    const grant = this.#owner.handle(peerName, ask, performance.now());
+    const nowMs = performance.now();
+    if (frame[0] === FRAME.usageHeld) {
+      this.#owner.handleHeld(peerName, decodeUsageHeld(frame), nowMs);
+      return undefined;
+    }
+    const grant = this.#owner.handle(peerName, decodeUsageAsk(frame), nowMs);
     return grant && encodeUsageGrant(grant);
   }
 
@@ -287,6 +300,15 @@
     }
   }
 
+  #sendHeld(ownerName: string, held: CapHeld): void {
+    const { members } = this.#options;
+    if (ownerName === members().ownRecord.name) {
+      this.#owner.handleHeld(ownerName, held, performance.now());
+    } else {
+      members().link(ownerName)?.sendUsageAsk(encodeUsageHeld(held));
+    }
+  }
+
   /** Sets the timer for waiting requests; without them there is none. */
   #scheduleStep(): void {
     const nowMs = performance.now();
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -32,7 +32,8 @@
     new FleetUsageCaps({
       members: () => ({
         ownRecord: { name: ownName },
-        membersCount: 2,
+        isListComplete: true,
+        isNewMember: false,
         reselectLinks: () => selectionsCount++,
         link: (name) => ({
           isUp: true,
@@ -127,7 +128,8 @@
   const daemon = new FleetUsageCaps({
     members: () => ({
       ownRecord: { name: "own" },
-      membersCount: 3,
+      isListComplete: true,
+      isNewMember: false,
       reselectLinks: () => {},
       link: () => ({
         isUp: true,
@@ -161,7 +163,7 @@
   const daemon = createSilentPeer(t);
   let isDecided = false;
   const cancel = daemon.admit(TENANT.name, () => isDecided = true);
-  cancel();
+  cancel(performance.now());
   const other = await admit(daemon);
   assert.equal(other.isAdmitted, false);
   assert.equal(isDecided, false);
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -2,8 +2,13 @@
 import { type RandomSource, SeededRandom } from "../core/random.ts";
 import { CapAsker } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
-import type { CapAsk, CapGrant } from "../decisions/caps/cap_messages.ts";
+import type {
+  CapAsk,
+  CapGrant,
+  CapHeld,
+} from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
+import { RetainedMembers } from "../decisions/caps/retained_members.ts";
 import { listCapCandidates } from "../decisions/caps/owner_choice.ts";
 import { VirtualSchedule } from "../../bench/membership/virtual_schedule.ts";
 import { type CapNetwork, SimulatedCapDaemon } from "./simulated_cap_daemon.ts";
@@ -17,6 +22,17 @@
   network: CapNetwork;
 };
 
+/** Members that daemons know for some time after their start. */
+export type IncompleteList = {
+  /** Members that a daemon knows at most, including itself. */
+  knownMaxCount: number;
+  /**
+   * Time after its start at which the store tells a daemon all members. Until
+   * then it asks a peer for the members that it knows, once per second.
+   */
+  completeAfterMs: number;
+};
+
 /** Time after which a daemon notices that a peer is cut off, at most. */
 const SILENCE_MAX_MS = 2_000;
 /** Time after which a daemon notices that the process of a peer has ended. */
@@ -24,8 +40,10 @@
 /** Time after which a link is up again, at most. */
 const REDIAL_MAX_MS = 1_000;
 const TICK_MS = 100;
-/** Time after its start in which a daemon leases nothing. */
-const LEASES_DELAY_MS = 1_500;
+/** Time for which a request runs at its upstream. */
+const RUN_MS = 40;
+/** Interval at which a daemon asks a peer for members. */
+const QUERY_INTERVAL_MS = 1_000;
 
 /** Daemons that admit requests under usage caps. Time is in ms from the start. */
 export class CapSimulation {
@@ -36,13 +54,15 @@
   readonly #byName = new Map<string, SimulatedCapDaemon>();
   /** Side of the partition by daemon; 0 without a partition. */
   readonly #sides = new Map<string, number>();
-  readonly #admittedAtMs = new Map<string, number[]>();
+  readonly #startedAtMs = new Map<string, number[]>();
   #caps: ReadonlyMap<string, UsageCap>;
   #capsVersion = 0;
   /** Refused requests by tenant. */
   readonly refusedCounts = new Map<string, number>();
   messagesCount = 0;
   admittedCount = 0;
+  /** Returns until when an admitted request waits in the queue of an upstream. */
+  queuedUntilMs = (admittedAtMs: number) => admittedAtMs;
   /** Requests that a running daemon has received. */
   offeredCount = 0;
 
@@ -73,9 +93,9 @@
     return this.#daemons[0]!.candidates;
   }
 
-  /** Times of the admitted requests of a tenant, in order. */
-  admittedAtMs(tenantName: string): readonly number[] {
-    return this.#admittedAtMs.get(tenantName) ?? [];
+  /** Times at which an upstream has started requests of a tenant, in order. */
+  startedAtMs(tenantName: string): readonly number[] {
+    return this.#startedAtMs.get(tenantName) ?? [];
   }
 
   /** Simulated time, in ms from the start. */
@@ -107,23 +127,45 @@
       return;
     }
     this.offeredCount++;
-    daemon.asker!.admit(tenantName, (decision) => {
+    const { generation } = daemon;
+    const end = daemon.asker!.admit(tenantName, (decision) => {
       if (!decision.isAdmitted) {
         const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
         this.refusedCounts.set(tenantName, refusedCount + 1);
         return;
       }
       this.admittedCount++;
-      const times = this.#admittedAtMs.get(tenantName) ?? [];
-      times.push(this.nowMs);
-      this.#admittedAtMs.set(tenantName, times);
+      const startsAtMs = this.queuedUntilMs(this.nowMs);
+      if (startsAtMs <= this.nowMs) {
+        this.#recordStart(tenantName);
+      }
+      const startedAtMs = daemon.clockMs(Math.max(startsAtMs, this.nowMs));
+      this.at(
+        Math.max(startsAtMs, this.nowMs) + RUN_MS,
+        () => end(startedAtMs),
+      );
+      if (startsAtMs > this.nowMs) {
+        this.at(startsAtMs, () => {
+          // The requests of a daemon that has ended are cancelled in the queue.
+          if (daemon.generation === generation) {
+            this.#recordStart(tenantName);
+          }
+        });
+      }
     }, daemon.clockMs(this.nowMs));
     this.#scheduleStep(daemon);
   }
 
+  #recordStart(tenantName: string): void {
+    const times = this.#startedAtMs.get(tenantName) ?? [];
+    times.push(this.nowMs);
+    this.#startedAtMs.set(tenantName, times);
+  }
+
   /** Ends a daemon's process with all its state. */
   stop(daemonName: string): void {
     const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
+    daemon.isNew = false;
     daemon.isAlive = false;
     daemon.generation++;
     this.#updateLinks((a, b) => a === daemon || b === daemon, CLOSED_MAX_MS);
@@ -153,21 +195,37 @@
     (this.#byName.get(daemonName) as SimulatedCapDaemon).isStopping = true;
   }
 
+  /** Ends all processes at once, and starts them 0.7 to 1.2 s later. */
+  restartAll(list?: IncompleteList): void {
+    for (const { name } of this.#daemons.filter(({ isAlive }) => isAlive)) {
+      this.stop(name);
+      this.at(
+        this.nowMs + 700 + this.random.nextInt(500),
+        () => this.start(name, list),
+      );
+    }
+  }
+
   /** Starts a daemon's process with empty state. */
-  start(daemonName: string): void {
+  start(daemonName: string, list?: IncompleteList): void {
     const daemon = this.#byName.get(daemonName) as SimulatedCapDaemon;
     if (daemon.isAlive) {
       return;
     }
     daemon.isAlive = true;
+    daemon.isListComplete = list === undefined;
+    if (list !== undefined) {
+      this.#limitList(daemon, list);
+    }
     daemon.isStopping = false;
     daemon.pausedUntilMs = 0;
     const generation = ++daemon.generation;
     daemon.upSinceMs.clear();
     daemon.capsVersion = this.#capsVersion;
     daemon.owner = new CapOwner();
-    this.#updateCandidates(daemon);
     const clockMs = daemon.clockMs(this.nowMs);
+    daemon.retained = new RetainedMembers(clockMs);
+    this.#updateCandidates(daemon);
     daemon.asker = this.#createAsker(daemon, clockMs);
     daemon.owner.applyCaps(this.#caps, clockMs);
     daemon.asker.applyCaps(this.#caps, clockMs);
@@ -186,10 +244,26 @@
     this.#updateLinks(() => true, SILENCE_MAX_MS);
   }
 
+  /**
+   * Lets all daemons forget the members that they do not reach, as after 10
+   * minutes.
+   */
+  forgetUnreachable(): void {
+    for (const daemon of this.#daemons) {
+      daemon.known = new Set(
+        [...daemon.known].filter((name) =>
+          this.#isReachable(daemon, this.#byName.get(name)!)
+        ),
+      );
+      this.#updateCandidates(daemon);
+    }
+  }
+
   /** Adds a daemon, of which the others learn within a second. */
   join(): string {
     const daemon = this.#add(this.#daemons.length);
     daemon.known = new Set(this.names);
+    daemon.isNew = true;
     this.start(daemon.name);
     this.#announce((other) => other.known.add(daemon.name));
     return daemon.name;
@@ -238,21 +312,73 @@
     }
   }
 
+  /** Lets a daemon know only some members until the store tells it all. */
+  #limitList(daemon: SimulatedCapDaemon, list: IncompleteList): void {
+    const { names } = this;
+    const count = 1 + this.random.nextInt(list.knownMaxCount);
+    daemon.known = new Set([daemon.name]);
+    while (daemon.known.size < Math.min(count, names.length)) {
+      daemon.known.add(names[this.random.nextInt(names.length)]!);
+    }
+    const generation = daemon.generation + 1;
+    this.at(
+      this.nowMs + QUERY_INTERVAL_MS,
+      () => this.#queryMembers(daemon, generation),
+    );
+    this.at(this.nowMs + list.completeAfterMs, () => {
+      if (daemon.generation === generation) {
+        daemon.isListComplete = true;
+        this.#learn(daemon, names);
+      }
+    });
+  }
+
+  /** Learns of the members that a linked daemon knows. */
+  #queryMembers(daemon: SimulatedCapDaemon, generation: number): void {
+    if (daemon.generation !== generation || daemon.isListComplete) {
+      return;
+    }
+    const peers = this.#daemons.filter((peer) =>
+      peer !== daemon && this.#isReachable(daemon, peer) &&
+      (daemon.known.has(peer.name) || peer.known.has(daemon.name))
+    );
+    const peer = peers[this.random.nextInt(Math.max(1, peers.length))];
+    if (peer !== undefined) {
+      this.#learn(daemon, [peer.name, ...peer.known]);
+      this.#learn(peer, [daemon.name]);
+    }
+    this.at(
+      this.nowMs + QUERY_INTERVAL_MS,
+      () => this.#queryMembers(daemon, generation),
+    );
+  }
+
+  #learn(daemon: SimulatedCapDaemon, names: readonly string[]): void {
+    names.forEach((name) => daemon.known.add(name));
+    this.#updateCandidates(daemon);
+    this.#updateLinks((a) => a === daemon, REDIAL_MAX_MS);
+  }
+
   #createAsker(daemon: SimulatedCapDaemon, clockMs: number): CapAsker {
     return new CapAsker({
       view: daemon.createView((name) => this.#byName.get(name)!.isStopping),
       processId: this.random.nextInt(0x7fffffff),
-      leasesFromMs: clockMs + LEASES_DELAY_MS,
-      membersCount: () => daemon.known.size,
+      startedAtMs: clockMs,
+      members: () => ({
+        count: daemon.retained.count(daemon.clockMs(this.nowMs)),
+        isComplete: daemon.isListComplete,
+        isNew: daemon.isNew,
+      }),
       random: this.random,
       send: (ownerName, ask) => this.#sendAsk(daemon, ownerName, ask),
+      sendHeld: (ownerName, held) => this.#sendHeld(daemon, ownerName, held),
     });
   }
 
   #updateCandidates(daemon: SimulatedCapDaemon): void {
-    daemon.candidates = listCapCandidates(
-      [...daemon.known].map((name) => this.#byName.get(name)!),
-    );
+    const members = [...daemon.known].map((name) => this.#byName.get(name)!);
+    daemon.candidates = listCapCandidates(members);
+    daemon.retained.update(members, daemon.clockMs(this.nowMs));
   }
 
   #tick(daemon: SimulatedCapDaemon, generation: number): void {
@@ -266,7 +392,7 @@
       return;
     }
     const clockMs = daemon.clockMs(this.nowMs);
-    daemon.owner.tick(daemon.known.size, clockMs);
+    daemon.owner.tick(daemon.retained.count(clockMs), clockMs);
     daemon.asker!.tick(clockMs);
     this.#scheduleStep(daemon);
     this.at(this.nowMs + TICK_MS, () => this.#tick(daemon, generation));
@@ -314,6 +440,21 @@
     });
   }
 
+  #sendHeld(
+    daemon: SimulatedCapDaemon,
+    ownerName: string,
+    held: CapHeld,
+  ): void {
+    const owner = this.#byName.get(ownerName) as SimulatedCapDaemon;
+    const handle = () =>
+      owner.owner.handleHeld(daemon.name, held, owner.clockMs(this.nowMs));
+    if (owner === daemon) {
+      handle();
+    } else {
+      this.#deliver(daemon, owner, handle);
+    }
+  }
+
   #sendGrant(
     owner: SimulatedCapDaemon,
     daemon: SimulatedCapDaemon,
