--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -186,6 +186,7 @@
       graph: this.#graph,
       random,
       log,
+      retryRatio: REPEAT_RATIO,
     });
     this.#outbound = this.#createOutbound(observer, decisions);
     this.#config.handle({
@@ -311,6 +312,7 @@
         daemonsCount: () => daemonsCount,
         runsPerRequest: (routeName) => this.#graph.totalRunsOf(routeName),
         isShedding: (route) => this.#admission.isShedding(route),
+        isRefusing: (name) => this.#admission.isRefusing(name),
         onEnd: () => {},
       },
     });
--- a/src/decisions/retry_budget.ts
+++ b/src/decisions/retry_budget.ts
@@ -15,8 +15,29 @@
  * calls of the run, at pools whose requests this daemon does not see.
  */
 const USED_RATIO = 0.4;
+/**
+ * Share that is granted for requests that did not run and make no calls, while
+ * callers of the pool do not retry what has failed. Retries that were sent
+ * before may still repeat calls.
+ */
+export const REFUSED_RETRIES_RATIO = 0.7;
+
+/** A retry that is charged. */
+type RetryCharge = {
+  /** Monotonic time, in ms. */
+  nowMs: number;
+  /** Daemons that share the slack. */
+  daemonsCount: number;
+  /** Runs that the retry causes along the call graph. */
+  cost: number;
+};
 
-type Counters = { requests: SlidingCounter; retries: SlidingCounter };
+type Counters = {
+  requests: SlidingCounter;
+  /** Requests of this window and the one before. */
+  requestsOfTwo: SlidingCounter;
+  retries: SlidingCounter;
+};
 
 /**
  * Bounds retries per pool. Each daemon applies the ratio to its own requests
@@ -45,7 +66,9 @@
    * @param nowMs Monotonic time, in ms.
    */
   recordRequest(pool: string, nowMs: number): void {
-    this.#countersOf(pool).requests.add(1, nowMs);
+    const { requests, requestsOfTwo } = this.#countersOf(pool);
+    requests.add(1, nowMs);
+    requestsOfTwo.add(1, nowMs);
   }
 
   /**
@@ -56,15 +79,46 @@
    * slack, and number of runs that the retry causes along the call graph.
    * @returns True when the retry is allowed.
    */
-  take(
+  take(pool: string, options: RetryCharge): boolean {
+    const { requests } = this.#countersOf(pool);
+    return this.#takeFrom(pool, options, {
+      usedRatio: USED_RATIO,
+      requestsCount: requests.count(options.nowMs).atLeast,
+    });
+  }
+
+  /**
+   * Charges a retry of a request that was refused as not run and makes no calls,
+   * at a pool whose entry is limited to what such retries complete. The limit
+   * reduces the requests, so those of the window before count if they were more.
+   *
+   * @param pool Pool that refused the request.
+   * @param options Monotonic time in ms, and number of daemons that share the
+   * slack.
+   * @returns True when the retry is allowed.
+   */
+  takeForRefused(
+    pool: string,
+    options: Omit<RetryCharge, "cost">,
+  ): boolean {
+    const { requests, requestsOfTwo } = this.#countersOf(pool);
+    const { atLeast, atMost } = requests.count(options.nowMs);
+    const earlierCount = requestsOfTwo.count(options.nowMs).atLeast - atMost;
+    return this.#takeFrom(pool, { ...options, cost: 1 }, {
+      usedRatio: REFUSED_RETRIES_RATIO,
+      requestsCount: Math.max(atLeast, earlierCount),
+    });
+  }
+
+  #takeFrom(
     pool: string,
-    options: { nowMs: number; daemonsCount: number; cost: number },
+    options: RetryCharge,
+    { usedRatio, requestsCount }: { usedRatio: number; requestsCount: number },
   ): boolean {
     const { ratio, slackCount } = this.#options;
     const counters = this.#countersOf(pool);
-    const requestsCount = counters.requests.count(options.nowMs).atLeast;
     const slack = slackCount / Math.max(1, options.daemonsCount);
-    const allowed = USED_RATIO * (ratio * requestsCount + slack);
+    const allowed = usedRatio * (ratio * requestsCount + slack);
     const usedCount = counters.retries.count(options.nowMs).atMost;
     // A retry that causes one run is allowed even if the share is less than 1.
     if (usedCount + options.cost > Math.max(1, allowed)) {
@@ -80,6 +134,7 @@
       const { windowMs } = this.#options;
       counters = {
         requests: new SlidingCounter(windowMs),
+        requestsOfTwo: new SlidingCounter(2 * windowMs),
         retries: new SlidingCounter(windowMs),
       };
       this.#byPool.set(pool, counters);
--- a/src/decisions/sharing/entry_levels.ts
+++ b/src/decisions/sharing/entry_levels.ts
@@ -31,7 +31,7 @@
 };
 
 /** Admitted part of the offered requests of a pool. */
-type PoolAdmission = {
+export type PoolAdmission = {
   /** Number of admitted classes, with a fraction for a part of one. */
   readonly level: number;
   /** Share of each class that is admitted whatever the level is. */
@@ -95,8 +95,14 @@
   return values.reduce((sum, value) => sum + value, 0);
 }
 
-/** Admission that admits a given share of the offered runs. */
-function admissionFor(
+/**
+ * Returns the admission that admits a given share of the offered runs.
+ *
+ * @param admittedRatio Share, in `(0, 1]`.
+ * @param offered Offered runs per priority class, most important first.
+ * @returns Level and evenly shared part.
+ */
+export function admissionFor(
   admittedRatio: number,
   offered: readonly number[],
 ): PoolAdmission {
@@ -115,6 +121,32 @@
   };
 }
 
+/**
+ * Decides on a request. Those outside the evenly shared part get ranks that are
+ * uniformly distributed over the range of their class,
+ * `[priority, priority + 1)`, so that a level with a fraction admits part of a
+ * class.
+ *
+ * @param admission Admission of the pool.
+ * @param request Its class, a random number in `[0, 1)`, and the admitted share
+ *   of its flow if the class is divided.
+ * @returns True when the request is admitted.
+ */
+export function isAdmitted(
+  { level, sharedRatio }: PoolAdmission,
+  { priority, sample, flowRatio }: {
+    priority: number;
+    sample: number;
+    flowRatio?: number | undefined;
+  },
+): boolean {
+  if (sample < sharedRatio) {
+    return true;
+  }
+  const rank = (sample - sharedRatio) / (1 - sharedRatio);
+  return flowRatio === undefined ? priority + rank < level : rank < flowRatio;
+}
+
 /** Level that admits a given number of the offered runs. */
 function levelFor(runs: number, offered: readonly number[]): number {
   let left = runs;
@@ -197,18 +229,14 @@
   admits(name: string, { priority, sample, flowName }: RankedRequest): boolean {
     const pool = this.#pools.get(name);
     const admission = pool?.admission;
-    if (admission === undefined || sample < admission.sharedRatio) {
+    if (admission === undefined) {
       return true;
     }
-    // The other requests get ranks that are uniformly distributed over the range
-    // of their class, [priority, priority + 1), so that a level with a fraction
-    // admits part of a class.
-    const { level, sharedRatio } = admission;
-    const rank = (sample - sharedRatio) / (1 - sharedRatio);
-    const flowRatio = priority === Math.floor(level) && flowName !== undefined
-      ? pool?.flowRatios?.get(flowName)
-      : undefined;
-    return flowRatio === undefined ? priority + rank < level : rank < flowRatio;
+    const flowRatio =
+      priority === Math.floor(admission.level) && flowName !== undefined
+        ? pool?.flowRatios?.get(flowName)
+        : undefined;
+    return isAdmitted(admission, { priority, sample, flowRatio });
   }
 
   /**
--- a/src/fleet/create_outbound_service.ts
+++ b/src/fleet/create_outbound_service.ts
@@ -64,6 +64,7 @@
       daemonsCount: () => directory.membersCount,
       runsPerRequest: (routeName) => graph.totalRunsOf(routeName),
       isShedding: (route) => admission.isShedding(route),
+      isRefusing: (name) => admission.isRefusing(name),
       usage: access.usage,
       recheckKey: (request) => access.authenticator.recheck(request),
       onEnd: ({ route, arrivedAtMs, tenantName, priority, isCall }, outcome) =>
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -1,6 +1,10 @@
 /** Admission control of callers' requests by the load of the pools they use. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
+import {
+  CompletionLevels,
+  SINGLE_RUN_MAX,
+} from "../decisions/sharing/completion_levels.ts";
 import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
 import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
 import {
@@ -8,7 +12,9 @@
   OfferedRequests,
 } from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { REFUSED_RETRIES_RATIO } from "../decisions/retry_budget.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
 
@@ -24,6 +30,8 @@
   graph: CallGraph;
   random: RandomSource;
   log: Logger;
+  /** Retries per request of a pool that the daemons may send. */
+  retryRatio: number;
 };
 
 /** Tenant and rank of a request; without them, those of its route apply. */
@@ -63,6 +71,7 @@
   readonly #loggedClassesCounts = new Map<string, number>();
   #routes: FleetRoutes | undefined;
   #runsByPoolOfRoute = new Map<string, RunsByPool>();
+  readonly #completionLevels = new CompletionLevels();
 
   /**
    * @param options Channels to the upstreams, call graph, random numbers and
@@ -102,8 +111,11 @@
     });
     const sample = this.#options.random.nextFloat();
     const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
-    for (const pool of this.#runsByPool(route.name).keys()) {
-      if (!this.#levels.admits(pool, { priority, sample, flowName })) {
+    for (const [pool, runs] of this.#runsByPool(route.name)) {
+      if (
+        !this.#levels.admits(pool, { priority, sample, flowName }) ||
+        !this.#completionLevels.admits(pool, { priority, sample, runs })
+      ) {
         return pool;
       }
     }
@@ -119,13 +131,25 @@
    */
   isShedding(route: FleetRoute): boolean {
     for (const pool of this.#runsByPool(route.name).keys()) {
-      if (this.#levels.isShedding(pool)) {
+      if (this.#levels.isShedding(pool) || this.isRefusing(pool)) {
         return true;
       }
     }
     return false;
   }
 
+  /**
+   * Returns whether the upstreams of a pool refuse so many requests that only a
+   * part of the offered ones is admitted. The retries of those are what makes
+   * them succeed.
+   *
+   * @param pool Name of the pool.
+   * @returns True while the pool is limited in this way.
+   */
+  isRefusing(pool: string): boolean {
+    return this.#completionLevels.isLimited(pool);
+  }
+
   /**
    * Adjusts the levels of all pools. Called once per control interval.
    *
@@ -134,7 +158,8 @@
   step(routes: FleetRoutes): void {
     this.#routes = routes;
     this.#runsByPoolOfRoute = new Map();
-    const offered = this.#offeredByPool(routes);
+    const offered = this.#offeredByPool(routes, 0);
+    const offeredBySeveralRuns = this.#offeredByPool(routes, SINGLE_RUN_MAX);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
       const offeredRuns = offered.get(name);
@@ -146,11 +171,20 @@
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
+      this.#completionLevels.step(name, {
+        refusedRatio: this.#refusedRatio(name, routes),
+        retryRatio: this.#options.retryRatio * REFUSED_RETRIES_RATIO,
+        offered: offeredBySeveralRuns.get(name) ?? [],
+      });
     }
     this.#offered.decay();
   }
 
-  #offeredByPool(routes: FleetRoutes): Map<string, number[]> {
+  /** Offered runs per class of requests that need more than a number of runs. */
+  #offeredByPool(
+    routes: FleetRoutes,
+    moreRunsThan: number,
+  ): Map<string, number[]> {
     const classesCount = classesCountOf(routes);
     const offered = new Map<string, number[]>();
     for (const flow of this.#offered.flows) {
@@ -160,6 +194,9 @@
         continue;
       }
       for (const [pool, runs] of this.#runsByPool(flow.routeName)) {
+        if (runs <= moreRunsThan) {
+          continue;
+        }
         const byClass = offered.get(pool) ??
           new Array<number>(classesCount).fill(0);
         byClass[priority]! += flow.count * runs;
@@ -201,19 +238,51 @@
   }
 
   /**
-   * Mean busy ratio of the pool's serving upstreams, weighted by their limits;
-   * undefined when none serves.
+   * Share of the requests that the upstreams of a pool refuse; 0 for a pool for
+   * which no requests compete.
+   */
+  #refusedRatio(pool: string, routes: FleetRoutes): number {
+    const ratio = this.#meanOf(pool, (state) => state.refusedRatio ?? 0) ?? 0;
+    return ratio > 0 && this.#hasCompetition(pool, routes) ? ratio : 0;
+  }
+
+  /**
+   * Returns whether requests of one class compete for a pool: those of several
+   * tenants, or of several routes that use it.
    */
+  #hasCompetition(pool: string, routes: FleetRoutes): boolean {
+    if (routes.tenants !== undefined) {
+      return true;
+    }
+    const priorities = routes.config.routes
+      .filter(({ name }) =>
+        !this.#options.graph.isCalled(name) && this.#runsByPool(name).has(pool)
+      )
+      .map(({ priority }) => priority);
+    return new Set(priorities).size < priorities.length;
+  }
+
   #busyRatio(pool: string): number | undefined {
+    return this.#meanOf(pool, ({ busyRatio }) => busyRatio);
+  }
+
+  /**
+   * Mean over the pool's serving upstreams, weighted by their limits; undefined
+   * when none serves.
+   */
+  #meanOf(
+    pool: string,
+    valueOf: (state: UpstreamState) => number,
+  ): number | undefined {
     let limitSum = 0;
-    let busySum = 0;
+    let sum = 0;
     for (const { state } of this.#options.channels.channelsOf(pool)) {
       if (state?.isServing === true) {
         limitSum += state.limitCount;
-        busySum += state.busyRatio * state.limitCount;
+        sum += valueOf(state) * state.limitCount;
       }
     }
-    return limitSum === 0 ? undefined : busySum / limitSum;
+    return limitSum === 0 ? undefined : sum / limitSum;
   }
 
   /**
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from "../core/random.ts";
 import { CallGraph } from "../decisions/call_graph.ts";
 import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { RetryBudget } from "../decisions/retry_budget.ts";
 import {
   type UpstreamChannel,
   UpstreamLoad,
@@ -35,6 +36,7 @@
     route("vote", "certify", 0),
     route("bundle", "mediatheque", 0),
     route("roster", "inscription", 2),
+    route("enrol", "inscription", 2),
   ],
   pools: ["logbook", "certify", "mediatheque", "inscription"].map((name) => ({
     name,
@@ -58,6 +60,9 @@
 /** Weight of one control interval in the moving average of the load. */
 const LOAD_WEIGHT = 0.35;
 
+/** Retries per request of a pool. */
+const RETRY_RATIO = 0.2;
+
 /** Creates an admission and the state of the only upstream of `inscription`. */
 function createAdmission() {
   const random = new SeededRandom(1);
@@ -92,7 +97,13 @@
     ["vote", "roster", CALLS_COUNT],
   ]);
   const log = new NullLogger();
-  const admission = new EntryAdmission({ channels, graph, random, log });
+  const admission = new EntryAdmission({
+    channels,
+    graph,
+    random,
+    log,
+    retryRatio: RETRY_RATIO,
+  });
   return { admission, state };
 }
 
@@ -235,3 +246,87 @@
   const shares = Object.values(admittedFlowShares({ a: 12, b: 12, c: 12 }));
   assert.ok(Math.max(...shares) - Math.min(...shares) < 0.05, `${shares}`);
 });
+
+const REFUSED_RATIO = 0.55;
+const SENDS_MAX_COUNT = 8;
+const TICK_MS = 100;
+/** Control intervals without refusals, and then with them. */
+const CALM_STEPS_COUNT = 100;
+const REFUSING_STEPS_COUNT = 80;
+
+/**
+ * Simulates requests whose calls are refused by the upstream with a fixed
+ * probability, and sent again within the retry budget.
+ *
+ * @param isReported Whether the daemons know the share of refused requests.
+ * @returns Requests of each route of which all calls succeeded, per offered
+ *   one, and calls that were refused for good, per offered request.
+ */
+function completedShares(isReported: boolean) {
+  const { admission, state } = createAdmission();
+  const routes = new FleetRoutes(CONFIG);
+  const random = new SeededRandom(2);
+  const budget = new RetryBudget({
+    ratio: RETRY_RATIO,
+    windowMs: 10_000,
+    slackCount: 0,
+  });
+  const completed: Record<string, number> = { read: 0, vote: 0, enrol: 0 };
+  let lostCallsCount = 0;
+  let nowMs = 0;
+  const call = (isRefusing: boolean) => {
+    budget.recordRequest("inscription", nowMs);
+    for (let sent = 1; isRefusing; sent++) {
+      if (random.nextFloat() >= REFUSED_RATIO) {
+        break;
+      }
+      const options = { nowMs, daemonsCount: 1 };
+      if (
+        sent === SENDS_MAX_COUNT ||
+        !budget.takeForRefused("inscription", options)
+      ) {
+        lostCallsCount++;
+        return false;
+      }
+    }
+    return true;
+  };
+  for (let step = 0; step < CALM_STEPS_COUNT + REFUSING_STEPS_COUNT; step++) {
+    const isRefusing = step >= CALM_STEPS_COUNT;
+    state.refusedRatio = isRefusing && isReported ? REFUSED_RATIO : undefined;
+    for (const name of Object.keys(completed)) {
+      for (let index = 0; index < OFFERED_COUNT; index++) {
+        if (admission.findRefusingPool(routes.route(name)!) !== undefined) {
+          continue;
+        }
+        let callsCount = name === "enrol" ? 0 : CALLS_COUNT;
+        while (callsCount > 0 && call(isRefusing)) {
+          callsCount--;
+        }
+        if (name === "enrol" && random.nextFloat() < REFUSED_RATIO) {
+          continue;
+        }
+        completed[name]! += isRefusing && callsCount === 0
+          ? 1 / (REFUSING_STEPS_COUNT * OFFERED_COUNT)
+          : 0;
+      }
+    }
+    nowMs += TICK_MS;
+    admission.step(routes);
+  }
+  const offeredCount = 3 * OFFERED_COUNT * REFUSING_STEPS_COUNT;
+  return { ...completed, lostRatio: lostCallsCount / offeredCount } as {
+    [name in "read" | "vote" | "enrol" | "lostRatio"]: number;
+  };
+}
+
+// Guards against requests that run for seconds and then fail for one of their
+// calls, because the upstreams of a pool refuse about half of what arrives.
+test("while upstreams refuse a share of all requests, only those are admitted that retries can complete", () => {
+  const unaware = completedShares(false);
+  const aware = completedShares(true);
+  assert.ok(unaware.lostRatio > 0.5, `${unaware.lostRatio}`);
+  assert.ok(aware.lostRatio < 0.01, `${aware.lostRatio}`);
+  assert.ok(aware.vote > 1.1 * unaware.vote, `${aware.vote}`);
+  assert.ok(aware.enrol >= unaware.enrol, `${aware.enrol}`);
+});
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -149,6 +149,7 @@
       graph: this.#callGraph,
       random,
       log,
+      retryRatio: settings.repeatRatio,
     });
     this.#outboundService = createOutboundService({
       settings,
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -24,6 +24,11 @@
  * that refuse it before it reaches their upstream.
  */
 const SENDS_MAX_COUNT = 4;
+/**
+ * Maximum number of sends to a pool whose upstreams refuse a share of what
+ * arrives. With half of them refused, 1 request in 256 is refused each time.
+ */
+const REFUSED_SENDS_MAX_COUNT = 8;
 /**
  * Minimum time until the deadline for a retry. With less time, an answer
  * before the deadline is unlikely.
@@ -50,6 +55,8 @@
   runsPerRequest: (routeName: string) => number;
   /** Whether a pool that requests of a route use admits only a part of them. */
   isShedding: (route: FleetRoute) => boolean;
+  /** Whether the upstreams of a pool refuse more than retries make up for. */
+  isRefusing: (pool: string) => boolean;
   /** Usage caps of the tenants. */
   usage: UsageCapGate;
   /**
@@ -75,7 +82,9 @@
   #channel: UpstreamChannel | undefined;
   #attempt: RequestHandle | undefined;
   #sendsCount = 0;
+  /** Upstreams that were reached by an attempt. */
   #reachedCount = 0;
+  #reachedChannel: UpstreamChannel | undefined;
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #cancelUsage = () => {};
@@ -125,14 +134,14 @@
 
   /** @inheritdoc */
   onAnswer(answer: UpstreamAnswer): void {
-    this.#reachedCount++;
+    this.#countReached();
     this.#machine.send("answered", answer);
   }
 
   /** @inheritdoc */
   onFailure(failure: ForwardFailure): void {
     if (failure.hasReached) {
-      this.#reachedCount++;
+      this.#countReached();
     }
     this.#parts.decisions.record("attempt failed", this.#request.requestId, {
       upstream: this.#channel?.member.name,
@@ -153,8 +162,14 @@
    * If it may, but had reached its upstream, the retry budget is charged.
    */
   mayTryAnotherUpstream(failure: ForwardFailure): boolean {
-    return failure.kind !== "deadline_exceeded" &&
-      this.#sendsCount < SENDS_MAX_COUNT &&
+    if (failure.kind === "deadline_exceeded") {
+      return false;
+    }
+    const { isCall, pool } = this.#request;
+    if (failure.hasReached && isCall && this.#parts.isRefusing(pool)) {
+      return this.#maySendAgain();
+    }
+    return this.#sendsCount < SENDS_MAX_COUNT &&
       (!failure.hasReached || this.#reserveRetry());
   }
 
@@ -212,6 +227,14 @@
   /** Action: chooses an upstream that has not been tried. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
     const { pool, route, expiresAtMs } = this.#request;
+    // The route bounds the number of upstreams, and one that refuses a share of
+    // its requests takes the next one as probably as another upstream does.
+    if (
+      this.#channel !== undefined && this.#reachedCount >= route.attemptsMax
+    ) {
+      this.#machine.send("chosen", this.#channel);
+      return;
+    }
     if (this.#channel !== undefined) {
       this.#tried ??= new Set();
       this.#tried.add(this.#channel.member.name);
@@ -317,6 +340,31 @@
     return failure?.isNotRun === false ? kind : "upstream_failed";
   }
 
+  /** Counts the upstream of the last attempt, unless it was reached before. */
+  #countReached(): void {
+    if (this.#reachedChannel !== this.#channel) {
+      this.#reachedChannel = this.#channel;
+      this.#reachedCount++;
+    }
+  }
+
+  /**
+   * Returns whether a refused downstream call is sent again, to another upstream
+   * or to the same one. If so, the retry budget is charged. Calls that make calls
+   * of their own are not, since a retry would repeat these.
+   */
+  #maySendAgain(): boolean {
+    const { route, pool, expiresAtMs } = this.#request;
+    const nowMs = performance.now();
+    return this.#sendsCount < REFUSED_SENDS_MAX_COUNT &&
+      this.#parts.runsPerRequest(route.name) <= 1 &&
+      expiresAtMs - nowMs > RETRY_REMAINING_MIN_MS &&
+      this.#parts.budget.takeForRefused(pool, {
+        nowMs,
+        daemonsCount: this.#parts.daemonsCount(),
+      });
+  }
+
   /**
    * Charges the retry budget for one more attempt. Returns false, without a
    * charge, if the route, the deadline or the budget does not allow it.
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -123,3 +123,47 @@
   decide({ isAdmitted: true });
   assert.deepEqual(events, ["usage cancelled", "deadline_exceeded -"]);
 });
+
+/** Sends a call to a pool whose upstreams refuse all requests. */
+function sendRefusedCall({ isRefusing }: { isRefusing: boolean }): string[] {
+  const sent: string[] = [];
+  const createChannel = (name: string) => ({
+    member: { name },
+    state: { upstreamId: name },
+    send: (_request: unknown, receiver: ResultReceiver) => {
+      sent.push(name);
+      const kind = "upstream_refused";
+      receiver.onFailure({ kind, isNotRun: true, hasReached: true });
+      return { cancel() {} };
+    },
+  });
+  const channels = ["a", "b", "c"].map(createChannel);
+  const ignore = () => {};
+  const parts = {
+    channels: { choose: () => channels.shift() },
+    budget: {
+      recordRequest: ignore,
+      take: () => true,
+      takeForRefused: () => true,
+    },
+    decisions: { record: ignore },
+    daemonsCount: () => 1,
+    runsPerRequest: () => 1,
+    isRefusing: () => isRefusing,
+    onEnd: ignore,
+  } as unknown as ExchangeParts;
+  new ForwardedExchange(
+    { ...REQUEST, isCall: true, expiresAtMs: performance.now() + 1_000 },
+    { answer: ignore, fail: ignore },
+    parts,
+  ).start();
+  return sent;
+}
+
+// Guards against a request that fails for one refused call, although the
+// upstream that refused it would take it a moment later.
+test("a call that is refused for overload is sent again, to no more upstreams than its route allows", () => {
+  assert.deepEqual(sendRefusedCall({ isRefusing: false }), ["a", "b"]);
+  const sent = sendRefusedCall({ isRefusing: true });
+  assert.deepEqual(sent, ["a", "b", "b", "b", "b", "b", "b", "b"]);
+});
--- a/src/fleet/served_results.ts
+++ b/src/fleet/served_results.ts
@@ -1,6 +1,7 @@
 /** What the results of served requests tell of the local upstream. */
 import type { CallObserver } from "../decisions/call_graph.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
+import { RefusalMeter } from "../decisions/sharing/refusal_meter.ts";
 import type { ServedRequest, ServedResult } from "./served_request.ts";
 
 /** Weight of the newest result in the failure ratio. */
@@ -10,6 +11,7 @@
 export class ServedResults {
   readonly #observer: CallObserver;
   readonly #failures = new MovingAverage(FAILURE_WEIGHT, 0);
+  readonly #refusals = new RefusalMeter();
   /** Consecutive requests whose deadlines have passed at the upstream. */
   overdueCount = 0;
 
@@ -25,15 +27,27 @@
     return this.#failures.value;
   }
 
+  /**
+   * Returns the share of the last requests that the upstream refused.
+   *
+   * @param nowMs Monotonic time, in ms.
+   * @returns Share in `[0, 1]`; 0 while there are too few results.
+   */
+  refusedRatio(nowMs: number): number {
+    return this.#refusals.refusedRatio(nowMs);
+  }
+
   /**
    * Records the result of a request.
    *
    * @param served The request.
    * @param result Its result.
+   * @param nowMs Monotonic time of its end, in ms.
    */
-  record(served: ServedRequest, result: ServedResult): void {
+  record(served: ServedRequest, result: ServedResult, nowMs: number): void {
     this.#observeCalls(served, result);
     if (result !== "cancelled") {
+      this.#refusals.record(result === "refused", nowMs);
       this.#failures.add(result === "answered" ? 0 : 1);
       this.overdueCount = result === "overdue" ? this.overdueCount + 1 : 0;
     }
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -23,9 +23,11 @@
  * upstream that names a limit of requests a second changes it with its run time.
  */
 const LIMIT_STEP_RATIO = 0.2;
+/** Change of the share of refused requests that is sent. */
+const REFUSED_STEP_RATIO = 0.1;
 /**
- * Interval at which the observed calls, the limit, and whether this daemon watches the
- * store, are compared with what was published.
+ * Interval at which the observed calls, the limit, the refused share, and
+ * whether this daemon watches the store, are compared with what was published.
  */
 const COMPARE_INTERVAL_MS = 300;
 
@@ -64,6 +66,7 @@
   #sentIsCold = false;
   #sentIsWatching = false;
   #sentLimitCount = 0;
+  #sentRefusedRatio = 0;
   #sentBusyRatio = 0;
   #busySentAtMs = -Infinity;
 
@@ -85,6 +88,7 @@
       limitCount: gate.limitCount,
       isCold: (upstream.report?.coldRemainingMs ?? 0) > 0,
       busyRatio: Math.round(gate.busyRatio * 100) / 100,
+      refusedRatio: gate.refusedRatio,
       configVersion: configVersion(),
       isWatching: isWatching(),
       calls: this.#calls,
@@ -97,6 +101,7 @@
     this.#sentIsCold = state.isCold;
     this.#sentIsWatching = state.isWatching;
     this.#sentLimitCount = state.limitCount;
+    this.#sentRefusedRatio = state.refusedRatio ?? 0;
     this.#sentBusyRatio = state.busyRatio;
     this.#options.peers().broadcastState(state);
   }
@@ -121,13 +126,15 @@
     }
     this.#comparedAtMs = nowMs;
     const hasNewCalls = this.#updateCalls();
-    const limitStep = Math.abs(
-      this.#options.gate.limitCount -
-        this.#sentLimitCount,
+    const { gate } = this.#options;
+    const limitStep = Math.abs(gate.limitCount - this.#sentLimitCount);
+    const refusedStep = Math.abs(
+      (gate.refusedRatio ?? 0) - this.#sentRefusedRatio,
     );
     return hasNewCalls ||
       this.#options.isWatching() !== this.#sentIsWatching ||
-      limitStep > LIMIT_STEP_RATIO * this.#sentLimitCount;
+      limitStep > LIMIT_STEP_RATIO * this.#sentLimitCount ||
+      refusedStep > REFUSED_STEP_RATIO;
   }
 
   /** Updates the published calls. Returns whether they changed. */
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -131,6 +131,18 @@
     return this.#busy.value;
   }
 
+  /**
+   * Share of the requests that the upstream refuses by itself; undefined when it
+   * refuses none, or only those beyond the limit that it has named.
+   */
+  get refusedRatio(): number | undefined {
+    if (this.#starts.limitPerS !== undefined) {
+      return undefined;
+    }
+    const ratio = this.#results.refusedRatio(performance.now());
+    return ratio === 0 ? undefined : Math.round(ratio * 100) / 100;
+  }
+
   /** Applies the upstream's number of slots and starts waiting requests. */
   updateLimit(): void {
     const { report } = this.#options.upstream;
@@ -364,7 +376,7 @@
     runningCount: number,
   ): void {
     const nowMs = performance.now();
-    this.#results.record(served, result);
+    this.#results.record(served, result, nowMs);
     this.capacity.recordEnd(served, result, { runningCount, nowMs });
     const isAnswered = result === "answered" || result === "errorAnswered";
     if (!isAnswered && result !== "cancelled") {
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -48,6 +48,10 @@
   isCold: z.boolean().describe("Whether the upstream is slow after its start"),
   busyRatio: z.number()
     .describe("Running and waiting requests per slot, as a moving average"),
+  refusedRatio: z.number().min(0).max(1).optional().describe(
+    "Share of the requests that the upstream refuses, over about a second; " +
+      "absent when it refuses none",
+  ),
   configVersion: z.number(),
   isWatching: z.boolean().default(false)
     .describe("Whether the daemon watches the store closely and reaches it"),
