--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -3,6 +3,7 @@
 import type { CallGraph } from "../decisions/call_graph.ts";
 import {
   CompletionLevels,
+  type PoolRefusals,
   SINGLE_RUN_MAX,
 } from "../decisions/sharing/completion_levels.ts";
 import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
@@ -171,7 +172,7 @@
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
-      this.#completionLevels.step(name, {
+      this.#stepCompletion(name, {
         refusedRatio: this.#refusedRatio(name, routes),
         retryRatio: this.#options.retryRatio * REFUSED_RETRIES_RATIO,
         offered: offeredBySeveralRuns.get(name) ?? [],
@@ -180,6 +181,22 @@
     this.#offered.decay();
   }
 
+  /** Adjusts the admission to a refusing pool, and logs when it begins or ends. */
+  #stepCompletion(
+    pool: string,
+    load: PoolRefusals & { offered: readonly number[] },
+  ): void {
+    const wasLimited = this.isRefusing(pool);
+    this.#completionLevels.step(pool, load);
+    if (this.isRefusing(pool) !== wasLimited) {
+      this.#options.log.info("Admission to a refusing pool changed", {
+        pool,
+        isLimited: !wasLimited,
+        refusedRatio: load.refusedRatio,
+      });
+    }
+  }
+
   /** Offered runs per class of requests that need more than a number of runs. */
   #offeredByPool(
     routes: FleetRoutes,
@@ -242,7 +259,7 @@
    * which no requests compete.
    */
   #refusedRatio(pool: string, routes: FleetRoutes): number {
-    const ratio = this.#meanOf(pool, (state) => state.refusedRatio ?? 0) ?? 0;
+    const ratio = this.#meanOf(pool, (state) => state.refusedRatio) ?? 0;
     return ratio > 0 && this.#hasCompetition(pool, routes) ? ratio : 0;
   }
 
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -74,6 +74,7 @@
     limitCount: 30,
     isCold: false,
     busyRatio: 0,
+    refusedRatio: 0,
     configVersion: 1,
     isWatching: false,
     calls: [],
@@ -293,7 +294,7 @@
   };
   for (let step = 0; step < CALM_STEPS_COUNT + REFUSING_STEPS_COUNT; step++) {
     const isRefusing = step >= CALM_STEPS_COUNT;
-    state.refusedRatio = isRefusing && isReported ? REFUSED_RATIO : undefined;
+    state.refusedRatio = isRefusing && isReported ? REFUSED_RATIO : 0;
     for (const name of Object.keys(completed)) {
       for (let index = 0; index < OFFERED_COUNT; index++) {
         if (admission.findRefusingPool(routes.route(name)!) !== undefined) {
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -50,6 +50,7 @@
     upstreamSlowdownRatio:
       Math.round(gate.capacity.slowdownRatio(nowMs) * 100) /
       100,
+    upstreamRefusedRatio: gate.refusedRatio,
     storeReachable: platform.store.isReachable ? 1 : 0,
     storeWatching: watchElection.isWatching ? 1 : 0,
     storeCallsCount: platform.store.callsCount,
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -101,7 +101,7 @@
     this.#sentIsCold = state.isCold;
     this.#sentIsWatching = state.isWatching;
     this.#sentLimitCount = state.limitCount;
-    this.#sentRefusedRatio = state.refusedRatio ?? 0;
+    this.#sentRefusedRatio = state.refusedRatio;
     this.#sentBusyRatio = state.busyRatio;
     this.#options.peers().broadcastState(state);
   }
@@ -129,7 +129,7 @@
     const { gate } = this.#options;
     const limitStep = Math.abs(gate.limitCount - this.#sentLimitCount);
     const refusedStep = Math.abs(
-      (gate.refusedRatio ?? 0) - this.#sentRefusedRatio,
+      gate.refusedRatio - this.#sentRefusedRatio,
     );
     return hasNewCalls ||
       this.#options.isWatching() !== this.#sentIsWatching ||
--- a/src/fleet/state_publisher_test.ts
+++ b/src/fleet/state_publisher_test.ts
@@ -8,7 +8,12 @@
 
 /** Creates a publisher and records the busy ratio that its peers know. */
 function createPublisher() {
-  const gate = { busyRatio: 0, limitCount: 10, isStopped: false };
+  const gate = {
+    busyRatio: 0,
+    refusedRatio: 0,
+    limitCount: 10,
+    isStopped: false,
+  };
   const peers = { busyRatio: 0 };
   const publisher = new StatePublisher({
     upstream: { isServing: true, report: undefined } as LocalUpstream,
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -132,15 +132,13 @@
   }
 
   /**
-   * Share of the requests that the upstream refuses by itself; undefined when it
-   * refuses none, or only those beyond the limit that it has named.
+   * Share of the requests that the upstream refuses by itself; 0 while it names
+   * a limit, which is already obeyed.
    */
-  get refusedRatio(): number | undefined {
-    if (this.#starts.limitPerS !== undefined) {
-      return undefined;
-    }
-    const ratio = this.#results.refusedRatio(performance.now());
-    return ratio === 0 ? undefined : Math.round(ratio * 100) / 100;
+  get refusedRatio(): number {
+    return this.#starts.limitPerS === undefined
+      ? Math.round(this.#results.refusedRatio(performance.now()) * 100) / 100
+      : 0;
   }
 
   /** Applies the upstream's number of slots and starts waiting requests. */
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -48,9 +48,8 @@
   isCold: z.boolean().describe("Whether the upstream is slow after its start"),
   busyRatio: z.number()
     .describe("Running and waiting requests per slot, as a moving average"),
-  refusedRatio: z.number().min(0).max(1).optional().describe(
-    "Share of the requests that the upstream refuses, over about a second; " +
-      "absent when it refuses none",
+  refusedRatio: z.number().min(0).max(1).default(0).describe(
+    "Share of the requests that the upstream refuses, over about a second",
   ),
   configVersion: z.number(),
   isWatching: z.boolean().default(false)
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -20,6 +20,7 @@
   readonly learnedLimitCount: number;
   /** Present run time at the own upstream, relative to the usual one. */
   readonly upstreamSlowdownRatio: number;
+  readonly upstreamRefusedRatio: number;
   /** 1 when the last call to the store was answered, 0 otherwise. */
   readonly storeReachable: number;
   /** 1 when the daemon watches the configuration closely, 0 otherwise. */
@@ -58,6 +59,7 @@
   slotsLimitCount: "Requests that may run at the own upstream",
   learnedLimitCount: "Requests that the own upstream handles well at once",
   upstreamSlowdownRatio: "Run time at the own upstream relative to the usual",
+  upstreamRefusedRatio: "Share of the requests that the own upstream refuses",
   storeReachable: "1 when the last call to the store was answered",
   storeWatching: "1 when the daemon watches the configuration closely",
   storeCallsCount: "Calls to the store since the start",
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -14,6 +14,7 @@
     slotsLimitCount: 8,
     learnedLimitCount: 8,
     upstreamSlowdownRatio: 1,
+    upstreamRefusedRatio: 0,
     storeReachable: 1,
     storeWatching: 1,
     callEdgesCount: 3,
--- a/src/testing/upstream_state.ts
+++ b/src/testing/upstream_state.ts
@@ -8,6 +8,7 @@
   limitCount: 10,
   isCold: false,
   busyRatio: 0,
+  refusedRatio: 0,
   configVersion: 1,
   isWatching: false,
   calls: [],
