--- a/src/decisions/retry_budget.ts
+++ b/src/decisions/retry_budget.ts
@@ -20,7 +20,7 @@
  * callers of the pool do not retry what has failed. Retries that were sent
  * before may still repeat calls.
  */
-export const REFUSED_RETRIES_RATIO = 0.7;
+const REFUSED_RETRIES_RATIO = 0.7;
 
 /** A retry that is charged. */
 type RetryCharge = {
--- a/src/decisions/sharing/refusal_meter.ts
+++ b/src/decisions/sharing/refusal_meter.ts
@@ -2,8 +2,11 @@
 
 /** Time after which a result counts half. */
 const HALF_LIFE_MS = 500;
-/** Results, weighted by their age, below which no share is known. */
-const RESULTS_MIN_COUNT = 10;
+/**
+ * Results without a refusal that are assumed in addition, so that a few results
+ * show little and old ones are forgotten.
+ */
+const ASSUMED_COUNT = 3;
 
 /**
  * Counts the results of an upstream with an exponential decay. An upstream that
@@ -34,13 +37,11 @@
    * Returns the share of refused requests.
    *
    * @param nowMs Monotonic time, in ms.
-   * @returns Share in `[0, 1]`; 0 while there are too few results.
+   * @returns Share in `[0, 1)`; near 0 without recent results.
    */
   refusedRatio(nowMs: number): number {
     this.#decay(nowMs);
-    return this.#resultsCount < RESULTS_MIN_COUNT
-      ? 0
-      : this.#refusedCount / this.#resultsCount;
+    return this.#refusedCount / (this.#resultsCount + ASSUMED_COUNT);
   }
 
   #decay(nowMs: number): void {
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -13,7 +13,6 @@
   OfferedRequests,
 } from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
-import { REFUSED_RETRIES_RATIO } from "../decisions/retry_budget.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
@@ -25,6 +24,12 @@
  */
 const CLASSES_MAX_COUNT = 8;
 
+/**
+ * Share of the retries that admitted requests may need at a refusing pool.
+ * Requests that were admitted before the refusals were known use the rest.
+ */
+const COMPLETION_RETRIES_RATIO = 0.4;
+
 /** Options of {@link EntryAdmission}. */
 export type EntryAdmissionOptions = {
   channels: ChannelTable;
@@ -174,7 +179,7 @@
       }
       this.#stepCompletion(name, {
         refusedRatio: this.#refusedRatio(name, routes),
-        retryRatio: this.#options.retryRatio * REFUSED_RETRIES_RATIO,
+        retryRatio: this.#options.retryRatio * COMPLETION_RETRIES_RATIO,
         offered: offeredBySeveralRuns.get(name) ?? [],
       });
     }
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -250,6 +250,7 @@
 
 const REFUSED_RATIO = 0.55;
 const SENDS_MAX_COUNT = 8;
+const ATTEMPTS_MAX_COUNT = 2;
 const TICK_MS = 100;
 /** Control intervals without refusals, and then with them. */
 const CALM_STEPS_COUNT = 100;
@@ -282,10 +283,12 @@
         break;
       }
       const options = { nowMs, daemonsCount: 1 };
-      if (
-        sent === SENDS_MAX_COUNT ||
-        !budget.takeForRefused("inscription", options)
-      ) {
+      const mayRetry = isReported
+        ? sent < SENDS_MAX_COUNT &&
+          budget.takeForRefused("inscription", options)
+        : sent < ATTEMPTS_MAX_COUNT &&
+          budget.take("inscription", { ...options, cost: 1 });
+      if (!mayRetry) {
         lostCallsCount++;
         return false;
       }
@@ -328,6 +331,7 @@
   const aware = completedShares(true);
   assert.ok(unaware.lostRatio > 0.5, `${unaware.lostRatio}`);
   assert.ok(aware.lostRatio < 0.01, `${aware.lostRatio}`);
-  assert.ok(aware.vote > 1.1 * unaware.vote, `${aware.vote}`);
+  assert.ok(aware.vote > 2 * unaware.vote, `${aware.vote}`);
   assert.ok(aware.enrol >= unaware.enrol, `${aware.enrol}`);
+  assert.ok(aware.read >= unaware.read, `${aware.read}`);
 });
--- a/src/fleet/served_results.ts
+++ b/src/fleet/served_results.ts
@@ -31,7 +31,7 @@
    * Returns the share of the last requests that the upstream refused.
    *
    * @param nowMs Monotonic time, in ms.
-   * @returns Share in `[0, 1]`; 0 while there are too few results.
+   * @returns Share in `[0, 1)`; near 0 without recent results.
    */
   refusedRatio(nowMs: number): number {
     return this.#refusals.refusedRatio(nowMs);
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -113,7 +113,13 @@
    */
   tick(nowMs: number): void {
     const { state } = this;
-    if (this.#compareWhenDue(nowMs) || state.isCold !== this.#sentIsCold) {
+    // The entry admits too much until it knows of the refusals.
+    const hasMoreRefusals =
+      state.refusedRatio - this.#sentRefusedRatio > REFUSED_STEP_RATIO;
+    if (
+      this.#compareWhenDue(nowMs) || state.isCold !== this.#sentIsCold ||
+      hasMoreRefusals
+    ) {
       this.publish();
     }
     this.#publishBusy(state.busyRatio, nowMs);
