--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -131,6 +131,16 @@
     return this.#busy.value;
   }
 
+  /**
+   * Share of the requests that the upstream refuses by itself; 0 while it names
+   * a limit, which is already obeyed.
+   */
+  get refusedRatio(): number {
+    return this.#starts.limitPerS === undefined
+      ? Math.round(this.#results.refusedRatio(performance.now()) * 100) / 100
+      : 0;
+  }
+
   /** Applies the upstream's number of slots and starts waiting requests. */
   updateLimit(): void {
     const { report } = this.#options.upstream;
@@ -364,7 +374,7 @@
     runningCount: number,
   ): void {
     const nowMs = performance.now();
-    this.#results.record(served, result);
+    this.#results.record(served, result, nowMs);
     this.capacity.recordEnd(served, result, { runningCount, nowMs });
     const isAnswered = result === "answered" || result === "errorAnswered";
     if (!isAnswered && result !== "cancelled") {
