--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -84,7 +84,8 @@
   #sendsCount = 0;
   /** Upstreams that were reached by an attempt. */
   #reachedCount = 0;
-  #reachedChannel: UpstreamChannel | undefined;
+  /** Whether the request is sent again to an upstream that has refused it. */
+  #isSentAgain = false;
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
@@ -242,6 +243,7 @@
     if (
       this.#channel !== undefined && this.#reachedCount >= route.attemptsMax
     ) {
+      this.#isSentAgain = true;
       this.#machine.send("chosen", this.#channel);
       return;
     }
@@ -379,10 +381,7 @@
 
   /** Counts the upstream of the last attempt, unless it was reached before. */
   #countReached(): void {
-    if (this.#reachedChannel !== this.#channel) {
-      this.#reachedChannel = this.#channel;
-      this.#reachedCount++;
-    }
+    this.#reachedCount += this.#isSentAgain ? 0 : 1;
   }
 
   /**
