--- a/src/core/stop_reading.ts
+++ b/src/core/stop_reading.ts
@@ -2,23 +2,18 @@
 import type { IncomingMessage } from "node:http";
 
 /**
- * Stops reading after the chunks of the present read have been delivered. A
- * pause in between would keep each of them in the queue of the stream, and a
- * pause of the socket alone does not last, because the stream resumes it.
+ * Stops reading after the present read of the socket. The chunks of this read
+ * are still delivered: Node.js runs ticks and microtasks after each of them, so
+ * a pause of the stream would keep up to 10,900 of them in its queue, with 500
+ * bytes each. A pause of the socket alone does not last, because the stream
+ * resumes it.
  *
  * @param message Request whose body is being delivered.
- * @param onStopped Called once reading has stopped.
  */
-export function stopReading(
-  message: IncomingMessage,
-  onStopped: () => void,
-): void {
-  // Microtasks run after the callbacks in which the stream resumes its socket.
-  queueMicrotask(() => {
-    message.pause();
-    message.socket.pause();
-    onStopped();
-  });
+export function stopReading(message: IncomingMessage): void {
+  // The stream calls this to resume its socket.
+  message._read = () => {};
+  message.socket.pause();
 }
 
 /**
@@ -27,6 +22,6 @@
  * @param message Request whose body was stopped.
  */
 export function continueReading(message: IncomingMessage): void {
-  message.resume();
+  message._read = Object.getPrototypeOf(message)._read;
   message.socket.resume();
 }
--- a/src/fleet/body_reception.ts
+++ b/src/fleet/body_reception.ts
@@ -32,7 +32,10 @@
   bodyMaxBytes: number;
   /** Called with the complete body; null for an empty one. */
   onComplete: (body: Uint8Array | null) => void;
-  /** Called when the body is not received. Nothing is called after that. */
+  /**
+   * Called when the body is not received. Nothing is called after that, and
+   * reading may be stopped.
+   */
   onRefused: (kind: BodyRefusal) => void;
 };
 
@@ -52,6 +55,7 @@
   #chunksCount = 0;
   /** Whether reading continues in the next iteration of the event loop. */
   #isWaiting = false;
+  #isRefused = false;
   #startedAtMs = performance.now();
   /** @inheritdoc */
   claimBytes = 0;
@@ -152,11 +156,13 @@
     if (!this.#isWaiting) {
       this.#isWaiting = true;
       const message = this.#message;
-      stopReading(message, () =>
-        setImmediate(() => {
-          this.#isWaiting = false;
+      stopReading(message);
+      setImmediate(() => {
+        this.#isWaiting = false;
+        if (!this.#isRefused) {
           continueReading(message);
-        }));
+        }
+      });
     }
   }
 
@@ -177,6 +183,7 @@
     if (this.#state !== "receiving") {
       return;
     }
+    this.#isRefused = true;
     this.end();
     this.#options.onRefused(kind);
   }
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -15,6 +15,7 @@
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
+import { continueReading, stopReading } from "../core/stop_reading.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
@@ -292,7 +293,9 @@
         // earlier requests run, reading goes on to notice a disconnect.
         state.isClosing = true;
         if (state.forwardedCount === 0) {
-          message.socket.pause();
+          stopReading(message);
+        } else {
+          continueReading(message);
         }
         answerSender.fail(kind);
       },
