--- a/src/core/stop_reading.ts
+++ b/src/core/stop_reading.ts
@@ -1,5 +1,6 @@
-/** Stops and continues reading of a request body between reads of its socket. */
+/** Stops and continues reading of requests between reads of their socket. */
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 
 /**
  * Stops reading after the present read of the socket. The chunks of this read
@@ -25,3 +26,32 @@
   message._read = Object.getPrototypeOf(message)._read;
   message.socket.resume();
 }
+
+function pauseAgain(this: Socket): void {
+  this.pause();
+}
+
+/**
+ * Stops reading from a connection after the present read. The HTTP server
+ * resumes the socket at the end of each request, so it is paused again.
+ *
+ * @param socket Connection of an HTTP server; nothing happens if it is stopped.
+ */
+export function stopConnection(socket: Socket): void {
+  if (!socket.listeners("resume").includes(pauseAgain)) {
+    socket.on("resume", pauseAgain);
+    socket.pause();
+  }
+}
+
+/**
+ * Continues reading after {@link stopConnection}.
+ *
+ * @param socket Connection; nothing happens if it is not stopped.
+ */
+export function continueConnection(socket: Socket): void {
+  if (socket.listeners("resume").includes(pauseAgain)) {
+    socket.off("resume", pauseAgain);
+    socket.resume();
+  }
+}
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -20,9 +20,11 @@
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
-import { BodyReception } from "./body_reception.ts";
+import { BodyReception, type BodyRefusal } from "./body_reception.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
+import { PipelinedRequests } from "./pipelined_requests.ts";
+import { StoppedConnections } from "./stopped_connections.ts";
 
 /**
  * Maximum size of the headers of a request. It is fixed when the HTTP server is
@@ -81,6 +83,8 @@
   readonly #costlyBodies = new CostlyBodies(COSTLY_BODIES_MAX_COUNT);
   readonly #receptions = new Set<BodyReception>();
   readonly #openResponses = new OpenResponses();
+  readonly #stopped = new StoppedConnections();
+  readonly #pipelined: PipelinedRequests;
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
   #heldBytes = 0;
@@ -94,6 +98,11 @@
   constructor(handler: OutboundHandler, limits: CallerLimits) {
     this.#handler = handler;
     this.#memory = limits.memory;
+    this.#pipelined = new PipelinedRequests(
+      limits,
+      this.#openResponses,
+      this.#stopped,
+    );
     this.#refusals = limits.refusals;
     this.#connections = new CallerConnections(
       limits.connectionsMaxCount,
@@ -234,7 +243,12 @@
         answerSender,
       );
     };
-    if (hasBody(message)) {
+    const isAdmitted = this.#pipelined.start(message, response, {
+      isClosing: () => state.isClosing,
+    });
+    if (!isAdmitted) {
+      this.#refuse("memory_short", message, { state, answerSender });
+    } else if (hasBody(message)) {
       this.#receiveBody(message, response, { state, answerSender, handle });
     } else {
       message.resume();
@@ -259,6 +273,31 @@
     this.#memory.hold(sizeBytes);
   }
 
+  /** Refuses a request, of which some may not have been read. */
+  #refuse(
+    kind: BodyRefusal,
+    message: IncomingMessage,
+    { state, answerSender, bodyBytes = 0 }: {
+      state: ConnectionState;
+      answerSender: HttpAnswerSender;
+      bodyBytes?: number;
+    },
+  ): void {
+    this.#refusals.record(kind, {
+      heldBytes: this.#memory.heldBytes,
+      bodyBytes,
+    });
+    // The rest of the body follows, so no other request can be read. While
+    // earlier requests run, reading goes on to notice a disconnect.
+    state.isClosing = true;
+    if (state.forwardedCount === 0) {
+      stopReading(message);
+    } else {
+      continueReading(message);
+    }
+    answerSender.fail(kind);
+  }
+
   #receiveBody(
     message: IncomingMessage,
     response: ServerResponse,
@@ -285,19 +324,11 @@
       },
       onRefused: (kind) => {
         endReceiving();
-        this.#refusals.record(kind, {
-          heldBytes: this.#memory.heldBytes,
+        this.#refuse(kind, message, {
+          state,
+          answerSender,
           bodyBytes: reception.claimBytes,
         });
-        // The rest of the body follows, so no other request can be read. While
-        // earlier requests run, reading goes on to notice a disconnect.
-        state.isClosing = true;
-        if (state.forwardedCount === 0) {
-          stopReading(message);
-        } else {
-          continueReading(message);
-        }
-        answerSender.fail(kind);
       },
     });
     state.reception = reception;
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -1,12 +1,19 @@
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
 import { once } from "node:events";
-import { test } from "node:test";
+import type { IncomingMessage } from "node:http";
+import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import { NullLogger } from "../telemetry/logger.ts";
-import { OutboundListener } from "./outbound_listener.ts";
+import { waitFor } from "../testing/wait_for.ts";
+import {
+  type OutboundHandler,
+  OutboundListener,
+  type ReceivedRequest,
+} from "./outbound_listener.ts";
+import type { AnswerSender } from "./routed_request.ts";
 
 const WAIT_MS = 50;
 
@@ -58,3 +65,117 @@
   await open();
   assert.equal(await closed, "idle");
 });
+
+const HEAD_PADDING = "x".repeat(60_000);
+
+function createListener(
+  memory: CallerMemory,
+  handler: OutboundHandler,
+  refusals = new CallerRefusals(new NullLogger()),
+) {
+  return new OutboundListener(handler, {
+    memory,
+    connectionsMaxCount: 10,
+    upstreamConnectionsMaxCount: 1,
+    refusals,
+  });
+}
+
+/** Handler that answers when the test asks for it. */
+class HeldHandler implements OutboundHandler {
+  readonly senders: AnswerSender[] = [];
+  readonly messages: IncomingMessage[] = [];
+
+  handle({ message }: ReceivedRequest, sender: AnswerSender): () => void {
+    this.messages.push(message);
+    this.senders.push(sender);
+    return () => {};
+  }
+
+  retryAfterMs(): undefined {
+    return undefined;
+  }
+
+  answerNext(): void {
+    this.senders.shift()
+      ?.answer({ status: 200, headers: [], body: null, runMs: 0 });
+  }
+}
+
+async function connectTo(t: TestContext, listener: OutboundListener) {
+  const { port } = await listener.listen({ host: "127.0.0.1", port: 0 });
+  const socket = connect(port, "127.0.0.1");
+  t.after(() => {
+    socket.destroy();
+    listener.close();
+  });
+  socket.on("error", () => {});
+  return socket;
+}
+
+// Guards against pipelined requests with large heads: 1,000 of them on one
+// connection took 93 MB that nothing counted.
+test("pipelined requests count in the account, and are read as earlier ones are answered", async (t) => {
+  const memory = new CallerMemory(10_000_000);
+  const handler = new HeldHandler();
+  const refusals = new CallerRefusals(new NullLogger());
+  const listener = createListener(memory, handler, refusals);
+  const socket = await connectTo(t, listener);
+  const requestsCount = 60;
+  socket.write(
+    `GET / HTTP/1.1\r\nhost: a\r\npad: ${HEAD_PADDING}\r\n\r\n`
+      .repeat(requestsCount),
+  );
+  socket.resume();
+  await waitFor("requests are open", () => handler.senders.length >= 16);
+  await delay(WAIT_MS);
+  assert.ok(handler.senders.length < requestsCount / 2);
+  assert.ok(memory.heldBytes > 16 * HEAD_PADDING.length);
+  assert.equal(refusals.countOf("requests_pipelined"), 1);
+  await waitFor("all requests have run", () => {
+    handler.answerNext();
+    return handler.messages.length === requestsCount &&
+      handler.senders.length === 0;
+  });
+  await waitFor("nothing is held", () => memory.heldBytes === 0);
+});
+
+// Guards against many connections whose pipelined requests exhaust the memory.
+test("a request behind others is refused while the account is full, and a first one is served", async (t) => {
+  const memory = new CallerMemory(HEAD_PADDING.length);
+  const handler = new HeldHandler();
+  const socket = await connectTo(t, createListener(memory, handler));
+  let text = "";
+  socket.on("data", (chunk) => text += chunk);
+  socket.write(
+    `GET / HTTP/1.1\r\nhost: a\r\npad: ${HEAD_PADDING}\r\n\r\n`.repeat(4),
+  );
+  await waitFor("a request runs", () => handler.senders.length === 1);
+  await delay(WAIT_MS);
+  assert.equal(handler.senders.length, 1);
+  handler.answerNext();
+  await once(socket, "close");
+  assert.deepEqual(text.match(/HTTP\/1.1 \d+/g), [
+    "HTTP/1.1 200",
+    "HTTP/1.1 503",
+  ]);
+  assert.equal(memory.heldBytes, 0);
+});
+
+// Guards against requests that run on after their caller has left.
+test("a caller with many open requests that leaves is noticed", async (t) => {
+  let disconnectedCount = 0;
+  let handledCount = 0;
+  const listener = createListener(new CallerMemory(1_000_000), {
+    handle: () => {
+      handledCount++;
+      return () => disconnectedCount++;
+    },
+    retryAfterMs: () => undefined,
+  });
+  const socket = await connectTo(t, listener);
+  socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(20));
+  await waitFor("requests run", () => handledCount === 20);
+  socket.destroy();
+  await waitFor("all are cancelled", () => disconnectedCount === 20);
+});
--- a/src/telemetry/caller_refusals.ts
+++ b/src/telemetry/caller_refusals.ts
@@ -11,6 +11,8 @@
   "memory_short",
   /** The body has too many small chunks while others have, too. */
   "chunks_too_small",
+  /** The connection has too many open requests, and is not read meanwhile. */
+  "requests_pipelined",
   /** The connection was closed because another one needed its descriptor. */
   "connection_closed",
   /** A new connection found no descriptor. */
