--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -15,7 +15,7 @@
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
-import { continueReading, stopReading } from "../core/stop_reading.ts";
+import { stopReading } from "../core/stop_reading.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
@@ -213,6 +213,7 @@
     // none. An HTTP/1.1 client retries the requests that it pipelined after the
     // answered one.
     if (state === undefined || state.isClosing) {
+      this.#stopped.stop(message.socket);
       message.resume();
       return;
     }
@@ -288,12 +289,13 @@
       bodyBytes,
     });
     // The rest of the body follows, so no other request can be read. While
-    // earlier requests run, reading goes on to notice a disconnect.
+    // earlier requests run, reading goes on slowly to notice a disconnect.
     state.isClosing = true;
-    if (state.forwardedCount === 0) {
-      stopReading(message);
-    } else {
-      continueReading(message);
+    stopReading(message);
+    if (state.forwardedCount > 0) {
+      const { socket } = message;
+      this.#stopped.stop(socket);
+      message.on("data", () => this.#stopped.stop(socket));
     }
     answerSender.fail(kind);
   }
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -66,6 +66,8 @@
   assert.equal(await closed, "idle");
 });
 
+/** Time in which the whole body would be read without a bound. */
+const SLOW_READ_MS = 2_000;
 const HEAD_PADDING = "x".repeat(60_000);
 
 function createListener(
@@ -179,3 +181,33 @@
   socket.destroy();
   await waitFor("all are cancelled", () => disconnectedCount === 20);
 });
+
+// Guards against a refused body that takes the processor time of others: four
+// such callers with chunks of one byte held the event loop for 80 ms at a time.
+test("a refused body is read slowly while an earlier request on its connection runs", async (t) => {
+  const handler = new HeldHandler();
+  const listener = createListener(new CallerMemory(1_000_000), handler);
+  listener.applyLimits({
+    headerMaxBytes: 65_536,
+    bodyMaxBytes: 1_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 3_000,
+  });
+  const socket = await connectTo(t, listener);
+  let text = "";
+  socket.on("data", (chunk) => text += chunk);
+  socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  await waitFor("a request runs", () => handler.messages.length === 1);
+  const chunks = Buffer.from("1\r\nx\r\n".repeat(500_000));
+  socket.write(
+    "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n",
+  );
+  socket.write(chunks);
+  await delay(SLOW_READ_MS);
+  const bytesRead = handler.messages[0]?.socket.bytesRead ?? 0;
+  t.diagnostic(`${bytesRead} bytes read`);
+  assert.ok(bytesRead < chunks.length / 2, `${bytesRead} bytes`);
+  handler.answerNext();
+  await waitFor("the body is refused", () => text.includes("HTTP/1.1 413"));
+  assert.ok(text.startsWith("HTTP/1.1 200"));
+});
