--- a/src/decisions/memory/caller_connections.ts
+++ b/src/decisions/memory/caller_connections.ts
@@ -59,10 +59,10 @@
 export type ClosedHandler = (options: { isNew: boolean }) => void;
 
 /** Open connections of callers, at most as many as there are descriptors for. */
-export class CallerConnections {
+export class CallerConnections<S extends Closable = Closable> {
   readonly #maxCount: number;
   readonly #onClosed: ClosedHandler;
-  readonly #states = new Map<Closable, ConnectionState>();
+  readonly #states = new Map<S, ConnectionState>();
 
   /**
    * @param maxCount Maximum number of connections.
@@ -78,13 +78,18 @@
     return this.#states.size;
   }
 
+  /** Open connections. */
+  get sockets(): Iterable<S> {
+    return this.#states.keys();
+  }
+
   /**
    * Adds a new connection. If there are too many, others are closed, or this one
    * if all others have forwarded requests.
    *
    * @param socket Connection that was accepted.
    */
-  add(socket: Closable): void {
+  add(socket: S): void {
     if (this.#states.size >= this.#maxCount && !this.#makeRoom()) {
       this.#onClosed({ isNew: true });
       socket.destroy();
@@ -100,7 +105,7 @@
    * @param socket Connection.
    * @returns Its state; undefined if it was closed.
    */
-  find(socket: Closable): ConnectionState | undefined {
+  find(socket: S): ConnectionState | undefined {
     return this.#states.get(socket);
   }
 
@@ -110,7 +115,7 @@
       nowMs: performance.now(),
     });
     for (const { socket } of closed) {
-      this.#states.delete(socket);
+      this.#states.delete(socket as S);
       this.#onClosed({ isNew: false });
       socket.destroy();
     }
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -10,6 +10,7 @@
   CallerConnections,
   type ConnectionState,
 } from "../decisions/memory/caller_connections.ts";
+import { UnreadAnswers } from "../decisions/memory/unread_answers.ts";
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
@@ -79,7 +80,8 @@
   readonly #handler: OutboundHandler;
   readonly #memory: CallerMemory;
   readonly #refusals: CallerRefusals;
-  readonly #connections: CallerConnections;
+  readonly #connections: CallerConnections<Socket>;
+  readonly #unreadAnswers = new UnreadAnswers<Socket>();
   readonly #costlyBodies = new CostlyBodies(COSTLY_BODIES_MAX_COUNT);
   readonly #receptions = new Set<BodyReception>();
   readonly #openResponses = new OpenResponses();
@@ -171,7 +173,8 @@
   }
 
   /**
-   * Ends the bodies that have made no progress for long.
+   * Ends the bodies that have made no progress for long, and the connections
+   * whose callers do not read their answers.
    *
    * @param nowMs Monotonic time, in ms.
    */
@@ -183,6 +186,13 @@
     for (const reception of this.#receptions) {
       reception.checkProgress(nowMs);
     }
+    const { sockets } = this.#connections;
+    for (const socket of this.#unreadAnswers.check(sockets, nowMs)) {
+      this.#refusals.record("answer_unread", {
+        unsentBytes: socket.writableLength,
+      });
+      socket.destroy();
+    }
   }
 
   /**
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -66,6 +66,8 @@
   assert.equal(await closed, "idle");
 });
 
+/** Size of a small answer, of which 200 are more than sockets take. */
+const ANSWER_BYTES = 60_000;
 /** Time in which the whole body would be read without a bound. */
 const SLOW_READ_MS = 2_000;
 const HEAD_PADDING = "x".repeat(60_000);
@@ -211,3 +213,32 @@
   await waitFor("the body is refused", () => text.includes("HTTP/1.1 413"));
   assert.ok(text.startsWith("HTTP/1.1 200"));
 });
+
+// Guards against callers that keep memory and a connection for ever.
+test("the connection of a caller that does not read its answers is closed", async (t) => {
+  const refusals = new CallerRefusals(new NullLogger());
+  const listener = createListener(
+    new CallerMemory(100_000_000),
+    {
+      handle: (_request, sender) => {
+        const body = Buffer.alloc(ANSWER_BYTES);
+        sender.answer({ status: 200, headers: [], body, runMs: 0 });
+        return () => {};
+      },
+      retryAfterMs: () => undefined,
+    },
+    refusals,
+  );
+  const socket = await connectTo(t, listener);
+  socket.pause();
+  socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(200));
+  await waitFor("answers are held", () => listener.heldBytes > 0);
+  let nowMs = 0;
+  await waitFor("the connection is closed", () => {
+    nowMs += 1_000;
+    listener.tick(nowMs);
+    return listener.connectionsCount === 0;
+  });
+  assert.equal(refusals.countOf("answer_unread"), 1);
+  await waitFor("nothing is held", () => listener.heldBytes === 0);
+});
--- a/src/telemetry/caller_refusals.ts
+++ b/src/telemetry/caller_refusals.ts
@@ -13,6 +13,8 @@
   "chunks_too_small",
   /** The connection has too many open requests, and is not read meanwhile. */
   "requests_pipelined",
+  /** The connection was closed because its caller does not read its answer. */
+  "answer_unread",
   /** The connection was closed because another one needed its descriptor. */
   "connection_closed",
   /** A new connection found no descriptor. */
