--- a/src/decisions/memory/costly_bodies.ts
+++ b/src/decisions/memory/costly_bodies.ts
@@ -18,7 +18,8 @@
  */
 export class CostlyBodies {
   readonly #maxCount: number;
-  readonly #bodies = new Set<CostlyBody>();
+  /** Monotonic time at which each body last needed its place, in ms. */
+  readonly #neededAtMs = new Map<CostlyBody, number>();
 
   /**
    * @param maxCount Bodies that may be received at the same time.
@@ -28,26 +29,20 @@
   }
 
   /**
-   * Admits a body. Those that make no progress give their place away, and need
-   * to be admitted again.
+   * Admits a body. Those that make no progress, or that have not needed their
+   * place for as long, give it away and need to be admitted again. A body that
+   * sends a small chunk now and then makes progress, but it takes no time.
    *
-   * @param body Body with more chunks than usual.
+   * @param body Body with more chunks than usual; called again as long as it
+   *   has.
    * @param nowMs Monotonic time, in ms.
    * @returns False when the body should be refused.
    */
   admit(body: CostlyBody, nowMs: number): boolean {
-    if (this.#bodies.has(body)) {
-      return true;
-    }
-    for (const other of this.#bodies) {
-      if (nowMs - other.progressAtMs >= STALLED_MIN_MS) {
-        this.#bodies.delete(other);
-      }
-    }
-    if (this.#bodies.size >= this.#maxCount) {
+    if (!this.#neededAtMs.has(body) && !this.#hasRoom(nowMs)) {
       return false;
     }
-    this.#bodies.add(body);
+    this.#neededAtMs.set(body, nowMs);
     return true;
   }
 
@@ -57,6 +52,16 @@
    * @param body Body; nothing happens if it was not admitted.
    */
   delete(body: CostlyBody): void {
-    this.#bodies.delete(body);
+    this.#neededAtMs.delete(body);
+  }
+
+  #hasRoom(nowMs: number): boolean {
+    for (const [body, neededAtMs] of this.#neededAtMs) {
+      const usedAtMs = Math.min(neededAtMs, body.progressAtMs);
+      if (nowMs - usedAtMs >= STALLED_MIN_MS) {
+        this.#neededAtMs.delete(body);
+      }
+    }
+    return this.#neededAtMs.size < this.#maxCount;
   }
 }
--- a/src/decisions/memory/costly_bodies_test.ts
+++ b/src/decisions/memory/costly_bodies_test.ts
@@ -23,3 +23,21 @@
   assert.equal(bodies.admit(other, 2_000), true);
   assert.equal(bodies.admit({ progressAtMs: 2_000 }, 2_500), false);
 });
+
+// Guards against two callers that trickle small chunks and keep both places.
+test("a body that trickles gives its place away, one at full speed keeps it", () => {
+  const bodies = new CostlyBodies(2);
+  const trickling = { progressAtMs: 0 };
+  const fast = { progressAtMs: 0 };
+  assert.equal(bodies.admit(trickling, 0), true);
+  assert.equal(bodies.admit(fast, 0), true);
+  for (let nowMs = 100; nowMs <= 1_000; nowMs += 100) {
+    trickling.progressAtMs = nowMs;
+    fast.progressAtMs = nowMs;
+    assert.equal(bodies.admit(fast, nowMs), true);
+  }
+  const [third, fourth] = [{ progressAtMs: 1_000 }, { progressAtMs: 1_000 }];
+  assert.equal(bodies.admit(third, 1_000), true);
+  assert.equal(bodies.admit(fourth, 1_000), false);
+  assert.equal(bodies.admit(trickling, 1_000), false);
+});
