--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -252,4 +252,9 @@
   onConfig(config: unknown): void {
     this.#parts.config.applyFromPeer(config);
   }
+
+  /** @inheritdoc */
+  onIncomplete(changeBytes: number): void {
+    this.#parts.memory.hold(changeBytes);
+  }
 }
--- a/src/link/frame_codec.ts
+++ b/src/link/frame_codec.ts
@@ -88,6 +88,11 @@
   #chunksBytes = 0;
   #neededBytes = LENGTH_BYTES;
 
+  /** Bytes of a frame that is not complete. */
+  get incompleteBytes(): number {
+    return this.#incomplete.length + this.#chunksBytes;
+  }
+
   /**
    * Appends bytes and decodes each frame that is now complete.
    *
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -66,6 +66,8 @@
   readonly config: unknown;
   /** Records of all known members, for a peer's query. */
   readonly members: readonly MemberRecord[];
+  /** Called when the bytes of incomplete frames change, by how many. */
+  onIncomplete?(changeBytes: number): void;
   /**
    * Called with a peer's message to this daemon as the owner of usage caps.
    * Returns the answer, if there is one.
@@ -100,6 +102,11 @@
     this.socket.send([FRAME.hello, host.ownRecord, host.ownState]);
   }
 
+  /** @inheritdoc */
+  onIncomplete(changeBytes: number): void {
+    this.#host.onIncomplete?.(changeBytes);
+  }
+
   /** @inheritdoc */
   onFrame(frame: unknown[]): void {
     switch (frame[0]) {
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -5,6 +5,8 @@
 import { FRAME, type UpstreamState } from "../schemas/link_schema.ts";
 import { NullLogger } from "../telemetry/logger.ts";
 import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
+import { waitFor } from "../testing/wait_for.ts";
+import { encodeFrame } from "./frame_codec.ts";
 import { LinkServer, type LinkServerHost } from "./link_server.ts";
 import { LinkSocket } from "./link_socket.ts";
 
@@ -130,3 +132,30 @@
   }
   assert.ok(resultsOf(FRAME.refusal).length > 0);
 });
+
+// Guards against frames that stop short of their end, whose bytes nothing counts.
+test("the bytes of an incomplete frame are counted until it is complete or the link closes", async (t) => {
+  let heldBytes = 0;
+  const host: LinkServerHost = {
+    ...createHost([]),
+    onIncomplete: (changeBytes) => heldBytes += changeBytes,
+  };
+  const server = new LinkServer(host, new NullLogger());
+  const { port } = await server.listen({ host: "127.0.0.1", port: 0 });
+  const tcp = connect({ host: "127.0.0.1", port });
+  t.after(() => {
+    tcp.destroy();
+    server.close();
+  });
+  const frame = encodeFrame([FRAME.config, "x".repeat(200_000)]);
+  const missingBytes = 10;
+  tcp.write(frame.subarray(0, -missingBytes));
+  const expectedBytes = frame.length - missingBytes;
+  await waitFor("the frame is held", () => heldBytes === expectedBytes);
+  tcp.write(frame.subarray(-missingBytes));
+  await waitFor("the frame is complete", () => heldBytes === 0);
+  tcp.write(frame.subarray(0, -missingBytes));
+  await waitFor("the next one is held", () => heldBytes === expectedBytes);
+  tcp.destroy();
+  await waitFor("the link has closed", () => heldBytes === 0);
+});
--- a/src/link/link_socket.ts
+++ b/src/link/link_socket.ts
@@ -9,6 +9,8 @@
   onFrame(frame: unknown[]): void;
   /** Called once, when the connection has closed. */
   onClosed(reason: string): void;
+  /** Called when the bytes of the incomplete frame change, by how many. */
+  onIncomplete?(changeBytes: number): void;
 }
 
 /**
@@ -44,6 +46,7 @@
   #unsent: Uint8Array[] = [];
   #queuedBytes = 0;
   #isClosed = false;
+  #incompleteBytes = 0;
   /** Monotonic time of the last received bytes, in ms. */
   lastReceivedAtMs = performance.now();
 
@@ -105,6 +108,7 @@
     }
     this.#isClosed = true;
     this.#socket.destroy();
+    this.#countIncomplete(0);
     this.#receiver.onClosed(reason);
   }
 
@@ -140,11 +144,24 @@
     try {
       this.#reader.push(chunk, (frame) => {
         if (!this.#isClosed) {
+          // A request counts from now on, so its frame must not count, too.
+          this.#countIncomplete(0);
           this.#receiver.onFrame(frame);
         }
       });
+      if (!this.#isClosed) {
+        this.#countIncomplete(this.#reader.incompleteBytes);
+      }
     } catch (error) {
       this.close((error as Error).message);
     }
   }
+
+  #countIncomplete(bytes: number): void {
+    const changeBytes = bytes - this.#incompleteBytes;
+    if (changeBytes !== 0) {
+      this.#incompleteBytes = bytes;
+      this.#receiver.onIncomplete?.(changeBytes);
+    }
+  }
 }
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -60,6 +60,8 @@
   onMembers(records: readonly MemberRecord[], link: PeerLink): void;
   /** Called with the answer of a peer that owns usage caps. */
   onUsageGrant?(frame: readonly unknown[], link: PeerLink): void;
+  /** Called when the bytes of incomplete frames change, by how many. */
+  onIncomplete?(changeBytes: number): void;
 }
 
 /** Options of {@link PeerLink}. */
@@ -282,6 +284,8 @@
     const tcp = connect({ host, port });
     const socket: LinkSocket = new LinkSocket(tcp, {
       onFrame: (frame) => this.onFrame(frame),
+      onIncomplete: (changeBytes) =>
+        this.#options.host.onIncomplete?.(changeBytes),
       onClosed: (reason) => {
         if (this.#socket === socket) {
           this.onClosed(reason);
