--- a/src/decisions/memory/machine_bounds.ts
+++ b/src/decisions/memory/machine_bounds.ts
@@ -7,12 +7,12 @@
 /** Memory of a process that holds nothing for callers. */
 const OWN_MEMORY_BYTES = 100_000_000;
 /**
- * Part of the other memory for what callers cause to be held. The rest is for
- * copies, because a body is joined when it is complete, and for bytes that are
- * released but not collected. With 0.5, a crowd of complete bodies took a
- * process of 200 MB to its limit.
+ * Part of the other memory for what callers cause to be held. Bodies are copied
+ * from what the parser has read, which is not collected at once, and as much is
+ * for the first reads of callers that are refused and for those whose bytes were
+ * released. With 0.35, a crowd of unfinished bodies took a process over 200 MB.
  */
-const HELD_RATIO = 0.35;
+const HELD_RATIO = 0.25;
 /** Least bytes that are held for callers, on a machine of any size. */
 const HELD_MIN_BYTES = 8_388_608;
 /** Part of the descriptors for connections of callers. */
