--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -10,18 +10,22 @@
   CallerConnections,
   type ConnectionState,
 } from "../decisions/memory/caller_connections.ts";
+import { UnreadAnswers } from "../decisions/memory/unread_answers.ts";
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
+import { stopReading } from "../core/stop_reading.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
-import { BodyReception } from "./body_reception.ts";
+import { BodyReception, type BodyRefusal } from "./body_reception.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
+import { PipelinedRequests } from "./pipelined_requests.ts";
+import { StoppedConnections } from "./stopped_connections.ts";
 
 /**
  * Maximum size of the headers of a request. It is fixed when the HTTP server is
@@ -76,10 +80,13 @@
   readonly #handler: OutboundHandler;
   readonly #memory: CallerMemory;
   readonly #refusals: CallerRefusals;
-  readonly #connections: CallerConnections;
+  readonly #connections: CallerConnections<Socket>;
+  readonly #unreadAnswers = new UnreadAnswers<Socket>();
   readonly #costlyBodies = new CostlyBodies(COSTLY_BODIES_MAX_COUNT);
   readonly #receptions = new Set<BodyReception>();
   readonly #openResponses = new OpenResponses();
+  readonly #stopped = new StoppedConnections();
+  readonly #pipelined: PipelinedRequests;
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #openCount = 0;
   #heldBytes = 0;
@@ -93,6 +100,11 @@
   constructor(handler: OutboundHandler, limits: CallerLimits) {
     this.#handler = handler;
     this.#memory = limits.memory;
+    this.#pipelined = new PipelinedRequests(
+      limits,
+      this.#openResponses,
+      this.#stopped,
+    );
     this.#refusals = limits.refusals;
     this.#connections = new CallerConnections(
       limits.connectionsMaxCount,
@@ -161,7 +173,8 @@
   }
 
   /**
-   * Ends the bodies that have made no progress for long.
+   * Ends the bodies that have made no progress for long, and the connections
+   * whose callers do not read their answers.
    *
    * @param nowMs Monotonic time, in ms.
    */
@@ -173,6 +186,13 @@
     for (const reception of this.#receptions) {
       reception.checkProgress(nowMs);
     }
+    const { sockets } = this.#connections;
+    for (const socket of this.#unreadAnswers.check(sockets, nowMs)) {
+      this.#refusals.record("answer_unread", {
+        unsentBytes: socket.writableLength,
+      });
+      socket.destroy();
+    }
   }
 
   /**
@@ -203,6 +223,7 @@
     // none. An HTTP/1.1 client retries the requests that it pipelined after the
     // answered one.
     if (state === undefined || state.isClosing) {
+      this.#stopped.stop(message.socket);
       message.resume();
       return;
     }
@@ -233,7 +254,12 @@
         answerSender,
       );
     };
-    if (hasBody(message)) {
+    const isAdmitted = this.#pipelined.start(message, response, {
+      isClosing: () => state.isClosing,
+    });
+    if (!isAdmitted) {
+      this.#refuse("memory_short", message, { state, answerSender });
+    } else if (hasBody(message)) {
       this.#receiveBody(message, response, { state, answerSender, handle });
     } else {
       message.resume();
@@ -258,6 +284,32 @@
     this.#memory.hold(sizeBytes);
   }
 
+  /** Refuses a request, of which some may not have been read. */
+  #refuse(
+    kind: BodyRefusal,
+    message: IncomingMessage,
+    { state, answerSender, bodyBytes = 0 }: {
+      state: ConnectionState;
+      answerSender: HttpAnswerSender;
+      bodyBytes?: number;
+    },
+  ): void {
+    this.#refusals.record(kind, {
+      heldBytes: this.#memory.heldBytes,
+      bodyBytes,
+    });
+    // The rest of the body follows, so no other request can be read. While
+    // earlier requests run, reading goes on slowly to notice a disconnect.
+    state.isClosing = true;
+    stopReading(message);
+    if (state.forwardedCount > 0) {
+      const { socket } = message;
+      this.#stopped.stop(socket);
+      message.on("data", () => this.#stopped.stop(socket));
+    }
+    answerSender.fail(kind);
+  }
+
   #receiveBody(
     message: IncomingMessage,
     response: ServerResponse,
@@ -284,17 +336,11 @@
       },
       onRefused: (kind) => {
         endReceiving();
-        this.#refusals.record(kind, {
-          heldBytes: this.#memory.heldBytes,
+        this.#refuse(kind, message, {
+          state,
+          answerSender,
           bodyBytes: reception.claimBytes,
         });
-        // The rest of the body follows, so no other request can be read. While
-        // earlier requests run, reading goes on to notice a disconnect.
-        state.isClosing = true;
-        if (state.forwardedCount === 0) {
-          message.socket.pause();
-        }
-        answerSender.fail(kind);
       },
     });
     state.reception = reception;
