--- a/bench/recovery/scenario.ts
+++ b/bench/recovery/scenario.ts
@@ -80,7 +80,9 @@
  * @param scenario Scenario.
  * @returns Configuration with its routes and pools.
  */
-export function toFleetConfig(scenario: Scenario): FleetConfig {
+export function toFleetConfig(
+  scenario: Pick<Scenario, "pools" | "routes">,
+): FleetConfig {
   return {
     version: 1,
     routes: scenario.routes.map(toFleetRoute),
--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -78,6 +78,7 @@
   random: RandomSource;
   name: string;
   pool: string;
+  dataCentre: string;
   slotsCount: number;
   config: FleetConfig;
   upstream: SimulatedUpstream;
@@ -107,14 +108,14 @@
    * @param options Virtual time, identity, configuration and upstream.
    */
   constructor(options: SimulatedDaemonOptions) {
-    const { random, name, pool, slotsCount } = options;
+    const { random, name, pool, dataCentre, slotsCount } = options;
     const log = new NullLogger();
     const decisions = new DecisionLog(log);
     const observer = new CallObserver();
     this.#options = options;
     this.record = {
       name,
-      dataCentre: "a",
+      dataCentre,
       pool,
       link: { host: "127.0.0.1", port: 1 },
     };
@@ -140,6 +141,7 @@
                 upstreamId,
                 limitPerS: undefined,
                 isLeaving: false,
+                slowdownRatio: options.upstream.slowdownRatio,
               });
               receiver.onAnswer(answer);
             },
@@ -166,7 +168,7 @@
       isWatching: () => false,
       onCalls: (calls) => this.#graph.update(name, calls),
     });
-    this.#channels = new ChannelTable({ ownDataCentre: "a", random });
+    this.#channels = new ChannelTable({ ownDataCentre: dataCentre, random });
     this.#channels.add(
       new LocalUpstreamChannel({
         member: this.record,
--- a/bench/recovery/simulated_fleet.ts
+++ b/bench/recovery/simulated_fleet.ts
@@ -11,6 +11,7 @@
 import { SimulatedDaemon } from "./simulated_daemon.ts";
 import { SimulatedUpstream } from "./simulated_upstream.ts";
 
+const DATA_CENTRE = "a";
 const MS_PER_S = 1_000;
 /** Wait of a caller that finds no process. */
 const RECONNECT_MS = 100;
@@ -127,6 +128,7 @@
         random: this.#random,
         name,
         pool,
+        dataCentre: DATA_CENTRE,
         slotsCount,
         upstream,
         config: this.#config,
--- a/bench/recovery/simulated_upstream.ts
+++ b/bench/recovery/simulated_upstream.ts
@@ -19,6 +19,10 @@
 const KNEE_RATIO = 0.95;
 const KNEE_FACTOR = 1.3;
 
+function defaultDilation(busyRatio: number): number {
+  return busyRatio > KNEE_RATIO ? KNEE_FACTOR : 1;
+}
+
 /** A downstream call that an upstream makes. */
 export type DownstreamCall = {
   readonly routeName: string;
@@ -33,6 +37,10 @@
   slotsCount: number;
   speed: number;
   routes: ReadonlyMap<string, ScenarioRoute>;
+  /** Factor by which runs take longer at a share of slots in use. */
+  dilation?: (busyRatio: number) => number;
+  /** Present slowdown by other workloads, which the upstream reports. */
+  neighbourRatio?: () => number;
   /** Sends a downstream call through the daemon; returns how to cancel it. */
   call: (call: DownstreamCall, onDone: (ok: boolean) => void) => () => void;
 };
@@ -61,6 +69,11 @@
     this.#options = options;
   }
 
+  /** Reported slowdown; undefined when it reports none. */
+  get slowdownRatio(): number | undefined {
+    return this.#options.neighbourRatio?.();
+  }
+
   /** Sends a request to the upstream, as the HTTP client of a daemon does. */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const { events, routes } = this.#options;
@@ -93,9 +106,11 @@
   #workMs({ workMs }: ScenarioRoute): number {
     const { random, speed, slotsCount, events } = this.#options;
     const spread = 1 + WORK_SPREAD_RATIO * (2 * random.nextFloat() - 1);
-    const isBusy = this.#runs.size > KNEE_RATIO * slotsCount;
+    const { dilation = defaultDilation } = this.#options;
     const coldFactor = events.nowMs < this.#coldUntilMs ? COLD_FACTOR : 1;
-    return workMs * spread * coldFactor * (isBusy ? KNEE_FACTOR : 1) / speed;
+    const slowdown = dilation(this.#runs.size / slotsCount) *
+      (this.slowdownRatio ?? 1);
+    return workMs * spread * coldFactor * slowdown / speed;
   }
 
   #makeCalls(run: Run, planIndex: number): void {
