--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -14,6 +14,7 @@
 import type { HeaderNames } from "../../src/fleet/header_names.ts";
 import { LocalUpstream } from "../../src/fleet/local_upstream.ts";
 import { LocalUpstreamChannel } from "../../src/fleet/local_upstream_channel.ts";
+import { PoolFiguresSource } from "../../src/fleet/pool_figures_source.ts";
 import { OutboundService } from "../../src/fleet/outbound_service.ts";
 import { StatePublisher } from "../../src/fleet/state_publisher.ts";
 import { UpstreamGate } from "../../src/fleet/upstream_gate.ts";
@@ -70,6 +71,8 @@
   readonly routeName: string;
   readonly requestId: string;
   readonly callerTimeoutMs: number;
+  /** API key of the caller's tenant. */
+  readonly key?: string | undefined;
 };
 
 /** Options of {@link SimulatedDaemon}. */
@@ -83,6 +86,8 @@
   config: FleetConfig;
   upstream: SimulatedUpstream;
   daemonsCount: number;
+  /** Whether it is of a version that does not answer reports of offered runs. */
+  isEarlierVersion?: boolean;
 };
 
 function parentIdOf(requestId: string): string | undefined {
@@ -93,6 +98,7 @@
 /** One process of a daemon; a restart is another instance. */
 export class SimulatedDaemon {
   readonly gate: UpstreamGate;
+  readonly poolFigures: PoolFiguresSource;
   readonly record: MemberRecord;
   readonly #options: SimulatedDaemonOptions;
   readonly #graph = new CallGraph();
@@ -154,6 +160,7 @@
       log,
       requestIdHeader: REQUEST_ID_HEADER,
     });
+    this.poolFigures = new PoolFiguresSource(this.gate);
     this.#publisher = new StatePublisher({
       upstream,
       gate: this.gate,
@@ -174,6 +181,7 @@
         member: this.record,
         gate: this.gate,
         readState: () => this.#publisher.state,
+        poolFigures: this.poolFigures,
       }),
     );
     this.#config = new ConfigFollower({
@@ -208,6 +216,11 @@
     this.#scheduleTick();
   }
 
+  /** Whether it does not answer reports of offered runs. */
+  get isEarlierVersion(): boolean {
+    return this.#options.isEarlierVersion ?? false;
+  }
+
   /** Whether the process has been killed. */
   get isStopped(): boolean {
     return this.#isStopped;
@@ -230,6 +243,7 @@
    */
   connect(peer: SimulatedDaemon): void {
     const link = new SimulatedLink(this.#options.events, {
+      ownName: this.record.name,
       peer,
       state: peer.#publisher.state,
       onState: (state) => this.#graph.update(peer.record.name, state.calls),
@@ -254,7 +268,7 @@
     request: CallerRequest,
     onResult: (result: CallerResult) => void,
   ): () => void {
-    const { routeName, requestId, callerTimeoutMs } = request;
+    const { routeName, requestId, callerTimeoutMs, key } = request;
     const message = {
       method: "GET",
       url: "/",
@@ -262,6 +276,7 @@
         host: `${routeName}.example`,
         [REQUEST_ID_HEADER]: requestId,
         [DEADLINE_HEADER]: String(Math.floor(callerTimeoutMs)),
+        ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
       },
       rawHeaders: [REQUEST_ID_HEADER, requestId],
     } as unknown as IncomingMessage;
--- a/bench/recovery/simulated_link.ts
+++ b/bench/recovery/simulated_link.ts
@@ -11,6 +11,8 @@
   LoadReport,
   UpstreamState,
 } from "../../src/schemas/link_schema.ts";
+import type { UpstreamFigures } from "../../src/decisions/sharing/pool_figures.ts";
+import type { PoolFiguresSource } from "../../src/fleet/pool_figures_source.ts";
 import type { UpstreamGate } from "../../src/fleet/upstream_gate.ts";
 import type { EventQueue } from "../policy/event_queue.ts";
 
@@ -21,11 +23,14 @@
 export type LinkedDaemon = {
   readonly record: MemberRecord;
   readonly gate: UpstreamGate;
+  readonly poolFigures: PoolFiguresSource;
   readonly isStopped: boolean;
+  readonly isEarlierVersion: boolean;
 };
 
 /** Options of {@link SimulatedLink}. */
 export type SimulatedLinkOptions = {
+  ownName: string;
   peer: LinkedDaemon;
   /** State of the peer's upstream in its hello frame. */
   state: UpstreamState;
@@ -40,6 +45,7 @@
   readonly #events: EventQueue;
   readonly #options: SimulatedLinkOptions;
   #state: UpstreamState;
+  #figures: UpstreamFigures | undefined;
 
   /**
    * @param events Virtual time.
@@ -62,6 +68,28 @@
     return this.#options.peer.isStopped ? undefined : this.#state;
   }
 
+  /** @inheritdoc */
+  get figures(): UpstreamFigures | undefined {
+    return this.#options.peer.isStopped ? undefined : this.#figures;
+  }
+
+  /** @inheritdoc */
+  reportOffer(offeredPerS: readonly number[]): void {
+    const { peer, ownName } = this.#options;
+    const atMs = this.#events.nowMs;
+    this.#events.after(LATENCY_MS, () => {
+      if (peer.isStopped || peer.isEarlierVersion) {
+        return;
+      }
+      const { nowMs } = this.#events;
+      peer.poolFigures.record(ownName, offeredPerS, nowMs);
+      const figures = peer.poolFigures.figures(nowMs);
+      this.#events.after(LATENCY_MS, () => {
+        this.#figures = { ...figures, atMs };
+      });
+    });
+  }
+
   /** Receives a state frame. */
   receiveState(state: UpstreamState): void {
     this.#events.after(LATENCY_MS, () => {
--- a/bench/sharing/bottleneck_fleet.ts
+++ b/bench/sharing/bottleneck_fleet.ts
@@ -28,6 +28,8 @@
   readonly loadRatio: number;
   readonly measuredFromMs: number;
   readonly endMs: number;
+  /** Whether the daemons are of a version whose levels follow the busy ratio. */
+  readonly isUncoordinated?: boolean;
   /** Called once per 100 ms, for traces. */
   readonly onStep?: (fleet: BottleneckFleet) => void;
 };
@@ -42,6 +44,7 @@
   readonly route: ValuedRoute;
   readonly instance: Instance;
   readonly arrivedAtMs: number;
+  readonly key: string | undefined;
   readonly isRetry: boolean;
 };
 
@@ -96,7 +99,13 @@
   #createInstances(): Instance[] {
     const { scenario } = this.#options;
     const routes = new Map(scenario.routes.map((route) => [route.name, route]));
-    const config = toFleetConfig({
+    const tenants = scenario.tenantShares.map((_, index) => ({
+      name: `tenant-${index}`,
+      keys: [`key-${index}`],
+      ratePerS: 0,
+      burstCount: 0,
+    }));
+    const routesConfig = toFleetConfig({
       pools: scenario.pools.map((pool) => ({
         name: pool.name,
         slotsCounts: [...pool.slotsCounts],
@@ -104,6 +113,9 @@
       })),
       routes: [...scenario.routes],
     });
+    const config = tenants.length === 0
+      ? routesConfig
+      : { ...routesConfig, tenants };
     const instances: Instance[] = [];
     const daemonsCount = scenario.pools.reduce(
       (sum, { slotsCounts }) => sum + slotsCounts.length,
@@ -138,6 +150,7 @@
           upstream,
           config,
           daemonsCount,
+          isEarlierVersion: this.#options.isUncoordinated ?? false,
         });
         instances.push({ dataCentre, pool, daemon });
       }
@@ -186,18 +199,30 @@
     this.#events.after(delayMs, () => {
       const arrivedAtMs = this.nowMs;
       this.results.record(route.name, "offered", arrivedAtMs);
-      this.#try({ route, instance, arrivedAtMs, isRetry: false });
+      const key = this.#drawKey();
+      this.#try({ route, instance, arrivedAtMs, key, isRetry: false });
     });
   }
 
+  #drawKey(): string | undefined {
+    const { tenantShares } = this.#options.scenario;
+    if (tenantShares.length === 0) {
+      return undefined;
+    }
+    let left = this.#arrivals.nextFloat();
+    const index = tenantShares.findIndex((share) => (left -= share) < 0);
+    return `key-${Math.max(0, index)}`;
+  }
+
   #try(attempt: Attempt): void {
-    const { route, instance, arrivedAtMs } = attempt;
+    const { route, instance, arrivedAtMs, key } = attempt;
     const remainingMs = arrivedAtMs + route.callerTimeoutMs - this.nowMs;
     let isDone = false;
     const cancel = instance.daemon.handle({
       routeName: route.name,
       requestId: `q${this.#nextRequestNumber++}`,
       callerTimeoutMs: remainingMs,
+      key,
     }, ({ status, retryAfterMs }) => {
       isDone = true;
       const tookMs = this.nowMs - arrivedAtMs;
--- a/bench/sharing/bottleneck_scenario.ts
+++ b/bench/sharing/bottleneck_scenario.ts
@@ -29,6 +29,8 @@
   readonly bottleneck: string;
   readonly dataCentresCount: number;
   readonly routes: readonly ValuedRoute[];
+  /** Shares of the requests that the tenants send; empty without tenants. */
+  readonly tenantShares: readonly number[];
   /** Offered load relative to the mean, by route, data centre and time. */
   readonly loadFactor: (
     routeName: string,
@@ -155,6 +157,7 @@
     },
     calledRoute("entry", "ledger", 15),
   ],
+  tenantShares: [],
   loadFactor: (_, dataCentre, nowMs) => waveFactor(dataCentre, nowMs),
   impatientRatio: 0.2,
   knee: { ratio: 0.7, slope: 0.6 },
@@ -243,5 +246,7 @@
     },
     calledRoute("befehl", "regler", 40),
   ],
+  // A few large tenants and many small ones.
+  tenantShares: [0.3, 0.2, ...repeat(20, 0.025)],
   loadFactor: (routeName, _, nowMs) => burstFactor(routeName, nowMs),
 };
--- a/bench/sharing/main.ts
+++ b/bench/sharing/main.ts
@@ -1,7 +1,7 @@
 /**
  * Plays the load of a deployment on its bottleneck pool and prints what callers
  * get: `npm run bench:sharing -- [--scenario heating] [--seeds N] [--load X]
- * [--trace]`.
+ * [--uncoordinated] [--trace]`.
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
@@ -26,6 +26,8 @@
   scenario: z.enum(["conversion", "heating"]),
   seeds: z.coerce.number().int().min(1).describe("Number of seeds"),
   load: z.coerce.number().positive().describe("Load relative to the mean"),
+  uncoordinated: z.boolean()
+    .describe("Whether levels follow the busy ratio alone"),
   trace: z.boolean().describe("Whether levels and queues are printed"),
 });
 
@@ -36,6 +38,7 @@
       scenario: { type: "string", default: "conversion" },
       seeds: { type: "string", default: "1" },
       load: { type: "string", default: "1" },
+      uncoordinated: { type: "boolean", default: false },
       trace: { type: "boolean", default: false },
     },
   });
@@ -73,6 +76,7 @@
     loadRatio: load,
     measuredFromMs: MEASURED_FROM_MS,
     endMs: END_MS,
+    isUncoordinated: options.uncoordinated,
     ...(trace ? { onStep: (fleet) => printTrace(scenario, fleet) } : {}),
   });
   console.log(`seed ${seed}: value ${results.valueRatio(routes).toFixed(3)}`);
--- a/src/decisions/sharing/entry_levels.ts
+++ b/src/decisions/sharing/entry_levels.ts
@@ -19,6 +19,18 @@
    * that is admitted in part; without it, all of its requests are admitted alike.
    */
   readonly demandsOf?: (priority: number) => FlowDemands;
+  /**
+   * Share that is derived from the capacity of the pool, with the offered runs
+   * of all daemons by class; undefined when the busy ratio controls it.
+   */
+  readonly coordinated?: CoordinatedLoad | undefined;
+};
+
+/** Load of a pool that all daemons know. */
+export type CoordinatedLoad = {
+  /** Admitted share of the offered runs, from 0 to 1. */
+  readonly admittedRatio: number;
+  readonly offered: readonly number[];
 };
 
 /** Request that a pool admits or refuses. */
@@ -169,10 +181,11 @@
    * @returns The new level.
    */
   step(name: string, load: PoolLoad): number {
-    const { busyRatio, offered } = load;
+    const { busyRatio, coordinated } = load;
+    const offered = coordinated?.offered ?? load.offered;
     const classesCount = offered.length;
     const pool = this.#poolOf(name);
-    const admittedRatio = Math.min(
+    const admittedRatio = coordinated?.admittedRatio ?? Math.min(
       1,
       Math.max(
         ADMITTED_MIN_RATIO,
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -20,6 +20,7 @@
 import type { CurrencyTracker } from "./currency_tracker.ts";
 import { ConfigQueries } from "./config_queries.ts";
 import type { MemberDirectory } from "./member_directory.ts";
+import type { PoolFiguresSource } from "./pool_figures_source.ts";
 import type { StatePublisher } from "./state_publisher.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 import type { UsageCapPeers } from "./usage_caps.ts";
@@ -46,6 +47,8 @@
   directory: () => MemberDirectory;
   /** Receives the messages about usage caps. */
   usageCaps: UsageCapPeers;
+  /** Receives the reports of offered runs. */
+  poolFigures: PoolFiguresSource;
   /** Account of what is held for callers, here and at peers. */
   memory: CallerMemory;
   log: Logger;
@@ -243,6 +246,14 @@
     return this.#parts.usageCaps.handleAskFrame(frame, peerName);
   }
 
+  /** @inheritdoc */
+  onOffer(
+    frame: readonly unknown[],
+    peerName: string,
+  ): readonly unknown[] | undefined {
+    return this.#parts.poolFigures.handleOfferFrame(frame, peerName);
+  }
+
   /** @inheritdoc */
   onUsageGrant(frame: readonly unknown[], link: PeerLink): void {
     this.#parts.usageCaps.handleGrantFrame(frame, link.member.name);
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -1,22 +1,36 @@
 /** Admission control of callers' requests by the load of the pools they use. */
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
-import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
+import {
+  type CompetingPool,
+  type CompetingRoute,
+  findCompetingPools,
+} from "../decisions/sharing/competing_pools.ts";
+import {
+  type CoordinatedLoad,
+  EntryLevels,
+} from "../decisions/sharing/entry_levels.ts";
 import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
+import type { PoolFigures } from "../decisions/sharing/pool_figures.ts";
+import { OfferRates } from "../decisions/sharing/offer_rates.ts";
 import {
   type OfferedFlow,
   OfferedRequests,
 } from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import type { PoolGauges } from "../telemetry/fleet_metrics.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
+import { PoolCoordination } from "./pool_coordination.ts";
 
 /**
  * Maximum number of priority classes. Routes whose `priority` is larger belong
  * to the last, least important class.
  */
 const CLASSES_MAX_COUNT = 8;
+/** Interval at which the pools with competing flows are determined. */
+const COMPETING_INTERVAL_MS = 1_000;
 
 /** Options of {@link EntryAdmission}. */
 export type EntryAdmissionOptions = {
@@ -60,6 +74,10 @@
   readonly #options: EntryAdmissionOptions;
   readonly #levels = new EntryLevels();
   readonly #offered = new OfferedRequests();
+  readonly #rates = new OfferRates();
+  readonly #coordination: PoolCoordination;
+  #competing: ReadonlyMap<string, CompetingPool> = new Map();
+  #competingAtMs = -Infinity;
   readonly #loggedClassesCounts = new Map<string, number>();
   #routes: FleetRoutes | undefined;
   #runsByPoolOfRoute = new Map<string, RunsByPool>();
@@ -70,6 +88,7 @@
    */
   constructor(options: EntryAdmissionOptions) {
     this.#options = options;
+    this.#coordination = new PoolCoordination(options.channels, options.log);
   }
 
   /**
@@ -83,6 +102,42 @@
     return this.#levels.level(pool);
   }
 
+  /** Level, capacity and offered runs of the coordinated pools. */
+  get poolGauges(): PoolGauges[] {
+    return [...this.#competing.keys()].flatMap((pool) => {
+      const { capacityPerS, offeredPerS } = this.figures(pool) ?? {};
+      const level = this.level(pool);
+      return capacityPerS === undefined || level === undefined ? [] : [{
+        pool,
+        level,
+        capacityPerS,
+        offeredPerS: (offeredPerS ?? []).reduce((sum, runs) => sum + runs, 0),
+      }];
+    });
+  }
+
+  /**
+   * Returns whether all daemons derive the level of a pool from its capacity.
+   *
+   * @param pool Name of the pool.
+   * @returns False when no flows compete for it, and while the busy ratio
+   *   controls its admission.
+   */
+  isCoordinated(pool: string): boolean {
+    return this.#competing.has(pool) && this.figures(pool) !== undefined;
+  }
+
+  /**
+   * Returns the capacity and the offered runs of a pool.
+   *
+   * @param pool Name of the pool.
+   * @returns Figures of all its upstreams; undefined while the busy ratio
+   *   controls its admission.
+   */
+  figures(pool: string): PoolFigures | undefined {
+    return this.#coordination.figures(pool);
+  }
+
   /**
    * Counts a request of a caller as offered and decides whether it is admitted.
    *
@@ -102,6 +157,7 @@
     });
     const sample = this.#options.random.nextFloat();
     const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
+    this.#rates.add(route.name, priority);
     for (const pool of this.#runsByPool(route.name).keys()) {
       if (!this.#levels.admits(pool, { priority, sample, flowName })) {
         return pool;
@@ -134,6 +190,9 @@
   step(routes: FleetRoutes): void {
     this.#routes = routes;
     this.#runsByPoolOfRoute = new Map();
+    const nowMs = performance.now();
+    this.#rates.step(nowMs);
+    this.#updateCompeting(routes, nowMs);
     const offered = this.#offeredByPool(routes);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
@@ -143,6 +202,7 @@
           busyRatio,
           offered: offeredRuns,
           demandsOf: (priority) => this.#demandsOf(name, priority, routes),
+          coordinated: this.#coordinate(name, offeredRuns.length, nowMs),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
@@ -150,6 +210,45 @@
     this.#offered.decay();
   }
 
+  /** Derives the admitted share of a pool for which flows compete. */
+  #coordinate(
+    pool: string,
+    classesCount: number,
+    nowMs: number,
+  ): CoordinatedLoad | undefined {
+    const competing = this.#competing.get(pool);
+    if (competing === undefined) {
+      return undefined;
+    }
+    const offeredPerS = this.#rates.runsPerS(
+      classesCount,
+      (routeName) => this.#runsByPool(routeName).get(pool) ?? 0,
+    );
+    return this.#coordination.step(pool, offeredPerS, { competing, nowMs });
+  }
+
+  #updateCompeting(routes: FleetRoutes, nowMs: number): void {
+    if (nowMs - this.#competingAtMs < COMPETING_INTERVAL_MS) {
+      return;
+    }
+    this.#competingAtMs = nowMs;
+    const { graph } = this.#options;
+    const competingRoutes: CompetingRoute[] = [];
+    for (
+      const { name, priority, latencyGoalMs, isPublic } of routes.config.routes
+    ) {
+      if (!graph.isCalled(name)) {
+        competingRoutes.push({
+          priority: Math.min(priority, classesCountOf(routes) - 1),
+          latencyGoalMs,
+          hasTenants: routes.tenants !== undefined && !isPublic,
+          pools: this.#runsByPool(name).keys(),
+        });
+      }
+    }
+    this.#competing = findCompetingPools(competingRoutes);
+  }
+
   #offeredByPool(routes: FleetRoutes): Map<string, number[]> {
     const classesCount = classesCountOf(routes);
     const offered = new Map<string, number[]>();
@@ -226,11 +325,14 @@
     }
     this.#loggedClassesCounts.set(pool, classes);
     if (last !== undefined) {
+      const { capacityPerS, offeredPerS } = this.figures(pool) ?? {};
       this.#options.log.info("Admission level changed class", {
         pool,
         classes,
         lastClasses: last,
         busyRatio,
+        capacityPerS: capacityPerS && Math.round(capacityPerS),
+        offeredPerS: offeredPerS?.map(Math.round).join(" "),
       });
     }
   }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -31,6 +31,7 @@
 import { readGauges } from "./read_gauges.ts";
 import { LocalUpstreamChannel } from "./local_upstream_channel.ts";
 import { MemberDirectory } from "./member_directory.ts";
+import { PoolFiguresSource } from "./pool_figures_source.ts";
 import { OutboundListener } from "./outbound_listener.ts";
 import type { OutboundService } from "./outbound_service.ts";
 import { ChannelTable } from "./channel_table.ts";
@@ -58,6 +59,7 @@
   readonly #stopSequence: StopSequence;
   readonly #config: ConfigFollower;
   readonly #upstreamParts: UpstreamParts;
+  readonly #poolFigures: PoolFiguresSource;
   readonly #publisher: StatePublisher;
   readonly #directory: MemberDirectory;
   readonly #watchElection: WatchElection;
@@ -109,6 +111,7 @@
       onSignals: (signals) => this.#onSignals(signals),
       onServingChanged: () => this.#publisher.publish(),
     });
+    this.#poolFigures = new PoolFiguresSource(this.#upstreamParts.gate);
     this.#watchElection = new WatchElection({
       directory: () => this.#directory,
       store: platform.store,
@@ -135,6 +138,7 @@
       config: this.#config,
       currency: this.#access.currency,
       usageCaps: this.#access.usage,
+      poolFigures: this.#poolFigures,
       gate: this.#upstreamParts.gate,
       graph: this.#callGraph,
       publisher: this.#publisher,
@@ -177,20 +181,24 @@
       directory: this.#directory,
       log,
     });
-    this.#metrics = new FleetMetrics(() =>
-      readGauges({
-        config: this.#config,
-        upstream: this.#upstreamParts.upstream,
-        directory: this.#directory,
-        gate: this.#upstreamParts.gate,
-        watchElection: this.#watchElection,
-        platform,
-        graph: this.#callGraph,
-        usage: this.#access.usage,
-        currency: this.#access.currency,
-        callerMemory: this.#callerLimits.memory,
-        callerConnectionsCount: () => this.#outboundListener.connectionsCount,
-      }), (reason) => this.#callerLimits.refusals.countOf(reason));
+    this.#metrics = new FleetMetrics(
+      () =>
+        readGauges({
+          config: this.#config,
+          upstream: this.#upstreamParts.upstream,
+          directory: this.#directory,
+          gate: this.#upstreamParts.gate,
+          watchElection: this.#watchElection,
+          platform,
+          graph: this.#callGraph,
+          usage: this.#access.usage,
+          currency: this.#access.currency,
+          callerMemory: this.#callerLimits.memory,
+          callerConnectionsCount: () => this.#outboundListener.connectionsCount,
+        }),
+      (reason) => this.#callerLimits.refusals.countOf(reason),
+      () => this.#admission.poolGauges,
+    );
     this.#listeners = createFleetListeners({
       link: this.#linkServer,
       outbound: this.#outboundListener,
@@ -310,6 +318,7 @@
         member: ownRecord,
         gate: this.#upstreamParts.gate,
         readState: () => this.#publisher.state,
+        poolFigures: this.#poolFigures,
       }),
     );
     return new MemberDirectory({
--- a/src/fleet/local_upstream_channel.ts
+++ b/src/fleet/local_upstream_channel.ts
@@ -1,6 +1,8 @@
 /** Channel to the local upstream. */
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
+import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
+import type { PoolFiguresSource } from "./pool_figures_source.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 import {
   type ForwardedRequest,
@@ -16,6 +18,7 @@
   gate: UpstreamGate;
   /** Returns the current state of the upstream. */
   readState: () => UpstreamState;
+  poolFigures: PoolFiguresSource;
 };
 
 /**
@@ -49,6 +52,17 @@
     return this.#load;
   }
 
+  /** @inheritdoc */
+  get figures(): UpstreamFigures {
+    return this.#options.poolFigures.figures(performance.now());
+  }
+
+  /** @inheritdoc */
+  reportOffer(offeredPerS: readonly number[]): void {
+    const { poolFigures } = this.#options;
+    poolFigures.record(this.member.name, offeredPerS, performance.now());
+  }
+
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     return this.#options.gate.serve(request, receiver);
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -97,6 +97,14 @@
     );
   }
 
+  /** Runs per second that the upstream can run; 0 while it does not serve. */
+  get capacityPerS(): number {
+    const { upstream } = this.#options;
+    return this.#isStopped || !upstream.isServing || upstream.isLeaving
+      ? 0
+      : this.limitCount * MS_PER_S / Math.max(1, this.#expectedRunMs);
+  }
+
   /** Whether new requests are refused because the process is stopping. */
   get isStopped(): boolean {
     return this.#isStopped;
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -74,6 +74,14 @@
     frame: readonly unknown[],
     peerName: string,
   ): readonly unknown[] | undefined;
+  /**
+   * Called with the runs that a peer's callers offer to the pool of the local
+   * upstream. Returns the figures of the pool, if they are known.
+   */
+  onOffer?(
+    frame: readonly unknown[],
+    peerName: string,
+  ): readonly unknown[] | undefined;
 }
 
 /** Accepting side of one link. Cancels its requests when the link closes. */
@@ -123,7 +131,9 @@
       case FRAME.config:
         return this.#host.onConfig(frame[1]);
       case FRAME.usageAsk:
-        return this.#onUsageAsk(frame);
+        return this.#answer(this.#host.onUsageAsk?.(frame, this.peerName));
+      case FRAME.offer:
+        return this.#answer(this.#host.onOffer?.(frame, this.peerName));
       case FRAME.memberQuery:
         return this.socket.send([FRAME.members, this.#host.members]);
       case FRAME.hello: {
@@ -150,8 +160,7 @@
     this.#onEnd(this);
   }
 
-  #onUsageAsk(frame: readonly unknown[]): void {
-    const answer = this.#host.onUsageAsk?.(frame, this.peerName);
+  #answer(answer: readonly unknown[] | undefined): void {
     if (answer !== undefined) {
       this.socket.send(answer);
     }
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -3,6 +3,7 @@
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
 import type { RandomSource } from "../core/random.ts";
+import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
 import { type ErrorKind, isErrorKind } from "../errors/error_kinds.ts";
 import {
   type ForwardedRequest,
@@ -21,6 +22,7 @@
   FRAME,
   helloFrameSchema,
   membersFrameSchema,
+  poolFiguresFrameSchema,
   type RefusalFrame,
   type RequestFrame,
   stateFrameSchema,
@@ -35,6 +37,8 @@
 
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
+/** Numbers of reports of offered runs, so that each takes one byte. */
+const OFFER_NUMBERS_COUNT = 128;
 
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
@@ -84,6 +88,9 @@
   #socket: LinkSocket | undefined;
   readonly #backoff: DialBackoff;
   #dialledAtMs = 0;
+  #figures: UpstreamFigures | undefined;
+  #offerNumber = 0;
+  #offeredAtMs = 0;
   readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
   downSinceMs = performance.now();
@@ -110,6 +117,11 @@
     return this.#state;
   }
 
+  /** @inheritdoc */
+  get figures(): UpstreamFigures | undefined {
+    return this.#figures;
+  }
+
   /** @inheritdoc */
   get isSuspect(): boolean {
     return this.#silence.isSuspect;
@@ -204,6 +216,13 @@
     this.#socket?.send(frame);
   }
 
+  /** @inheritdoc */
+  reportOffer(offeredPerS: readonly number[]): void {
+    this.#offerNumber = (this.#offerNumber + 1) % OFFER_NUMBERS_COUNT;
+    this.#offeredAtMs = performance.now();
+    this.#socket?.send([FRAME.offer, this.#offerNumber, offeredPerS]);
+  }
+
   /** @inheritdoc */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
     const socket = this.#socket;
@@ -264,6 +283,8 @@
           configVersionFrameSchema.parse(frame)[1],
           this,
         );
+      case FRAME.poolFigures:
+        return this.#onPoolFigures(frame);
       case FRAME.usageGrant:
         return host.onUsageGrant?.(frame, this);
     }
@@ -298,6 +319,7 @@
     const socket = this.#socket;
     this.#socket = undefined;
     this.#state = undefined;
+    this.#figures = undefined;
     socket?.close(reason);
   }
 
@@ -349,6 +371,17 @@
     }
   }
 
+  /**
+   * Applies the answer to the last report. An answer to an earlier one may have
+   * waited in a process that was paused.
+   */
+  #onPoolFigures(frame: unknown[]): void {
+    const { number, ...figures } = poolFiguresFrameSchema.parse(frame);
+    if (number === this.#offerNumber) {
+      this.#figures = { ...figures, atMs: this.#offeredAtMs };
+    }
+  }
+
   #onAnswer(frame: AnswerFrame): void {
     const [, exchangeId, status, wireHeaders, body, runMs, load, version] =
       frame;
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -160,3 +160,21 @@
   assert.deepEqual(sizes, [60_000_000, 2]);
   assert.equal(link.isUp, true);
 });
+
+// After a pause of this process the answers that wait for it would be taken for
+// present figures.
+test("only the answer to the last report of offered runs is applied", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const answer = (number: number, capacityPerS: number) =>
+    sockets[0]?.write(
+      encodeFrame([FRAME.poolFigures, number, capacityPerS, 50, 25, [30]]),
+    );
+  link.reportOffer([10]);
+  link.reportOffer([20]);
+  answer(2, 700);
+  answer(1, 900);
+  sockets[0]?.write(encodeFrame([FRAME.busy, 42]));
+  await until(() => link.state?.busyRatio === 0.42);
+  assert.equal(link.figures?.capacityPerS, 700);
+  assert.deepEqual(link.figures?.offeredPerS, [30]);
+});
--- a/src/link/upstream_channel.ts
+++ b/src/link/upstream_channel.ts
@@ -1,6 +1,7 @@
 /** Requests to upstreams, local or of another daemon, and their results. */
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
+import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
 import type { LoadReport, UpstreamState } from "../schemas/link_schema.ts";
 
 /** A request that is forwarded to an upstream. */
@@ -75,6 +76,16 @@
   readonly isSuspect: boolean;
   /** Reported load, and the requests that were sent since the report. */
   readonly load: UpstreamLoad;
+  /**
+   * Last figures of the upstream's pool; undefined before the first, while
+   * disconnected, and with a daemon of an earlier version.
+   */
+  readonly figures?: UpstreamFigures | undefined;
+  /**
+   * Reports the runs per second that this daemon's callers offer to the pool, by
+   * class. The answer renews {@link figures}.
+   */
+  reportOffer?(offeredPerS: readonly number[]): void;
   /** Sends a request; the receiver gets one result, unless it is cancelled. */
   send(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle;
 }
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -36,6 +36,8 @@
   currency: 15,
   usageAsk: 16,
   usageGrant: 17,
+  offer: 18,
+  poolFigures: 19,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -221,3 +223,30 @@
         "room in ms, tokens to take to the next owner",
     ),
 ]);
+
+/** Schema of the runs that a daemon's callers offer to the peer's pool. */
+export const offerFrameSchema = z.tuple([
+  z.literal(FRAME.offer),
+  z.number().describe("Number of the report, which the answer repeats"),
+  z.array(countSchema)
+    .describe("Offered runs per second by class, most important first"),
+]).transform(([, number, offeredPerS]) => ({ number, offeredPerS }));
+
+/** Schema of the answer to a report of offered runs. */
+export const poolFiguresFrameSchema = z.tuple([
+  z.literal(FRAME.poolFigures),
+  z.number().describe("Number of the report"),
+  countSchema.describe("Runs per second that the upstream can run"),
+  countSchema.describe("Running and waiting requests per 100 slots"),
+  countSchema.describe("Time until the next report, in units of 10 ms"),
+  z.array(countSchema)
+    .describe("Offered runs per second of all daemons, by class"),
+]).transform((
+  [, number, capacityPerS, busyPercent, interval, offeredPerS],
+) => ({
+  number,
+  capacityPerS,
+  busyRatio: busyPercent / 100,
+  reportIntervalMs: interval * 10,
+  offeredPerS,
+}));
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -47,6 +47,24 @@
   readonly callerConnectionsCount: number;
 };
 
+/** Current admission of a pool that all daemons coordinate. */
+export type PoolGauges = {
+  readonly pool: string;
+  /** Number of admitted classes, with a fraction for a part of one. */
+  readonly level: number;
+  readonly capacityPerS: number;
+  /** Offered runs of all daemons and classes. */
+  readonly offeredPerS: number;
+};
+
+const POOL_GAUGE_HELP: Readonly<
+  Record<Exclude<keyof PoolGauges, "pool">, string>
+> = {
+  level: "Admitted priority classes of a coordinated pool",
+  capacityPerS: "Runs per second that the upstreams of a pool can run",
+  offeredPerS: "Runs per second that callers of all daemons offer to a pool",
+};
+
 const GAUGE_HELP: Readonly<Record<keyof FleetGauges, string>> = {
   configVersion: "Version of the configuration in force",
   configAgeMs: "Time since the configuration was applied",
@@ -118,10 +136,12 @@
   /**
    * @param readGauges Reads the current values of the gauges.
    * @param refusalsCount Returns how often callers were refused for a reason.
+   * @param readPools Reads the current values of the coordinated pools.
    */
   constructor(
     readGauges: () => FleetGauges,
     refusalsCount: (reason: CallerRefusal) => number = () => 0,
+    readPools: () => readonly PoolGauges[] = () => [],
   ) {
     this.#readGauges = readGauges;
     new Counter({
@@ -144,6 +164,23 @@
       });
       this.#gauges.set(field, gauge);
     }
+    for (const [field, help] of Object.entries(POOL_GAUGE_HELP)) {
+      new Gauge({
+        name: gaugeName(`pool${field[0]!.toUpperCase()}${field.slice(1)}`),
+        help,
+        labelNames: ["pool"],
+        registers: [this.#registry],
+        collect() {
+          this.reset();
+          for (const gauges of readPools()) {
+            this.set(
+              { pool: gauges.pool },
+              gauges[field as keyof typeof POOL_GAUGE_HELP],
+            );
+          }
+        },
+      });
+    }
     this.#credentialRefusals = new Counter({
       name: "goldcrest_fleet_credential_refusals_total",
       help: "Requests that were refused because of their key or tenant",
