--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -4,6 +4,7 @@
 import { LargeAnswers } from "../decisions/memory/large_answers.ts";
 import { bearerKey } from "../decisions/tenants/credential.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import { callGoalAtMs } from "../decisions/sharing/call_goal.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { Authenticator, RequestAccess } from "./authenticator.ts";
 import type { ConfigFollower } from "./config_follower.ts";
@@ -299,6 +300,8 @@
     // Queues are ordered by goal, so requests that have been running longest
     // are completed first.
     const inheritedGoalAtMs = isCall ? parent?.served.goalAtMs : undefined;
+    const expiresAtMs = arrivedAtMs +
+      Math.min(callerTimeoutMs, route.timeoutMs);
     return {
       requestId: this.#requestId(received),
       method: message.method ?? "GET",
@@ -308,8 +311,12 @@
       route,
       pool,
       arrivedAtMs,
-      expiresAtMs: arrivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs),
-      goalAtMs: inheritedGoalAtMs ?? arrivedAtMs + route.latencyGoalMs,
+      expiresAtMs,
+      goalAtMs: inheritedGoalAtMs === undefined
+        ? arrivedAtMs + route.latencyGoalMs
+        : this.#parts.admission.isCoordinated(pool)
+        ? callGoalAtMs(inheritedGoalAtMs, { arrivedAtMs, expiresAtMs })
+        : inheritedGoalAtMs,
       isCall,
       tenantName: access.tenantName,
       priority: access.priority,
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -69,7 +69,7 @@
     },
     observer,
     graph,
-    admission: { findRefusingPool: ignore },
+    admission: { findRefusingPool: ignore, isCoordinated: () => false },
     heldBytes: () => 0,
     exchange: {
       channels: { choose: () => channel, longestRunMs: () => RUN_MS },
