--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -283,10 +283,10 @@
     const arrivedAtMs = this.#options.events.nowMs;
     return this.#outbound.handle({ message, body: null, arrivedAtMs }, {
       answer: ({ status }) => onResult({ status, retryAfterMs: undefined }),
-      fail: (kind: ErrorKind) =>
+      fail: (kind: ErrorKind, retryAfterMs?: number) =>
         onResult({
           status: errorAnswer(kind).status,
-          retryAfterMs: this.#outbound.retryAfterMs(kind),
+          retryAfterMs: retryAfterMs ?? this.#outbound.retryAfterMs(kind),
         }),
     });
   }
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from "../core/random.ts";
 import type { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { LargeAnswers } from "../decisions/memory/large_answers.ts";
+import { spreadRetryAfterMs } from "../decisions/sharing/retry_after.ts";
 import { bearerKey } from "../decisions/tenants/credential.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import { callGoalAtMs } from "../decisions/sharing/call_goal.ts";
@@ -69,6 +70,14 @@
   readonly isNamed: boolean;
 };
 
+/** Request that a pool has refused at the entry. */
+type RefusalCause = {
+  readonly request: RoutedRequest;
+  readonly refusingPool: string;
+  /** Time that its caller waits for the answer, in ms. */
+  readonly remainingMs: number;
+};
+
 /** Handles the requests of the outbound listener. */
 export class OutboundService implements OutboundHandler {
   readonly #parts: OutboundServiceParts;
@@ -162,6 +171,7 @@
         return this.#refuse(received, "shed", answerSender, {
           request,
           refusingPool,
+          remainingMs: callerTimeoutMs,
         });
       }
     }
@@ -356,7 +366,7 @@
     received: ReceivedRequest,
     kind: ErrorKind,
     answerSender: AnswerSender,
-    cause?: { request: RoutedRequest; refusingPool: string },
+    cause?: RefusalCause,
   ): () => void {
     const { exchange, admission, config } = this.#parts;
     const { url } = received.message;
@@ -372,7 +382,18 @@
     if (cause !== undefined) {
       exchange.onEnd(cause.request, kind);
     }
-    answerSender.fail(kind);
+    answerSender.fail(kind, cause && this.#coordinatedRetryAfterMs(cause));
     return () => {};
   }
+
+  /** Time until the retry of a request that a coordinated pool has refused. */
+  #coordinatedRetryAfterMs(
+    { request, refusingPool, remainingMs }: RefusalCause,
+  ): number | undefined {
+    const { admission, random } = this.#parts;
+    const goalMs = request.route.latencyGoalMs;
+    return admission.isCoordinated(refusingPool)
+      ? spreadRetryAfterMs({ goalMs, remainingMs }, random)
+      : undefined;
+  }
 }
