--- a/bench/sharing/bottleneck_fleet.ts
+++ b/bench/sharing/bottleneck_fleet.ts
@@ -30,6 +30,8 @@
   readonly endMs: number;
   /** Whether the daemons are of a version whose levels follow the busy ratio. */
   readonly isUncoordinated?: boolean;
+  /** Time at which the fastest upstream of the pool is lost with its daemon. */
+  readonly lossAtMs?: number | undefined;
   /** Called once per 100 ms, for traces. */
   readonly onStep?: (fleet: BottleneckFleet) => void;
 };
@@ -85,7 +87,10 @@
 
   /** Schedules arrivals and traces. */
   start(): void {
-    const { onStep } = this.#options;
+    const { onStep, lossAtMs } = this.#options;
+    if (lossAtMs !== undefined) {
+      this.#events.after(lossAtMs, () => this.#loseFastest());
+    }
     const step = () => {
       this.#drawArrivals();
       if (onStep !== undefined && Math.round(this.nowMs) % 100 === 0) {
@@ -96,6 +101,14 @@
     step();
   }
 
+  #loseFastest(): void {
+    const { pools, bottleneck } = this.#options.scenario;
+    const speeds = pools.find(({ name }) => name === bottleneck)?.speeds ?? [];
+    const index = speeds.indexOf(Math.max(...speeds));
+    this.instances.filter(({ pool }) => pool === bottleneck)[index]
+      ?.daemon.kill();
+  }
+
   #createInstances(): Instance[] {
     const { scenario } = this.#options;
     const routes = new Map(scenario.routes.map((route) => [route.name, route]));
@@ -191,8 +204,8 @@
   }
 
   #arrive(route: ValuedRoute, centre: number): void {
-    const local = this.instances.filter(({ dataCentre }) =>
-      dataCentre === centre
+    const local = this.instances.filter(({ dataCentre, daemon }) =>
+      dataCentre === centre && !daemon.isStopped
     );
     const instance = local[this.#arrivals.nextInt(local.length)] as Instance;
     const delayMs = ARRIVALS_STEP_MS * this.#arrivals.nextFloat();
--- a/bench/sharing/bottleneck_test.ts
+++ b/bench/sharing/bottleneck_test.ts
@@ -13,7 +13,11 @@
 /** A route or tenant may be served this much less often than the mean. */
 const STARVED_RATIO = 0.25;
 
-function play(scenario: BottleneckScenario, isUncoordinated: boolean) {
+function play(
+  scenario: BottleneckScenario,
+  isUncoordinated: boolean,
+  changes: { loadRatio?: number; lossAtMs?: number } = {},
+) {
   const results = playBottleneck({
     scenario,
     seed: SEED,
@@ -21,6 +25,7 @@
     measuredFromMs: MEASURED_FROM_MS,
     endMs: END_MS,
     isUncoordinated,
+    ...changes,
   });
   const routes = scenario.routes.filter(({ ratePerS }) => ratePerS > 0);
   const rows = routes.map(({ name }) => results.of(name));
@@ -54,3 +59,14 @@
     assert.ok(now.lowestServedRatio > STARVED_RATIO * now.meanServedRatio);
   });
 }
+
+// The level must follow the lost part of the capacity, and not admit requests
+// whose calls fail.
+test("after the loss of the fastest upstream in a wave coordinated levels earn more", () => {
+  const changes = { loadRatio: 0.7, lossAtMs: 9_000 };
+  const before = play(CONVERSION_SCENARIO, true, changes);
+  const now = play(CONVERSION_SCENARIO, false, changes);
+  assert.ok(now.value > before.value, JSON.stringify({ before, now }));
+  assert.ok(now.failedRatio < 0.005, `failed ${now.failedRatio}`);
+  assert.ok(now.lowestServedRatio > STARVED_RATIO * now.meanServedRatio);
+});
--- a/bench/sharing/main.ts
+++ b/bench/sharing/main.ts
@@ -1,7 +1,7 @@
 /**
  * Plays the load of a deployment on its bottleneck pool and prints what callers
  * get: `npm run bench:sharing -- [--scenario heating] [--seeds N] [--load X]
- * [--uncoordinated] [--trace]`.
+ * [--uncoordinated] [--lossAtMs T] [--trace]`.
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
@@ -28,6 +28,8 @@
   load: z.coerce.number().positive().describe("Load relative to the mean"),
   uncoordinated: z.boolean()
     .describe("Whether levels follow the busy ratio alone"),
+  lossAtMs: z.coerce.number().optional()
+    .describe("Time at which the fastest upstream is lost"),
   trace: z.boolean().describe("Whether levels and queues are printed"),
 });
 
@@ -39,6 +41,7 @@
       seeds: { type: "string", default: "1" },
       load: { type: "string", default: "1" },
       uncoordinated: { type: "boolean", default: false },
+      lossAtMs: { type: "string" },
       trace: { type: "boolean", default: false },
     },
   });
@@ -76,6 +79,7 @@
     loadRatio: load,
     measuredFromMs: MEASURED_FROM_MS,
     endMs: END_MS,
+    lossAtMs: options.lossAtMs,
     isUncoordinated: options.uncoordinated,
     ...(trace ? { onStep: (fleet) => printTrace(scenario, fleet) } : {}),
   });
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -76,6 +76,22 @@
   assert.deepEqual(received, [{ version: 7 }]);
 });
 
+// Without the answer, levels would follow the busy ratio for ever.
+test("a report of offered runs is answered on its link", async (t) => {
+  const answer = [FRAME.poolFigures, 3, 700, 50, 25, [30]];
+  const { socket, frames, waitForFrame } = await connectPeer(t, {
+    onOffer: (frame, peerName) =>
+      frame[1] === 3 && peerName === RECORD.name ? answer : undefined,
+  });
+  socket.send([FRAME.hello, RECORD, STATE]);
+  socket.send([FRAME.offer, 3, [30]]);
+  await waitForFrame(FRAME.poolFigures);
+  assert.deepEqual(
+    frames.find(([kind]) => kind === FRAME.poolFigures),
+    answer,
+  );
+});
+
 // Guards against a link that is closed, with all requests on it, because answers
 // are larger than what the peer has read.
 test("large answers reach a peer that reads slowly, and one beyond the bound is reported as failed", async (t) => {
