--- a/scripts/check_layers.mjs
+++ b/scripts/check_layers.mjs
@@ -25,9 +25,10 @@
   peer: [...BELOW_DECISIONS, "decisions", "telemetry"],
   membership: [...BELOW_DECISIONS, "decisions", "telemetry"],
   config: [...BELOW_DECISIONS, "decisions", "telemetry"],
-  proxy: [...BELOW_DECISIONS, "decisions", "telemetry"],
+  reception: [...BELOW_DECISIONS, "decisions", "telemetry"],
+  proxy: [...BELOW_DECISIONS, "decisions", "telemetry", "reception"],
   link: [...BELOW_DECISIONS, "decisions", "telemetry"],
-  fleet: [...BELOW_DECISIONS, "decisions", "telemetry", "link"],
+  fleet: [...BELOW_DECISIONS, "decisions", "telemetry", "link", "reception"],
   operator: [...BELOW_DECISIONS, "decisions", "telemetry"],
   cli: [
     ...BELOW_DECISIONS,
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -8,7 +8,10 @@
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
 import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
-import { type CallerLimits, createCallerLimits } from "./caller_limits.ts";
+import {
+  type CallerLimits,
+  createCallerLimits,
+} from "../reception/caller_limits.ts";
 import { ConfigFollower } from "./config_follower.ts";
 import { ControlTick } from "./control_tick.ts";
 import { createOutboundService } from "./create_outbound_service.ts";
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -19,8 +19,12 @@
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
-import { BodyReception } from "./body_reception.ts";
-import type { CallerLimits } from "./caller_limits.ts";
+import {
+  BodyReception,
+  COSTLY_BODIES_MAX_COUNT,
+  PROGRESS_CHECK_MS,
+} from "../reception/body_reception.ts";
+import type { CallerLimits } from "../reception/caller_limits.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 
 /**
@@ -35,10 +39,6 @@
  * event loop is busy.
  */
 const LISTEN_BACKLOG = 1_024;
-/** Bodies with many small chunks that are received at the same time. */
-const COSTLY_BODIES_MAX_COUNT = 2;
-/** Interval at which the progress of bodies is checked, in ms. */
-const PROGRESS_CHECK_MS = 1_000;
 
 /** A request with its complete body. */
 export type ReceivedRequest = {
--- a/src/fleet/body_reception.ts
+++ b/src/reception/body_reception.ts
@@ -17,6 +17,11 @@
  */
 export const BODY_IDLE_MAX_MS = 60_000;
 
+/** Bodies with many small chunks that are received at the same time. */
+export const COSTLY_BODIES_MAX_COUNT = 2;
+/** Interval at which the progress of bodies is checked, in ms. */
+export const PROGRESS_CHECK_MS = 1_000;
+
 /** Error kinds of a body that is not received. */
 export type BodyRefusal =
   | "body_too_large"
