--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -25,6 +25,7 @@
   isReaderCandidate,
 } from "../platform/lease_candidacy.ts";
 import { LeaseHolder } from "../platform/lease_holder.ts";
+import { CallerBounds } from "../proxy/caller_bounds.ts";
 import { DataPath } from "../proxy/data_path.ts";
 import { Listener } from "../proxy/listener.ts";
 import type { Announcement, Settings } from "../schemas/settings_schema.ts";
@@ -45,6 +46,7 @@
 import { DrainFilter } from "./drain_filter.ts";
 import { FixedControlPlane } from "./fixed_control_plane.ts";
 import { Housekeeping } from "./housekeeping.ts";
+import { machineLimits } from "./machine_limits.ts";
 import { MembershipHandle } from "./membership_handle.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 import { PeerControlPlane } from "./peer_control_plane.ts";
@@ -203,14 +205,15 @@
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
   const random = new SeededRandom(randomSeed(settings, clock.wallMs()));
+  const bounds = new CallerBounds(machineLimits(settings.machine), log);
   const metrics = new Metrics(() =>
     daemonGauges({
+      callerConnectionsCount: bounds.connectionsCount,
       load: connector.load(),
       openCount: openExchanges.count,
       isServing: drain.isServing,
       status: controlPlane.status({ listsMembers: true }),
-    })
-  );
+    }), (reason) => bounds.refusals.countOf(reason));
   const keyClock = new KeyClock(() => clock.wallMs());
   const controlPlane =
     options.config === undefined || options.directory === undefined
@@ -261,26 +264,35 @@
   });
   const { inbound } = dataPath;
   const listeners = {
-    callers: new Listener(openExchanges.track(
-      "callers",
-      drainFilter.guard((request, response) =>
-        dataPath.handleCall(request, response)
+    callers: new Listener(
+      openExchanges.track(
+        "callers",
+        drainFilter.guard((request, response) =>
+          dataPath.handleCall(request, response)
+        ),
       ),
-    )),
+      bounds.connections.callers,
+    ),
     // Has no drain filter: the inbound service itself refuses forwarded requests
     // during a drain.
-    hop: new Listener(openExchanges.track(
-      "hop",
-      (request, response) => dataPath.handleHop(request, response),
-    )),
-    outbound: new Listener(openExchanges.track(
-      "outbound",
-      drainFilter.guard(
-        (request, response) =>
-          dataPath.handleLocalUpstreamCall(request, response),
-        (request) => dataPath.belongsToRunningRequest(request),
+    hop: new Listener(
+      openExchanges.track(
+        "hop",
+        (request, response) => dataPath.handleHop(request, response),
+      ),
+      bounds.connections.hop,
+    ),
+    outbound: new Listener(
+      openExchanges.track(
+        "outbound",
+        drainFilter.guard(
+          (request, response) =>
+            dataPath.handleLocalUpstreamCall(request, response),
+          (request) => dataPath.belongsToRunningRequest(request),
+        ),
       ),
-    )),
+      bounds.connections.outbound,
+    ),
   };
 
   const connector = new UpstreamConnector({ config, policies, inbound, nowMs });
--- a/src/daemon/daemon_gauges.ts
+++ b/src/daemon/daemon_gauges.ts
@@ -12,6 +12,8 @@
   readonly load: LoadState | undefined;
   /** Number of open HTTP exchanges on all listeners. */
   readonly openCount: number;
+  /** Number of open connections of callers, peers and the local upstream. */
+  readonly callerConnectionsCount: number;
   readonly isServing: boolean;
   readonly status: ControlStatus;
 };
@@ -33,6 +35,7 @@
     goldcrest_queue_length: load?.queuedCount ?? 0,
     goldcrest_admission_level: load?.levelRank ?? 0,
     goldcrest_open_exchanges: openCount,
+    goldcrest_caller_connections: sources.callerConnectionsCount,
     goldcrest_config_generation: config.generation,
     goldcrest_config_confirmed_age_ms: config.confirmedAgeMs,
     goldcrest_members_alive: countMembers("alive"),
--- a/src/daemon/drain_filter.ts
+++ b/src/daemon/drain_filter.ts
@@ -21,7 +21,7 @@
  *
  * @example
  * const filter = new DrainFilter();
- * new Listener(filter.guard((request, response) => dataPath.handleCall(request, response)));
+ * new Listener(filter.guard(handle), bounds.connections.callers);
  * filter.refuseNewWork();
  */
 export class DrainFilter {
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -57,7 +57,8 @@
  *
  * @example
  * const dataPath = new DataPath(parts, options);
- * new Listener((request, response) => dataPath.handleCall(request, response));
+ * const handle = (request, response) => dataPath.handleCall(request, response);
+ * new Listener(handle, bounds.connections.callers);
  */
 export class DataPath {
   readonly inbound: InboundService;
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { listenOn } from "../core/listen_on.ts";
+import type { CallerConnections } from "../decisions/memory/caller_connections.ts";
 import { OpenResponses } from "../core/open_responses.ts";
 import type { Address } from "../schemas/common_schema.ts";
 
@@ -43,8 +44,9 @@
 
   /**
    * @param handler Handles each request.
+   * @param connections Bound on the connections.
    */
-  constructor(handler: RequestHandler) {
+  constructor(handler: RequestHandler, connections: CallerConnections) {
     this.#server = createServer({
       maxHeaderSize: HEADER_MAX_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
@@ -52,9 +54,22 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       noDelay: true,
     }, (request, response) => {
+      const state = connections.find(request.socket);
+      // The answer that closes the connection has been sent, so this request
+      // gets none and must not run.
+      if (state === undefined || state.isClosing) {
+        request.resume();
+        return;
+      }
       this.#openResponses.track(response, request.socket);
+      state.forwardedCount++;
+      response.once("close", () => {
+        state.forwardedCount--;
+        state.endedAtMs = performance.now();
+      });
       handler(request, response);
     });
+    this.#server.on("connection", (socket: Socket) => connections.add(socket));
     this.#server.on(
       "clientError",
       (error: ParserError, socket: Socket) =>
--- a/src/proxy/listener_test.ts
+++ b/src/proxy/listener_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
+import { CallerConnections } from "../decisions/memory/caller_connections.ts";
 import { Listener } from "./listener.ts";
 
 // Guards against an error of the parser, which says "not run", that the client
@@ -9,7 +10,10 @@
 test("bytes that are no request get no answer while an earlier request is open", async (t) => {
   let isHandled = () => {};
   const handled = new Promise<void>((resolve) => isHandled = resolve);
-  const listener = new Listener(() => isHandled());
+  const listener = new Listener(
+    () => isHandled(),
+    new CallerConnections(10, () => {}),
+  );
   t.after(() => listener.destroy());
   const { port } = await listener.listen({ host: "127.0.0.1", port: 0 });
   const socket = connect(port, "127.0.0.1");
--- a/src/proxy/uncontrolled_callers_test.ts
+++ b/src/proxy/uncontrolled_callers_test.ts
@@ -32,6 +32,10 @@
     slotsCount: SLOTS_COUNT,
     connectionsMaxCount: UPSTREAM_CONNECTIONS_MAX_COUNT,
     bodyMaxBytes: CROWD_BODY_MAX_BYTES,
+    machine: {
+      memoryMaxBytes: MEMORY_MAX_BYTES,
+      descriptorsMaxCount: DESCRIPTORS_MAX_COUNT,
+    },
   };
   const child = spawn(
     process.execPath,
--- a/src/schemas/settings_schema.ts
+++ b/src/schemas/settings_schema.ts
@@ -54,6 +54,18 @@
     keys: z.array(peerKeySchema).min(1)
       .describe("Shared keys; the first signs, all verify"),
   }),
+  machine: z.strictObject({
+    memoryMaxBytes: z.int().min(100_000_000).max(1_000_000_000_000).optional()
+      .describe(
+        "Memory that the process may use; by default that of the machine or " +
+          "container, at most 1000000000. Bounds what is held for callers",
+      ),
+    descriptorsMaxCount: countSchema.min(100).optional()
+      .describe(
+        "File descriptors that the process may open; by default the limit " +
+          "that the system sets. Bounds the connections of callers",
+      ),
+  }).default({}),
   policy: z.enum(["adaptive", "fixed", "unlimited"]).default("adaptive")
     .describe(
       "Overload policy; all but adaptive are baselines for comparisons",
--- a/src/telemetry/metric_descriptions.ts
+++ b/src/telemetry/metric_descriptions.ts
@@ -74,6 +74,20 @@
     help: "HTTP exchanges that are open on all listeners",
     advice: "During a drain this is the work that a stop would cut",
   },
+  goldcrest_callers_refused_total: {
+    kind: "counter",
+    labels: ["reason"],
+    help: "Callers refused or closed to protect the process",
+    advice: "Any growth of another reason than body_too_large: look for " +
+      "`Caller refused` in the logs. Raise the limits under machine if the " +
+      "machine has more",
+  },
+  goldcrest_caller_connections: {
+    kind: "gauge",
+    labels: [],
+    help: "Open connections of callers, other daemons and the local upstream",
+    advice: "0.6 of descriptorsMaxCount at most: idle connections are closed",
+  },
   goldcrest_config_generation: {
     kind: "gauge",
     labels: [],
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of one daemon in Prometheus text format. */
 import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import { CALLER_REFUSALS, type CallerRefusal } from "./caller_refusals.ts";
 import { type MetricName, METRICS } from "./metric_descriptions.ts";
 import { RequestMetrics } from "./request_metrics.ts";
 import { summariesText } from "./summaries_text.ts";
@@ -36,9 +37,14 @@
 
   /**
    * @param readGauges Reads the current values of all gauges.
+   * @param refusalsCount Returns how often callers were refused for a reason.
    */
-  constructor(readGauges: () => GaugeValues) {
+  constructor(
+    readGauges: () => GaugeValues,
+    refusalsCount: (reason: CallerRefusal) => number,
+  ) {
     this.#readGauges = readGauges;
+    this.#registerRefusals(refusalsCount);
     this.#registerRequests();
     this.#registerAttempts();
     this.#registerGauges();
@@ -116,6 +122,21 @@
     });
   }
 
+  #registerRefusals(refusalsCount: (reason: CallerRefusal) => number): void {
+    new Counter({
+      name: "goldcrest_callers_refused_total",
+      help: METRICS.goldcrest_callers_refused_total.help,
+      labelNames: METRICS.goldcrest_callers_refused_total.labels,
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const reason of CALLER_REFUSALS) {
+          this.inc({ reason }, refusalsCount(reason));
+        }
+      },
+    });
+  }
+
   #registerGauges(): void {
     for (const name of (Object.keys(METRICS) as MetricName[]).filter(isGauge)) {
       const { help } = METRICS[name];
--- a/src/telemetry/request_metrics_test.ts
+++ b/src/telemetry/request_metrics_test.ts
@@ -56,7 +56,10 @@
   const gauges = Object.fromEntries(
     Object.keys(METRICS).map((name) => [name, 7]),
   ) as unknown as GaugeValues;
-  const metrics = new Metrics(() => gauges);
+  const metrics = new Metrics(
+    () => gauges,
+    (reason) => reason === "memory_short" ? 3 : 0,
+  );
   metrics.requests.record(createRecord());
   const text = await metrics.text();
   for (const name of Object.keys(METRICS)) {
@@ -66,5 +69,9 @@
     text,
     /requests_total\{side="inbound",pool="certify",class="critical",result="complete"\} 1\n/,
   );
+  assert.match(
+    text,
+    /^goldcrest_callers_refused_total\{reason="memory_short"\} 3$/m,
+  );
   assert.match(text, /queue_wait_ms\{[^}]*quantile="0.5"\} 1\n/);
 });
--- a/src/testing/daemon_program.ts
+++ b/src/testing/daemon_program.ts
@@ -1,11 +1,12 @@
 /**
  * Program of a daemon with a fixed configuration, for tests that measure it in
  * a process of its own. The argument is a JSON object with the port of its
- * upstream and the sizes of its pool and bodies; the ready line has its bound
- * addresses.
+ * upstream, the sizes of its pool and bodies and the limits of its machine; the
+ * ready line has its bound addresses.
  */
 import process from "node:process";
 import { z } from "zod";
+import { settingsSchema } from "../schemas/settings_schema.ts";
 import { createFixedDaemon } from "./fixed_daemon.ts";
 
 const DATA_CENTRE = "dc-a";
@@ -17,6 +18,7 @@
   slotsCount: z.int(),
   connectionsMaxCount: z.int(),
   bodyMaxBytes: z.int(),
+  machine: settingsSchema.shape.machine,
 });
 
 const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? ""));
@@ -24,6 +26,7 @@
 const { daemon, directory } = createFixedDaemon({
   instanceId: INSTANCE_ID,
   dataCentre: DATA_CENTRE,
+  machine: options.machine,
   tables: {
     routes: {
       routes: {
--- a/src/testing/fixed_daemon.ts
+++ b/src/testing/fixed_daemon.ts
@@ -1,7 +1,7 @@
 /** A product daemon with a fixed configuration and directory. */
 import { createDaemon } from "../daemon/create_daemon.ts";
 import type { Daemon } from "../daemon/daemon_types.ts";
-import { settingsSchema } from "../schemas/settings_schema.ts";
+import { type Settings, settingsSchema } from "../schemas/settings_schema.ts";
 import { JsonLogger } from "../telemetry/logger.ts";
 import { ANY_PORT_LISTENERS } from "../../stand_ins/ready_lines.ts";
 import { StubConfig, StubDirectory } from "./data_path_fixtures.ts";
@@ -12,6 +12,8 @@
   dataCentre: string;
   /** Tables of routes and pools, in the format of the operators. */
   tables: ConstructorParameters<typeof StubConfig>[0];
+  /** Limits of the machine in the settings. */
+  machine?: Settings["machine"];
 };
 
 /**
@@ -22,7 +24,7 @@
  * @returns The daemon and its directory.
  */
 export function createFixedDaemon(
-  { instanceId, dataCentre, tables }: FixedDaemonOptions,
+  { instanceId, dataCentre, tables, machine }: FixedDaemonOptions,
 ): { daemon: Daemon; directory: StubDirectory } {
   const directory = new StubDirectory();
   const daemon = createDaemon(
@@ -31,6 +33,7 @@
       listeners: ANY_PORT_LISTENERS,
       platform: { url: "http://127.0.0.1:9" },
       peers: { keys: [{ id: "k1", secret: "0123456789abcdef" }] },
+      machine,
     }),
     {
       config: new StubConfig(tables),
