--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -208,6 +208,7 @@
   const bounds = new CallerBounds(machineLimits(settings.machine), log);
   const metrics = new Metrics(() =>
     daemonGauges({
+      callerHeldBytes: bounds.memory.heldBytes,
       callerConnectionsCount: bounds.connectionsCount,
       load: connector.load(),
       openCount: openExchanges.count,
@@ -256,6 +257,7 @@
     }),
     keyClock,
     observer: metrics.requests,
+    bounds,
   }, {
     identity,
     keys: settings.peers.keys,
--- a/src/daemon/daemon_gauges.ts
+++ b/src/daemon/daemon_gauges.ts
@@ -12,6 +12,8 @@
   readonly load: LoadState | undefined;
   /** Number of open HTTP exchanges on all listeners. */
   readonly openCount: number;
+  /** Bytes that are held for callers, or that they have announced. */
+  readonly callerHeldBytes: number;
   /** Number of open connections of callers, peers and the local upstream. */
   readonly callerConnectionsCount: number;
   readonly isServing: boolean;
@@ -35,6 +37,7 @@
     goldcrest_queue_length: load?.queuedCount ?? 0,
     goldcrest_admission_level: load?.levelRank ?? 0,
     goldcrest_open_exchanges: openCount,
+    goldcrest_caller_held_bytes: sources.callerHeldBytes,
     goldcrest_caller_connections: sources.callerConnectionsCount,
     goldcrest_config_generation: config.generation,
     goldcrest_config_confirmed_age_ms: config.confirmedAgeMs,
--- a/src/proxy/caller_bounds.ts
+++ b/src/proxy/caller_bounds.ts
@@ -1,6 +1,13 @@
 /** Bounds on what the listeners of a daemon hold. */
 import { CallerConnections } from "../decisions/memory/caller_connections.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
+import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { MachineLimits } from "../decisions/memory/machine_bounds.ts";
+import { StreamedBodies } from "../decisions/memory/streamed_bodies.ts";
+import {
+  COSTLY_BODIES_MAX_COUNT,
+  PROGRESS_CHECK_MS,
+} from "../reception/body_reception.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import { createCallerLimits } from "../reception/caller_limits.ts";
@@ -12,22 +19,55 @@
  */
 const CONNECTION_RATIOS = { callers: 0.5, hop: 0.3, outbound: 0.2 } as const;
 
+/**
+ * Memory that the young generation of the JavaScript heap takes when it has
+ * grown, which a crowd of callers makes it do: three spaces of 16 MB, the default
+ * of Node.js. An idle process has hardly any of it.
+ */
+const YOUNG_GENERATION_BYTES = 48_000_000;
+
 /** Listener that handles requests. */
 export type ListenerName = keyof typeof CONNECTION_RATIOS;
 
+/** A body that must make progress. */
+interface ProgressCheck {
+  /** Ends the body if no byte has arrived for too long. */
+  checkProgress(nowMs: number): void;
+}
+
 /** Bounds of one daemon, which its listeners share. */
 export class CallerBounds {
+  /** Account of the bytes that are held for callers. */
+  readonly memory: CallerMemory;
+  /** Bodies with many small chunks. */
+  readonly costlyBodies = new CostlyBodies(COSTLY_BODIES_MAX_COUNT);
+  /** Bodies that are forwarded while they are received. */
+  readonly streamedBodies: StreamedBodies;
+  /** Bodies that are being received. */
+  readonly progressChecks = new Set<ProgressCheck>();
   /** Records callers that are refused or closed. */
   readonly refusals: CallerRefusals;
   /** Connections of each listener. */
   readonly connections: Readonly<Record<ListenerName, CallerConnections>>;
 
+  #timer: NodeJS.Timeout | undefined;
+
   /**
    * @param machine Limits of the machine.
    * @param log Logger for refusals.
    */
-  constructor(machine: MachineLimits, log: Logger) {
-    const limits = createCallerLimits(machine, log);
+  constructor(
+    { memoryMaxBytes, descriptorsMaxCount }: MachineLimits,
+    log: Logger,
+  ) {
+    const limits = createCallerLimits({
+      memoryMaxBytes: memoryMaxBytes === undefined
+        ? undefined
+        : memoryMaxBytes - YOUNG_GENERATION_BYTES,
+      descriptorsMaxCount,
+    }, log);
+    this.memory = limits.memory;
+    this.streamedBodies = new StreamedBodies(this.memory);
     this.refusals = limits.refusals;
     const createConnections = (listener: ListenerName): CallerConnections => {
       const maxCount = Math.max(
@@ -56,4 +96,20 @@
     return Object.values(this.connections)
       .reduce((sum, { count }) => sum + count, 0);
   }
+
+  /** Starts the periodic check of the progress of bodies. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      const nowMs = performance.now();
+      for (const body of this.progressChecks) {
+        body.checkProgress(nowMs);
+      }
+    }, PROGRESS_CHECK_MS);
+    this.#timer.unref();
+  }
+
+  /** Stops the periodic check. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
 }
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -9,6 +9,8 @@
 import type { PeerKey } from "../schemas/settings_schema.ts";
 import type { RequestObserver } from "../telemetry/request_observer.ts";
 import { LocalTransport } from "./attempt_transport.ts";
+import { BodyReader } from "./body_reader.ts";
+import type { CallerBounds } from "./caller_bounds.ts";
 import { EntryHandler } from "./entry_handler.ts";
 import { HopHandler } from "./hop_handler.ts";
 import { HopTokens } from "./hop_token.ts";
@@ -18,7 +20,7 @@
 import { OutboundService } from "./outbound_service.ts";
 import { RunningRequests } from "./running_requests.ts";
 
-/** Policies, data sources, ledger and observer that the data path uses. */
+/** Policies, data sources, ledger, observer and bounds of the data path. */
 export type DataPathParts = {
   config: ConfigSource;
   directory: UpstreamDirectory;
@@ -28,6 +30,7 @@
   ledger: IdempotencyLedger;
   keyClock: KeyClock;
   observer: RequestObserver;
+  bounds: CallerBounds;
 };
 
 /** Options of {@link DataPath}. */
@@ -64,6 +67,7 @@
   readonly inbound: InboundService;
   readonly tokens: HopTokens;
   readonly #runningRequests = new RunningRequests();
+  readonly #bounds: CallerBounds;
   readonly #keyedGate: KeyedGate;
   readonly #hopTransport: HopTransport;
   readonly #callerHandler: EntryHandler;
@@ -71,14 +75,15 @@
   readonly #hopHandler: HopHandler;
 
   /**
-   * @param parts Policies, data sources, ledger and observer.
+   * @param parts Policies, data sources, ledger, observer and bounds.
    * @param options Identity, keys and clocks.
    */
   constructor(parts: DataPathParts, options: DataPathOptions) {
-    const { config, policies, observer } = parts;
+    const { config, policies, observer, bounds } = parts;
     const { identity, nowMs } = options;
     const { instanceId } = identity;
     const runningRequests = this.#runningRequests;
+    this.#bounds = bounds;
     this.tokens = new HopTokens(options.keys, options.wallMs);
     this.#keyedGate = new KeyedGate({ ...parts, clock: parts.keyClock }, {
       nowMs,
@@ -104,13 +109,19 @@
       { ...parts, selector, retries, transport, runningRequests },
       { nowMs },
     );
-    this.#callerHandler = new EntryHandler({ config, outbound }, { nowMs });
+    this.#callerHandler = new EntryHandler({
+      config,
+      outbound,
+      bodies: new BodyReader("callers", { bounds, nowMs }),
+    }, { nowMs });
     this.#localUpstreamHandler = new EntryHandler({
       config,
       outbound,
+      bodies: new BodyReader("outbound", { bounds, nowMs }),
       runningRequests,
     }, { nowMs });
     this.#hopHandler = new HopHandler(this.inbound, this.tokens, {
+      bodies: new BodyReader("hop", { bounds, nowMs }),
       identity,
       nowMs,
     });
@@ -145,13 +156,15 @@
     return this.#runningRequests.find(requestId) !== undefined;
   }
 
-  /** Starts the periodic check of the self-fence for keyed requests. */
+  /** Starts the periodic checks of the self-fence and of received bodies. */
   start(): void {
+    this.#bounds.start();
     this.#keyedGate.start();
   }
 
-  /** Stops the self-fence check and closes all connections to other daemons. */
+  /** Stops the periodic checks and closes all connections to other daemons. */
   async close(): Promise<void> {
+    this.#bounds.stop();
     this.#keyedGate.stop();
     await this.#hopTransport.close();
   }
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -8,10 +8,10 @@
 import type { RouteRules } from "../decisions/route_matcher.ts";
 import { RelayError } from "../errors/relay_error.ts";
 import type { Failure } from "./answer_receiver.ts";
+import type { BodyReader } from "./body_reader.ts";
 import { filterHeaders } from "./header_filter.ts";
 import type { OutboundService } from "./outbound_service.ts";
 import { PublicAnswerDecorator } from "./public_answer_decorator.ts";
-import { readBody } from "./request_body.ts";
 import type { RequestContext } from "./request_context.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
 import type { RunningRequest, RunningRequests } from "./running_requests.ts";
@@ -21,6 +21,7 @@
 export type EntryHandlerParts = {
   config: ConfigSource;
   outbound: OutboundService;
+  bodies: BodyReader;
   /** Registry of running requests; set for calls of the local upstream only. */
   runningRequests?: RunningRequests;
 };
@@ -83,7 +84,8 @@
   readonly #tenants = new TenantCheck();
 
   /**
-   * @param parts Configuration, outbound service and running requests.
+   * @param parts Configuration, outbound service, reader of bodies and running
+   *   requests.
    * @param options Clock.
    */
   constructor(parts: EntryHandlerParts, options: EntryHandlerOptions) {
@@ -131,7 +133,10 @@
     const { context, rules, parent } = options;
     const { requestId, tenant } = context;
     try {
-      const body = await readBody(request, rules.route);
+      const body = await this.#parts.bodies.read(request, response, {
+        bodyMaxBytes: rules.route.bodyMaxBytes,
+        deadlineMs: context.deadlineMs,
+      });
       const receiver = new ResponseReceiver(
         response,
         new PublicAnswerDecorator(requestId, tenant),
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -1,6 +1,8 @@
 /** Handles requests of other daemons for the local upstream. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerHead, Failure, ServingState } from "./answer_receiver.ts";
+import { RelayError } from "../errors/relay_error.ts";
+import type { BodyReader } from "./body_reader.ts";
 import { filterHeaders } from "./header_filter.ts";
 import {
   decodeHopRequest,
@@ -12,12 +14,13 @@
 } from "./hop_header.ts";
 import type { HopTokens } from "./hop_token.ts";
 import type { InboundService } from "./inbound_service.ts";
-import { readBody } from "./request_body.ts";
 import type { RequestContext } from "./request_context.ts";
 import { type AnswerDecorator, ResponseReceiver } from "./response_receiver.ts";
 
 /** Options of {@link HopHandler}. */
 export type HopHandlerOptions = {
+  /** Reads the bodies of the requests. */
+  bodies: BodyReader;
   /**
    * Identity of this daemon. The incarnation is read at each use, because it
    * may be raised at run time.
@@ -85,7 +88,7 @@
   /**
    * @param inbound Service of the local upstream.
    * @param tokens Tokens that authenticate requests and answers.
-   * @param options Identity and clock.
+   * @param options Reader of bodies, identity and clock.
    */
   constructor(
     inbound: InboundService,
@@ -126,19 +129,24 @@
       return;
     }
     try {
-      const body = await readBody(request, {
+      const context = this.#createContext(request, fields);
+      const body = await this.#options.bodies.read(request, response, {
         bodyMaxBytes: HOP_BODY_MAX_BYTES,
+        deadlineMs: context.deadlineMs,
       });
       const headers = filterHeaders(
         request.rawHeaders,
         request.headers.connection,
       );
-      const context = this.#createContext(request, fields);
       const source = this.#inbound.serve({ context, headers, body }, receiver);
       receiver.connect(source);
-    } catch {
-      // An unexpected error may occur after the request was forwarded.
-      receiver.onFailure({ kind: "internal", outcome: "unknown" });
+    } catch (error) {
+      receiver.onFailure(
+        error instanceof RelayError
+          ? { kind: error.kind, outcome: error.outcome }
+          // An unexpected error may occur after the request was forwarded.
+          : { kind: "internal", outcome: "unknown" },
+      );
     }
   }
 
--- a/src/proxy/listeners_test.ts
+++ b/src/proxy/listeners_test.ts
@@ -14,6 +14,13 @@
       idempotent: false,
       bodyMaxBytes: 100_000,
     },
+    import: {
+      match: { method: "POST", pathPrefix: "/imports" },
+      pool: "catalogue",
+      class: "standard",
+      idempotent: false,
+      bodyMaxBytes: 2_000_000,
+    },
     view: {
       match: { method: "GET", pathPrefix: "/views" },
       pool: "catalogue",
@@ -95,21 +102,45 @@
   assert.match(answer, /goldcrest-error: bad_request/i);
 });
 
-// Guards against outcome not-run when the upstream received a part of the body.
-test("a chunked body over the limit is refused with body_too_large and outcome unknown", async (t) => {
-  const { entry } = await startPair(t);
+/** Sends a chunked body over the limit of its route. */
+function sendOversize(
+  entry: MeshInstance,
+  { path, chunksCount }: { path: string; chunksCount: number },
+): Promise<string> {
   const chunk = `${(50_000).toString(16)}\r\n${"x".repeat(50_000)}\r\n`;
   const text = requestText(
-    "POST /uploads?token=a",
+    `POST ${path}`,
     ["Transfer-Encoding: chunked"],
-    chunk.repeat(4),
+    chunk.repeat(chunksCount),
   );
-  const answer = await exchange(entry, text, { until: END_OF_HEAD });
+  return exchange(entry, text, { until: END_OF_HEAD });
+}
+
+// Guards against outcome not-run when the upstream received a part of the body.
+test("a streamed body over the limit is refused with body_too_large and outcome unknown", async (t) => {
+  const { entry } = await startPair(t);
+  const answer = await sendOversize(entry, {
+    path: "/imports?token=a",
+    chunksCount: 50,
+  });
   assert.match(answer, /^HTTP\/1\.1 413 /);
   assert.match(answer, /goldcrest-error: body_too_large/i);
   assert.match(answer, /goldcrest-outcome: unknown/i);
 });
 
+// Guards against a part of a collected body that reaches the upstream.
+test("a collected body over the limit is refused with body_too_large and does not run", async (t) => {
+  const { entry, mesh } = await startPair(t);
+  const answer = await sendOversize(entry, {
+    path: "/uploads?token=a",
+    chunksCount: 4,
+  });
+  assert.match(answer, /^HTTP\/1\.1 413 /);
+  assert.match(answer, /goldcrest-error: body_too_large/i);
+  assert.match(answer, /goldcrest-outcome: not-run/i);
+  assert.equal(mesh.requestsByPool()["catalogue"]?.length, 0);
+});
+
 // Guards against a leaked slot, and against a crash, when a caller disconnects
 // in the middle of its request body.
 for (const length of ["Content-Length: 50000", "Transfer-Encoding: chunked"]) {
--- a/src/proxy/outbound_exchange.ts
+++ b/src/proxy/outbound_exchange.ts
@@ -48,6 +48,7 @@
   "deadline_unmeetable",
   "upstream_refused",
   "draining",
+  "memory_short",
 ]);
 const SERVER_ERROR_STATUS = 500;
 
--- a/src/reception/body_reception.ts
+++ b/src/reception/body_reception.ts
@@ -10,7 +10,7 @@
 import type { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 
 /** Chunks after which their number is checked again. */
-const CHUNKS_CHECK_COUNT = 256;
+export const CHUNKS_CHECK_COUNT = 256;
 /**
  * Time without a byte after which a body is ended, in ms. A caller within the
  * limits sends at least some bytes in this time, also over a lossy network.
@@ -35,6 +35,13 @@
   costlyBodies: CostlyBodies;
   /** Largest permitted body. */
   bodyMaxBytes: number;
+  /** Size from which on a body is not collected; only with `onLarge`. */
+  collectedMaxBytes?: number;
+  /**
+   * Called with the bytes so far when the body has more than are collected.
+   * Nothing is called after that, and the next bytes are not received.
+   */
+  onLarge?: (parts: Buffer[]) => void;
   /** Called with the complete body; null for an empty one. */
   onComplete: (body: Uint8Array | null) => void;
   /** Called when the body is not received. Nothing is called after that. */
@@ -111,6 +118,11 @@
     }
   }
 
+  /** Refuses the body because its request cannot be served in time any more. */
+  expire(): void {
+    this.#refuse("body_timeout");
+  }
+
   /** Releases the memory, at the end of the request. */
   end(): void {
     this.#state = "ended";
@@ -127,6 +139,13 @@
       this.#refuse("body_too_large");
       return;
     }
+    const { collectedMaxBytes = Infinity, onLarge } = this.#options;
+    if (this.#body.sizeBytes + chunk.length > collectedMaxBytes) {
+      const parts = [this.#body.concat(), chunk];
+      this.end();
+      onLarge?.(parts);
+      return;
+    }
     const nowMs = performance.now();
     this.#body.push(chunk);
     this.#chunksCount++;
--- a/src/telemetry/metric_descriptions.ts
+++ b/src/telemetry/metric_descriptions.ts
@@ -82,6 +82,12 @@
       "`Caller refused` in the logs. Raise the limits under machine if the " +
       "machine has more",
   },
+  goldcrest_caller_held_bytes: {
+    kind: "gauge",
+    labels: [],
+    help: "Bytes of request bodies that are held for callers or announced",
+    advice: "Bounded by memoryMaxBytes: callers are refused with memory_short",
+  },
   goldcrest_caller_connections: {
     kind: "gauge",
     labels: [],
