--- a/src/proxy/body_reader.ts
+++ b/src/proxy/body_reader.ts
@@ -4,6 +4,7 @@
   CallerConnections,
   ConnectionState,
 } from "../decisions/memory/caller_connections.ts";
+import { mayForward } from "../decisions/memory/forwarded_bodies.ts";
 import { RelayError } from "../errors/relay_error.ts";
 import {
   BodyReception,
@@ -130,7 +131,12 @@
         collectedMaxBytes: COLLECTED_BODY_MAX_BYTES,
         onComplete: (body) => {
           endReceiving();
-          resolve(body as Buffer | null);
+          if (mayForward(memory, body?.length ?? 0)) {
+            resolve(body as Buffer | null);
+            return;
+          }
+          reception.end();
+          reject(this.#refuse(request, "memory_short"));
         },
         onLarge: (parts) => {
           endReceiving();
--- a/src/proxy/body_reader_test.ts
+++ b/src/proxy/body_reader_test.ts
@@ -152,6 +152,24 @@
   assert.deepEqual(forwarded, ["collected"]);
 });
 
+// Guards against complete bodies that take the memory while their requests wait.
+test("complete bodies are refused as not run while forwarded ones fill the memory", async (t) => {
+  const { bounds, forwarded, open } = await startListener(t);
+  bounds.memory.hold(bounds.memory.maxBytes);
+  const large = open();
+  large.socket.write(announce(100_000) + "x".repeat(100_000));
+  await waitForText(large, "memory_short not-run");
+  assert.match(large.received, /^HTTP\/1\.1 503 /);
+  const small = open();
+  small.socket.write(`${announce(4)}body`);
+  await waitForText(small, "4 bytes");
+  assert.deepEqual(forwarded, ["collected"]);
+  await waitFor(
+    "all is released",
+    () => bounds.memory.heldBytes === bounds.memory.maxBytes,
+  );
+});
+
 // Guards against a large body within the limits that is refused, changed or
 // collected.
 test("a large body is streamed whether or not its length is announced", async (t) => {
