--- a/src/proxy/body_reader_test.ts
+++ b/src/proxy/body_reader_test.ts
@@ -245,3 +245,47 @@
   busy.socket.write("ody");
   await waitForText(busy, "4 bytes");
 });
+
+// Guards against bodies without bytes that last for ever. An answer to a streamed
+// one could not be true, because its request may run.
+test("a body without a byte for a minute ends, without an answer if it is streamed", async (t) => {
+  const { bounds, forwarded, open } = await startListener(t);
+  const collected = open();
+  collected.socket.write(`${announce(50_000)}part`);
+  const streamed = open();
+  streamed.socket.write(`${announce(3_000_000)}part`);
+  await waitFor(
+    "both are received",
+    () => bounds.progressChecks.size === 2 && forwarded.length === 1,
+  );
+  // The part that has arrived is read first.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  for (const body of bounds.progressChecks) {
+    body.checkProgress(performance.now() + 59_000);
+  }
+  assert.equal(bounds.progressChecks.size, 2);
+  for (const body of bounds.progressChecks) {
+    body.checkProgress(performance.now() + 61_000);
+  }
+  await waitForText(collected, "body_timeout not-run");
+  await waitFor("the connection is closed", () => streamed.isClosed);
+  assert.equal(streamed.received, "");
+  assert.equal(bounds.refusals.countOf("body_timeout"), 2);
+  await waitFor("all is released", () => bounds.memory.heldBytes === 0);
+});
+
+// Guards against a crowd of streamed bodies that takes all processor time, and
+// against a refusal that says "not run" although the request may run.
+test("a streamed body with too many small chunks is closed beside others like it", async (t) => {
+  const { bounds, open } = await startListener(t);
+  for (let index = 0; index < 2; index++) {
+    bounds.costlyBodies.admit({ progressAtMs: Infinity }, 0);
+  }
+  const caller = open();
+  caller.socket.write(CHUNKED_HEAD + CHUNK.repeat(17));
+  caller.socket.write("1\r\nx\r\n".repeat(200_000));
+  await waitFor("the connection is closed", () => caller.isClosed);
+  assert.equal(caller.received, "");
+  assert.equal(bounds.refusals.countOf("chunks_too_small"), 1);
+  await waitFor("all is released", () => bounds.memory.heldBytes === 0);
+});
--- a/src/proxy/listeners_test.ts
+++ b/src/proxy/listeners_test.ts
@@ -4,6 +4,8 @@
 import { sendCall } from "../../stand_ins/send_call.ts";
 import { Mesh, type MeshInstance } from "../testing/mesh.ts";
 import { waitFor } from "../testing/wait_for.ts";
+import { encodeHopRequest, HOP_REQUEST_HEADER } from "./hop_header.ts";
+import { HopTokens } from "./hop_token.ts";
 
 const TABLES = {
   routes: {
@@ -237,6 +239,58 @@
   });
 }
 
+/** Returns the header of a hop request to the daemon beside an upstream. */
+function hopHeader({ endpoint }: MeshInstance): string {
+  const tokens = new HopTokens(
+    [{ id: "k1", secret: "0123456789abcdef" }],
+    () => Date.now(),
+  );
+  const ids = { fromInstanceId: "peer", toInstanceId: endpoint.instanceId };
+  const value = encodeHopRequest({
+    ...ids,
+    requestId: "r1",
+    toIncarnationEpochMs: endpoint.incarnationEpochMs,
+    tenant: "default",
+    routeName: "upload",
+    pool: "catalogue",
+    importanceClass: "standard",
+    admissionKey: 1,
+    idempotent: false,
+    keyed: false,
+    repeated: false,
+    depthCount: 1,
+    attemptsLeftCount: 1,
+    remainingMs: 10_000,
+    idleTimeoutMs: 10_000,
+  }, tokens.make({ direction: "request", ...ids }));
+  return `${HOP_REQUEST_HEADER}: ${value}`;
+}
+
+// Guards against slots of an upstream that unfinished bodies hold, from callers
+// and from daemons that have been cut off.
+for (const listener of ["callers", "hop"] as const) {
+  test(`a body runs only when it is complete (${listener})`, async (t) => {
+    const { entry, server } = await startPair(t);
+    const socket = open(listener === "hop" ? server : entry, listener);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    socket.write(requestText("POST /uploads?token=a", [
+      hopHeader(server),
+      "Content-Length: 70000",
+    ], "x".repeat(69_999)));
+    await waitFor(
+      "the body has been written",
+      () => socket.bytesWritten > 69_999 && socket.writableLength === 0,
+    );
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.equal(server.upstream.requests.length, 0);
+    socket.write("x");
+    await waitFor("the answer", () => END_OF_HEAD.test(received));
+    assert.match(received, /^HTTP\/1\.1 200 /);
+    assert.equal(server.upstream.requests.length, 1);
+  });
+}
+
 test("a hop request to another incarnation is refused and does not run", async (t) => {
   const { entry, server, mesh } = await startPair(t);
   mesh.directory.replace([{ ...server.endpoint, incarnationEpochMs: 1 }]);
--- a/src/proxy/streamed_body.ts
+++ b/src/proxy/streamed_body.ts
@@ -211,5 +211,7 @@
   #close(kind: StreamBreak): void {
     this.#options.onBroken(kind);
     this.#message.socket.destroy();
+    // The rest of the present read is still delivered.
+    this.destroy(new Error("The connection of the body was closed"));
   }
 }
