--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -14,6 +14,7 @@
 import type { HeaderNames } from "../../src/fleet/header_names.ts";
 import { LocalUpstream } from "../../src/fleet/local_upstream.ts";
 import { LocalUpstreamChannel } from "../../src/fleet/local_upstream_channel.ts";
+import { PoolFiguresSource } from "../../src/fleet/pool_figures_source.ts";
 import { OutboundService } from "../../src/fleet/outbound_service.ts";
 import { StatePublisher } from "../../src/fleet/state_publisher.ts";
 import { UpstreamGate } from "../../src/fleet/upstream_gate.ts";
@@ -70,6 +71,8 @@
   readonly routeName: string;
   readonly requestId: string;
   readonly callerTimeoutMs: number;
+  /** API key of the caller's tenant. */
+  readonly key?: string | undefined;
 };
 
 /** Options of {@link SimulatedDaemon}. */
@@ -78,10 +81,13 @@
   random: RandomSource;
   name: string;
   pool: string;
+  dataCentre: string;
   slotsCount: number;
   config: FleetConfig;
   upstream: SimulatedUpstream;
   daemonsCount: number;
+  /** Whether it is of a version that does not answer reports of offered runs. */
+  isEarlierVersion?: boolean;
 };
 
 function parentIdOf(requestId: string): string | undefined {
@@ -92,6 +98,7 @@
 /** One process of a daemon; a restart is another instance. */
 export class SimulatedDaemon {
   readonly gate: UpstreamGate;
+  readonly poolFigures: PoolFiguresSource;
   readonly record: MemberRecord;
   readonly #options: SimulatedDaemonOptions;
   readonly #graph = new CallGraph();
@@ -107,14 +114,14 @@
    * @param options Virtual time, identity, configuration and upstream.
    */
   constructor(options: SimulatedDaemonOptions) {
-    const { random, name, pool, slotsCount } = options;
+    const { random, name, pool, dataCentre, slotsCount } = options;
     const log = new NullLogger();
     const decisions = new DecisionLog(log);
     const observer = new CallObserver();
     this.#options = options;
     this.record = {
       name,
-      dataCentre: "a",
+      dataCentre,
       pool,
       link: { host: "127.0.0.1", port: 1 },
     };
@@ -140,6 +147,7 @@
                 upstreamId,
                 limitPerS: undefined,
                 isLeaving: false,
+                slowdownRatio: options.upstream.slowdownRatio,
               });
               receiver.onAnswer(answer);
             },
@@ -152,6 +160,7 @@
       log,
       requestIdHeader: REQUEST_ID_HEADER,
     });
+    this.poolFigures = new PoolFiguresSource(this.gate);
     this.#publisher = new StatePublisher({
       upstream,
       gate: this.gate,
@@ -166,12 +175,13 @@
       isWatching: () => false,
       onCalls: (calls) => this.#graph.update(name, calls),
     });
-    this.#channels = new ChannelTable({ ownDataCentre: "a", random });
+    this.#channels = new ChannelTable({ ownDataCentre: dataCentre, random });
     this.#channels.add(
       new LocalUpstreamChannel({
         member: this.record,
         gate: this.gate,
         readState: () => this.#publisher.state,
+        poolFigures: this.poolFigures,
       }),
     );
     this.#config = new ConfigFollower({
@@ -207,6 +217,11 @@
     this.#scheduleTick();
   }
 
+  /** Whether it does not answer reports of offered runs. */
+  get isEarlierVersion(): boolean {
+    return this.#options.isEarlierVersion ?? false;
+  }
+
   /** Whether the process has been killed. */
   get isStopped(): boolean {
     return this.#isStopped;
@@ -229,6 +244,7 @@
    */
   connect(peer: SimulatedDaemon): void {
     const link = new SimulatedLink(this.#options.events, {
+      ownName: this.record.name,
       peer,
       state: peer.#publisher.state,
       onState: (state) => this.#graph.update(peer.record.name, state.calls),
@@ -253,7 +269,7 @@
     request: CallerRequest,
     onResult: (result: CallerResult) => void,
   ): () => void {
-    const { routeName, requestId, callerTimeoutMs } = request;
+    const { routeName, requestId, callerTimeoutMs, key } = request;
     const message = {
       method: "GET",
       url: "/",
@@ -261,16 +277,17 @@
         host: `${routeName}.example`,
         [REQUEST_ID_HEADER]: requestId,
         [DEADLINE_HEADER]: String(Math.floor(callerTimeoutMs)),
+        ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
       },
       rawHeaders: [REQUEST_ID_HEADER, requestId],
     } as unknown as IncomingMessage;
     const arrivedAtMs = this.#options.events.nowMs;
     return this.#outbound.handle({ message, body: null, arrivedAtMs }, {
       answer: ({ status }) => onResult({ status, retryAfterMs: undefined }),
-      fail: (kind: ErrorKind) =>
+      fail: (kind: ErrorKind, retryAfterMs?: number) =>
         onResult({
           status: errorAnswer(kind).status,
-          retryAfterMs: this.#outbound.retryAfterMs(kind),
+          retryAfterMs: retryAfterMs ?? this.#outbound.retryAfterMs(kind),
         }),
     });
   }
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -6,8 +6,18 @@
   type PoolRefusals,
   SINGLE_RUN_MAX,
 } from "../decisions/sharing/completion_levels.ts";
-import { EntryLevels } from "../decisions/sharing/entry_levels.ts";
+import {
+  type CompetingPool,
+  type CompetingRoute,
+  findCompetingPools,
+} from "../decisions/sharing/competing_pools.ts";
+import {
+  type CoordinatedLoad,
+  EntryLevels,
+} from "../decisions/sharing/entry_levels.ts";
 import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
+import type { PoolFigures } from "../decisions/sharing/pool_figures.ts";
+import { OfferRates } from "../decisions/sharing/offer_rates.ts";
 import {
   type OfferedFlow,
   OfferedRequests,
@@ -15,14 +25,18 @@
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
+import type { PoolGauges } from "../telemetry/fleet_metrics.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
+import { PoolCoordination } from "./pool_coordination.ts";
 
 /**
  * Maximum number of priority classes. Routes whose `priority` is larger belong
  * to the last, least important class.
  */
 const CLASSES_MAX_COUNT = 8;
+/** Interval at which the pools with competing flows are determined. */
+const COMPETING_INTERVAL_MS = 1_000;
 
 /**
  * Share of the retries that admitted requests may need at a refusing pool.
@@ -74,6 +88,10 @@
   readonly #options: EntryAdmissionOptions;
   readonly #levels = new EntryLevels();
   readonly #offered = new OfferedRequests();
+  readonly #rates = new OfferRates();
+  readonly #coordination: PoolCoordination;
+  #competing: ReadonlyMap<string, CompetingPool> = new Map();
+  #competingAtMs = -Infinity;
   readonly #loggedClassesCounts = new Map<string, number>();
   #routes: FleetRoutes | undefined;
   #runsByPoolOfRoute = new Map<string, RunsByPool>();
@@ -85,6 +103,7 @@
    */
   constructor(options: EntryAdmissionOptions) {
     this.#options = options;
+    this.#coordination = new PoolCoordination(options.channels, options.log);
   }
 
   /**
@@ -98,6 +117,42 @@
     return this.#levels.level(pool);
   }
 
+  /** Level, capacity and offered runs of the coordinated pools. */
+  get poolGauges(): PoolGauges[] {
+    return [...this.#competing.keys()].flatMap((pool) => {
+      const { capacityPerS, offeredPerS } = this.figures(pool) ?? {};
+      const level = this.level(pool);
+      return capacityPerS === undefined || level === undefined ? [] : [{
+        pool,
+        level,
+        capacityPerS,
+        offeredPerS: (offeredPerS ?? []).reduce((sum, runs) => sum + runs, 0),
+      }];
+    });
+  }
+
+  /**
+   * Returns whether all daemons derive the level of a pool from its capacity.
+   *
+   * @param pool Name of the pool.
+   * @returns False when no flows compete for it, and while the busy ratio
+   *   controls its admission.
+   */
+  isCoordinated(pool: string): boolean {
+    return this.#competing.has(pool) && this.figures(pool) !== undefined;
+  }
+
+  /**
+   * Returns the capacity and the offered runs of a pool.
+   *
+   * @param pool Name of the pool.
+   * @returns Figures of all its upstreams; undefined while the busy ratio
+   *   controls its admission.
+   */
+  figures(pool: string): PoolFigures | undefined {
+    return this.#coordination.figures(pool);
+  }
+
   /**
    * Counts a request of a caller as offered and decides whether it is admitted.
    *
@@ -117,6 +172,7 @@
     });
     const sample = this.#options.random.nextFloat();
     const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
+    this.#rates.add(route.name, priority);
     for (const [pool, runs] of this.#runsByPool(route.name)) {
       if (
         !this.#levels.admits(pool, { priority, sample, flowName }) ||
@@ -164,6 +220,9 @@
   step(routes: FleetRoutes): void {
     this.#routes = routes;
     this.#runsByPoolOfRoute = new Map();
+    const nowMs = performance.now();
+    this.#rates.step(nowMs);
+    this.#updateCompeting(routes, nowMs);
     const offered = this.#offeredByPool(routes, 0);
     const offeredBySeveralRuns = this.#offeredByPool(routes, SINGLE_RUN_MAX);
     for (const { name } of routes.config.pools) {
@@ -174,11 +233,12 @@
           busyRatio,
           offered: offeredRuns,
           demandsOf: (priority) => this.#demandsOf(name, priority, routes),
+          coordinated: this.#coordinate(name, offeredRuns.length, nowMs),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       }
       this.#stepCompletion(name, {
-        refusedRatio: this.#refusedRatio(name, routes),
+        refusedRatio: this.#refusedRatio(name),
         retryRatio: this.#options.retryRatio * COMPLETION_RETRIES_RATIO,
         offered: offeredBySeveralRuns.get(name) ?? [],
       });
@@ -186,6 +246,45 @@
     this.#offered.decay();
   }
 
+  /** Derives the admitted share of a pool for which flows compete. */
+  #coordinate(
+    pool: string,
+    classesCount: number,
+    nowMs: number,
+  ): CoordinatedLoad | undefined {
+    const competing = this.#competing.get(pool);
+    if (competing === undefined) {
+      return undefined;
+    }
+    const offeredPerS = this.#rates.runsPerS(
+      classesCount,
+      (routeName) => this.#runsByPool(routeName).get(pool) ?? 0,
+    );
+    return this.#coordination.step(pool, offeredPerS, { competing, nowMs });
+  }
+
+  #updateCompeting(routes: FleetRoutes, nowMs: number): void {
+    if (nowMs - this.#competingAtMs < COMPETING_INTERVAL_MS) {
+      return;
+    }
+    this.#competingAtMs = nowMs;
+    const { graph } = this.#options;
+    const competingRoutes: CompetingRoute[] = [];
+    for (
+      const { name, priority, latencyGoalMs, isPublic } of routes.config.routes
+    ) {
+      if (!graph.isCalled(name)) {
+        competingRoutes.push({
+          priority: Math.min(priority, classesCountOf(routes) - 1),
+          latencyGoalMs,
+          hasTenants: routes.tenants !== undefined && !isPublic,
+          pools: this.#runsByPool(name).keys(),
+        });
+      }
+    }
+    this.#competing = findCompetingPools(competingRoutes);
+  }
+
   /** Adjusts the admission to a refusing pool, and logs when it begins or ends. */
   #stepCompletion(
     pool: string,
@@ -263,25 +362,10 @@
    * Share of the requests that the upstreams of a pool refuse; 0 for a pool for
    * which no requests compete.
    */
-  #refusedRatio(pool: string, routes: FleetRoutes): number {
-    const ratio = this.#meanOf(pool, (state) => state.refusedRatio) ?? 0;
-    return ratio > 0 && this.#hasCompetition(pool, routes) ? ratio : 0;
-  }
-
-  /**
-   * Returns whether requests of one class compete for a pool: those of several
-   * tenants, or of several routes that use it.
-   */
-  #hasCompetition(pool: string, routes: FleetRoutes): boolean {
-    if (routes.tenants !== undefined) {
-      return true;
-    }
-    const priorities = routes.config.routes
-      .filter(({ name }) =>
-        !this.#options.graph.isCalled(name) && this.#runsByPool(name).has(pool)
-      )
-      .map(({ priority }) => priority);
-    return new Set(priorities).size < priorities.length;
+  #refusedRatio(pool: string): number {
+    return this.#competing.has(pool)
+      ? this.#meanOf(pool, (state) => state.refusedRatio) ?? 0
+      : 0;
   }
 
   #busyRatio(pool: string): number | undefined {
@@ -317,11 +401,14 @@
     }
     this.#loggedClassesCounts.set(pool, classes);
     if (last !== undefined) {
+      const { capacityPerS, offeredPerS } = this.figures(pool) ?? {};
       this.#options.log.info("Admission level changed class", {
         pool,
         classes,
         lastClasses: last,
         busyRatio,
+        capacityPerS: capacityPerS && Math.round(capacityPerS),
+        offeredPerS: offeredPerS?.map(Math.round).join(" "),
       });
     }
   }
--- a/src/fleet/pipelined_requests.ts
+++ b/src/fleet/pipelined_requests.ts
@@ -3,7 +3,7 @@
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { OpenResponses } from "../core/open_responses.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
-import type { CallerLimits } from "./caller_limits.ts";
+import type { CallerLimits } from "../reception/caller_limits.ts";
 import type { StoppedConnections } from "./stopped_connections.ts";
 
 /**
