--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -123,3 +123,27 @@
     { seed: 11, numRuns: 8 },
   );
 });
+
+// Guards against refusals below the cap because requests that run longer than the
+// window are taken for requests that wait in a queue.
+test("requests that run longer than the window do not use the cap twice", () => {
+  const cap = { ratePerS: 10, burstCount: 2, windowMs: 5_000 };
+  const caps = new Map([["t", cap]]);
+  for (const runMs of [10_000, 30_000]) {
+    const simulation = new CapSimulation({
+      seed: 3,
+      daemonsCount: 9,
+      dataCentresCount: 2,
+      caps,
+      network: CALM_NETWORK,
+    });
+    simulation.runMs = runMs;
+    offer(simulation, caps, { fromMs: TRAFFIC_FROM_MS, untilMs: 72_000 });
+    simulation.run(73_000);
+    const { admittedCount, offeredCount } = simulation;
+    assert.ok(
+      admittedCount >= 0.99 * offeredCount,
+      `${runMs} ms: ${admittedCount} of ${offeredCount}`,
+    );
+  }
+});
--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -8,6 +8,7 @@
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
+import type { HeldCharges, OpenCharge } from "./held_charges.ts";
 import { LeaseBook } from "./lease_book.ts";
 import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
@@ -30,6 +31,16 @@
  */
 const UNUSED_MAX_MS = 120_000;
 
+/**
+ * Asks for the start of a request.
+ *
+ * @param markStarted Called with the monotonic time of the start, in ms, once it is
+ *   known; with undefined when the upstream has not run the request after all.
+ */
+export type QueryStart = (
+  markStarted: (startedAtMs: number | undefined) => void,
+) => void;
+
 /** Options of {@link CapAsker}. */
 export type CapAskerOptions = {
   /** Connections of the daemon to the candidates. */
@@ -128,6 +139,9 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns.
    * @param nowMs Monotonic time, in ms.
+   * @param queryStart Asks for the start of an admitted request that has not ended
+   *   long after its charge. The answer is given to the function that it is called
+   *   with.
    * @returns Function to call once when the request ends, with the latest time at
    *   which an upstream has started it. It cancels a request that waits; after that,
    *   no upstream may start it.
@@ -136,6 +150,7 @@
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
+    queryStart: QueryStart = () => {},
   ): (startedAtMs: number) => void {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
@@ -145,17 +160,16 @@
     tenant.demand.record(nowMs);
     const { waiters, stock, held } = tenant;
     if (waiters.count === 0 && stock.take(nowMs)) {
-      held.charge(nowMs);
+      const charge = this.#charge(held, nowMs, queryStart);
       onDecision({ isAdmitted: true });
-      return (startedAtMs) => held.end(nowMs, startedAtMs);
+      return charge.end;
     }
-    let isCharged = false;
+    let charge: OpenCharge | undefined;
     const waiter = {
       sinceMs: nowMs,
       onDecision: (decision: CapDecision) => {
         if (decision.isAdmitted) {
-          isCharged = true;
-          held.charge(nowMs);
+          charge = this.#charge(held, nowMs, queryStart);
         }
         onDecision(decision);
       },
@@ -167,8 +181,8 @@
     }
     this.#askUrgently(tenant, nowMs);
     return (startedAtMs) => {
-      if (isCharged) {
-        held.end(nowMs, startedAtMs);
+      if (charge !== undefined) {
+        charge.end(startedAtMs);
       } else {
         waiters.remove(waiter);
       }
@@ -187,6 +201,7 @@
     for (const tenant of this.#tenants.values()) {
       this.#moveTenant(tenant, mayLease, nowMs);
       tenant.stock.expire(nowMs);
+      tenant.held.queryStarts(nowMs);
     }
     for (const [ownerName, book] of this.#books) {
       this.#askOnceDue(ownerName, book, nowMs);
@@ -263,6 +278,18 @@
     }
   }
 
+  #charge(
+    held: HeldCharges,
+    nowMs: number,
+    queryStart: QueryStart,
+  ): OpenCharge {
+    const charge: OpenCharge = held.charge(
+      nowMs,
+      () => queryStart(charge.markStarted),
+    );
+    return charge;
+  }
+
   #handleDenied(
     tenant: TenantTokens,
     { deniedCount, roomInMs }: TenantGrant,
--- a/src/decisions/caps/held_charges.ts
+++ b/src/decisions/caps/held_charges.ts
@@ -8,6 +8,39 @@
  * and tokens on the way take 400 ms.
  */
 const STARTS_SOON_MS = 100;
+/**
+ * Part of the window after which the start of a request that runs or waits is
+ * asked for. The answer arrives before the request would be counted, so that
+ * requests that run longer than a window are not taken for waiting ones.
+ */
+const QUERY_RATIO = 0.7;
+/** Time after which the start of a request that still waits is asked for again. */
+const QUERY_INTERVAL_MS = 500;
+
+/** A charged request that has not ended. */
+export interface OpenCharge {
+  /**
+   * Records that an upstream has started the request, which still runs.
+   *
+   * @param startedAtMs Monotonic time of the start, in ms; undefined when the
+   *   upstream has not run it after all.
+   */
+  markStarted(startedAtMs: number | undefined): void;
+  /**
+   * Records that the request has ended.
+   *
+   * @param startedAtMs Latest monotonic time at which an upstream has started it,
+   *   in ms.
+   */
+  end(startedAtMs: number): void;
+}
+
+type Charge = OpenCharge & {
+  readonly chargedAtMs: number;
+  /** Asks for the start; the answer is given to {@link OpenCharge.markStarted}. */
+  readonly queryStart: () => void;
+  queriedAtMs: number;
+};
 
 /**
  * Counts the requests of one tenant at one daemon that were charged longer than a
@@ -18,6 +51,8 @@
   readonly #windowMs: number;
   /** Changes of the count by cell. */
   readonly #changes = new Map<number, number>();
+  /** Charges whose start is not known, in the order of their times. */
+  readonly #unstarted = new Set<Charge>();
   #count = 0;
 
   /**
@@ -30,24 +65,67 @@
   /**
    * Records a charged request.
    *
-   * @param nowMs Monotonic time, in ms.
+   * @param chargedAtMs Monotonic time, in ms.
+   * @param queryStart Asks for the start of the request.
+   * @returns The charge; `end` is called once.
    */
-  charge(nowMs: number): void {
-    this.#change(this.#firstCell(nowMs), 1);
+  charge(chargedAtMs: number, queryStart: () => void): OpenCharge {
+    this.#change(this.#firstCell(chargedAtMs), 1);
+    let releaseCell: number | undefined;
+    let isEnded = false;
+    const release = (startedAtMs: number | undefined) => {
+      if (releaseCell !== undefined) {
+        this.#change(releaseCell, 1);
+      }
+      releaseCell = startedAtMs === undefined
+        ? undefined
+        : this.#releaseCell(chargedAtMs, startedAtMs);
+      if (releaseCell !== undefined) {
+        this.#change(releaseCell, -1);
+      }
+    };
+    const charge: Charge = {
+      chargedAtMs,
+      queryStart,
+      queriedAtMs: -Infinity,
+      markStarted: (startedAtMs) => {
+        if (isEnded) {
+          // The answer to a query may arrive after the end.
+          return;
+        }
+        release(startedAtMs);
+        if (startedAtMs === undefined) {
+          this.#unstarted.add(charge);
+        } else {
+          this.#unstarted.delete(charge);
+        }
+      },
+      end: (startedAtMs) => {
+        isEnded = true;
+        release(startedAtMs);
+        this.#unstarted.delete(charge);
+      },
+    };
+    this.#unstarted.add(charge);
+    return charge;
   }
 
   /**
-   * Records that a request has ended.
+   * Asks for the starts of the requests that were charged long ago.
    *
-   * @param chargedAtMs Monotonic time at which it was charged, in ms.
-   * @param startedAtMs Latest monotonic time at which an upstream has started it,
-   *   in ms.
+   * @param nowMs Monotonic time, in ms.
    */
-  end(chargedAtMs: number, startedAtMs: number): void {
-    const cell = startedAtMs - chargedAtMs <= STARTS_SOON_MS
-      ? this.#firstCell(chargedAtMs)
-      : Math.ceil((startedAtMs + this.#windowMs) / CELL_MS);
-    this.#change(cell, -1);
+  queryStarts(nowMs: number): void {
+    const untilMs = nowMs - this.#windowMs * QUERY_RATIO;
+    for (const charge of this.#unstarted) {
+      if (charge.chargedAtMs > untilMs) {
+        return;
+      }
+      if (nowMs - charge.queriedAtMs >= QUERY_INTERVAL_MS) {
+        charge.queriedAtMs = nowMs;
+        charge.queryStart();
+      }
+    }
   }
 
   /**
@@ -76,6 +154,12 @@
     return maxCount;
   }
 
+  #releaseCell(chargedAtMs: number, startedAtMs: number): number {
+    return startedAtMs - chargedAtMs <= STARTS_SOON_MS
+      ? this.#firstCell(chargedAtMs)
+      : Math.ceil((startedAtMs + this.#windowMs) / CELL_MS);
+  }
+
   #firstCell(chargedAtMs: number): number {
     return Math.floor((chargedAtMs + this.#windowMs) / CELL_MS);
   }
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -147,8 +147,10 @@
         release();
         receiver.onFailure(failure);
       },
+      onRunning: (runMs) => receiver.onRunning?.(runMs),
     });
     return {
+      queryRun: () => handle.queryRun?.(),
       cancel: () => {
         release();
         handle.cancel();
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -4,6 +4,7 @@
 import type {
   ForwardedRequest,
   ForwardFailure,
+  ResultReceiver,
 } from "../link/upstream_channel.ts";
 import type { PeerLink } from "../link/peer_link.ts";
 import { NullLogger } from "../telemetry/logger.ts";
@@ -18,10 +19,11 @@
 function createHost() {
   const served: ForwardedRequest[] = [];
   const failures: ForwardFailure[] = [];
+  const runTimes: number[] = [];
   const gate = {
-    serve: (request: ForwardedRequest) => {
+    serve: (request: ForwardedRequest, receiver: ResultReceiver) => {
       served.push(request);
-      return { cancel: () => {} };
+      return { cancel: () => {}, queryRun: () => receiver.onRunning?.(40) };
     },
   };
   const config = { version: 1 };
@@ -41,8 +43,9 @@
     } as unknown as ForwardedRequest, {
       onAnswer: () => {},
       onFailure: (failure) => failures.push(failure),
+      onRunning: (runMs) => runTimes.push(runMs),
     });
-  return { host, served, failures, serve, memory };
+  return { host, served, failures, runTimes, serve, memory };
 }
 
 // A process that was paused reads requests that were sent before. Their callers
@@ -118,3 +121,10 @@
   serve(500, 1);
   assert.equal(served.length, 3);
 });
+
+test("the run time is told of requests with and without a body", () => {
+  const { runTimes, serve } = createHost();
+  serve(1_000).queryRun?.();
+  serve(1_000, 10).queryRun?.();
+  assert.deepEqual(runTimes, [40, 40]);
+});
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -89,8 +89,10 @@
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
   #endUsage = (_startedAtMs: number) => {};
-  /** Time at which the upstream started the request whose answer is relayed. */
+  /** Time at which the upstream started the last attempt, if that is known. */
   #startedAtMs: number | undefined;
+  /** Tells the usage cap the start of the request, once it has asked for it. */
+  #markStarted: ((startedAtMs: number | undefined) => void) | undefined;
 
   /**
    * @param request Admitted request.
@@ -150,6 +152,12 @@
     this.#machine.send("failed", failure);
   }
 
+  /** @inheritdoc */
+  onRunning(runMs: number): void {
+    this.#startedAtMs = performance.now() - runMs;
+    this.#markStarted?.(this.#startedAtMs);
+  }
+
   /**
    * Guard: whether a request that did not run may be sent to another upstream.
    * If it may, but had reached its upstream, the retry budget is charged.
@@ -267,6 +275,10 @@
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
     const sendNumber = ++this.#sendsCount;
+    if (this.#startedAtMs !== undefined) {
+      this.#startedAtMs = undefined;
+      this.#markStarted?.(undefined);
+    }
     const attempt = channel.send({
       upstreamId: channel.state?.upstreamId ?? "",
       method: this.#request.method,
@@ -326,7 +338,8 @@
       this.#machine.send("admitted", this.#lastFailure);
       return;
     }
-    this.#endUsage(performance.now());
+    this.#endUsage(this.#startedAtMs ?? performance.now());
+    this.#markStarted = undefined;
     let endedWithMs: number | undefined;
     let end: ((startedAtMs: number) => void) | undefined;
     this.#endUsage = (startedAtMs) => {
@@ -338,6 +351,10 @@
     end = this.#parts.usage.admit(
       tenantName,
       (decision) => this.#onUsageDecision(decision, hasWaited),
+      (markStarted) => {
+        this.#markStarted = markStarted;
+        this.#attempt?.queryRun?.();
+      },
     );
     hasWaited = true;
     // A request that is admitted at once may also end at once.
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -223,3 +223,60 @@
   const sent = sendRefusedCall({ isRefusing: true });
   assert.deepEqual(sent, ["a", "b", "b", "b", "b", "b", "b", "b"]);
 });
+
+// Guards against a request that is counted as waiting although it runs, and as
+// running although the upstream has refused it.
+test("the start of a request is told to the usage cap that asks for it", () => {
+  const startedAtMs: (number | undefined)[] = [];
+  const receivers: ResultReceiver[] = [];
+  let query = () => {};
+  let endedWithMs: number | undefined;
+  const channel = {
+    member: { name: "one" },
+    send: (_request: unknown, receiver: ResultReceiver) => {
+      receivers.push(receiver);
+      return { cancel: () => {}, queryRun: () => receiver.onRunning?.(4_000) };
+    },
+  };
+  const parts = {
+    channels: { choose: () => channel },
+    budget: { recordRequest: () => {}, take: () => true },
+    decisions: { record: () => {} },
+    daemonsCount: () => 1,
+    runsPerRequest: () => 1,
+    usage: {
+      admit: (
+        _: string,
+        onDecision: (decision: CapDecision) => void,
+        queryStart: (mark: (atMs: number | undefined) => void) => void,
+      ) => {
+        query = () => queryStart((atMs) => startedAtMs.push(atMs));
+        onDecision({ isAdmitted: true });
+        return (atMs: number) => endedWithMs = atMs;
+      },
+    },
+    onEnd: () => {},
+  } as unknown as ExchangeParts;
+  const exchange = new ForwardedExchange(
+    {
+      ...REQUEST,
+      tenantName: "amber",
+      expiresAtMs: performance.now() + 60_000,
+    },
+    { answer: () => {}, fail: () => {} },
+    parts,
+  );
+  exchange.start();
+  query();
+  assert.ok(startedAtMs[0]! <= performance.now() - 4_000);
+  receivers[0]!.onFailure({
+    kind: "upstream_refused",
+    isNotRun: true,
+    hasReached: true,
+  });
+  assert.equal(receivers.length, 2);
+  assert.deepEqual(startedAtMs.slice(1), [undefined]);
+  query();
+  exchange.cancel();
+  assert.equal(endedWithMs, startedAtMs[2]);
+});
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -132,6 +132,16 @@
     this.#machine.send("cancelled");
   }
 
+  /** @inheritdoc */
+  queryRun(): void {
+    this.#upstreamExchange?.queryRun?.();
+  }
+
+  /** @inheritdoc */
+  onRunning(runMs: number): void {
+    this.#receiver.onRunning?.(runMs);
+  }
+
   /** @inheritdoc */
   onAnswer(answer: UpstreamAnswer): void {
     this.#upstreamResult = { answer };
--- a/src/fleet/upstream_exchange.ts
+++ b/src/fleet/upstream_exchange.ts
@@ -109,6 +109,13 @@
     this.#controller?.abort(new Error("Cancelled"));
   }
 
+  /** @inheritdoc */
+  queryRun(): void {
+    if (this.#controller !== undefined && !this.#isDone) {
+      this.#receiver.onRunning?.(performance.now() - this.#startedAtMs);
+    }
+  }
+
   /** @inheritdoc */
   discard(): void {
     this.#controller?.abort(new Error("The answer is too large"));
--- a/src/fleet/upstream_http_client_test.ts
+++ b/src/fleet/upstream_http_client_test.ts
@@ -79,3 +79,45 @@
     hasReached: false,
   });
 });
+
+// Guards against a request that waits for a connection and is told to run.
+test("the run time is told only for a request that was sent", async () => {
+  const server = createServer(() => {});
+  const address = await listenOn(server, { host: "127.0.0.1", port: 0 });
+  const client = new UpstreamHttpClient(address, NAMES, {
+    connectionsMaxCount: 1,
+    isIdempotent: () => false,
+    onMisdirected: () => {},
+    onSignals: () => {},
+  });
+  const told: string[] = [];
+  const send = (name: string) =>
+    client.send({
+      upstreamId: "u",
+      method: "GET",
+      path: "/",
+      headers: ["host", "a"],
+      body: null,
+      remainingMs: 600,
+      routeName: "r",
+      goalRemainingMs: 300,
+      isRefusable: false,
+      callerPool: "p",
+    }, {
+      onAnswer: () => {},
+      onFailure: () => {},
+      onRunning: () => told.push(name),
+    });
+  try {
+    const isReceived = once(server, "request");
+    const handles = [send("runs"), send("waits")];
+    await isReceived;
+    handles.forEach((handle) => handle.queryRun?.());
+    assert.deepEqual(told, ["runs"]);
+    handles.forEach((handle) => handle.cancel());
+  } finally {
+    await client.close();
+    server.close();
+    server.closeAllConnections();
+  }
+});
--- a/src/fleet/usage_cap_gate.ts
+++ b/src/fleet/usage_cap_gate.ts
@@ -1,4 +1,5 @@
 /** Extension point for the usage caps of tenants. */
+import type { QueryStart } from "../decisions/caps/cap_asker.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 
 /** Decides which requests of a tenant its usage cap admits. */
@@ -9,6 +10,8 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns, in
    *   particular for a tenant without a cap; not called after a cancellation.
+   * @param queryStart Asks for the start of an admitted request that has not ended
+   *   long after its charge.
    * @returns Function to call once the request ends, with the latest monotonic time
    *   at which an upstream has started it, in ms. It cancels a request that waits;
    *   after it, no upstream may start the request.
@@ -16,6 +19,7 @@
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
+    queryStart?: QueryStart,
   ): (startedAtMs: number) => void;
 }
 
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -1,7 +1,7 @@
 /** Connects the decisions on usage caps with the links of the daemon. */
 import { hash32 } from "../core/hash.ts";
 import type { RandomSource } from "../core/random.ts";
-import { CapAsker } from "../decisions/caps/cap_asker.ts";
+import { CapAsker, type QueryStart } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
 import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
@@ -142,6 +142,7 @@
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
+    queryStart?: QueryStart,
   ): (startedAtMs: number) => void {
     let isDecided = false;
     const end = this.#asker.admit(
@@ -154,6 +155,7 @@
         onDecision(decision);
       },
       performance.now(),
+      queryStart,
     );
     if (!isDecided) {
       this.#scheduleStep();
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -107,6 +107,8 @@
         return this.#onRequest(frame as RequestFrame);
       case FRAME.cancel:
         return this.#onCancel(frame[1] as number);
+      case FRAME.runQuery:
+        return this.#handles.get(frame[1] as number)?.queryRun?.();
       case FRAME.ping:
         // The version lets a peer notice a configuration that it has missed.
         this.socket.send([FRAME.configVersion, this.#host.configVersion]);
@@ -223,6 +225,8 @@
         ]);
       },
       onFailure: (failure) => sendFailure(failure),
+      onRunning: (runMs) =>
+        this.socket.send([FRAME.running, exchangeId, Math.round(runMs)]),
     });
     if (!isDone) {
       this.#handles.set(exchangeId, handle);
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -130,3 +130,20 @@
   }
   assert.ok(resultsOf(FRAME.refusal).length > 0);
 });
+
+test("a peer that asks is told the run time of a request that runs", async (t) => {
+  const { socket, frames, waitForFrame } = await connectPeer(t, {
+    serve: (_request, receiver) => ({
+      cancel: () => {},
+      queryRun: () => receiver.onRunning?.(4_200.4),
+    }),
+  });
+  const text = socket.encoder.encode("x");
+  const request = [text, text, "/", [], null, 1_000, text, 500, true, text, 1];
+  socket.send([FRAME.request, 7, ...request]);
+  socket.send([FRAME.runQuery, 6]);
+  socket.send([FRAME.runQuery, 7]);
+  await waitForFrame(FRAME.running);
+  const answers = frames.filter(([kind]) => kind === FRAME.running);
+  assert.deepEqual(answers, [[FRAME.running, 7, 4_200]]);
+});
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -23,6 +23,7 @@
   membersFrameSchema,
   type RefusalFrame,
   type RequestFrame,
+  runningFrameSchema,
   stateFrameSchema,
   type UpstreamState,
 } from "../schemas/link_schema.ts";
@@ -233,7 +234,10 @@
       this.#options.host.configVersion,
     ];
     socket.send(frame);
-    return { cancel: () => this.#cancel(exchangeId) };
+    return {
+      cancel: () => this.#cancel(exchangeId),
+      queryRun: () => this.#queryRun(exchangeId),
+    };
   }
 
   /** @inheritdoc */
@@ -245,6 +249,8 @@
         return this.#onAnswer(frame as AnswerFrame);
       case FRAME.refusal:
         return this.#onRefusal(frame as RefusalFrame);
+      case FRAME.running:
+        return this.#onRunning(frame);
       case FRAME.hello:
         return this.#onHello(frame);
       case FRAME.state:
@@ -368,6 +374,17 @@
     receiver?.onFailure({ kind: knownKind, isNotRun, hasReached });
   }
 
+  #onRunning(frame: unknown[]): void {
+    const [, exchangeId, runMs] = runningFrameSchema.parse(frame);
+    this.#pending.get(exchangeId)?.onRunning?.(runMs);
+  }
+
+  #queryRun(exchangeId: number): void {
+    if (this.#pending.get(exchangeId) !== undefined) {
+      this.#socket?.send([FRAME.runQuery, exchangeId]);
+    }
+  }
+
   #cancel(exchangeId: number): void {
     if (this.#pending.remove(exchangeId) !== undefined) {
       this.#socket?.send([FRAME.cancel, exchangeId]);
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -160,3 +160,37 @@
   assert.deepEqual(sizes, [60_000_000, 2]);
   assert.equal(link.isUp, true);
 });
+
+// Guards against a run time that is given to a request that has its result.
+test("the run time of a request is asked for, and told until the result", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const asked: unknown[] = [];
+  const reader = new FrameReader();
+  sockets[0]!.on("data", (bytes) => {
+    reader.push(bytes, (frame) => {
+      if (frame[0] === FRAME.runQuery) {
+        asked.push(frame[1]);
+      }
+    });
+  });
+  const runTimes: number[] = [];
+  const handle = link.send(REQUEST, {
+    onAnswer: () => {},
+    onFailure: () => {},
+    onRunning: (runMs) => runTimes.push(runMs),
+  });
+  handle.queryRun?.();
+  await until(() => asked.length > 0);
+  link.onFrame([FRAME.running, asked[0], 4_200]);
+  link.onFrame([
+    FRAME.refusal,
+    asked[0],
+    "peer_failed",
+    false,
+    true,
+    [0, 0, 0],
+    1,
+  ]);
+  link.onFrame([FRAME.running, asked[0], 4_700]);
+  assert.deepEqual(runTimes, [4_200]);
+});
--- a/src/link/pending_requests.ts
+++ b/src/link/pending_requests.ts
@@ -39,6 +39,16 @@
     return exchangeId;
   }
 
+  /**
+   * Returns the receiver of a request without a result.
+   *
+   * @param exchangeId Number of the exchange.
+   * @returns The receiver; undefined when the request was removed.
+   */
+  get(exchangeId: number): ResultReceiver | undefined {
+    return this.#receivers.get(exchangeId);
+  }
+
   /**
    * Removes a request that has got its result or is cancelled.
    *
--- a/src/link/upstream_channel.ts
+++ b/src/link/upstream_channel.ts
@@ -46,20 +46,32 @@
 };
 
 /**
- * Receives the result of a request: unless the request is cancelled, one of the
- * methods is called once.
+ * Receives the result of a request: unless the request is cancelled, either
+ * `onAnswer` or `onFailure` is called once.
  */
 export interface ResultReceiver {
   /** Called with the answer of the upstream. */
   onAnswer(answer: UpstreamAnswer): void;
   /** Called when there will be no answer. */
   onFailure(failure: ForwardFailure): void;
+  /**
+   * Called after {@link RequestHandle.queryRun} when the upstream has started the
+   * request.
+   *
+   * @param runMs Time since the start, in ms.
+   */
+  onRunning?(runMs: number): void;
 }
 
-/** Handle with which a request can be cancelled. */
+/** Handle of a request that has no result yet. */
 export interface RequestHandle {
   /** Cancels the request. Its receiver is not called afterwards. */
   cancel(): void;
+  /**
+   * Asks whether the upstream has started the request. Without a start there is no
+   * answer; see {@link ResultReceiver.onRunning}.
+   */
+  queryRun?(): void;
 }
 
 /** Channel on which requests are sent to one upstream. */
--- a/src/link/usage_frames_test.ts
+++ b/src/link/usage_frames_test.ts
@@ -79,6 +79,7 @@
 });
 
 test("the kinds of frames are those that peers of this version know", () => {
-  const { usageAsk, usageGrant, usageHeld } = FRAME;
+  const { usageAsk, usageGrant, usageHeld, runQuery, running } = FRAME;
   assert.deepEqual([usageAsk, usageGrant, usageHeld], [16, 17, 18]);
+  assert.deepEqual([runQuery, running], [19, 20]);
 });
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -37,6 +37,8 @@
   usageAsk: 16,
   usageGrant: 17,
   usageHeld: 18,
+  runQuery: 19,
+  running: 20,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -220,6 +222,13 @@
     .describe("Tenant, requests that started late or may do so"),
 ]);
 
+/** Schema of the answer to a query for a request that the upstream has started. */
+export const runningFrameSchema = z.tuple([
+  z.literal(FRAME.running),
+  z.number().describe("Number of the exchange"),
+  z.number().min(0).describe("Time since the start, in ms"),
+]);
+
 /** Schema of the answer of the owner of usage caps. */
 export const usageGrantFrameSchema = z.tuple([
   z.literal(FRAME.usageGrant),
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -1,6 +1,6 @@
 /** Simulates the usage caps of many daemons on a virtual clock. */
 import { type RandomSource, SeededRandom } from "../core/random.ts";
-import { CapAsker } from "../decisions/caps/cap_asker.ts";
+import { CapAsker, type QueryStart } from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
 import type {
   CapAsk,
@@ -40,8 +40,6 @@
 /** Time after which a link is up again, at most. */
 const REDIAL_MAX_MS = 1_000;
 const TICK_MS = 100;
-/** Time for which a request runs at its upstream. */
-const RUN_MS = 40;
 /** Interval at which a daemon asks a peer for members. */
 const QUERY_INTERVAL_MS = 1_000;
 
@@ -63,6 +61,8 @@
   admittedCount = 0;
   /** Returns until when an admitted request waits in the queue of an upstream. */
   queuedUntilMs = (admittedAtMs: number) => admittedAtMs;
+  /** Time for which a request runs at its upstream, in ms. */
+  runMs = 40;
   /** Requests that a running daemon has received. */
   offeredCount = 0;
 
@@ -128,31 +128,45 @@
     }
     this.offeredCount++;
     const { generation } = daemon;
-    const end = daemon.asker!.admit(tenantName, (decision) => {
-      if (!decision.isAdmitted) {
-        const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
-        this.refusedCounts.set(tenantName, refusedCount + 1);
-        return;
-      }
-      this.admittedCount++;
-      const startsAtMs = this.queuedUntilMs(this.nowMs);
-      if (startsAtMs <= this.nowMs) {
-        this.#recordStart(tenantName);
-      }
-      const startedAtMs = daemon.clockMs(Math.max(startsAtMs, this.nowMs));
-      this.at(
-        Math.max(startsAtMs, this.nowMs) + RUN_MS,
-        () => end(startedAtMs),
-      );
-      if (startsAtMs > this.nowMs) {
-        this.at(startsAtMs, () => {
-          // The requests of a daemon that has ended are cancelled in the queue.
-          if (daemon.generation === generation) {
-            this.#recordStart(tenantName);
-          }
-        });
-      }
-    }, daemon.clockMs(this.nowMs));
+    let startsAtMs = Infinity;
+    const queryStart: QueryStart = (markStarted) => {
+      const startedAtMs = daemon.clockMs(startsAtMs);
+      this.at(this.nowMs + this.#options.network.transitMaxMs, () => {
+        if (startsAtMs <= this.nowMs && daemon.generation === generation) {
+          markStarted(startedAtMs);
+        }
+      });
+    };
+    const end = daemon.asker!.admit(
+      tenantName,
+      (decision) => {
+        if (!decision.isAdmitted) {
+          const refusedCount = this.refusedCounts.get(tenantName) ?? 0;
+          this.refusedCounts.set(tenantName, refusedCount + 1);
+          return;
+        }
+        this.admittedCount++;
+        startsAtMs = this.queuedUntilMs(this.nowMs);
+        if (startsAtMs <= this.nowMs) {
+          this.#recordStart(tenantName);
+        }
+        const startedAtMs = daemon.clockMs(Math.max(startsAtMs, this.nowMs));
+        this.at(
+          Math.max(startsAtMs, this.nowMs) + this.runMs,
+          () => end(startedAtMs),
+        );
+        if (startsAtMs > this.nowMs) {
+          this.at(startsAtMs, () => {
+            // The requests of a daemon that has ended are cancelled in the queue.
+            if (daemon.generation === generation) {
+              this.#recordStart(tenantName);
+            }
+          });
+        }
+      },
+      daemon.clockMs(this.nowMs),
+      queryStart,
+    );
     this.#scheduleStep(daemon);
   }
 
