--- a/src/decisions/caps/calm_usage_test.ts
+++ b/src/decisions/caps/calm_usage_test.ts
@@ -30,7 +30,12 @@
 function offer(
   simulation: CapSimulation,
   caps: ReadonlyMap<string, UsageCap>,
-  { fromMs, untilMs }: { fromMs: number; untilMs: number },
+  { fromMs, untilMs, factor = 1 }: {
+    fromMs: number;
+    untilMs: number;
+    /** Offered part of the usual rate. */
+    factor?: number;
+  },
 ): number {
   const { random, names } = simulation;
   let count = 0;
@@ -39,7 +44,8 @@
     let entries: string[] = [];
     let changesAtMs = 0;
     while (true) {
-      atMs -= Math.log(1 - random.nextFloat()) * 1_000 * USUAL_RATIO / ratePerS;
+      const meanMs = 1_000 * USUAL_RATIO / (ratePerS * factor);
+      atMs -= Math.log(1 - random.nextFloat()) * meanMs;
       if (atMs >= untilMs) {
         break;
       }
@@ -147,3 +153,32 @@
     );
   }
 });
+
+// Guards against a tenant whose callers are refused by the cap while and after its
+// upstreams refuse requests, none of which has run.
+test("requests that upstreams refuse at once do not use up the cap", () => {
+  const cap = { ratePerS: 100, burstCount: 20, windowMs: 5_000 };
+  const caps = new Map([["t", cap]]);
+  const simulation = new CapSimulation({
+    seed: 5,
+    daemonsCount: 9,
+    dataCentresCount: 2,
+    caps,
+    network: CALM_NETWORK,
+  });
+  simulation.isTaking = (nowMs) => nowMs < 15_000 || nowMs >= 20_000;
+  offer(simulation, caps, { fromMs: TRAFFIC_FROM_MS, untilMs: 15_000 });
+  // Callers repeat what was refused.
+  offer(simulation, caps, { fromMs: 15_000, untilMs: 20_000, factor: 3 });
+  offer(simulation, caps, { fromMs: 20_000, untilMs: 25_000 });
+  simulation.run(26_000);
+  const { admittedCount, offeredCount } = simulation;
+  assert.ok(
+    admittedCount >= 0.99 * offeredCount,
+    `${admittedCount} of ${offeredCount}`,
+  );
+  const excess = findExcess(simulation.startedAtMs("t"), [
+    { fromMs: 0, untilMs: Infinity, cap },
+  ]);
+  assert.equal(excess, undefined);
+});
--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -8,12 +8,13 @@
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
-import type { HeldCharges, OpenCharge } from "./held_charges.ts";
+import type { OpenCharge } from "./held_charges.ts";
 import { LeaseBook } from "./lease_book.ts";
 import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
 import { type GrantTimes, TenantTokens } from "./tenant_tokens.ts";
-import type { CapDecision } from "./tenant_waiters.ts";
+import type { CapDecision, CapWaiter } from "./tenant_waiters.ts";
+import type { UsedToken } from "./token_stock.ts";
 
 /** Minimum time between two asks to an owner while requests wait. */
 const URGENT_INTERVAL_MS = 5;
@@ -41,6 +42,18 @@
   markStarted: (startedAtMs: number | undefined) => void,
 ) => void;
 
+/**
+ * Ends a request.
+ *
+ * @param startedAtMs Latest monotonic time at which an upstream has started it, in
+ *   ms; undefined when it has certainly not run.
+ * @param endedAtMs Monotonic time, in ms.
+ */
+export type EndUsage = (
+  startedAtMs: number | undefined,
+  endedAtMs: number,
+) => void;
+
 /** Options of {@link CapAsker}. */
 export type CapAskerOptions = {
   /** Connections of the daemon to the candidates. */
@@ -143,33 +156,34 @@
    *   long after its charge. The answer is given to the function that it is called
    *   with.
    * @returns Function to call once when the request ends, with the latest time at
-   *   which an upstream has started it. It cancels a request that waits; after that,
-   *   no upstream may start it.
+   *   which an upstream has started it; undefined when it has certainly not run. It
+   *   cancels a request that waits; after that, no upstream may start it.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
     queryStart: QueryStart = () => {},
-  ): (startedAtMs: number) => void {
+  ): EndUsage {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
       onDecision({ isAdmitted: true });
       return () => {};
     }
     tenant.demand.record(nowMs);
-    const { waiters, stock, held } = tenant;
-    if (waiters.count === 0 && stock.take(nowMs)) {
-      const charge = this.#charge(held, nowMs, queryStart);
+    const { waiters, stock } = tenant;
+    const stocked = waiters.count === 0 ? stock.take(nowMs) : undefined;
+    if (stocked !== undefined) {
+      const end = this.#charge(tenant, stocked, { nowMs, queryStart });
       onDecision({ isAdmitted: true });
-      return charge.end;
+      return end;
     }
-    let charge: OpenCharge | undefined;
-    const waiter = {
+    let end: EndUsage | undefined;
+    const waiter: CapWaiter = {
       sinceMs: nowMs,
-      onDecision: (decision: CapDecision) => {
-        if (decision.isAdmitted) {
-          charge = this.#charge(held, nowMs, queryStart);
+      onDecision: (decision, token) => {
+        if (token !== undefined) {
+          end = this.#charge(tenant, token, { nowMs, queryStart });
         }
         onDecision(decision);
       },
@@ -180,9 +194,9 @@
       return () => {};
     }
     this.#askUrgently(tenant, nowMs);
-    return (startedAtMs) => {
-      if (charge !== undefined) {
-        charge.end(startedAtMs);
+    return (startedAtMs, endedAtMs) => {
+      if (end !== undefined) {
+        end(startedAtMs, endedAtMs);
       } else {
         waiters.remove(waiter);
       }
@@ -279,15 +293,20 @@
   }
 
   #charge(
-    held: HeldCharges,
-    nowMs: number,
-    queryStart: QueryStart,
-  ): OpenCharge {
+    { held, stock }: TenantTokens,
+    token: UsedToken,
+    { nowMs, queryStart }: { nowMs: number; queryStart: QueryStart },
+  ): EndUsage {
     const charge: OpenCharge = held.charge(
       nowMs,
       () => queryStart(charge.markStarted),
     );
-    return charge;
+    return (startedAtMs, endedAtMs) => {
+      charge.end(startedAtMs ?? nowMs);
+      if (startedAtMs === undefined) {
+        stock.takeBack(token, endedAtMs);
+      }
+    };
   }
 
   #handleDenied(
--- a/src/decisions/caps/cap_asker_test.ts
+++ b/src/decisions/caps/cap_asker_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandom } from "../../core/random.ts";
-import { CapAsker } from "./cap_asker.ts";
+import { CapAsker, type EndUsage } from "./cap_asker.ts";
 import type { CapAsk } from "./cap_messages.ts";
 import { rankCapOwners } from "./owner_choice.ts";
 import type { CapDecision } from "./tenant_waiters.ts";
@@ -114,10 +114,35 @@
   const moved = new MovedAsker();
   moved.connected.delete(FIRST);
   const cancel = moved.asker.admit("t", () => assert.fail(), 100);
-  cancel(105);
+  cancel(undefined, 105);
   const second = moved.admit(110);
   assert.equal(moved.answer(false, 120), SECOND);
   assert.deepEqual(second, []);
   assert.equal(moved.answer(true, 130), SECOND);
   assert.deepEqual(second, [{ isAdmitted: true }]);
 });
+
+// Guards against charges for requests that upstreams have refused, and against the
+// use of their tokens long after they were granted.
+test("the token of a request that has not run is used again until it expires", () => {
+  const moved = new MovedAsker();
+  moved.connected.delete(FIRST);
+  const end = moved.asker.admit("t", () => {}, 100);
+  moved.answer(true, 110);
+  end(undefined, 120);
+  let endSecond: EndUsage | undefined;
+  const admitSecond = () => {
+    const decisions: CapDecision[] = [];
+    endSecond = moved.asker.admit("t", (next) => decisions.push(next), 200);
+    return decisions;
+  };
+  assert.deepEqual(admitSecond(), [{ isAdmitted: true }]);
+  endSecond!(undefined, 500);
+  assert.deepEqual(moved.admit(500), []);
+
+  const run = moved.asker.admit("t", () => {}, 600);
+  moved.asker.tick(620);
+  moved.answer(true, 630);
+  run(630, 640);
+  assert.deepEqual(moved.admit(650), []);
+});
--- a/src/decisions/caps/tenant_tokens.ts
+++ b/src/decisions/caps/tenant_tokens.ts
@@ -148,7 +148,7 @@
     const admittedCount = Math.min(count, this.waiters.count);
     this.stock.add(count - admittedCount, ownerName, expiresAtMs);
     for (let index = 0; index < admittedCount; index++) {
-      this.waiters.admitFirst();
+      this.waiters.admitFirst({ ownerName, expiresAtMs });
     }
   }
 
--- a/src/decisions/caps/tenant_waiters.ts
+++ b/src/decisions/caps/tenant_waiters.ts
@@ -1,6 +1,7 @@
 /** Requests of one tenant that wait for a token at one daemon. */
 import type { RandomSource } from "../../core/random.ts";
 import { WAIT_MAX_MS } from "./cap_limits.ts";
+import type { UsedToken } from "./token_stock.ts";
 
 /** Decision on one request. */
 export type CapDecision =
@@ -14,7 +15,8 @@
 /** A request that waits. */
 export type CapWaiter = {
   readonly sinceMs: number;
-  readonly onDecision: (decision: CapDecision) => void;
+  /** Called with the token of an admitted request, if it needs one. */
+  readonly onDecision: (decision: CapDecision, token?: UsedToken) => void;
 };
 
 /** Maximum waiting requests of one tenant; further ones are refused at once. */
@@ -76,9 +78,13 @@
     }
   }
 
-  /** Admits the request that has waited longest. */
-  admitFirst(): void {
-    this.#waiters.shift()?.onDecision({ isAdmitted: true });
+  /**
+   * Admits the request that has waited longest.
+   *
+   * @param token Its token, if it needs one.
+   */
+  admitFirst(token?: UsedToken): void {
+    this.#waiters.shift()?.onDecision({ isAdmitted: true }, token);
   }
 
   /**
--- a/src/decisions/caps/token_stock.ts
+++ b/src/decisions/caps/token_stock.ts
@@ -1,5 +1,13 @@
 /** Tokens of one tenant that one daemon holds. */
 
+/** A token that is in use. */
+export type UsedToken = {
+  /** Owner that has granted it. */
+  readonly ownerName: string;
+  /** Monotonic time until which it may be used, in ms. */
+  readonly expiresAtMs: number;
+};
+
 /** Tokens of one grant. */
 type TokenLot = {
   readonly ownerName: string;
@@ -36,19 +44,32 @@
    * Uses the token that expires first.
    *
    * @param nowMs Monotonic time, in ms.
-   * @returns Whether there was one.
+   * @returns The token; undefined when there was none.
    */
-  take(nowMs: number): boolean {
+  take(nowMs: number): UsedToken | undefined {
     this.expire(nowMs);
     const [first] = this.#lots;
     if (first === undefined) {
-      return false;
+      return undefined;
     }
     first.count--;
     if (first.count <= 0) {
       this.#lots.shift();
     }
-    return true;
+    return first;
+  }
+
+  /**
+   * Takes back a token whose request has not run. One that has expired is dropped:
+   * the bucket has earned since it was granted, and could exceed the cap with it.
+   *
+   * @param token The token.
+   * @param nowMs Monotonic time, in ms.
+   */
+  takeBack({ ownerName, expiresAtMs }: UsedToken, nowMs: number): void {
+    if (nowMs < expiresAtMs) {
+      this.add(1, ownerName, expiresAtMs);
+    }
   }
 
   /**
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -3,6 +3,7 @@
 import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import type { EndUsage } from "../decisions/caps/cap_asker.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
@@ -88,7 +89,9 @@
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
-  #endUsage = (_startedAtMs: number) => {};
+  #endUsage: EndUsage | undefined;
+  /** Whether the last attempt since the last charge may have run. */
+  #mayHaveStarted = false;
   /** Time at which the upstream started the last attempt, if that is known. */
   #startedAtMs: number | undefined;
   /** Tells the usage cap the start of the request, once it has asked for it. */
@@ -145,6 +148,7 @@
       hasReached: failure.hasReached,
     });
     if (failure.isNotRun) {
+      this.#mayHaveStarted = false;
       this.#machine.send("refused", failure);
       return;
     }
@@ -275,6 +279,7 @@
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
     const sendNumber = ++this.#sendsCount;
+    this.#mayHaveStarted = true;
     if (this.#startedAtMs !== undefined) {
       this.#startedAtMs = undefined;
       this.#markStarted?.(undefined);
@@ -338,13 +343,14 @@
       this.#machine.send("admitted", this.#lastFailure);
       return;
     }
-    this.#endUsage(this.#startedAtMs ?? performance.now());
+    this.#endCharge();
     this.#markStarted = undefined;
-    let endedWithMs: number | undefined;
-    let end: ((startedAtMs: number) => void) | undefined;
-    this.#endUsage = (startedAtMs) => {
-      endedWithMs ??= startedAtMs;
-      end?.(startedAtMs);
+    this.#mayHaveStarted = false;
+    let ended: Parameters<EndUsage> | undefined;
+    let end: EndUsage | undefined;
+    this.#endUsage = (...times) => {
+      ended ??= times;
+      end?.(...times);
       end = undefined;
     };
     let hasWaited = false;
@@ -358,8 +364,16 @@
     );
     hasWaited = true;
     // A request that is admitted at once may also end at once.
-    if (endedWithMs !== undefined) {
-      end(endedWithMs);
+    if (ended !== undefined) {
+      end(...ended);
+    }
+  }
+
+  #endCharge(): void {
+    if (this.#endUsage !== undefined) {
+      const nowMs = performance.now();
+      const startedAtMs = this.#startedAtMs ?? nowMs;
+      this.#endUsage(this.#mayHaveStarted ? startedAtMs : undefined, nowMs);
     }
   }
 
@@ -461,7 +475,7 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
-    this.#endUsage(this.#startedAtMs ?? performance.now());
+    this.#endCharge();
     const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
       this.#request;
     this.#parts.onEnd(this.#request, outcome);
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -280,3 +280,47 @@
   exchange.cancel();
   assert.equal(endedWithMs, startedAtMs[2]);
 });
+
+// Guards against a charge that is given back although the request may have run.
+test("a request is charged unless all attempts have certainly not run", () => {
+  const endOf = (isNotRun: boolean | undefined): number | undefined => {
+    let started: number | undefined;
+    const channels = [{
+      member: { name: "one" },
+      send: (_request: unknown, receiver: ResultReceiver) => {
+        if (isNotRun !== undefined) {
+          const kind = "upstream_failed";
+          receiver.onFailure({ kind, isNotRun, hasReached: true });
+        }
+        return { cancel: () => {} };
+      },
+    }];
+    const parts = {
+      channels: { choose: () => channels.shift() },
+      budget: { recordRequest: () => {}, take: () => true },
+      decisions: { record: () => {} },
+      daemonsCount: () => 1,
+      runsPerRequest: () => 1,
+      usage: {
+        admit: (_: string, onDecision: (decision: CapDecision) => void) => {
+          onDecision({ isAdmitted: true });
+          return (startedAtMs: number | undefined) => started = startedAtMs;
+        },
+      },
+      onEnd: () => {},
+    } as unknown as ExchangeParts;
+    const expiresAtMs = performance.now() + 60_000;
+    const exchange = new ForwardedExchange(
+      { ...REQUEST, tenantName: "amber", expiresAtMs },
+      { answer: () => {}, fail: () => {} },
+      parts,
+    );
+    exchange.start();
+    exchange.cancel();
+    return started;
+  };
+  assert.equal(endOf(true), undefined);
+  assert.ok(endOf(false) !== undefined);
+  // The caller leaves while the attempt is open.
+  assert.ok(endOf(undefined) !== undefined);
+});
--- a/src/fleet/usage_cap_gate.ts
+++ b/src/fleet/usage_cap_gate.ts
@@ -1,5 +1,5 @@
 /** Extension point for the usage caps of tenants. */
-import type { QueryStart } from "../decisions/caps/cap_asker.ts";
+import type { EndUsage, QueryStart } from "../decisions/caps/cap_asker.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 
 /** Decides which requests of a tenant its usage cap admits. */
@@ -12,15 +12,14 @@
    *   particular for a tenant without a cap; not called after a cancellation.
    * @param queryStart Asks for the start of an admitted request that has not ended
    *   long after its charge.
-   * @returns Function to call once the request ends, with the latest monotonic time
-   *   at which an upstream has started it, in ms. It cancels a request that waits;
+   * @returns Function to call once the request ends. It cancels a request that waits;
    *   after it, no upstream may start the request.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     queryStart?: QueryStart,
-  ): (startedAtMs: number) => void;
+  ): EndUsage;
 }
 
 /** Admits all requests at once. */
@@ -29,7 +28,7 @@
   admit(
     _tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): (startedAtMs: number) => void {
+  ): EndUsage {
     onDecision({ isAdmitted: true });
     return () => {};
   }
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -1,7 +1,11 @@
 /** Connects the decisions on usage caps with the links of the daemon. */
 import { hash32 } from "../core/hash.ts";
 import type { RandomSource } from "../core/random.ts";
-import { CapAsker, type QueryStart } from "../decisions/caps/cap_asker.ts";
+import {
+  CapAsker,
+  type EndUsage,
+  type QueryStart,
+} from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
 import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
@@ -143,7 +147,7 @@
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     queryStart?: QueryStart,
-  ): (startedAtMs: number) => void {
+  ): EndUsage {
     let isDecided = false;
     const end = this.#asker.admit(
       tenantName,
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -163,7 +163,7 @@
   const daemon = createSilentPeer(t);
   let isDecided = false;
   const cancel = daemon.admit(TENANT.name, () => isDecided = true);
-  cancel(performance.now());
+  cancel(undefined, performance.now());
   const other = await admit(daemon);
   assert.equal(other.isAdmitted, false);
   assert.equal(isDecided, false);
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -61,6 +61,8 @@
   admittedCount = 0;
   /** Returns until when an admitted request waits in the queue of an upstream. */
   queuedUntilMs = (admittedAtMs: number) => admittedAtMs;
+  /** Returns whether upstreams take requests; otherwise they refuse at once. */
+  isTaking = (_nowMs: number) => true;
   /** Time for which a request runs at its upstream, in ms. */
   runMs = 40;
   /** Requests that a running daemon has received. */
@@ -146,6 +148,13 @@
           return;
         }
         this.admittedCount++;
+        if (!this.isTaking(this.nowMs)) {
+          this.at(
+            this.nowMs + 1,
+            () => end(undefined, daemon.clockMs(this.nowMs)),
+          );
+          return;
+        }
         startsAtMs = this.queuedUntilMs(this.nowMs);
         if (startsAtMs <= this.nowMs) {
           this.#recordStart(tenantName);
@@ -153,7 +162,7 @@
         const startedAtMs = daemon.clockMs(Math.max(startsAtMs, this.nowMs));
         this.at(
           Math.max(startsAtMs, this.nowMs) + this.runMs,
-          () => end(startedAtMs),
+          () => end(startedAtMs, daemon.clockMs(this.nowMs)),
         );
         if (startsAtMs > this.nowMs) {
           this.at(startsAtMs, () => {
