--- a/src/decisions/caps/retained_members.ts
+++ b/src/decisions/caps/retained_members.ts
@@ -13,7 +13,10 @@
  * until the former one is forgotten.
  */
 const REPLACEMENT_MAX_MS = 3_600_000;
-/** Time after the start in which members are not new, but seen for the first time. */
+/**
+ * Time after the first complete list in which members are not new, but seen for the
+ * first time.
+ */
 const FIRST_SEEN_MS = 60_000;
 
 type Change = { readonly dataCentre: string; readonly atMs: number };
@@ -23,26 +26,28 @@
  * replaced by a new member of the same data centre.
  */
 export class RetainedMembers {
-  readonly #startedAtMs: number;
+  #completeAtMs = Infinity;
   #known: ReadonlyMap<string, string> = new Map();
   readonly #forgotten = new Map<string, Change>();
   /** New members that have replaced none. */
   readonly #joined = new Map<string, Change>();
 
-  /**
-   * @param startedAtMs Monotonic time of the start of the process, in ms.
-   */
-  constructor(startedAtMs: number) {
-    this.#startedAtMs = startedAtMs;
-  }
-
   /**
    * Applies a change of the known members.
    *
    * @param members All known members, including this daemon.
    * @param nowMs Monotonic time, in ms.
+   * @param list Whether the store has told all members since the start. Members
+   *   that are known before that may have joined long ago.
    */
-  update(members: Iterable<CapMember>, nowMs: number): void {
+  update(
+    members: Iterable<CapMember>,
+    nowMs: number,
+    { isComplete }: { isComplete: boolean },
+  ): void {
+    if (isComplete) {
+      this.#completeAtMs = Math.min(this.#completeAtMs, nowMs);
+    }
     const last = this.#known;
     const known = new Map<string, string>();
     for (const { name, dataCentre } of members) {
@@ -76,7 +81,7 @@
     ) {
       return;
     }
-    if (nowMs - this.#startedAtMs >= FIRST_SEEN_MS) {
+    if (nowMs - this.#completeAtMs >= FIRST_SEEN_MS) {
       this.#joined.set(name, { dataCentre, atMs: nowMs });
     }
   }
--- a/src/decisions/caps/retained_members_test.ts
+++ b/src/decisions/caps/retained_members_test.ts
@@ -14,10 +14,12 @@
 // Guards against a divisor that falls in a partition, and against one that grows
 // each time that members are replaced by others with new names.
 test("forgotten members count for a day unless they were replaced or have returned", () => {
-  const retained = new RetainedMembers(0);
+  const retained = new RetainedMembers();
   const counts: number[] = [];
   const know = (names: string, atMinutes: number) => {
-    retained.update(createMembers(names), atMinutes * MINUTE_MS);
+    retained.update(createMembers(names), atMinutes * MINUTE_MS, {
+      isComplete: true,
+    });
     counts.push(retained.count(atMinutes * MINUTE_MS));
   };
   know("abcABC", 0);
@@ -33,3 +35,13 @@
   know("cdefA", 200 + 24 * 60 + 1);
   assert.deepEqual(counts, [6, 7, 6, 6, 6, 6, 7, 7, 5]);
 });
+
+// Guards against members that a daemon learns late, because the store was down at
+// its start, and that are then taken for replacements of those that are cut off.
+test("members of a first list that comes late replace none", () => {
+  const retained = new RetainedMembers();
+  retained.update(createMembers("a"), 0, { isComplete: false });
+  retained.update(createMembers("abcABC"), 2 * MINUTE_MS, { isComplete: true });
+  retained.update(createMembers("ab"), 30 * MINUTE_MS, { isComplete: true });
+  assert.equal(retained.count(30 * MINUTE_MS), 6);
+});
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -175,7 +175,10 @@
       return;
     }
     const isOwn = name === this.ownRecord.name;
-    this.#isListComplete ||= isOwn;
+    if (isOwn && !this.#isListComplete) {
+      this.#isListComplete = true;
+      this.#hasChanged = true;
+    }
     const record = decodeMemberRecord(name, value);
     if (record === undefined) {
       this.#options.log.warn("Entry of a member is not readable", { name });
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -98,7 +98,7 @@
   readonly #asker: CapAsker;
   readonly #log: UsageCapLog;
   readonly #upSinceMs = new Map<string, number>();
-  readonly #retained: RetainedMembers;
+  readonly #retained = new RetainedMembers();
   #tenantNames: ReadonlySet<string> = new Set();
   #candidates: readonly string[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -112,7 +112,6 @@
     const { random, members } = options;
     this.#log = new UsageCapLog(options.log);
     const startedAtMs = performance.now();
-    this.#retained = new RetainedMembers(startedAtMs);
     this.#asker = new CapAsker({
       view: this.#createView(),
       // The time tells it from that of the former process under any seed.
@@ -198,7 +197,9 @@
    * @returns Their names; none without a tenant with a cap.
    */
   selectLinked(records: readonly MemberRecord[]): readonly string[] {
-    this.#retained.update(records, performance.now());
+    this.#retained.update(records, performance.now(), {
+      isComplete: this.#options.members().isListComplete,
+    });
     if (this.#tenantNames.size === 0) {
       return [];
     }
--- a/src/testing/cap_simulation.ts
+++ b/src/testing/cap_simulation.ts
@@ -247,7 +247,7 @@
     daemon.capsVersion = this.#capsVersion;
     daemon.owner = new CapOwner();
     const clockMs = daemon.clockMs(this.nowMs);
-    daemon.retained = new RetainedMembers(clockMs);
+    daemon.retained = new RetainedMembers();
     this.#updateCandidates(daemon);
     daemon.asker = this.#createAsker(daemon, clockMs);
     daemon.owner.applyCaps(this.#caps, clockMs);
@@ -401,7 +401,9 @@
   #updateCandidates(daemon: SimulatedCapDaemon): void {
     const members = [...daemon.known].map((name) => this.#byName.get(name)!);
     daemon.candidates = listCapCandidates(members);
-    daemon.retained.update(members, daemon.clockMs(this.nowMs));
+    daemon.retained.update(members, daemon.clockMs(this.nowMs), {
+      isComplete: daemon.isListComplete,
+    });
   }
 
   #tick(daemon: SimulatedCapDaemon, generation: number): void {
--- a/src/testing/simulated_cap_daemon.ts
+++ b/src/testing/simulated_cap_daemon.ts
@@ -25,7 +25,7 @@
   /** Monotonic times since which links are up, by candidate. */
   readonly upSinceMs = new Map<string, number>();
   known = new Set<string>();
-  retained = new RetainedMembers(0);
+  retained = new RetainedMembers();
   /** Whether the store has told all members since the start of the process. */
   isListComplete = false;
   /** Whether the store had no record of it before the start of the process. */
