--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -99,6 +99,7 @@
   readonly #log: UsageCapLog;
   readonly #upSinceMs = new Map<string, number>();
   readonly #retained = new RetainedMembers();
+  #records: readonly MemberRecord[] = [];
   #tenantNames: ReadonlySet<string> = new Set();
   #candidates: readonly string[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -183,6 +184,9 @@
     this.#tenantNames = new Set(caps.keys());
     if (hadCaps || caps.size > 0) {
       const nowMs = performance.now();
+      if (!hadCaps) {
+        this.#countMembers(nowMs);
+      }
       this.#owner.applyCaps(caps, nowMs);
       this.#asker.applyCaps(caps, nowMs);
       members().reselectLinks();
@@ -197,12 +201,11 @@
    * @returns Their names; none without a tenant with a cap.
    */
   selectLinked(records: readonly MemberRecord[]): readonly string[] {
-    this.#retained.update(records, performance.now(), {
-      isComplete: this.#options.members().isListComplete,
-    });
+    this.#records = records;
     if (this.#tenantNames.size === 0) {
       return [];
     }
+    this.#countMembers(performance.now());
     const candidates = listCapCandidates(records);
     if (candidates.join(" ") !== this.#candidates.join(" ")) {
       this.#candidates = candidates;
@@ -253,6 +256,12 @@
     clearTimeout(this.#timer);
   }
 
+  #countMembers(nowMs: number): void {
+    this.#retained.update(this.#records, nowMs, {
+      isComplete: this.#options.members().isListComplete,
+    });
+  }
+
   #createView(): CandidateView {
     const { members, isStopping } = this.#options;
     const candidates = () => this.#candidates;
--- a/src/fleet/usage_caps_test.ts
+++ b/src/fleet/usage_caps_test.ts
@@ -2,7 +2,8 @@
 import { test, type TestContext } from "node:test";
 import { SeededRandom } from "../core/random.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
-import type { FleetTenant } from "../schemas/fleet_schema.ts";
+import { decodeUsageAsk } from "../link/usage_frames.ts";
+import type { FleetTenant, MemberRecord } from "../schemas/fleet_schema.ts";
 import { type Logger, NullLogger } from "../telemetry/logger.ts";
 import { waitFor } from "../testing/wait_for.ts";
 import { UsageCapLog } from "./usage_cap_log.ts";
@@ -192,3 +193,47 @@
   }
   assert.ok(lines.length >= 6 && lines.length <= 13, String(lines.length));
 });
+
+// Guards against work for each change of the members in large deployments without
+// tenants, and against a cap that is divided by too few members when it comes later.
+test("members are counted only once there is a tenant with a cap", (t) => {
+  let readsCount = 0;
+  const records = ["own", "peer-1", "peer-2"].map((name) => ({
+    name,
+    get dataCentre() {
+      readsCount++;
+      return "a";
+    },
+  })) as unknown as MemberRecord[];
+  const asks: (readonly unknown[])[] = [];
+  const usage = new FleetUsageCaps({
+    members: () => ({
+      ownRecord: { name: "own" },
+      isListComplete: true,
+      isNewMember: false,
+      link: () => ({
+        isUp: true,
+        state: { isStopping: false },
+        sendUsageAsk: (frame) => asks.push(frame),
+      }),
+      reselectLinks: () => {},
+    }),
+    isStopping: () => true,
+    windowMs: 5_000,
+    random: new SeededRandom(1),
+    log: new NullLogger(),
+  });
+  t.after(() => usage.close());
+  usage.applyTenants([UNCAPPED]);
+  usage.selectLinked(records);
+  usage.selectLinked(records);
+  assert.equal(readsCount, 0);
+  usage.applyTenants([TENANT]);
+  usage.selectLinked(records);
+  usage.tick(performance.now());
+  usage.admit(TENANT.name, () => {});
+  assert.ok(asks.length > 0);
+  for (const ask of asks) {
+    assert.equal(decodeUsageAsk(ask).membersCount, 3);
+  }
+});
