--- a/src/decisions/caps/token_stock.ts
+++ b/src/decisions/caps/token_stock.ts
@@ -36,6 +36,13 @@
     if (count <= 0) {
       return;
     }
+    const known = this.#lots.find((lot) =>
+      lot.expiresAtMs === expiresAtMs && lot.ownerName === ownerName
+    );
+    if (known !== undefined) {
+      known.count += count;
+      return;
+    }
     this.#lots.push({ ownerName, expiresAtMs, count });
     this.#lots.sort((a, b) => a.expiresAtMs - b.expiresAtMs);
   }
