--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -304,3 +304,35 @@
     { seed: 13, numRuns: 8 },
   );
 });
+
+// Guards against requests that have waited at upstreams and that no daemon reports
+// any more, because the one that sent them has ended.
+test("the bound holds when a daemon ends after a stall of the upstreams", () => {
+  const cap = { ratePerS: 100, burstCount: 10, windowMs: 5_000 };
+  const simulation = new CapSimulation({
+    seed: 1,
+    daemonsCount: 12,
+    dataCentresCount: 3,
+    caps: new Map([["t", cap]]),
+    network: { ...FAULTY_NETWORK, lossRatio: 0, lateRatio: 0 },
+  });
+  const stallEndMs = 16_000;
+  simulation.queuedUntilMs = (nowMs) =>
+    nowMs >= stallEndMs - 2_000 ? Math.max(nowMs, stallEndMs) : nowMs;
+  const [entry, other] = simulation.names
+    .filter((name) => !simulation.candidates.includes(name)) as [
+      string,
+      string,
+    ];
+  const endMs = stallEndMs + 100;
+  simulation.at(endMs, () => simulation.stop(entry));
+  for (let atMs = 12_000; atMs < END_MS; atMs += 3) {
+    const name = atMs < endMs - 50 ? entry : other;
+    simulation.at(atMs, () => simulation.request(name, "t"));
+  }
+  simulation.run(END_MS);
+  const excess = findExcess(simulation.startedAtMs("t"), [
+    { fromMs: 0, untilMs: Infinity, cap },
+  ]);
+  assert.equal(excess, undefined);
+});
