--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -8,11 +8,13 @@
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
+import type { OpenCharge } from "./held_charges.ts";
 import { LeaseBook } from "./lease_book.ts";
 import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
 import { type GrantTimes, TenantTokens } from "./tenant_tokens.ts";
-import type { CapDecision } from "./tenant_waiters.ts";
+import type { CapDecision, CapWaiter } from "./tenant_waiters.ts";
+import type { UsedToken } from "./token_stock.ts";
 
 /** Minimum time between two asks to an owner while requests wait. */
 const URGENT_INTERVAL_MS = 5;
@@ -30,6 +32,28 @@
  */
 const UNUSED_MAX_MS = 120_000;
 
+/**
+ * Asks for the start of a request.
+ *
+ * @param markStarted Called with the monotonic time of the start, in ms, once it is
+ *   known; with undefined when the upstream has not run the request after all.
+ */
+export type QueryStart = (
+  markStarted: (startedAtMs: number | undefined) => void,
+) => void;
+
+/**
+ * Ends a request.
+ *
+ * @param startedAtMs Latest monotonic time at which an upstream has started it, in
+ *   ms; undefined when it has certainly not run.
+ * @param endedAtMs Monotonic time, in ms.
+ */
+export type EndUsage = (
+  startedAtMs: number | undefined,
+  endedAtMs: number,
+) => void;
+
 /** Options of {@link CapAsker}. */
 export type CapAskerOptions = {
   /** Connections of the daemon to the candidates. */
@@ -128,34 +152,38 @@
    * @param tenantName Tenant of the request.
    * @param onDecision Called once, possibly before this method returns.
    * @param nowMs Monotonic time, in ms.
+   * @param queryStart Asks for the start of an admitted request that has not ended
+   *   long after its charge. The answer is given to the function that it is called
+   *   with.
    * @returns Function to call once when the request ends, with the latest time at
-   *   which an upstream has started it. It cancels a request that waits; after that,
-   *   no upstream may start it.
+   *   which an upstream has started it; undefined when it has certainly not run. It
+   *   cancels a request that waits; after that, no upstream may start it.
    */
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
     nowMs: number,
-  ): (startedAtMs: number) => void {
+    queryStart: QueryStart = () => {},
+  ): EndUsage {
     const tenant = this.#tenants.get(tenantName);
     if (tenant === undefined) {
       onDecision({ isAdmitted: true });
       return () => {};
     }
     tenant.demand.record(nowMs);
-    const { waiters, stock, held } = tenant;
-    if (waiters.count === 0 && stock.take(nowMs)) {
-      held.charge(nowMs);
+    const { waiters, stock } = tenant;
+    const stocked = waiters.count === 0 ? stock.take(nowMs) : undefined;
+    if (stocked !== undefined) {
+      const end = this.#charge(tenant, stocked, { nowMs, queryStart });
       onDecision({ isAdmitted: true });
-      return (startedAtMs) => held.end(nowMs, startedAtMs);
+      return end;
     }
-    let isCharged = false;
-    const waiter = {
+    let end: EndUsage | undefined;
+    const waiter: CapWaiter = {
       sinceMs: nowMs,
-      onDecision: (decision: CapDecision) => {
-        if (decision.isAdmitted) {
-          isCharged = true;
-          held.charge(nowMs);
+      onDecision: (decision, token) => {
+        if (token !== undefined) {
+          end = this.#charge(tenant, token, { nowMs, queryStart });
         }
         onDecision(decision);
       },
@@ -166,9 +194,9 @@
       return () => {};
     }
     this.#askUrgently(tenant, nowMs);
-    return (startedAtMs) => {
-      if (isCharged) {
-        held.end(nowMs, startedAtMs);
+    return (startedAtMs, endedAtMs) => {
+      if (end !== undefined) {
+        end(startedAtMs, endedAtMs);
       } else {
         waiters.remove(waiter);
       }
@@ -187,6 +215,7 @@
     for (const tenant of this.#tenants.values()) {
       this.#moveTenant(tenant, mayLease, nowMs);
       tenant.stock.expire(nowMs);
+      tenant.held.queryStarts(nowMs);
     }
     for (const [ownerName, book] of this.#books) {
       this.#askOnceDue(ownerName, book, nowMs);
@@ -263,6 +292,23 @@
     }
   }
 
+  #charge(
+    { held, stock }: TenantTokens,
+    token: UsedToken,
+    { nowMs, queryStart }: { nowMs: number; queryStart: QueryStart },
+  ): EndUsage {
+    const charge: OpenCharge = held.charge(
+      nowMs,
+      () => queryStart(charge.markStarted),
+    );
+    return (startedAtMs, endedAtMs) => {
+      charge.end(startedAtMs ?? nowMs);
+      if (startedAtMs === undefined) {
+        stock.takeBack(token, endedAtMs);
+      }
+    };
+  }
+
   #handleDenied(
     tenant: TenantTokens,
     { deniedCount, roomInMs }: TenantGrant,
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -3,6 +3,7 @@
 import { STATUS_SERVER_ERROR_MIN } from "../core/http_status.ts";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
+import type { EndUsage } from "../decisions/caps/cap_asker.ts";
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
@@ -89,9 +90,13 @@
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
-  #endUsage = (_startedAtMs: number) => {};
-  /** Time at which the upstream started the request whose answer is relayed. */
+  #endUsage: EndUsage | undefined;
+  /** Whether the last attempt since the last charge may have run. */
+  #mayHaveStarted = false;
+  /** Time at which the upstream started the last attempt, if that is known. */
   #startedAtMs: number | undefined;
+  /** Tells the usage cap the start of the request, once it has asked for it. */
+  #markStarted: ((startedAtMs: number | undefined) => void) | undefined;
 
   /**
    * @param request Admitted request.
@@ -144,6 +149,7 @@
       hasReached: failure.hasReached,
     });
     if (failure.isNotRun) {
+      this.#mayHaveStarted = false;
       this.#machine.send("refused", failure);
       return;
     }
@@ -151,6 +157,12 @@
     this.#machine.send("failed", failure);
   }
 
+  /** @inheritdoc */
+  onRunning(runMs: number): void {
+    this.#startedAtMs = performance.now() - runMs;
+    this.#markStarted?.(this.#startedAtMs);
+  }
+
   /**
    * Guard: whether a request that did not run may be sent to another upstream.
    * If it may, but had reached its upstream, the retry budget is charged.
@@ -269,6 +281,11 @@
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
     const sendNumber = ++this.#sendsCount;
+    this.#mayHaveStarted = true;
+    if (this.#startedAtMs !== undefined) {
+      this.#startedAtMs = undefined;
+      this.#markStarted?.(undefined);
+    }
     const attempt = channel.send({
       upstreamId: channel.state?.upstreamId ?? "",
       method: this.#request.method,
@@ -328,23 +345,37 @@
       this.#machine.send("admitted", this.#lastFailure);
       return;
     }
-    this.#endUsage(performance.now());
-    let endedWithMs: number | undefined;
-    let end: ((startedAtMs: number) => void) | undefined;
-    this.#endUsage = (startedAtMs) => {
-      endedWithMs ??= startedAtMs;
-      end?.(startedAtMs);
+    this.#endCharge();
+    this.#markStarted = undefined;
+    this.#mayHaveStarted = false;
+    let ended: Parameters<EndUsage> | undefined;
+    let end: EndUsage | undefined;
+    this.#endUsage = (...times) => {
+      ended ??= times;
+      end?.(...times);
       end = undefined;
     };
     let hasWaited = false;
     end = this.#parts.usage.admit(
       tenantName,
       (decision) => this.#onUsageDecision(decision, hasWaited),
+      (markStarted) => {
+        this.#markStarted = markStarted;
+        this.#attempt?.queryRun?.();
+      },
     );
     hasWaited = true;
     // A request that is admitted at once may also end at once.
-    if (endedWithMs !== undefined) {
-      end(endedWithMs);
+    if (ended !== undefined) {
+      end(...ended);
+    }
+  }
+
+  #endCharge(): void {
+    if (this.#endUsage !== undefined) {
+      const nowMs = performance.now();
+      const startedAtMs = this.#startedAtMs ?? nowMs;
+      this.#endUsage(this.#mayHaveStarted ? startedAtMs : undefined, nowMs);
     }
   }
 
@@ -443,7 +474,7 @@
 
   #end(outcome: string): void {
     clearTimeout(this.#timer);
-    this.#endUsage(this.#startedAtMs ?? performance.now());
+    this.#endCharge();
     const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
       this.#request;
     this.#parts.onEnd(this.#request, outcome);
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -223,3 +223,104 @@
   const sent = sendRefusedCall({ isRefusing: true });
   assert.deepEqual(sent, ["a", "b", "b", "b", "b", "b", "b", "b"]);
 });
+
+// Guards against a request that is counted as waiting although it runs, and as
+// running although the upstream has refused it.
+test("the start of a request is told to the usage cap that asks for it", () => {
+  const startedAtMs: (number | undefined)[] = [];
+  const receivers: ResultReceiver[] = [];
+  let query = () => {};
+  let endedWithMs: number | undefined;
+  const channel = {
+    member: { name: "one" },
+    send: (_request: unknown, receiver: ResultReceiver) => {
+      receivers.push(receiver);
+      return { cancel: () => {}, queryRun: () => receiver.onRunning?.(4_000) };
+    },
+  };
+  const parts = {
+    channels: { choose: () => channel },
+    budget: { recordRequest: () => {}, take: () => true },
+    decisions: { record: () => {} },
+    daemonsCount: () => 1,
+    runsPerRequest: () => 1,
+    usage: {
+      admit: (
+        _: string,
+        onDecision: (decision: CapDecision) => void,
+        queryStart: (mark: (atMs: number | undefined) => void) => void,
+      ) => {
+        query = () => queryStart((atMs) => startedAtMs.push(atMs));
+        onDecision({ isAdmitted: true });
+        return (atMs: number) => endedWithMs = atMs;
+      },
+    },
+    onEnd: () => {},
+  } as unknown as ExchangeParts;
+  const exchange = new ForwardedExchange(
+    {
+      ...REQUEST,
+      tenantName: "amber",
+      expiresAtMs: performance.now() + 60_000,
+    },
+    { answer: () => {}, fail: () => {} },
+    parts,
+  );
+  exchange.start();
+  query();
+  assert.ok(startedAtMs[0]! <= performance.now() - 4_000);
+  receivers[0]!.onFailure({
+    kind: "upstream_refused",
+    isNotRun: true,
+    hasReached: true,
+  });
+  assert.equal(receivers.length, 2);
+  assert.deepEqual(startedAtMs.slice(1), [undefined]);
+  query();
+  exchange.cancel();
+  assert.equal(endedWithMs, startedAtMs[2]);
+});
+
+// Guards against a charge that is given back although the request may have run.
+test("a request is charged unless all attempts have certainly not run", () => {
+  const endOf = (isNotRun: boolean | undefined): number | undefined => {
+    let started: number | undefined;
+    const channels = [{
+      member: { name: "one" },
+      send: (_request: unknown, receiver: ResultReceiver) => {
+        if (isNotRun !== undefined) {
+          const kind = "upstream_failed";
+          receiver.onFailure({ kind, isNotRun, hasReached: true });
+        }
+        return { cancel: () => {} };
+      },
+    }];
+    const parts = {
+      channels: { choose: () => channels.shift() },
+      budget: { recordRequest: () => {}, take: () => true },
+      decisions: { record: () => {} },
+      daemonsCount: () => 1,
+      runsPerRequest: () => 1,
+      usage: {
+        admit: (_: string, onDecision: (decision: CapDecision) => void) => {
+          onDecision({ isAdmitted: true });
+          return (startedAtMs: number | undefined) => started = startedAtMs;
+        },
+      },
+      onEnd: () => {},
+    } as unknown as ExchangeParts;
+    const expiresAtMs = performance.now() + 60_000;
+    const exchange = new ForwardedExchange(
+      { ...REQUEST, tenantName: "amber", expiresAtMs },
+      { answer: () => {}, fail: () => {} },
+      parts,
+    );
+    exchange.start();
+    exchange.cancel();
+    return started;
+  };
+  assert.equal(endOf(true), undefined);
+  assert.ok(endOf(false) !== undefined);
+  // The caller leaves while the attempt is open.
+  assert.ok(endOf(undefined) !== undefined);
+});
--- a/src/fleet/usage_caps.ts
+++ b/src/fleet/usage_caps.ts
@@ -1,7 +1,11 @@
 /** Connects the decisions on usage caps with the links of the daemon. */
 import { hash32 } from "../core/hash.ts";
 import type { RandomSource } from "../core/random.ts";
-import { CapAsker } from "../decisions/caps/cap_asker.ts";
+import {
+  CapAsker,
+  type EndUsage,
+  type QueryStart,
+} from "../decisions/caps/cap_asker.ts";
 import type { UsageCap } from "../decisions/caps/cap_limits.ts";
 import type { CapAsk, CapHeld } from "../decisions/caps/cap_messages.ts";
 import { CapOwner } from "../decisions/caps/cap_owner.ts";
@@ -94,7 +98,8 @@
   readonly #asker: CapAsker;
   readonly #log: UsageCapLog;
   readonly #upSinceMs = new Map<string, number>();
-  readonly #retained: RetainedMembers;
+  readonly #retained = new RetainedMembers();
+  #records: readonly MemberRecord[] = [];
   #tenantNames: ReadonlySet<string> = new Set();
   #candidates: readonly string[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -108,7 +113,6 @@
     const { random, members } = options;
     this.#log = new UsageCapLog(options.log);
     const startedAtMs = performance.now();
-    this.#retained = new RetainedMembers(startedAtMs);
     this.#asker = new CapAsker({
       view: this.#createView(),
       // The time tells it from that of the former process under any seed.
@@ -142,7 +146,8 @@
   admit(
     tenantName: string,
     onDecision: (decision: CapDecision) => void,
-  ): (startedAtMs: number) => void {
+    queryStart?: QueryStart,
+  ): EndUsage {
     let isDecided = false;
     const end = this.#asker.admit(
       tenantName,
@@ -154,6 +159,7 @@
         onDecision(decision);
       },
       performance.now(),
+      queryStart,
     );
     if (!isDecided) {
       this.#scheduleStep();
@@ -178,6 +184,9 @@
     this.#tenantNames = new Set(caps.keys());
     if (hadCaps || caps.size > 0) {
       const nowMs = performance.now();
+      if (!hadCaps) {
+        this.#countMembers(nowMs);
+      }
       this.#owner.applyCaps(caps, nowMs);
       this.#asker.applyCaps(caps, nowMs);
       members().reselectLinks();
@@ -192,10 +201,11 @@
    * @returns Their names; none without a tenant with a cap.
    */
   selectLinked(records: readonly MemberRecord[]): readonly string[] {
-    this.#retained.update(records, performance.now());
+    this.#records = records;
     if (this.#tenantNames.size === 0) {
       return [];
     }
+    this.#countMembers(performance.now());
     const candidates = listCapCandidates(records);
     if (candidates.join(" ") !== this.#candidates.join(" ")) {
       this.#candidates = candidates;
@@ -246,6 +256,12 @@
     clearTimeout(this.#timer);
   }
 
+  #countMembers(nowMs: number): void {
+    this.#retained.update(this.#records, nowMs, {
+      isComplete: this.#options.members().isListComplete,
+    });
+  }
+
   #createView(): CandidateView {
     const { members, isStopping } = this.#options;
     const candidates = () => this.#candidates;
