--- a/src/fleet/channel_table.ts
+++ b/src/fleet/channel_table.ts
@@ -23,6 +23,8 @@
 export type ChannelTableOptions = {
   ownDataCentre: string;
   random: RandomSource;
+  /** Monotonic time, in ms; that of the process by default. */
+  nowMs?: () => number;
 };
 
 /** Holds the channels of each pool and chooses one for a request. */
--- a/src/link/upstream_channel.ts
+++ b/src/link/upstream_channel.ts
@@ -83,6 +83,8 @@
 export class UpstreamLoad {
   /** Running and waiting requests in the last report. */
   reportedCount = 0;
+  /** Monotonic time of the last report, in ms. */
+  reportedAtMs = -Infinity;
   /** Mean run time in the last report, in ms. */
   meanRunMs = 0;
   /** Share of failed requests in the last report, from 0 to 1. */
@@ -96,9 +98,14 @@
    * Replaces the reported load.
    *
    * @param report Reported load that came with a result.
+   * @param nowMs Monotonic time, in ms.
    */
-  update([count, meanRunMs, failures]: LoadReport): void {
+  update(
+    [count, meanRunMs, failures]: LoadReport,
+    nowMs = performance.now(),
+  ): void {
     this.reportedCount = count;
+    this.reportedAtMs = nowMs;
     this.meanRunMs = meanRunMs;
     this.failureRatio = failures / 255;
     this.sentSinceReportCount = 0;
