--- a/src/fleet/channel_table.ts
+++ b/src/fleet/channel_table.ts
@@ -1,14 +1,14 @@
 /** Channels to the upstreams of each pool, and their mean run times. */
 import type { RandomSource } from "../core/random.ts";
-import { MovingAverage } from "../decisions/moving_average.ts";
 import {
   chooseUpstream,
   type UpstreamCandidate,
 } from "../decisions/placement/choose_upstream.ts";
+import { estimateOpenCount } from "../decisions/placement/open_estimate.ts";
+import { RunTime } from "../decisions/placement/run_time.ts";
+import { UpstreamTrial } from "../decisions/placement/upstream_trial.ts";
 import type { UpstreamChannel } from "../link/upstream_channel.ts";
 
-/** Weight of the newest run in the mean run time of a route. */
-const RUN_TIME_WEIGHT = 0.1;
 /**
  * Penalty for an upstream in another data centre, as a share of the request's
  * remaining time. Traffic between data centres costs money, but a chain of
@@ -27,20 +27,29 @@
   nowMs?: () => number;
 };
 
+/** What this daemon knows of the upstream of a channel. */
+type KnownUpstream = {
+  readonly upstreamId: string;
+  readonly trial: UpstreamTrial;
+  /** Mean run times by route. */
+  readonly runTimes: Map<string, RunTime>;
+};
+
 /** Holds the channels of each pool and chooses one for a request. */
 export class ChannelTable {
   readonly #options: ChannelTableOptions;
   readonly #byPool = new Map<string, Set<UpstreamChannel>>();
-  readonly #runTimes = new WeakMap<
-    UpstreamChannel,
-    Map<string, MovingAverage>
-  >();
+  readonly #known = new WeakMap<UpstreamChannel, KnownUpstream>();
+  /** Monotonic time of the first choice in each pool, in ms. */
+  readonly #poolsSeenAtMs = new Map<string, number>();
+  readonly #nowMs: () => number;
 
   /**
    * @param options Data centre of this daemon and random numbers.
    */
   constructor(options: ChannelTableOptions) {
     this.#options = options;
+    this.#nowMs = options.nowMs ?? (() => performance.now());
   }
 
   /**
@@ -105,8 +114,11 @@
       (isAvoided ? avoided : preferred).push(channel);
     }
     const channels = preferred.length > 0 ? preferred : avoided;
+    const nowMs = this.#nowMs();
+    const ownCount = channels
+      .filter((channel) => this.#isOwnDataCentre(channel)).length;
     const candidates = channels.map((channel) =>
-      this.#candidateOf(channel, options.routeName)
+      this.#candidateOf(channel, options.routeName, { nowMs, ownCount })
     );
     const index = chooseUpstream(candidates, {
       random: this.#options.random,
@@ -114,6 +126,15 @@
         REMOTE_PENALTY_MAX_MS,
         Math.max(0, options.remainingMs) * REMOTE_PENALTY_RATIO,
       ),
+      remainingMs: options.remainingMs,
+    });
+    channels.forEach((channel, other) => {
+      const trial = this.#known.get(channel)?.trial;
+      if (other === index) {
+        trial?.recordChosen();
+      } else {
+        trial?.recordSkipped();
+      }
     });
     return channels[index];
   }
@@ -126,16 +147,17 @@
    * @param runMs Time at the upstream, in ms.
    */
   recordRun(channel: UpstreamChannel, routeName: string, runMs: number): void {
-    let byRoute = this.#runTimes.get(channel);
-    if (byRoute === undefined) {
-      byRoute = new Map();
-      this.#runTimes.set(channel, byRoute);
-    }
-    const mean = byRoute.get(routeName);
-    if (mean === undefined) {
-      byRoute.set(routeName, new MovingAverage(RUN_TIME_WEIGHT, runMs));
+    const runTimes = this.#known.get(channel)?.runTimes;
+    const run = {
+      runMs,
+      reportedMs: channel.load.meanRunMs,
+      nowMs: this.#nowMs(),
+    };
+    const known = runTimes?.get(routeName);
+    if (known === undefined) {
+      runTimes?.set(routeName, new RunTime(run));
     } else {
-      mean.add(runMs);
+      known.add(run);
     }
   }
 
@@ -154,20 +176,59 @@
     return longestMs;
   }
 
+  #isOwnDataCentre({ member }: UpstreamChannel): boolean {
+    return member.dataCentre === this.#options.ownDataCentre;
+  }
+
   #routeRunMs(channel: UpstreamChannel, routeName: string): number {
-    return this.#runTimes.get(channel)?.get(routeName)?.value ?? 0;
+    return this.#known.get(channel)?.runTimes.get(routeName)?.meanMs ?? 0;
+  }
+
+  /** Returns what is known of the upstream, or starts anew with another one. */
+  #knownOf(channel: UpstreamChannel, nowMs: number): KnownUpstream {
+    const { state, member: { pool } } = channel;
+    const upstreamId = state?.upstreamId ?? "";
+    const known = this.#known.get(channel);
+    if (known?.upstreamId === upstreamId) {
+      return known;
+    }
+    const poolSeenAtMs = this.#poolsSeenAtMs.get(pool) ?? nowMs;
+    this.#poolsSeenAtMs.set(pool, poolSeenAtMs);
+    const trial = new UpstreamTrial({
+      random: this.#options.random,
+      nowMs,
+      poolSeenAtMs,
+      isCold: state?.isCold ?? false,
+      isOwnDataCentre: this.#isOwnDataCentre(channel),
+    });
+    const created = { upstreamId, trial, runTimes: new Map() };
+    this.#known.set(channel, created);
+    return created;
   }
 
   #candidateOf(
     channel: UpstreamChannel,
     routeName: string,
+    { nowMs, ownCount }: { nowMs: number; ownCount: number },
   ): UpstreamCandidate {
-    const { load, state, member } = channel;
+    const { load, state } = channel;
+    const { trial } = this.#knownOf(channel, nowMs);
+    const { isCold = false, limitCount = 0, busyRatio = 0 } = state ?? {};
+    const isOwnDataCentre = this.#isOwnDataCentre(channel);
     return {
-      isOwnDataCentre: member.dataCentre === this.#options.ownDataCentre,
-      isCold: state?.isCold ?? false,
-      limitCount: state?.limitCount ?? 0,
-      openCount: load.estimatedCount,
+      isOwnDataCentre,
+      isCold,
+      isTrialDue: trial.isDue(nowMs, isOwnDataCentre ? ownCount : undefined),
+      limitCount,
+      openCount: estimateOpenCount({
+        reportedCount: load.reportedCount,
+        reportAgeMs: nowMs - load.reportedAtMs,
+        meanRunMs: load.meanRunMs,
+        pendingCount: load.pendingCount,
+        sentSinceReportCount: load.sentSinceReportCount,
+        busyRatio,
+        limitCount,
+      }),
       meanRunMs: load.meanRunMs,
       routeRunMs: this.#routeRunMs(channel, routeName),
       failureRatio: load.failureRatio,
--- a/src/link/upstream_channel.ts
+++ b/src/link/upstream_channel.ts
@@ -110,12 +110,4 @@
     this.failureRatio = failures / 255;
     this.sentSinceReportCount = 0;
   }
-
-  /** Estimated number of requests that run or wait at the upstream. */
-  get estimatedCount(): number {
-    return Math.max(
-      this.reportedCount + this.sentSinceReportCount,
-      this.pendingCount,
-    );
-  }
 }
--- a/src/testing/pool_simulation.ts
+++ b/src/testing/pool_simulation.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "../core/random.ts";
 import { chooseUpstream } from "../decisions/placement/choose_upstream.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
+import { estimateOpenCount } from "../decisions/placement/open_estimate.ts";
 import { UpstreamLoad } from "../link/upstream_channel.ts";
 import {
   drawExponential,
@@ -169,8 +170,14 @@
     const candidates = loads.map((load, index) => ({
       isOwnDataCentre: true,
       isCold: false,
+      isTrialDue: false,
       limitCount: limitCounts[index] as number,
-      openCount: load.estimatedCount,
+      openCount: estimateOpenCount({
+        ...load,
+        reportAgeMs: 0,
+        busyRatio: 0,
+        limitCount: limitCounts[index] as number,
+      }),
       meanRunMs: load.meanRunMs,
       routeRunMs: runTimes[index]?.value ?? 0,
       failureRatio: 0,
@@ -178,6 +185,7 @@
     return chooseUpstream(candidates, {
       random: this.#random,
       remotePenaltyMs: 0,
+      remainingMs: DEADLINE_MS,
     });
   }
 
