--- a/src/decisions/placement/choose_upstream.ts
+++ b/src/decisions/placement/choose_upstream.ts
@@ -146,12 +146,21 @@
     return hasOwn && (hasRemote || (this.#hasWarm && this.#hasCold));
   }
 
-  /** Index of an upstream whose trial is due; -1 without any. */
+  /** Index of an upstream whose trial is due, at random; -1 without any. */
   trial(): number {
-    return this.#candidates.findIndex((candidate) =>
-      candidate.isTrialDue && this.#roomCount(candidate, 1) >= 1 &&
-      candidate.failureRatio <= FAILURE_MAX_RATIO
-    );
+    const { random } = this.#options;
+    let chosen = -1;
+    let dueCount = 0;
+    for (let index = 0; index < this.#candidates.length; index++) {
+      const candidate = this.#candidates[index] as UpstreamCandidate;
+      const isUsable = candidate.isTrialDue &&
+        this.#roomCount(candidate, 1) >= 1 &&
+        candidate.failureRatio <= FAILURE_MAX_RATIO;
+      if (isUsable && random.nextInt(++dueCount) === 0) {
+        chosen = index;
+      }
+    }
+    return chosen;
   }
 
   /**
--- a/src/decisions/placement/upstream_trial.ts
+++ b/src/decisions/placement/upstream_trial.ts
@@ -43,8 +43,10 @@
     { random, nowMs, poolSeenAtMs, isCold, isOwnDataCentre }: TrialOptions,
   ) {
     const hasJoined = isCold || nowMs - poolSeenAtMs > POOL_START_MS;
-    this.#joinTrialAtMs = hasJoined || isOwnDataCentre
+    this.#joinTrialAtMs = hasJoined
       ? nowMs + random.nextFloat() * JOIN_TRIAL_MAX_MS
+      : isOwnDataCentre
+      ? nowMs
       : Infinity;
   }
 
--- a/src/decisions/placement/upstream_trial_test.ts
+++ b/src/decisions/placement/upstream_trial_test.ts
@@ -32,11 +32,17 @@
 test("upstreams that of other data centres need no first request of a caller that starts", () => {
   assert.equal(joined(false, 1_000).isDue(9_000, undefined), false);
   assert.equal(joined(true, 1_000).isDue(9_000, undefined), true);
-  assert.equal(joined(false, 1_000, true).isDue(9_000, 1), true);
+});
+
+// With few requests, a caller would otherwise keep to the first upstream that has
+// answered, since it knows no other one to be faster.
+test("each upstream of the own data centre gets one of a caller's first requests", () => {
+  assert.equal(joined(false, 1_000, true).isDue(1_000, 14), true);
 });
 
 test("an avoided upstream gets a request now and then in the own data centre only", () => {
-  const trial = joined(false, 0);
+  const trial = joined(false, 0, true);
+  trial.recordChosen();
   for (let count = 0; count < 2 * SKIPPED_COUNT; count++) {
     trial.recordSkipped();
   }
