--- a/src/decisions/caps/usage_bound_test.ts
+++ b/src/decisions/caps/usage_bound_test.ts
@@ -68,6 +68,23 @@
   }
 }
 
+/** Offers more than the cap of each tenant. */
+function offerAll(simulation: CapSimulation): void {
+  for (const [tenantName, cap] of CAPS) {
+    offer(simulation, tenantName, cap);
+  }
+}
+
+/** Checks that no window has more starts than caps that never changed allow. */
+function assertCapsHold(simulation: CapSimulation): void {
+  for (const [tenantName, cap] of CAPS) {
+    const excess = findExcess(simulation.startedAtMs(tenantName), [
+      { fromMs: 0, untilMs: Infinity, cap },
+    ]);
+    assert.equal(excess, undefined, `${tenantName}: ${excess}`);
+  }
+}
+
 type Fault =
   | "restart"
   | "restart two"
@@ -211,9 +228,7 @@
           caps: CAPS,
           network: FAULTY_NETWORK,
         });
-        for (const [tenantName, cap] of CAPS) {
-          offer(simulation, tenantName, cap);
-        }
+        offerAll(simulation);
         const firstSide = new Set(simulation.names.slice(0, firstSideCount));
         simulation.at(
           7_000,
@@ -221,12 +236,7 @@
         );
         simulation.at(10_000, () => simulation.forgetUnreachable());
         simulation.run(END_MS);
-        for (const [tenantName, cap] of CAPS) {
-          const excess = findExcess(simulation.startedAtMs(tenantName), [
-            { fromMs: 0, untilMs: Infinity, cap },
-          ]);
-          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
-        }
+        assertCapsHold(simulation);
       },
     ),
     { seed: 15, numRuns: 10 },
@@ -254,16 +264,9 @@
           const passedMs = nowMs % (stallMs + pauseMs);
           return passedMs < stallMs ? nowMs - passedMs + stallMs : nowMs;
         };
-        for (const [tenantName, cap] of CAPS) {
-          offer(simulation, tenantName, cap);
-        }
+        offerAll(simulation);
         simulation.run(END_MS);
-        for (const [tenantName, cap] of CAPS) {
-          const excess = findExcess(simulation.startedAtMs(tenantName), [
-            { fromMs: 0, untilMs: Infinity, cap },
-          ]);
-          assert.equal(excess, undefined, `${tenantName}: ${excess}`);
-        }
+        assertCapsHold(simulation);
       },
     ),
     { seed: 14, numRuns: 10 },
@@ -282,9 +285,7 @@
         caps: CAPS,
         network: FAULTY_NETWORK,
       });
-      for (const [tenantName, cap] of CAPS) {
-        offer(simulation, tenantName, cap);
-      }
+      offerAll(simulation);
       simulation.at(
         8_000,
         () =>
@@ -294,12 +295,7 @@
           }),
       );
       simulation.run(END_MS);
-      for (const [tenantName, cap] of CAPS) {
-        const excess = findExcess(simulation.startedAtMs(tenantName), [
-          { fromMs: 0, untilMs: Infinity, cap },
-        ]);
-        assert.equal(excess, undefined, `${tenantName}: ${excess}`);
-      }
+      assertCapsHold(simulation);
     }),
     { seed: 13, numRuns: 8 },
   );
