--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -4,6 +4,7 @@
 import { StateMachine } from "../charts/state_machine.ts";
 import type { RandomSource } from "../core/random.ts";
 import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
+import { FIGURES_MAX_AGE_MS } from "../decisions/sharing/pool_offers.ts";
 import { type ErrorKind, isErrorKind } from "../errors/error_kinds.ts";
 import {
   type ForwardedRequest,
@@ -92,7 +93,8 @@
   #dialledAtMs = 0;
   #figures: UpstreamFigures | undefined;
   #offerNumber = 0;
-  #offeredAtMs = 0;
+  /** Times of the reports of offered runs whose answers may still be of use. */
+  readonly #offeredAtMs = new Map<number, number>();
   readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
   downSinceMs = performance.now();
@@ -220,8 +222,14 @@
 
   /** @inheritdoc */
   reportOffer(offeredPerS: readonly number[]): void {
+    const nowMs = performance.now();
+    for (const [number, atMs] of this.#offeredAtMs) {
+      if (nowMs - atMs > FIGURES_MAX_AGE_MS) {
+        this.#offeredAtMs.delete(number);
+      }
+    }
     this.#offerNumber = (this.#offerNumber + 1) % OFFER_NUMBERS_COUNT;
-    this.#offeredAtMs = performance.now();
+    this.#offeredAtMs.set(this.#offerNumber, nowMs);
     this.#socket?.send([FRAME.offer, this.#offerNumber, offeredPerS]);
   }
 
@@ -324,6 +332,7 @@
     this.#socket = undefined;
     this.#state = undefined;
     this.#figures = undefined;
+    this.#offeredAtMs.clear();
     socket?.close(reason);
   }
 
@@ -376,13 +385,16 @@
   }
 
   /**
-   * Applies the answer to the last report. An answer to an earlier one may have
-   * waited in a process that was paused.
+   * Applies the answer to a report. Its figures are as old as the report, because
+   * the answer may have waited in a process that was paused. With a round trip
+   * longer than the interval of the reports none is the answer to the last one.
    */
   #onPoolFigures(frame: unknown[]): void {
     const { number, ...figures } = poolFiguresFrameSchema.parse(frame);
-    if (number === this.#offerNumber) {
-      this.#figures = { ...figures, atMs: this.#offeredAtMs };
+    const atMs = this.#offeredAtMs.get(number);
+    if (atMs !== undefined && atMs >= (this.#figures?.atMs ?? -Infinity)) {
+      this.#offeredAtMs.delete(number);
+      this.#figures = { ...figures, atMs };
     }
   }
 
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -163,7 +163,7 @@
 
 // After a pause of this process the answers that wait for it would be taken for
 // present figures.
-test("only the answer to the last report of offered runs is applied", async (t) => {
+test("an answer does not replace that to a later report of offered runs", async (t) => {
   const { link, sockets } = await connectLink(t);
   const answer = (number: number, capacityPerS: number) =>
     sockets[0]?.write(
@@ -178,3 +178,20 @@
   assert.equal(link.figures?.capacityPerS, 700);
   assert.deepEqual(link.figures?.offeredPerS, [30]);
 });
+
+// With a round trip longer than the interval of the reports, as between distant
+// regions, each answer arrives after the next report has been sent.
+test("figures that arrive after the next report count from the report that they answer", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const beforeMs = performance.now();
+  link.reportOffer([10]);
+  const reportedMs = performance.now();
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  link.reportOffer([20]);
+  sockets[0]?.write(encodeFrame([FRAME.poolFigures, 1, 700, 50, 25, [30]]));
+  sockets[0]?.write(encodeFrame([FRAME.busy, 42]));
+  await until(() => link.state?.busyRatio === 0.42);
+  assert.equal(link.figures?.capacityPerS, 700);
+  const { atMs = 0 } = link.figures ?? {};
+  assert.ok(atMs >= beforeMs && atMs <= reportedMs);
+});
