--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -103,7 +103,7 @@
    */
   constructor(options: EntryAdmissionOptions) {
     this.#options = options;
-    this.#coordination = new PoolCoordination(options.channels, options.log);
+    this.#coordination = new PoolCoordination(options.channels, options);
   }
 
   /**
--- a/src/fleet/pool_coordination.ts
+++ b/src/fleet/pool_coordination.ts
@@ -1,4 +1,5 @@
 /** Admitted shares of the pools for which flows of one class compete. */
+import type { RandomSource } from "../core/random.ts";
 import { CoordinatedRatio } from "../decisions/sharing/coordinated_ratio.ts";
 import type { CompetingPool } from "../decisions/sharing/competing_pools.ts";
 import type { CoordinatedLoad } from "../decisions/sharing/entry_levels.ts";
@@ -39,15 +40,21 @@
 export class PoolCoordination {
   readonly #channels: ChannelTable;
   readonly #log: Logger;
+  readonly #random: RandomSource;
   readonly #pools = new Map<string, CoordinatedPool>();
   readonly #reportedAtMs = new WeakMap<UpstreamChannel, number>();
 
   /**
    * @param channels Channels to the upstreams.
-   * @param log Receives a line when a pool begins or ceases to be coordinated.
+   * @param options Random numbers, and the log that receives a line when a pool
+   *   begins or ceases to be coordinated.
    */
-  constructor(channels: ChannelTable, log: Logger) {
+  constructor(
+    channels: ChannelTable,
+    { random, log }: { random: RandomSource; log: Logger },
+  ) {
     this.#channels = channels;
+    this.#random = random;
     this.#log = log;
   }
 
@@ -107,7 +114,11 @@
     const reportedAtMs = this.#reportedAtMs.get(channel) ?? -Infinity;
     if (nowMs - reportedAtMs >= intervalMs) {
       this.#reportedAtMs.set(channel, nowMs);
-      channel.reportOffer?.(offeredPerS.map(Math.round));
+      // Rounded to the nearest integer, the small parts of many daemons would
+      // all be reported as 0.
+      channel.reportOffer?.(
+        offeredPerS.map((perS) => Math.floor(perS + this.#random.nextFloat())),
+      );
     }
   }
 
