--- a/src/decisions/sharing/entry_levels.ts
+++ b/src/decisions/sharing/entry_levels.ts
@@ -232,6 +232,15 @@
     return admission.level;
   }
 
+  /**
+   * Forgets the admission of a pool that no request uses any more.
+   *
+   * @param name Name of the pool.
+   */
+  forget(name: string): void {
+    this.#pools.delete(name);
+  }
+
   /**
    * Decides whether a pool admits a request.
    *
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -236,6 +236,11 @@
           coordinated: this.#coordinate(name, offeredRuns.length, nowMs),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
+      } else {
+        this.#coordination.forgetFigures(name);
+      }
+      if (offeredRuns === undefined && this.#competing.has(name)) {
+        this.#levels.forget(name);
       }
       this.#stepCompletion(name, {
         refusedRatio: this.#refusedRatio(name),
@@ -254,6 +259,7 @@
   ): CoordinatedLoad | undefined {
     const competing = this.#competing.get(pool);
     if (competing === undefined) {
+      this.#coordination.forgetFigures(pool);
       return undefined;
     }
     const offeredPerS = this.#rates.runsPerS(
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from "../core/random.ts";
 import { CallGraph } from "../decisions/call_graph.ts";
 import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
 import { RetryBudget } from "../decisions/retry_budget.ts";
 import {
   type UpstreamChannel,
@@ -64,7 +65,7 @@
 const RETRY_RATIO = 0.2;
 
 /** Creates an admission and the state of the only upstream of `inscription`. */
-function createAdmission() {
+function createAdmission(figures?: UpstreamFigures) {
   const random = new SeededRandom(1);
   const channels = new ChannelTable({ ownDataCentre: "a", random });
   const state: UpstreamState = {
@@ -89,6 +90,7 @@
     state,
     isSuspect: false,
     load: new UpstreamLoad(),
+    figures,
     send: () => ({ cancel() {} }),
   };
   channels.add(channel);
@@ -335,3 +337,37 @@
   assert.ok(aware.enrol >= unaware.enrol, `${aware.enrol}`);
   assert.ok(aware.read >= unaware.read, `${aware.read}`);
 });
+
+/** Control intervals after which no request is recent. */
+const FORGETTING_STEPS_COUNT = 400;
+
+// Guards against calls whose error answers are never retried, and figures of
+// long ago in the metrics, at a daemon whose callers have gone to others while
+// their requests were shed.
+test("a contested pool that no caller uses any more is not shedding", () => {
+  const { admission, state } = createAdmission({
+    capacityPerS: 100,
+    busyRatio: 3,
+    offeredPerS: [0, 0, 400],
+    reportIntervalMs: 250,
+    atMs: performance.now(),
+  });
+  const routes = new FleetRoutes(CONFIG);
+  state.busyRatio = 3;
+  for (let step = 0; step < SETTLING_STEPS_COUNT; step++) {
+    for (const name of ["read", "enrol", "roster"]) {
+      admission.findRefusingPool(routes.route(name)!);
+    }
+    admission.step(routes);
+  }
+  assert.equal(admission.isShedding(routes.route("roster")!), true);
+  assert.equal(admission.isCoordinated("inscription"), true);
+  state.busyRatio = 0;
+  for (let step = 0; step < FORGETTING_STEPS_COUNT; step++) {
+    admission.step(routes);
+  }
+  assert.equal(admission.isShedding(routes.route("roster")!), false);
+  assert.equal(admission.isCoordinated("inscription"), false);
+  assert.equal(admission.figures("inscription"), undefined);
+  assert.equal(admission.level("inscription"), undefined);
+});
--- a/src/fleet/pool_coordination.ts
+++ b/src/fleet/pool_coordination.ts
@@ -69,6 +69,19 @@
     return this.#pools.get(pool)?.figures;
   }
 
+  /**
+   * Forgets the last figures of a pool that this daemon offers no runs to or
+   * that has no serving upstream, because they are not updated any more.
+   *
+   * @param pool Name of the pool.
+   */
+  forgetFigures(pool: string): void {
+    const coordinated = this.#pools.get(pool);
+    if (coordinated !== undefined) {
+      coordinated.figures = undefined;
+    }
+  }
+
   /**
    * Reports the offered runs of this daemon, when that is due, and computes the
    * admitted share of a pool. Called once per control interval.
