--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -84,6 +84,8 @@
   #sendsCount = 0;
   /** Upstreams that were reached by an attempt. */
   #reachedCount = 0;
+  /** Those that have refused the request and were not lost afterwards. */
+  #refusing: UpstreamChannel[] | undefined;
   /** Whether the request is sent again to an upstream that has refused it. */
   #isSentAgain = false;
   #mayHaveRun = false;
@@ -144,6 +146,7 @@
       hasReached: failure.hasReached,
     });
     if (failure.isNotRun) {
+      this.#updateRefusing(failure);
       this.#machine.send("refused", failure);
       return;
     }
@@ -163,7 +166,10 @@
     if (failure.hasReached && isCall && this.#parts.isRefusing(pool)) {
       return this.#maySendAgain();
     }
-    return this.#sendsCount < SENDS_MAX_COUNT &&
+    const sendsMaxCount = this.#isSentAgain
+      ? REFUSED_SENDS_MAX_COUNT
+      : SENDS_MAX_COUNT;
+    return this.#sendsCount < sendsMaxCount &&
       (!failure.hasReached || this.#reserveRetry());
   }
 
@@ -243,8 +249,7 @@
     if (
       this.#channel !== undefined && this.#reachedCount >= route.attemptsMax
     ) {
-      this.#isSentAgain = true;
-      this.#machine.send("chosen", this.#channel);
+      this.#sendAgain(lastFailure);
       return;
     }
     if (this.#channel !== undefined) {
@@ -379,6 +384,25 @@
     return failure?.isNotRun === false ? kind : "upstream_failed";
   }
 
+  /** Notes whether the upstream of the last attempt may get the request again. */
+  #updateRefusing({ hasReached }: ForwardFailure): void {
+    const channel = this.#channel as UpstreamChannel;
+    const others = this.#refusing?.filter((other) => other !== channel) ?? [];
+    this.#refusing = hasReached ? [...others, channel] : others;
+  }
+
+  /** Chooses the upstream again that has refused the request last. */
+  #sendAgain(lastFailure: ForwardFailure | undefined): void {
+    const channel = this.#refusing?.at(-1);
+    if (channel === undefined) {
+      this.#machine.send("none", lastFailure);
+      return;
+    }
+    this.#isSentAgain = true;
+    this.#channel = channel;
+    this.#machine.send("chosen", channel);
+  }
+
   /** Counts the upstream of the last attempt, unless it was reached before. */
   #countReached(): void {
     this.#reachedCount += this.#isSentAgain ? 0 : 1;
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -180,16 +180,25 @@
   assert.deepEqual(refused, ["charged", "sent", "charged", "upstream_failed"]);
 });
 
-/** Sends a call to a pool whose upstreams refuse all requests. */
-function sendRefusedCall({ isRefusing }: { isRefusing: boolean }): string[] {
+/**
+ * Sends a call to a pool whose upstreams refuse all requests. The daemon `b` is
+ * lost after some sends.
+ */
+function sendRefusedCall(
+  { isRefusing, lostAfterCount = Infinity }: {
+    isRefusing: boolean;
+    lostAfterCount?: number;
+  },
+): string[] {
   const sent: string[] = [];
   const createChannel = (name: string) => ({
     member: { name },
     state: { upstreamId: name },
     send: (_request: unknown, receiver: ResultReceiver) => {
+      const hasReached = name !== "b" || sent.length < lostAfterCount;
       sent.push(name);
-      const kind = "upstream_refused";
-      receiver.onFailure({ kind, isNotRun: true, hasReached: true });
+      const kind = hasReached ? "upstream_refused" : "peer_failed";
+      receiver.onFailure({ kind, isNotRun: true, hasReached });
       return { cancel() {} };
     },
   });
@@ -223,3 +232,16 @@
   const sent = sendRefusedCall({ isRefusing: true });
   assert.deepEqual(sent, ["a", "b", "b", "b", "b", "b", "b", "b"]);
 });
+
+// Guards against calls that use up their sends at a daemon that has left, while
+// another upstream that has refused them still serves.
+test("a refused call is not sent again to a daemon that is lost meanwhile", () => {
+  assert.deepEqual(
+    sendRefusedCall({ isRefusing: true, lostAfterCount: 3 }),
+    ["a", "b", "b", "b", "a", "a", "a", "a"],
+  );
+  assert.deepEqual(
+    sendRefusedCall({ isRefusing: true, lostAfterCount: 5 }),
+    ["a", "b", "b", "b", "b", "b", "a", "a"],
+  );
+});
