--- a/src/decisions/sharing/completion_levels.ts
+++ b/src/decisions/sharing/completion_levels.ts
@@ -22,7 +22,7 @@
  * Share of refused arrivals up to which nothing is limited: a few refusals are
  * retried within the budget for any request.
  */
-const REFUSED_MIN_RATIO = 0.15;
+export const REFUSED_MIN_RATIO = 0.15;
 
 /**
  * Runs of a request up to which it counts as one with a single run. Known calls
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -1,5 +1,6 @@
 /** Sends the state of the local upstream to the other daemons. */
 import type { CallEdge, CallObserver } from "../decisions/call_graph.ts";
+import { REFUSED_MIN_RATIO } from "../decisions/sharing/completion_levels.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
@@ -25,6 +26,11 @@
 const LIMIT_STEP_RATIO = 0.2;
 /** Change of the share of refused requests that is sent. */
 const REFUSED_STEP_RATIO = 0.1;
+/**
+ * Time after which a smaller fall is sent, too, if from the new share nothing is
+ * limited. Peers would limit requests as long as a few are refused.
+ */
+const REFUSED_REFRESH_MS = 3_000;
 /**
  * Interval at which the observed calls, the limit, the refused share, and
  * whether this daemon watches the store, are compared with what was published.
@@ -67,6 +73,7 @@
   #sentIsWatching = false;
   #sentLimitCount = 0;
   #sentRefusedRatio = 0;
+  #sentAtMs = -Infinity;
   #sentBusyRatio = 0;
   #busySentAtMs = -Infinity;
 
@@ -120,6 +127,7 @@
       this.#compareWhenDue(nowMs) || state.isCold !== this.#sentIsCold ||
       hasMoreRefusals
     ) {
+      this.#sentAtMs = nowMs;
       this.publish();
     }
     this.#publishBusy(state.busyRatio, nowMs);
@@ -137,10 +145,13 @@
     const refusedStep = Math.abs(
       gate.refusedRatio - this.#sentRefusedRatio,
     );
+    const isLimitedInVain = this.#sentRefusedRatio >= REFUSED_MIN_RATIO &&
+      gate.refusedRatio < REFUSED_MIN_RATIO &&
+      nowMs - this.#sentAtMs > REFUSED_REFRESH_MS;
     return hasNewCalls ||
       this.#options.isWatching() !== this.#sentIsWatching ||
       limitStep > LIMIT_STEP_RATIO * this.#sentLimitCount ||
-      refusedStep > REFUSED_STEP_RATIO;
+      isLimitedInVain || refusedStep > REFUSED_STEP_RATIO;
   }
 
   /** Updates the published calls. Returns whether they changed. */
--- a/src/fleet/state_publisher_test.ts
+++ b/src/fleet/state_publisher_test.ts
@@ -6,7 +6,7 @@
 import { StatePublisher } from "./state_publisher.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
 
-/** Creates a publisher and records the busy ratio that its peers know. */
+/** Creates a publisher and records the ratios that its peers know. */
 function createPublisher() {
   const gate = {
     busyRatio: 0,
@@ -14,7 +14,7 @@
     limitCount: 10,
     isStopped: false,
   };
-  const peers = { busyRatio: 0 };
+  const peers = { busyRatio: 0, refusedRatio: 0, statesCount: 0 };
   const publisher = new StatePublisher({
     upstream: { isServing: true, report: undefined } as LocalUpstream,
     gate: gate as UpstreamGate,
@@ -22,6 +22,8 @@
     peers: () => ({
       broadcastState: (state: UpstreamState) => {
         peers.busyRatio = state.busyRatio;
+        peers.refusedRatio = state.refusedRatio;
+        peers.statesCount++;
       },
       broadcastBusyRatio: (busyRatio: number) => {
         peers.busyRatio = busyRatio;
@@ -47,3 +49,19 @@
   publisher.tick(300);
   assert.equal(peers.busyRatio, 0.74);
 });
+
+// Peers would refuse two thirds of the requests that need several runs, because
+// of a share of refusals from which nothing has to be limited any more.
+test("peers learn that the refused share has fallen a little", () => {
+  const { publisher, gate, peers } = createPublisher();
+  gate.refusedRatio = 0.2;
+  publisher.tick(0);
+  assert.equal(peers.refusedRatio, 0.2);
+  peers.statesCount = 0;
+  gate.refusedRatio = 0.12;
+  for (let nowMs = 100; nowMs <= 10_000; nowMs += 100) {
+    publisher.tick(nowMs);
+  }
+  assert.equal(peers.refusedRatio, 0.12);
+  assert.equal(peers.statesCount, 1);
+});
