--- a/src/decisions/caps/cap_asker.ts
+++ b/src/decisions/caps/cap_asker.ts
@@ -8,52 +8,26 @@
   TenantAsk,
   TenantGrant,
 } from "./cap_messages.ts";
-import type { OpenCharge } from "./held_charges.ts";
-import { LeaseBook } from "./lease_book.ts";
+import {
+  chargeRequest,
+  type EndUsage,
+  type QueryStart,
+} from "./charge_request.ts";
+import { HeldReports } from "./held_reports.ts";
+import type { LeaseBook } from "./lease_book.ts";
+import { LeaseBooks } from "./lease_books.ts";
 import { type KnownMembers, LeaseStart } from "./lease_start.ts";
 import type { CandidateView } from "./owner_pointer.ts";
 import { type GrantTimes, TenantTokens } from "./tenant_tokens.ts";
 import type { CapDecision, CapWaiter } from "./tenant_waiters.ts";
-import type { UsedToken } from "./token_stock.ts";
+
+export type { EndUsage, QueryStart } from "./charge_request.ts";
 
 /** Minimum time between two asks to an owner while requests wait. */
 const URGENT_INTERVAL_MS = 5;
 /** Minimum time between two asks to an owner while no request waits. */
 const ASK_INTERVAL_MS = 100;
 
-/** Interval of the reports on held requests to an owner. */
-const HELD_INTERVAL_MS = 200;
-/** Time for which a report holds, so that two may be lost or late. */
-const HELD_AHEAD_MS = 800;
-
-/**
- * Time after which an owner that is not used is forgotten. It is longer than the
- * time for which owners remember the numbers of messages.
- */
-const UNUSED_MAX_MS = 120_000;
-
-/**
- * Asks for the start of a request.
- *
- * @param markStarted Called with the monotonic time of the start, in ms, once it is
- *   known; with undefined when the upstream has not run the request after all.
- */
-export type QueryStart = (
-  markStarted: (startedAtMs: number | undefined) => void,
-) => void;
-
-/**
- * Ends a request.
- *
- * @param startedAtMs Latest monotonic time at which an upstream has started it, in
- *   ms; undefined when it has certainly not run.
- * @param endedAtMs Monotonic time, in ms.
- */
-export type EndUsage = (
-  startedAtMs: number | undefined,
-  endedAtMs: number,
-) => void;
-
 /** Options of {@link CapAsker}. */
 export type CapAskerOptions = {
   /** Connections of the daemon to the candidates. */
@@ -82,7 +56,8 @@
 export class CapAsker {
   readonly #options: CapAskerOptions;
   readonly #tenants = new Map<string, TenantTokens>();
-  readonly #books = new Map<string, LeaseBook>();
+  readonly #books: LeaseBooks;
+  readonly #heldReports: HeldReports;
   readonly #leaseStart: LeaseStart;
   #requestedCount = 0;
   #returnedCount = 0;
@@ -93,6 +68,8 @@
    */
   constructor(options: CapAskerOptions) {
     this.#options = options;
+    this.#books = new LeaseBooks(options.view);
+    this.#heldReports = new HeldReports(options);
     this.#leaseStart = new LeaseStart(options.startedAtMs);
   }
 
@@ -129,7 +106,7 @@
       if (cap === undefined) {
         tenant.admitAll();
         this.#tenants.delete(tenantName);
-        this.#books.forEach((book) => book.set(tenantName, false));
+        this.#books.endLeases(tenantName);
       } else {
         tenant.applyCap(cap);
       }
@@ -174,7 +151,7 @@
     const { waiters, stock } = tenant;
     const stocked = waiters.count === 0 ? stock.take(nowMs) : undefined;
     if (stocked !== undefined) {
-      const end = this.#charge(tenant, stocked, { nowMs, queryStart });
+      const end = chargeRequest(tenant, stocked, { nowMs, queryStart });
       onDecision({ isAdmitted: true });
       return end;
     }
@@ -183,7 +160,7 @@
       sinceMs: nowMs,
       onDecision: (decision, token) => {
         if (token !== undefined) {
-          end = this.#charge(tenant, token, { nowMs, queryStart });
+          end = chargeRequest(tenant, token, { nowMs, queryStart });
         }
         onDecision(decision);
       },
@@ -210,16 +187,21 @@
    * @param nowMs Monotonic time, in ms.
    */
   tick(nowMs: number): void {
-    this.#updateBooks(nowMs);
+    this.#books.update(nowMs);
     const mayLease = this.#leaseStart.mayLease(this.#options.members(), nowMs);
     for (const tenant of this.#tenants.values()) {
-      this.#moveTenant(tenant, mayLease, nowMs);
+      this.#books.moveTenant(tenant, mayLease, nowMs);
       tenant.stock.expire(nowMs);
       tenant.held.queryStarts(nowMs);
     }
-    for (const [ownerName, book] of this.#books) {
+    for (const [ownerName, book] of this.#books.entries) {
       this.#askOnceDue(ownerName, book, nowMs);
-      this.#reportHeldOnceDue(ownerName, book, nowMs);
+      this.#heldReports.reportOnceDue(
+        ownerName,
+        book,
+        this.#tenants.values(),
+        nowMs,
+      );
     }
     this.step(nowMs);
   }
@@ -252,7 +234,7 @@
       if (firstDeadlineMs === undefined) {
         continue;
       }
-      const askAtMs = this.#unaskedCount(tenant, nowMs) > 0
+      const askAtMs = this.#books.unaskedCount(tenant, nowMs) > 0
         ? Math.max(tenant.askAgainAtMs, nowMs + URGENT_INTERVAL_MS)
         : Infinity;
       dueAtMs = Math.min(dueAtMs ?? Infinity, firstDeadlineMs, askAtMs);
@@ -292,23 +274,6 @@
     }
   }
 
-  #charge(
-    { held, stock }: TenantTokens,
-    token: UsedToken,
-    { nowMs, queryStart }: { nowMs: number; queryStart: QueryStart },
-  ): EndUsage {
-    const charge: OpenCharge = held.charge(
-      nowMs,
-      () => queryStart(charge.markStarted),
-    );
-    return (startedAtMs, endedAtMs) => {
-      charge.end(startedAtMs ?? nowMs);
-      if (startedAtMs === undefined) {
-        stock.takeBack(token, endedAtMs);
-      }
-    };
-  }
-
   #handleDenied(
     tenant: TenantTokens,
     { deniedCount, roomInMs }: TenantGrant,
@@ -338,27 +303,16 @@
     }
   }
 
-  /** Requests of a tenant for which no answer is to come. */
-  #unaskedCount({ tenantName, waiters }: TenantTokens, nowMs: number): number {
-    let count = waiters.count;
-    if (count > 0) {
-      for (const book of this.#books.values()) {
-        count -= book.openCount(tenantName, nowMs);
-      }
-    }
-    return Math.max(0, count);
-  }
-
   #askUrgently(tenant: TenantTokens, nowMs: number): void {
     tenant.checkFormer(this.#options.view, nowMs);
     const ownerName = tenant.askedOwner;
     if (
       ownerName === undefined || nowMs < tenant.askAgainAtMs ||
-      this.#unaskedCount(tenant, nowMs) === 0
+      this.#books.unaskedCount(tenant, nowMs) === 0
     ) {
       return;
     }
-    const book = this.#bookOf(ownerName);
+    const book = this.#books.obtain(ownerName);
     const isOwn = ownerName === this.#options.view.ownName;
     if (isOwn || nowMs - book.sentAtMs >= URGENT_INTERVAL_MS) {
       this.#ask(ownerName, book, nowMs);
@@ -382,38 +336,13 @@
     }
   }
 
-  #reportHeldOnceDue(ownerName: string, book: LeaseBook, nowMs: number): void {
-    const { view, processId, sendHeld } = this.#options;
-    if (
-      nowMs - book.heldSentAtMs < HELD_INTERVAL_MS ||
-      !view.isConnected(ownerName)
-    ) {
-      return;
-    }
-    const tenants: { tenantName: string; heldCount: number }[] = [];
-    for (const { tenantName, pointer, held } of this.#tenants.values()) {
-      const heldCount = pointer.owner === ownerName
-        ? held.maxCount(nowMs, HELD_AHEAD_MS)
-        : 0;
-      if (heldCount > 0) {
-        tenants.push({ tenantName, heldCount });
-      }
-    }
-    if (tenants.length > 0 || book.hasHeld) {
-      book.hasHeld = tenants.length > 0;
-      book.heldSentAtMs = nowMs;
-      const sequence = ++book.heldSequence;
-      sendHeld(ownerName, { processId, sequence, tenants });
-    }
-  }
-
   #ask(ownerName: string, book: LeaseBook, nowMs: number): void {
     const waitingCounts = new Map<string, number>();
     const tenants: TenantAsk[] = [];
     for (const tenant of this.#tenants.values()) {
       const isAsked = tenant.askedOwner === ownerName;
       const waitingCount = isAsked && nowMs >= tenant.askAgainAtMs
-        ? this.#unaskedCount(tenant, nowMs)
+        ? this.#books.unaskedCount(tenant, nowMs)
         : 0;
       const ask = tenant.createAsk(ownerName, waitingCount, nowMs);
       if (ask !== undefined) {
@@ -436,46 +365,4 @@
       tenants,
     });
   }
-
-  /** Moves a tenant to its owner, and leases the share to it when it may. */
-  #moveTenant(tenant: TenantTokens, mayLease: boolean, nowMs: number): void {
-    const { tenantName, pointer } = tenant;
-    tenant.checkFormer(this.#options.view, nowMs);
-    const isLeased = pointer.owner !== undefined &&
-      this.#bookOf(pointer.owner).has(tenantName);
-    const left = pointer.choose(this.#options.view, isLeased, nowMs);
-    if (left !== undefined) {
-      const book = this.#bookOf(left);
-      tenant.handleMove();
-      if (book.set(tenantName, false)) {
-        pointer.hold(left, book.endsAtMs, book.listNumber);
-      }
-    }
-    if (pointer.owner !== undefined && mayLease && pointer.mayLease(nowMs)) {
-      this.#bookOf(pointer.owner).set(tenantName, true);
-    }
-  }
-
-  #updateBooks(nowMs: number): void {
-    for (const [ownerName, book] of this.#books) {
-      const isConnected = this.#options.view.isConnected(ownerName);
-      book.forgetOpen(nowMs, !isConnected);
-      if (!isConnected) {
-        book.giveUp();
-      }
-      if (!book.isActive && nowMs - book.sentAtMs > UNUSED_MAX_MS) {
-        this.#books.delete(ownerName);
-      }
-    }
-  }
-
-  #bookOf(ownerName: string): LeaseBook {
-    const known = this.#books.get(ownerName);
-    if (known !== undefined) {
-      return known;
-    }
-    const book = new LeaseBook();
-    this.#books.set(ownerName, book);
-    return book;
-  }
 }
