--- /dev/null
+++ b/src/link/link_exchanges.ts
@@ -0,0 +1,133 @@
+/** Exchanges of requests and results on a dialled link. */
+import { type ErrorKind, isErrorKind } from "../errors/error_kinds.ts";
+import {
+  type AnswerFrame,
+  FRAME,
+  type RefusalFrame,
+  type RequestFrame,
+  runningFrameSchema,
+} from "../schemas/link_schema.ts";
+import type { ConfigPeer } from "./config_peer.ts";
+import type { LinkHost } from "./link_host.ts";
+import type { LinkSocket } from "./link_socket.ts";
+import { PendingRequests } from "./pending_requests.ts";
+import type {
+  ForwardedRequest,
+  RequestHandle,
+  ResultReceiver,
+  UpstreamLoad,
+} from "./upstream_channel.ts";
+
+/** Options of {@link LinkExchanges}. */
+export type LinkExchangesOptions = {
+  /** Load of the upstream as the sender sees it. */
+  load: UpstreamLoad;
+  /** State and callbacks of the daemon. */
+  host: LinkHost;
+  /** Peer whose configuration version comes with the results. */
+  peer: ConfigPeer;
+  /** Returns the connection of the link; undefined without one. */
+  getSocket: () => LinkSocket | undefined;
+};
+
+/** Sends requests to the peer's upstream and passes on their results. */
+export class LinkExchanges {
+  readonly #options: LinkExchangesOptions;
+  readonly #pending: PendingRequests;
+
+  /**
+   * @param options Load, daemon, peer and connection.
+   */
+  constructor(options: LinkExchangesOptions) {
+    this.#options = options;
+    this.#pending = new PendingRequests(options.load);
+  }
+
+  /** Number of requests without a result. */
+  get pendingCount(): number {
+    return this.#pending.count;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param socket Connection of the link.
+   * @param request The request.
+   * @param receiver Receiver of its result.
+   * @returns Handle of the request.
+   */
+  send(
+    socket: LinkSocket,
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+  ): RequestHandle {
+    const exchangeId = this.#pending.add(receiver);
+    const { encoder } = socket;
+    const frame: RequestFrame = [
+      FRAME.request,
+      exchangeId,
+      encoder.encode(request.upstreamId),
+      encoder.encode(request.method),
+      request.path,
+      encoder.encodeAll(request.headers),
+      request.body,
+      Math.round(request.remainingMs),
+      encoder.encode(request.routeName),
+      Math.round(request.goalRemainingMs),
+      request.isRefusable,
+      encoder.encode(request.callerPool),
+      this.#options.host.configVersion,
+    ];
+    socket.send(frame);
+    return {
+      cancel: () => this.#cancel(exchangeId),
+      queryRun: () => this.#queryRun(exchangeId),
+    };
+  }
+
+  /** Handles the answer to a request. */
+  handleAnswer(frame: AnswerFrame): void {
+    const { host, peer, getSocket } = this.#options;
+    const [, exchangeId, status, wireHeaders, body, runMs, load, version] =
+      frame;
+    const headers = getSocket()?.decoder.decodeAll(wireHeaders) ?? [];
+    const receiver = this.#pending.remove(exchangeId);
+    this.#options.load.update(load);
+    host.onConfigVersion(version, peer);
+    receiver?.onAnswer({ status, headers, body, runMs });
+  }
+
+  /** Handles the refusal of a request. */
+  handleRefusal(frame: RefusalFrame): void {
+    const { host, peer } = this.#options;
+    const [, exchangeId, kind, isNotRun, hasReached, load, version] = frame;
+    const receiver = this.#pending.remove(exchangeId);
+    this.#options.load.update(load);
+    host.onConfigVersion(version, peer);
+    const knownKind: ErrorKind = isErrorKind(kind) ? kind : "peer_failed";
+    receiver?.onFailure({ kind: knownKind, isNotRun, hasReached });
+  }
+
+  /** Handles the report that the upstream has started a request. */
+  handleRunning(frame: unknown[]): void {
+    const [, exchangeId, runMs] = runningFrameSchema.parse(frame);
+    this.#pending.get(exchangeId)?.onRunning?.(runMs);
+  }
+
+  /** Fails the requests without a result. */
+  failAll(): void {
+    this.#pending.failAll();
+  }
+
+  #queryRun(exchangeId: number): void {
+    if (this.#pending.get(exchangeId) !== undefined) {
+      this.#options.getSocket()?.send([FRAME.runQuery, exchangeId]);
+    }
+  }
+
+  #cancel(exchangeId: number): void {
+    if (this.#pending.remove(exchangeId) !== undefined) {
+      this.#options.getSocket()?.send([FRAME.cancel, exchangeId]);
+    }
+  }
+}
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -2,9 +2,7 @@
 import { connect } from "node:net";
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { RandomSource } from "../core/random.ts";
 import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
-import { type ErrorKind, isErrorKind } from "../errors/error_kinds.ts";
 import {
   type ForwardedRequest,
   type RequestHandle,
@@ -17,64 +15,26 @@
   type AnswerFrame,
   busyFrameSchema,
   configVersionFrameSchema,
-  type CurrencyAnswer,
   currencyFrameSchema,
   FRAME,
   helloFrameSchema,
   membersFrameSchema,
-  poolFiguresFrameSchema,
   type RefusalFrame,
-  type RequestFrame,
-  runningFrameSchema,
   stateFrameSchema,
   type UpstreamState,
 } from "../schemas/link_schema.ts";
-import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
 import { DialBackoff } from "./dial_backoff.ts";
+import { LinkExchanges } from "./link_exchanges.ts";
+import type { PeerLinkOptions } from "./link_host.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
-import { PendingRequests } from "./pending_requests.ts";
+import { OfferReports } from "./offer_reports.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
+export type { LinkHost, PeerLinkOptions } from "./link_host.ts";
+
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
-/** Numbers of reports of offered runs, so that each takes one byte. */
-const OFFER_NUMBERS_COUNT = 128;
-
-/** State and callbacks of the daemon that dialled links use. */
-export interface LinkHost {
-  /** Member record of this daemon. */
-  readonly ownRecord: MemberRecord;
-  /** State of the local upstream. */
-  readonly ownState: UpstreamState;
-  /** Version of this daemon's configuration in force. */
-  readonly configVersion: number;
-  /** Configuration in force, for a peer's query; undefined before the first. */
-  readonly config: unknown;
-  /** Called with the member record in the peer's hello frame. */
-  onHello(record: MemberRecord): void;
-  /** Called with the configuration version that a peer has sent. */
-  onConfigVersion(version: number, peer: ConfigPeer): void;
-  /** Called with the state of a peer's upstream, also when it first arrives. */
-  onState(state: UpstreamState, link: PeerLink): void;
-  /** Called with the configuration that a peer returns to a query. */
-  onConfig(config: unknown): void;
-  /** Called with the currency that a peer returns to a query. */
-  onCurrency(answer: CurrencyAnswer, link: PeerLink): void;
-  /** Called with the records of members that a peer sends. */
-  onMembers(records: readonly MemberRecord[], link: PeerLink): void;
-  /** Called with the answer of a peer that owns usage caps. */
-  onUsageGrant?(frame: readonly unknown[], link: PeerLink): void;
-  /** Called when the bytes of incomplete frames change, by how many. */
-  onIncomplete?(changeBytes: number): void;
-}
-
-/** Options of {@link PeerLink}. */
-export type PeerLinkOptions = {
-  host: LinkHost;
-  log: Logger;
-  random: RandomSource;
-};
 
 /**
  * Link that this daemon opens to a member, as defined by the chart `link`. It
@@ -87,13 +47,11 @@
   #state: UpstreamState | undefined;
   readonly #options: PeerLinkOptions;
   readonly #machine: StateMachine;
-  readonly #pending = new PendingRequests(this.load);
+  readonly #exchanges: LinkExchanges;
   #socket: LinkSocket | undefined;
   readonly #backoff: DialBackoff;
   #dialledAtMs = 0;
-  #figures: UpstreamFigures | undefined;
-  #offerNumber = 0;
-  #offeredAtMs = 0;
+  readonly #offers = new OfferReports();
   readonly #silence = new SilenceMonitor();
   /** Monotonic time at which the link last went down or was created, in ms. */
   downSinceMs = performance.now();
@@ -106,6 +64,12 @@
   constructor(member: MemberRecord, options: PeerLinkOptions) {
     this.#member = member;
     this.#options = options;
+    this.#exchanges = new LinkExchanges({
+      load: this.load,
+      host: options.host,
+      peer: this,
+      getSocket: () => this.#socket,
+    });
     this.#backoff = new DialBackoff(options.random);
     this.#machine = new StateMachine(LINK_CHART, this);
   }
@@ -122,7 +86,7 @@
 
   /** @inheritdoc */
   get figures(): UpstreamFigures | undefined {
-    return this.#figures;
+    return this.#offers.figures;
   }
 
   /** @inheritdoc */
@@ -221,9 +185,8 @@
 
   /** @inheritdoc */
   reportOffer(offeredPerS: readonly number[]): void {
-    this.#offerNumber = (this.#offerNumber + 1) % OFFER_NUMBERS_COUNT;
-    this.#offeredAtMs = performance.now();
-    this.#socket?.send([FRAME.offer, this.#offerNumber, offeredPerS]);
+    const frame = this.#offers.createFrame(offeredPerS);
+    this.#socket?.send(frame);
   }
 
   /** @inheritdoc */
@@ -237,28 +200,7 @@
       });
       return { cancel: () => {} };
     }
-    const exchangeId = this.#pending.add(receiver);
-    const { encoder } = socket;
-    const frame: RequestFrame = [
-      FRAME.request,
-      exchangeId,
-      encoder.encode(request.upstreamId),
-      encoder.encode(request.method),
-      request.path,
-      encoder.encodeAll(request.headers),
-      request.body,
-      Math.round(request.remainingMs),
-      encoder.encode(request.routeName),
-      Math.round(request.goalRemainingMs),
-      request.isRefusable,
-      encoder.encode(request.callerPool),
-      this.#options.host.configVersion,
-    ];
-    socket.send(frame);
-    return {
-      cancel: () => this.#cancel(exchangeId),
-      queryRun: () => this.#queryRun(exchangeId),
-    };
+    return this.#exchanges.send(socket, request, receiver);
   }
 
   /** @inheritdoc */
@@ -267,11 +209,11 @@
     this.#silence.reset();
     switch (frame[0]) {
       case FRAME.answer:
-        return this.#onAnswer(frame as AnswerFrame);
+        return this.#exchanges.handleAnswer(frame as AnswerFrame);
       case FRAME.refusal:
-        return this.#onRefusal(frame as RefusalFrame);
+        return this.#exchanges.handleRefusal(frame as RefusalFrame);
       case FRAME.running:
-        return this.#onRunning(frame);
+        return this.#exchanges.handleRunning(frame);
       case FRAME.hello:
         return this.#onHello(frame);
       case FRAME.state:
@@ -292,7 +234,7 @@
           this,
         );
       case FRAME.poolFigures:
-        return this.#onPoolFigures(frame);
+        return this.#offers.handleFigures(frame);
       case FRAME.usageGrant:
         return host.onUsageGrant?.(frame, this);
     }
@@ -329,7 +271,7 @@
     const socket = this.#socket;
     this.#socket = undefined;
     this.#state = undefined;
-    this.#figures = undefined;
+    this.#offers.clearFigures();
     socket?.close(reason);
   }
 
@@ -355,7 +297,7 @@
 
   /** Action: fails the requests without a result. */
   failPending(): void {
-    this.#pending.failAll();
+    this.#exchanges.failAll();
   }
 
   #onHello(frame: unknown[]): void {
@@ -381,53 +323,6 @@
     }
   }
 
-  /**
-   * Applies the answer to the last report. An answer to an earlier one may have
-   * waited in a process that was paused.
-   */
-  #onPoolFigures(frame: unknown[]): void {
-    const { number, ...figures } = poolFiguresFrameSchema.parse(frame);
-    if (number === this.#offerNumber) {
-      this.#figures = { ...figures, atMs: this.#offeredAtMs };
-    }
-  }
-
-  #onAnswer(frame: AnswerFrame): void {
-    const [, exchangeId, status, wireHeaders, body, runMs, load, version] =
-      frame;
-    const headers = this.#socket?.decoder.decodeAll(wireHeaders) ?? [];
-    const receiver = this.#pending.remove(exchangeId);
-    this.load.update(load);
-    this.#options.host.onConfigVersion(version, this);
-    receiver?.onAnswer({ status, headers, body, runMs });
-  }
-
-  #onRefusal(frame: RefusalFrame): void {
-    const [, exchangeId, kind, isNotRun, hasReached, load, version] = frame;
-    const receiver = this.#pending.remove(exchangeId);
-    this.load.update(load);
-    this.#options.host.onConfigVersion(version, this);
-    const knownKind: ErrorKind = isErrorKind(kind) ? kind : "peer_failed";
-    receiver?.onFailure({ kind: knownKind, isNotRun, hasReached });
-  }
-
-  #onRunning(frame: unknown[]): void {
-    const [, exchangeId, runMs] = runningFrameSchema.parse(frame);
-    this.#pending.get(exchangeId)?.onRunning?.(runMs);
-  }
-
-  #queryRun(exchangeId: number): void {
-    if (this.#pending.get(exchangeId) !== undefined) {
-      this.#socket?.send([FRAME.runQuery, exchangeId]);
-    }
-  }
-
-  #cancel(exchangeId: number): void {
-    if (this.#pending.remove(exchangeId) !== undefined) {
-      this.#socket?.send([FRAME.cancel, exchangeId]);
-    }
-  }
-
   #checkDial(nowMs: number): void {
     if (nowMs - this.#dialledAtMs > DIAL_TIMEOUT_MS) {
       this.#machine.send("broken", "No hello frame in time");
@@ -439,7 +334,7 @@
     const action = this.#silence.check({
       nowMs,
       lastReceivedAtMs: socket.lastReceivedAtMs,
-      hasOpenRequests: this.#pending.count > 0,
+      hasOpenRequests: this.#exchanges.pendingCount > 0,
       isRemote: this.#member.dataCentre !== ownRecord.dataCentre,
     });
     if (action === "ping") {
