--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -8,20 +8,14 @@
 } from "../decisions/sharing/completion_levels.ts";
 import {
   type CompetingPool,
-  type CompetingRoute,
   findCompetingPools,
 } from "../decisions/sharing/competing_pools.ts";
 import {
   type CoordinatedLoad,
   EntryLevels,
 } from "../decisions/sharing/entry_levels.ts";
-import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
 import type { PoolFigures } from "../decisions/sharing/pool_figures.ts";
 import { OfferRates } from "../decisions/sharing/offer_rates.ts";
-import {
-  type OfferedFlow,
-  OfferedRequests,
-} from "../decisions/sharing/offered_requests.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
@@ -29,12 +23,8 @@
 import type { Logger } from "../telemetry/logger.ts";
 import type { ChannelTable } from "./channel_table.ts";
 import { PoolCoordination } from "./pool_coordination.ts";
+import { CLASSES_MAX_COUNT, PoolDemands } from "./pool_demands.ts";
 
-/**
- * Maximum number of priority classes. Routes whose `priority` is larger belong
- * to the last, least important class.
- */
-const CLASSES_MAX_COUNT = 8;
 /** Interval at which the pools with competing flows are determined. */
 const COMPETING_INTERVAL_MS = 1_000;
 
@@ -60,26 +50,6 @@
   readonly tenantName?: string | undefined;
 };
 
-/**
- * Number of runs at each pool that one request causes: its own and those of its
- * downstream calls.
- */
-type RunsByPool = ReadonlyMap<string, number>;
-
-function classesCountOf({ lowestPriority }: FleetRoutes): number {
-  return Math.min(CLASSES_MAX_COUNT, lowestPriority + 1);
-}
-
-/** Class of a flow; undefined when its route does not exist any more. */
-function classOf(
-  { routeName, ownPriority }: OfferedFlow,
-  routes: FleetRoutes,
-): number | undefined {
-  const route = routes.route(routeName);
-  return route &&
-    Math.min(ownPriority ?? route.priority, classesCountOf(routes) - 1);
-}
-
 /**
  * Admits or refuses requests of callers. Each pool has an admission level that
  * is adjusted to its load; a request must pass the levels of all pools it uses.
@@ -87,14 +57,12 @@
 export class EntryAdmission {
   readonly #options: EntryAdmissionOptions;
   readonly #levels = new EntryLevels();
-  readonly #offered = new OfferedRequests();
+  readonly #demands: PoolDemands;
   readonly #rates = new OfferRates();
   readonly #coordination: PoolCoordination;
   #competing: ReadonlyMap<string, CompetingPool> = new Map();
   #competingAtMs = -Infinity;
   readonly #loggedClassesCounts = new Map<string, number>();
-  #routes: FleetRoutes | undefined;
-  #runsByPoolOfRoute = new Map<string, RunsByPool>();
   readonly #completionLevels = new CompletionLevels();
 
   /**
@@ -103,6 +71,7 @@
    */
   constructor(options: EntryAdmissionOptions) {
     this.#options = options;
+    this.#demands = new PoolDemands(options.graph);
     this.#coordination = new PoolCoordination(options.channels, options);
   }
 
@@ -165,7 +134,7 @@
     route: FleetRoute,
     { priority: ownPriority = route.priority, tenantName }: RequestRank = {},
   ): string | undefined {
-    const flowName = this.#offered.add({
+    const flowName = this.#demands.add({
       routeName: route.name,
       ownPriority: ownPriority === route.priority ? undefined : ownPriority,
       tenantName,
@@ -173,7 +142,7 @@
     const sample = this.#options.random.nextFloat();
     const priority = Math.min(ownPriority, CLASSES_MAX_COUNT - 1);
     this.#rates.add(route.name, priority);
-    for (const [pool, runs] of this.#runsByPool(route.name)) {
+    for (const [pool, runs] of this.#demands.runsByPool(route.name)) {
       if (
         !this.#levels.admits(pool, { priority, sample, flowName }) ||
         !this.#completionLevels.admits(pool, { priority, sample, runs })
@@ -192,7 +161,7 @@
    * @returns True while such a pool is overloaded.
    */
   isShedding(route: FleetRoute): boolean {
-    for (const pool of this.#runsByPool(route.name).keys()) {
+    for (const pool of this.#demands.runsByPool(route.name).keys()) {
       if (this.#levels.isShedding(pool) || this.isRefusing(pool)) {
         return true;
       }
@@ -218,13 +187,12 @@
    * @param routes Routes in force.
    */
   step(routes: FleetRoutes): void {
-    this.#routes = routes;
-    this.#runsByPoolOfRoute = new Map();
+    this.#demands.update(routes);
     const nowMs = performance.now();
     this.#rates.step(nowMs);
-    this.#updateCompeting(routes, nowMs);
-    const offered = this.#offeredByPool(routes, 0);
-    const offeredBySeveralRuns = this.#offeredByPool(routes, SINGLE_RUN_MAX);
+    this.#updateCompeting(nowMs);
+    const offered = this.#demands.offeredByPool(0);
+    const offeredBySeveralRuns = this.#demands.offeredByPool(SINGLE_RUN_MAX);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
       const offeredRuns = offered.get(name);
@@ -232,7 +200,7 @@
         const level = this.#levels.step(name, {
           busyRatio,
           offered: offeredRuns,
-          demandsOf: (priority) => this.#demandsOf(name, priority, routes),
+          demandsOf: (priority) => this.#demands.demandsOf(name, priority),
           coordinated: this.#coordinate(name, offeredRuns.length, nowMs),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
@@ -248,7 +216,7 @@
         offered: offeredBySeveralRuns.get(name) ?? [],
       });
     }
-    this.#offered.decay();
+    this.#demands.decay();
   }
 
   /** Derives the admitted share of a pool for which flows compete. */
@@ -264,31 +232,17 @@
     }
     const offeredPerS = this.#rates.runsPerS(
       classesCount,
-      (routeName) => this.#runsByPool(routeName).get(pool) ?? 0,
+      (routeName) => this.#demands.runsByPool(routeName).get(pool) ?? 0,
     );
     return this.#coordination.step(pool, offeredPerS, { competing, nowMs });
   }
 
-  #updateCompeting(routes: FleetRoutes, nowMs: number): void {
+  #updateCompeting(nowMs: number): void {
     if (nowMs - this.#competingAtMs < COMPETING_INTERVAL_MS) {
       return;
     }
     this.#competingAtMs = nowMs;
-    const { graph } = this.#options;
-    const competingRoutes: CompetingRoute[] = [];
-    for (
-      const { name, priority, latencyGoalMs, isPublic } of routes.config.routes
-    ) {
-      if (!graph.isCalled(name)) {
-        competingRoutes.push({
-          priority: Math.min(priority, classesCountOf(routes) - 1),
-          latencyGoalMs,
-          hasTenants: routes.tenants !== undefined && !isPublic,
-          pools: this.#runsByPool(name).keys(),
-        });
-      }
-    }
-    this.#competing = findCompetingPools(competingRoutes);
+    this.#competing = findCompetingPools(this.#demands.competingRoutes());
   }
 
   /** Adjusts the admission to a refusing pool, and logs when it begins or ends. */
@@ -307,63 +261,6 @@
     }
   }
 
-  /** Offered runs per class of requests that need more than a number of runs. */
-  #offeredByPool(
-    routes: FleetRoutes,
-    moreRunsThan: number,
-  ): Map<string, number[]> {
-    const classesCount = classesCountOf(routes);
-    const offered = new Map<string, number[]>();
-    for (const flow of this.#offered.flows) {
-      const priority = classOf(flow, routes);
-      if (priority === undefined) {
-        this.#offered.delete(flow.name);
-        continue;
-      }
-      for (const [pool, runs] of this.#runsByPool(flow.routeName)) {
-        if (runs <= moreRunsThan) {
-          continue;
-        }
-        const byClass = offered.get(pool) ??
-          new Array<number>(classesCount).fill(0);
-        byClass[priority]! += flow.count * runs;
-        offered.set(pool, byClass);
-      }
-    }
-    return offered;
-  }
-
-  /** Runs that the flows of a class offer to a pool. */
-  #demandsOf(
-    pool: string,
-    priority: number,
-    routes: FleetRoutes,
-  ): FlowDemands {
-    const demands = new Map<string, number>();
-    for (const flow of this.#offered.flows) {
-      const runs = this.#runsByPool(flow.routeName).get(pool);
-      if (runs !== undefined && classOf(flow, routes) === priority) {
-        demands.set(flow.name, flow.count * runs);
-      }
-    }
-    return demands;
-  }
-
-  #runsByPool(routeName: string): RunsByPool {
-    const cached = this.#runsByPoolOfRoute.get(routeName);
-    if (cached !== undefined) {
-      return cached;
-    }
-    const runsByPool = new Map<string, number>();
-    for (const [called, runs] of this.#options.graph.runsByRoute(routeName)) {
-      for (const { pool } of this.#routes?.route(called)?.targets ?? []) {
-        runsByPool.set(pool, (runsByPool.get(pool) ?? 0) + runs);
-      }
-    }
-    this.#runsByPoolOfRoute.set(routeName, runsByPool);
-    return runsByPool;
-  }
-
   /**
    * Share of the requests that the upstreams of a pool refuse; 0 for a pool for
    * which no requests compete.
