--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -10,6 +10,7 @@
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { ChannelTable } from "./channel_table.ts";
+import { ExchangeAttempts } from "./exchange_attempts.ts";
 import type { AnswerSender, RoutedRequest } from "./routed_request.ts";
 import type { UsageCapGate } from "./usage_cap_gate.ts";
 import type {
@@ -20,24 +21,6 @@
   UpstreamChannel,
 } from "../link/upstream_channel.ts";
 
-/**
- * Maximum number of daemons to which one request is sent, including daemons
- * that refuse it before it reaches their upstream.
- */
-const SENDS_MAX_COUNT = 4;
-/**
- * Maximum number of sends to a pool whose upstreams refuse a share of what
- * arrives. With half of them refused, 1 request in 256 is refused each time.
- */
-const REFUSED_SENDS_MAX_COUNT = 8;
-/**
- * Minimum time until the deadline for a retry. With less time, an answer
- * before the deadline is unlikely.
- */
-const RETRY_REMAINING_MIN_MS = 30;
-
-const NONE_TRIED: ReadonlySet<string> = new Set();
-
 /** Parts of the daemon that all exchanges share. */
 export type ExchangeParts = {
   channels: ChannelTable;
@@ -79,16 +62,8 @@
   readonly #parts: ExchangeParts;
   readonly #machine: StateMachine;
   readonly #timer: NodeJS.Timeout;
-  #tried: Set<string> | undefined;
-  #channel: UpstreamChannel | undefined;
+  readonly #attempts: ExchangeAttempts;
   #attempt: RequestHandle | undefined;
-  #sendsCount = 0;
-  /** Upstreams that were reached by an attempt. */
-  #reachedCount = 0;
-  /** Those that have refused the request and were not lost afterwards. */
-  #refusing: UpstreamChannel[] | undefined;
-  /** Whether the request is sent again to an upstream that has refused it. */
-  #isSentAgain = false;
   #mayHaveRun = false;
   #errorAnswer: UpstreamAnswer | undefined;
   #lastFailure: ForwardFailure | undefined;
@@ -113,6 +88,7 @@
     this.#request = request;
     this.#answerSender = answerSender;
     this.#parts = parts;
+    this.#attempts = new ExchangeAttempts(request, parts);
     this.#machine = new StateMachine(FORWARDED_REQUEST_CHART, this);
     this.#timer = coarseTimeout(
       () => this.#machine.send("expired"),
@@ -135,24 +111,24 @@
 
   /** @inheritdoc */
   onAnswer(answer: UpstreamAnswer): void {
-    this.#countReached();
+    this.#attempts.recordReached();
     this.#machine.send("answered", answer);
   }
 
   /** @inheritdoc */
   onFailure(failure: ForwardFailure): void {
     if (failure.hasReached) {
-      this.#countReached();
+      this.#attempts.recordReached();
     }
     this.#parts.decisions.record("attempt failed", this.#request.requestId, {
-      upstream: this.#channel?.member.name,
+      upstream: this.#attempts.channel?.member.name,
       kind: failure.kind,
       isNotRun: failure.isNotRun,
       hasReached: failure.hasReached,
     });
     if (failure.isNotRun) {
       this.#mayHaveStarted = false;
-      this.#updateRefusing(failure);
+      this.#attempts.recordNotRun(failure);
       this.#machine.send("refused", failure);
       return;
     }
@@ -171,18 +147,7 @@
    * If it may, but had reached its upstream, the retry budget is charged.
    */
   mayTryAnotherUpstream(failure: ForwardFailure): boolean {
-    if (failure.kind === "deadline_exceeded") {
-      return false;
-    }
-    const { isCall, pool } = this.#request;
-    if (failure.hasReached && isCall && this.#parts.isRefusing(pool)) {
-      return this.#maySendAgain();
-    }
-    const sendsMaxCount = this.#isSentAgain
-      ? REFUSED_SENDS_MAX_COUNT
-      : SENDS_MAX_COUNT;
-    return this.#sendsCount < sendsMaxCount &&
-      (!failure.hasReached || this.#reserveRetry());
+    return this.#attempts.mayFollowRefusal(failure);
   }
 
   /**
@@ -190,8 +155,7 @@
    * retry budget is charged.
    */
   mayRetry(): boolean {
-    return this.#request.route.idempotent &&
-      this.#sendsCount < SENDS_MAX_COUNT && this.#reserveRetry();
+    return this.#request.route.idempotent && this.#attempts.reserveRetry();
   }
 
   /**
@@ -204,7 +168,7 @@
     return status >= STATUS_SERVER_ERROR_MIN &&
       this.#request.route.idempotent &&
       !this.#parts.isShedding(this.#request.route) &&
-      this.#sendsCount < SENDS_MAX_COUNT && this.#reserveRetry();
+      this.#attempts.reserveRetry();
   }
 
   /**
@@ -253,31 +217,13 @@
     this.#fail(this.#errorKindFor(this.#lastFailure));
   }
 
-  /** Action: chooses an upstream that has not been tried. */
+  /** Action: chooses an upstream for the next attempt. */
   chooseUpstream(lastFailure?: ForwardFailure): void {
-    const { pool, route, expiresAtMs } = this.#request;
-    // The route bounds the number of upstreams, and one that refuses a share of
-    // its requests takes the next one as probably as another upstream does.
-    if (
-      this.#channel !== undefined && this.#reachedCount >= route.attemptsMax
-    ) {
-      this.#sendAgain(lastFailure);
-      return;
-    }
-    if (this.#channel !== undefined) {
-      this.#tried ??= new Set();
-      this.#tried.add(this.#channel.member.name);
-    }
-    const channel = this.#parts.channels.choose(pool, {
-      routeName: route.name,
-      remainingMs: expiresAtMs - performance.now(),
-      tried: this.#tried ?? NONE_TRIED,
-    });
+    const channel = this.#attempts.choose();
     if (channel === undefined) {
       this.#machine.send("none", lastFailure);
       return;
     }
-    this.#channel = channel;
     this.#machine.send("chosen", channel);
   }
 
@@ -285,7 +231,7 @@
   sendAttempt(channel: UpstreamChannel): void {
     const { route, headers, goalAtMs, expiresAtMs, isCall } = this.#request;
     const nowMs = performance.now();
-    const sendNumber = ++this.#sendsCount;
+    const sendNumber = this.#attempts.recordSend();
     this.#mayHaveStarted = true;
     if (this.#startedAtMs !== undefined) {
       this.#startedAtMs = undefined;
@@ -304,14 +250,14 @@
       callerPool: this.#parts.callerPool,
     }, this);
     // An attempt that was refused at once may have been followed by another one.
-    if (sendNumber === this.#sendsCount) {
+    if (sendNumber === this.#attempts.sendsCount) {
       this.#attempt = attempt;
     }
   }
 
   /** Action: passes the answer to the caller. */
   relayAnswer(answer: UpstreamAnswer): void {
-    const channel = this.#channel as UpstreamChannel;
+    const channel = this.#attempts.channel as UpstreamChannel;
     this.#parts.channels.recordRun(
       channel,
       this.#request.route.name,
@@ -415,63 +361,6 @@
     return failure?.isNotRun === false ? kind : "upstream_failed";
   }
 
-  /** Notes whether the upstream of the last attempt may get the request again. */
-  #updateRefusing({ hasReached }: ForwardFailure): void {
-    const channel = this.#channel as UpstreamChannel;
-    const others = this.#refusing?.filter((other) => other !== channel) ?? [];
-    this.#refusing = hasReached ? [...others, channel] : others;
-  }
-
-  /** Chooses the upstream again that has refused the request last. */
-  #sendAgain(lastFailure: ForwardFailure | undefined): void {
-    const channel = this.#refusing?.at(-1);
-    if (channel === undefined) {
-      this.#machine.send("none", lastFailure);
-      return;
-    }
-    this.#isSentAgain = true;
-    this.#channel = channel;
-    this.#machine.send("chosen", channel);
-  }
-
-  /** Counts the upstream of the last attempt, unless it was reached before. */
-  #countReached(): void {
-    this.#reachedCount += this.#isSentAgain ? 0 : 1;
-  }
-
-  /**
-   * Returns whether a refused downstream call is sent again, to another upstream
-   * or to the same one. If so, the retry budget is charged. Calls that make calls
-   * of their own are not, since a retry would repeat these.
-   */
-  #maySendAgain(): boolean {
-    const { route, pool, expiresAtMs } = this.#request;
-    const nowMs = performance.now();
-    return this.#sendsCount < REFUSED_SENDS_MAX_COUNT &&
-      this.#parts.runsPerRequest(route.name) <= 1 &&
-      expiresAtMs - nowMs > RETRY_REMAINING_MIN_MS &&
-      this.#parts.budget.takeForRefused(pool, {
-        nowMs,
-        daemonsCount: this.#parts.daemonsCount(),
-      });
-  }
-
-  /**
-   * Charges the retry budget for one more attempt. Returns false, without a
-   * charge, if the route, the deadline or the budget does not allow it.
-   */
-  #reserveRetry(): boolean {
-    const { route, pool, expiresAtMs } = this.#request;
-    const nowMs = performance.now();
-    return this.#reachedCount < route.attemptsMax &&
-      expiresAtMs - nowMs > RETRY_REMAINING_MIN_MS &&
-      this.#parts.budget.take(pool, {
-        nowMs,
-        daemonsCount: this.#parts.daemonsCount(),
-        cost: this.#parts.runsPerRequest(route.name),
-      });
-  }
-
   /**
    * Answers with an error answer of an upstream if there was one, which says
    * more than the failure of the retry.
@@ -508,9 +397,9 @@
       tenant: tenantName,
       isCall,
       outcome,
-      upstream: this.#channel?.member.name,
-      offersCount: this.#sendsCount,
-      reachedCount: this.#reachedCount,
+      upstream: this.#attempts.channel?.member.name,
+      offersCount: this.#attempts.sendsCount,
+      reachedCount: this.#attempts.reachedCount,
       tookMs: Math.round(performance.now() - arrivedAtMs),
     });
   }
