--- a/src/decisions/sharing/completion_levels.ts
+++ b/src/decisions/sharing/completion_levels.ts
@@ -74,11 +74,18 @@
     { offered, ...refusals }: PoolRefusals & { offered: readonly number[] },
   ): void {
     const ratio = completableRatio(refusals);
-    if (ratio < 1) {
-      this.#admissions.set(name, admissionFor(ratio, offered));
-    } else {
+    if (ratio === 1) {
       this.#admissions.delete(name);
+      return;
     }
+    // Without recent requests nothing is known of their classes.
+    const hasOffers = offered.some((runs) => runs > 0);
+    this.#admissions.set(
+      name,
+      hasOffers
+        ? admissionFor(ratio, offered)
+        : { level: 0, sharedRatio: ratio },
+    );
   }
 
   /**
