--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -16,6 +16,7 @@
 } from "../decisions/sharing/entry_levels.ts";
 import type { PoolFigures } from "../decisions/sharing/pool_figures.ts";
 import { OfferRates } from "../decisions/sharing/offer_rates.ts";
+import { ScarcePools } from "../decisions/sharing/scarce_pools.ts";
 import type { FleetRoutes } from "../decisions/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
@@ -64,6 +65,7 @@
   #competingAtMs = -Infinity;
   readonly #loggedClassesCounts = new Map<string, number>();
   readonly #completionLevels = new CompletionLevels();
+  readonly #scarcePools = new ScarcePools();
 
   /**
    * @param options Channels to the upstreams, call graph, random numbers and
@@ -201,7 +203,11 @@
           busyRatio,
           offered: offeredRuns,
           demandsOf: (priority) => this.#demands.demandsOf(name, priority),
-          coordinated: this.#coordinate(name, offeredRuns.length, nowMs),
+          coordinated: this.#coordinate(name, {
+            busyRatio,
+            classesCount: offeredRuns.length,
+            nowMs,
+          }),
         });
         this.#logChange(name, Math.ceil(level), busyRatio);
       } else {
@@ -219,14 +225,21 @@
     this.#demands.decay();
   }
 
-  /** Derives the admitted share of a pool for which flows compete. */
+  /** Derives the admitted share of a scarce pool for which flows compete. */
   #coordinate(
     pool: string,
-    classesCount: number,
-    nowMs: number,
+    { busyRatio, classesCount, nowMs }: {
+      busyRatio: number;
+      classesCount: number;
+      nowMs: number;
+    },
   ): CoordinatedLoad | undefined {
     const competing = this.#competing.get(pool);
-    if (competing === undefined) {
+    const isShedding = this.#levels.isShedding(pool);
+    if (
+      competing === undefined ||
+      !this.#scarcePools.isScarce(pool, { busyRatio, isShedding }, nowMs)
+    ) {
       this.#coordination.forgetFigures(pool);
       return undefined;
     }
