--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -197,6 +197,7 @@
       random,
       log,
       retryRatio: REPEAT_RATIO,
+      coordinatesPools: true,
     });
     this.#outbound = this.#createOutbound(observer, decisions);
     this.#config.handle({
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -43,6 +43,8 @@
   log: Logger;
   /** Retries per request of a pool that the daemons may send. */
   retryRatio: number;
+  /** Whether contested pools are coordinated while their room is scarce. */
+  coordinatesPools: boolean;
 };
 
 /** Tenant and rank of a request; without them, those of its route apply. */
@@ -237,7 +239,7 @@
     const competing = this.#competing.get(pool);
     const isShedding = this.#levels.isShedding(pool);
     if (
-      competing === undefined ||
+      competing === undefined || !this.#options.coordinatesPools ||
       !this.#scarcePools.isScarce(pool, { busyRatio, isShedding }, nowMs)
     ) {
       this.#coordination.forgetFigures(pool);
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -106,6 +106,7 @@
     random,
     log,
     retryRatio: RETRY_RATIO,
+    coordinatesPools: true,
   });
   return { admission, state };
 }
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -157,6 +157,7 @@
       random,
       log,
       retryRatio: settings.repeatRatio,
+      coordinatesPools: settings.coordinatesPools,
     });
     this.#outboundService = createOutboundService({
       settings,
--- a/src/schemas/fleet_schema.ts
+++ b/src/schemas/fleet_schema.ts
@@ -43,6 +43,10 @@
   ),
   usageCapWindowMs: z.number().positive().default(5_000)
     .describe("Sliding window over which the usage caps of tenants apply"),
+  coordinatesPools: z.boolean().default(false).describe(
+    "Whether this daemon derives the admission to scarce, contested pools from " +
+      "their capacity and the runs that all daemons offer",
+  ),
   memoryMaxBytes: z.int().positive().optional()
     .describe("Memory that the process may use"),
   descriptorsMaxCount: z.int().positive().optional()
