--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -196,7 +196,9 @@
     this.#rates.step(nowMs);
     this.#updateCompeting(nowMs);
     const offered = this.#demands.offeredByPool(0);
-    const offeredBySeveralRuns = this.#demands.offeredByPool(SINGLE_RUN_MAX);
+    const offeredBySeveralRuns = this.#competing.size === 0
+      ? undefined
+      : this.#demands.offeredByPool(SINGLE_RUN_MAX);
     for (const { name } of routes.config.pools) {
       const busyRatio = this.#busyRatio(name);
       const offeredRuns = offered.get(name);
@@ -221,7 +223,7 @@
       this.#stepCompletion(name, {
         refusedRatio: this.#refusedRatio(name),
         retryRatio: this.#options.retryRatio * COMPLETION_RETRIES_RATIO,
-        offered: offeredBySeveralRuns.get(name) ?? [],
+        offered: offeredBySeveralRuns?.get(name) ?? [],
       });
     }
     this.#demands.decay();
