Measure how late input and frames of peers are read

Cause: a request that reached an endpoint long after its caller had left could have waited unread at the entry, unread beside the endpoint, or on the way. Logs and metrics tell when a request was read, not how long it may have waited, nor how far behind the event loop was, so they cannot tell these apart.

Requests on links carry the monotonic time of their sender, and FrameDelay compares it with the fastest frames of the last seconds. No decision about requests uses them yet.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -283,7 +283,8 @@
       rawHeaders: [REQUEST_ID_HEADER, requestId],
     } as unknown as IncomingMessage;
     const arrivedAtMs = this.#options.events.nowMs;
-    return this.#outbound.handle({ message, body: null, arrivedAtMs }, {
+    const received = { message, body: null, arrivedAtMs, inputDelayMs: 0 };
+    return this.#outbound.handle(received, {
       answer: ({ status }) => onResult({ status, retryAfterMs: undefined }),
       fail: (kind: ErrorKind, retryAfterMs?: number) =>
         onResult({
--- a/src/cli/request_trace.ts
+++ b/src/cli/request_trace.ts
@@ -103,7 +103,10 @@
     `The link to ${upstream} broke while the request was there; it may have run`,
   deadline_exceeded: ({ upstream, tookMs }) =>
     `No answer of ${upstream} within ${tookMs} ms, the time of the route or the caller; it may have run`,
-  cancelled: ({ tookMs }) => `The caller left after ${tookMs} ms`,
+  cancelled: ({ tookMs, inputDelayMs }) =>
+    inputDelayMs === undefined
+      ? `The caller left after ${tookMs} ms`
+      : `The caller left after ${tookMs} ms; the request was read at most ${inputDelayMs} ms late`,
 };
 
 /**
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -1,4 +1,5 @@
 /** Connects the links to the state and the services of the daemon. */
+import type { InputDelay } from "../core/input_delay.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigPeer } from "../link/config_peer.ts";
@@ -19,6 +20,7 @@
 import type { ConfigFollower } from "./config_follower.ts";
 import type { CurrencyTracker } from "./currency_tracker.ts";
 import { ConfigQueries } from "./config_queries.ts";
+import type { InputDelayLog } from "./input_delay_log.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { PoolFiguresSource } from "./pool_figures_source.ts";
 import type { StatePublisher } from "./state_publisher.ts";
@@ -51,6 +53,8 @@
   poolFigures: PoolFiguresSource;
   /** Account of what is held for callers, here and at peers. */
   memory: CallerMemory;
+  inputDelay: Pick<InputDelay, "isBehind" | "measureMs">;
+  inputDelayLog: Pick<InputDelayLog, "recordFrame">;
   log: Logger;
 };
 
@@ -109,7 +113,17 @@
   }
 
   /** @inheritdoc */
-  serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle {
+  get isBehind(): boolean {
+    return this.#parts.inputDelay.isBehind;
+  }
+
+  /** @inheritdoc */
+  serve(
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+    frameDelayMs?: number,
+  ): RequestHandle {
+    this.#parts.inputDelayLog.recordFrame(frameDelayMs ?? 0);
     const bodyBytes = request.body?.length ?? 0;
     if (bodyBytes === 0) {
       return this.#serveInTime(request, receiver);
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -33,6 +33,8 @@
       gate,
       config,
       memory,
+      inputDelay: { isBehind: false, measureMs: () => 0 },
+      inputDelayLog: { recordFrame: () => {} },
       log: new NullLogger(),
     } as unknown as DaemonLinkHostParts,
   );
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -1,6 +1,7 @@
 /** Daemon on a deployment platform: constructs its parts and connects them. */
 import type { Stream } from "most";
 import { EventLoop } from "../core/event_loop.ts";
+import { InputDelay } from "../core/input_delay.ts";
 import type { RandomSource } from "../core/random.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
 import { LinkServer } from "../link/link_server.ts";
@@ -22,6 +23,7 @@
 import { DaemonLinkHost } from "./daemon_link_host.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EntryAdmission } from "./entry_admission.ts";
+import { InputDelayLog } from "./input_delay_log.ts";
 import {
   type FleetDaemonEvent,
   FleetDaemonLifecycle,
@@ -79,6 +81,8 @@
   readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
   readonly #callerLimits: CallerLimits;
+  readonly #inputDelay = new InputDelay();
+  readonly #inputDelayLog: InputDelayLog;
 
   /**
    * @param settings Validated settings.
@@ -90,6 +94,7 @@
     this.#settings = settings;
     this.#options = options;
     this.#callerLimits = createCallerLimits(settings, log);
+    this.#inputDelayLog = new InputDelayLog(this.#inputDelay, log);
     this.#loop = new EventLoop((part, error) =>
       log.error("Control part failed", { part, ...errorFields(error) })
     );
@@ -147,6 +152,8 @@
       publisher: this.#publisher,
       directory: () => this.#directory,
       memory: this.#callerLimits.memory,
+      inputDelay: this.#inputDelay,
+      inputDelayLog: this.#inputDelayLog,
       log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
@@ -178,6 +185,7 @@
     this.#outboundListener = new OutboundListener(
       this.#outboundService,
       this.#callerLimits,
+      this.#inputDelay,
     );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
@@ -199,6 +207,7 @@
           usage: this.#access.usage,
           currency: this.#access.currency,
           callerMemory: this.#callerLimits.memory,
+          inputDelay: this.#inputDelay,
           callerConnectionsCount: () => this.#outboundListener.connectionsCount,
         }),
       (reason) => this.#callerLimits.refusals.countOf(reason),
@@ -349,6 +358,8 @@
     this.#loop.register(this.#directory);
     this.#loop.register(
       new ControlTick({
+        inputDelay: this.#inputDelay,
+        inputDelayLog: this.#inputDelayLog,
         linkHost: this.#linkHost,
         directory: this.#directory,
         linkServer: this.#linkServer,
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -388,8 +388,8 @@
   #end(outcome: string): void {
     clearTimeout(this.#timer);
     this.#endCharge();
-    const { requestId, arrivedAtMs, route, pool, isCall, tenantName } =
-      this.#request;
+    const { requestId, arrivedAtMs, inputDelayMs } = this.#request;
+    const { route, pool, isCall, tenantName } = this.#request;
     this.#parts.onEnd(this.#request, outcome);
     this.#parts.decisions.record("ended", requestId, {
       route: route.name,
@@ -401,6 +401,7 @@
       offersCount: this.#attempts.sendsCount,
       reachedCount: this.#attempts.reachedCount,
       tookMs: Math.round(performance.now() - arrivedAtMs),
+      inputDelayMs: Math.round(inputDelayMs),
     });
   }
 }
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -15,6 +15,7 @@
   route: { name: "r", attemptsMax: 2 } as FleetRoute,
   pool: "votes",
   arrivedAtMs: 0,
+  inputDelayMs: 0,
   expiresAtMs: Infinity,
   goalAtMs: Infinity,
   isCall: false,
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -14,6 +14,7 @@
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import type { InputDelay } from "../core/input_delay.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
 import { stopReading } from "../core/stop_reading.ts";
@@ -49,8 +50,10 @@
 export type ReceivedRequest = {
   readonly message: IncomingMessage;
   readonly body: Uint8Array | null;
-  /** Monotonic time at which the head was received, in ms. */
+  /** Monotonic time at which the head was read, in ms. */
   readonly arrivedAtMs: number;
+  /** Longest time for which it may have waited before that, in ms. */
+  readonly inputDelayMs: number;
 };
 
 /** Handles the requests of the listener. */
@@ -80,6 +83,7 @@
   readonly #server: Server;
   readonly #handler: OutboundHandler;
   readonly #memory: CallerMemory;
+  readonly #inputDelay: Pick<InputDelay, "measureMs">;
   readonly #refusals: CallerRefusals;
   readonly #connections: CallerConnections<Socket>;
   readonly #unreadAnswers = new UnreadAnswers<Socket>();
@@ -97,9 +101,15 @@
   /**
    * @param handler Handles each request.
    * @param limits Bounds on what is held for callers.
+   * @param inputDelay Delay of the input of this process.
    */
-  constructor(handler: OutboundHandler, limits: CallerLimits) {
+  constructor(
+    handler: OutboundHandler,
+    limits: CallerLimits,
+    inputDelay: Pick<InputDelay, "measureMs">,
+  ) {
     this.#handler = handler;
+    this.#inputDelay = inputDelay;
     this.#memory = limits.memory;
     this.#pipelined = new PipelinedRequests(
       limits,
@@ -219,6 +229,7 @@
 
   #receive(message: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
+    const inputDelayMs = this.#inputDelay.measureMs();
     const state = this.#connections.find(message.socket);
     // The answer that closes the connection has been sent, so this request gets
     // none. An HTTP/1.1 client retries the requests that it pipelined after the
@@ -251,7 +262,7 @@
       isHandled = true;
       state.forwardedCount++;
       onDisconnect = this.#handler.handle(
-        { message, body, arrivedAtMs },
+        { message, body, arrivedAtMs, inputDelayMs },
         answerSender,
       );
     };
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from "node:http";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { InputDelay } from "../core/input_delay.ts";
 import { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import { NullLogger } from "../telemetry/logger.ts";
@@ -41,6 +42,7 @@
       upstreamConnectionsMaxCount: 1,
       refusals: new CallerRefusals(new NullLogger()),
     },
+    new InputDelay(),
   );
   const { port } = await listener.listen({ host: "127.0.0.1", port: 0 });
   t.after(() => listener.close());
@@ -82,7 +84,7 @@
     connectionsMaxCount: 10,
     upstreamConnectionsMaxCount: 1,
     refusals,
-  });
+  }, new InputDelay());
 }
 
 /** Handler that answers when the test asks for it. */
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -302,7 +302,7 @@
       access: RequestAccess;
     },
   ): RoutedRequest {
-    const { message, body, arrivedAtMs } = received;
+    const { message, body, arrivedAtMs, inputDelayMs } = received;
     parent?.served.calledRouteNames.push(route.name);
     this.#parts.observer.recordReceived(route.name, parent !== undefined);
     const isCall = key === undefined && this.#isCall(route, parent);
@@ -321,6 +321,7 @@
       route,
       pool,
       arrivedAtMs,
+      inputDelayMs,
       expiresAtMs,
       goalAtMs: inheritedGoalAtMs === undefined
         ? arrivedAtMs + route.latencyGoalMs
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -89,7 +89,12 @@
       rawHeaders: [],
     } as unknown as IncomingMessage;
     const disconnect = service.handle(
-      { message, body: null, arrivedAtMs: performance.now() },
+      {
+        message,
+        body: null,
+        arrivedAtMs: performance.now(),
+        inputDelayMs: 0,
+      },
       { answer: ignore, fail: (kind) => failures.push(kind) },
     );
     disconnect();
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,4 +1,5 @@
 /** Current values of the gauges of a daemon. */
+import type { InputDelay } from "../core/input_delay.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
@@ -23,6 +24,7 @@
   currency: CurrencyTracker;
   usage: FleetUsageCaps;
   callerMemory: CallerMemory;
+  inputDelay: InputDelay;
   /** Number of open connections of callers. */
   callerConnectionsCount: () => number;
 };
@@ -62,5 +64,6 @@
     callerHeldBytes: parts.callerMemory.heldBytes,
     callerHeldMaxBytes: parts.callerMemory.maxBytes,
     callerConnectionsCount: parts.callerConnectionsCount(),
+    inputDelayMs: Math.round(parts.inputDelay.measureMs()),
   };
 }
--- a/src/fleet/routed_request.ts
+++ b/src/fleet/routed_request.ts
@@ -18,6 +18,8 @@
   readonly pool: string;
   /** Monotonic time of arrival, in ms. */
   readonly arrivedAtMs: number;
+  /** Longest time for which it may have waited unread before that, in ms. */
+  readonly inputDelayMs: number;
   /** Deadline of the answer, as a monotonic time in ms. */
   readonly expiresAtMs: number;
   /**
--- a/src/link/link_exchanges.ts
+++ b/src/link/link_exchanges.ts
@@ -77,6 +77,7 @@
       request.isRefusable,
       encoder.encode(request.callerPool),
       this.#options.host.configVersion,
+      Math.round(performance.now()),
     ];
     socket.send(frame);
     return {
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -19,6 +19,7 @@
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
+import { FrameDelay } from "./frame_delay.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 
 /**
@@ -50,8 +51,17 @@
   readonly currencyAgeMs: number | null;
   /** Reported load of the local upstream. */
   readonly ownLoad: LoadReport;
-  /** Serves a request at the local upstream. */
-  serve(request: ForwardedRequest, receiver: ResultReceiver): RequestHandle;
+  /** Whether received frames may have waited for this process. */
+  readonly isBehind: boolean;
+  /**
+   * Serves a request at the local upstream. The delay of its frame, in ms, is
+   * undefined while it is not known.
+   */
+  serve(
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+    frameDelayMs: number | undefined,
+  ): RequestHandle;
   /**
    * Called with the member record in a peer's hello frame. Returns the record
    * that this daemon knows, which may have a departure that the peer has
@@ -93,6 +103,7 @@
     removedMaxCount: REMOVED_MAX_COUNT,
   });
   readonly #onEnd: (link: AcceptedLink) => void;
+  readonly #frameDelay = new FrameDelay();
   /** @inheritdoc */
   peerName = "";
   /** @inheritdoc */
@@ -187,6 +198,18 @@
     this.#handles.delete(exchangeId);
   }
 
+  /** Time that the frame of a request has waited for, in ms, if it is known. */
+  #measureDelay(frame: RequestFrame): number | undefined {
+    // Field 13 is the time of the sender.
+    const sentAtMs = frame[13];
+    return sentAtMs === undefined
+      ? undefined
+      : this.#frameDelay.measure(sentAtMs, {
+        nowMs: performance.now(),
+        isBehind: this.#host.isBehind,
+      });
+  }
+
   #onRequest(frame: RequestFrame): void {
     const exchangeId = frame[1];
     // Field 12 is the configuration version of the sender.
@@ -243,7 +266,7 @@
       onFailure: (failure) => sendFailure(failure),
       onRunning: (runMs) =>
         this.socket.send([FRAME.running, exchangeId, Math.round(runMs)]),
-    });
+    }, this.#measureDelay(frame));
     if (!isDone) {
       this.#handles.set(exchangeId, handle);
     }
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -25,6 +25,7 @@
     ownState: { ...STATE, configVersion: 1 },
     configVersion: 1,
     ownLoad: [0, 0, 0],
+    isBehind: false,
     currencyAgeMs: null,
     config: { version: 1 },
     members: [],
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -145,6 +145,9 @@
     "Pool of the instance whose daemon first received the request",
   ),
   z.number().describe("Configuration version of the sender"),
+  z.number().optional().describe(
+    "Monotonic time of the sender, in ms; earlier versions do not send it",
+  ),
 ]);
 
 /** A forwarded request. */
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -46,6 +46,8 @@
   /** Bound of `callerHeldBytes`. */
   readonly callerHeldMaxBytes: number;
   readonly callerConnectionsCount: number;
+  /** Longest time for which input that is read now may have waited, in ms. */
+  readonly inputDelayMs: number;
 };
 
 /** Current admission of a pool that all daemons coordinate. */
@@ -94,6 +96,7 @@
   callerHeldBytes: "Bytes that are held for callers, or that they announced",
   callerHeldMaxBytes: "Bytes from which on callers are refused",
   callerConnectionsCount: "Open connections of callers",
+  inputDelayMs: "Longest time for which unread input may have waited",
 };
 
 /** A finished request, besides its route and outcome. */
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -30,6 +30,7 @@
     callerHeldBytes: 0,
     callerHeldMaxBytes: 0,
     callerConnectionsCount: 0,
+    inputDelayMs: 0,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
