Start requests that were read late only after the closes behind them

What callers saw: nothing; they had left.

Cause: a request was forwarded in the iteration of the event loop that read it. When the process is behind, the close of the connection already waits behind the request in the same socket, but is read one iteration later. A process that is behind without one long stall was not noticed at all.

Change: while the process is behind with its input, StartQueue starts requests after one more poll for input, in slices of 10 ms between which input is read, and drops those whose connection has ended. A request whose deadline passes before its start is answered so and not sent. In calm, requests start at once.

--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -4,6 +4,7 @@
 import { InputDelay } from "../core/input_delay.ts";
 import type { RandomSource } from "../core/random.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
+import { StartQueue } from "../core/start_queue.ts";
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/peer_link.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
@@ -83,6 +84,7 @@
   readonly #callerLimits: CallerLimits;
   readonly #inputDelay = new InputDelay();
   readonly #inputDelayLog: InputDelayLog;
+  readonly #startQueue = new StartQueue(this.#inputDelay);
 
   /**
    * @param settings Validated settings.
@@ -185,7 +187,7 @@
     this.#outboundListener = new OutboundListener(
       this.#outboundService,
       this.#callerLimits,
-      this.#inputDelay,
+      { inputDelay: this.#inputDelay, startQueue: this.#startQueue },
     );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
@@ -208,6 +210,7 @@
           currency: this.#access.currency,
           callerMemory: this.#callerLimits.memory,
           inputDelay: this.#inputDelay,
+          startQueue: this.#startQueue,
           callerConnectionsCount: () => this.#outboundListener.connectionsCount,
         }),
       (reason) => this.#callerLimits.refusals.countOf(reason),
--- a/src/fleet/forwarded_exchange.ts
+++ b/src/fleet/forwarded_exchange.ts
@@ -184,9 +184,14 @@
 
   /**
    * Action: counts the request for the retry budget and chooses its first
-   * upstream.
+   * upstream, unless its deadline has passed.
    */
   forward(): void {
+    // A request may wait in this process before its start.
+    if (performance.now() >= this.#request.expiresAtMs) {
+      this.#machine.send("expired");
+      return;
+    }
     this.#parts.budget.recordRequest(this.#request.pool, performance.now());
     this.chooseUpstream();
   }
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -125,8 +125,18 @@
   assert.deepEqual(events, ["usage ended", "deadline_exceeded -"]);
 });
 
+// Guards against work without use: a request may wait in the process before it is
+// started.
+test("a request whose deadline has passed before its start is not sent", () => {
+  const events = failAttempts([{ isAdmitted: true }], { expiresInMs: -1 });
+  assert.deepEqual(events, ["charged", "deadline_exceeded", "usage ended"]);
+});
+
 /** Returns what happens to a request whose attempts all fail while they run. */
-function failAttempts(decisions: CapDecision[]): string[] {
+function failAttempts(
+  decisions: CapDecision[],
+  { expiresInMs = 1_000 } = {},
+): string[] {
   const events: string[] = [];
   const channel = {
     member: { name: "one" },
@@ -157,7 +167,7 @@
       ...REQUEST,
       route: { ...REQUEST.route, idempotent: true },
       tenantName: "amber",
-      expiresAtMs: performance.now() + 1_000,
+      expiresAtMs: performance.now() + expiresInMs,
     },
     { answer: () => {}, fail: (kind) => events.push(kind) },
     parts,
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -17,6 +17,7 @@
 import type { InputDelay } from "../core/input_delay.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
+import type { StartQueue } from "../core/start_queue.ts";
 import { stopReading } from "../core/stop_reading.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
@@ -68,8 +69,18 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
+/** Options of {@link OutboundListener}. */
+export type OutboundListenerOptions = {
+  inputDelay: Pick<InputDelay, "measureMs">;
+  startQueue: StartQueue;
+};
+
 type ParserError = Error & { code?: string };
 
+function hasLeft({ readableEnded, destroyed }: Socket): boolean {
+  return readableEnded || destroyed;
+}
+
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
     (headers["content-length"] ?? "0") !== "0";
@@ -84,6 +95,7 @@
   readonly #handler: OutboundHandler;
   readonly #memory: CallerMemory;
   readonly #inputDelay: Pick<InputDelay, "measureMs">;
+  readonly #startQueue: StartQueue;
   readonly #refusals: CallerRefusals;
   readonly #connections: CallerConnections<Socket>;
   readonly #unreadAnswers = new UnreadAnswers<Socket>();
@@ -101,15 +113,17 @@
   /**
    * @param handler Handles each request.
    * @param limits Bounds on what is held for callers.
-   * @param inputDelay Delay of the input of this process.
+   * @param options Delay of the input of this process, and queue that starts the
+   *   requests.
    */
   constructor(
     handler: OutboundHandler,
     limits: CallerLimits,
-    inputDelay: Pick<InputDelay, "measureMs">,
+    { inputDelay, startQueue }: OutboundListenerOptions,
   ) {
     this.#handler = handler;
     this.#inputDelay = inputDelay;
+    this.#startQueue = startQueue;
     this.#memory = limits.memory;
     this.#pipelined = new PipelinedRequests(
       limits,
@@ -261,9 +275,11 @@
     const handle = (body: Uint8Array | null) => {
       isHandled = true;
       state.forwardedCount++;
-      onDisconnect = this.#handler.handle(
-        { message, body, arrivedAtMs, inputDelayMs },
-        answerSender,
+      const request = { message, body, arrivedAtMs, inputDelayMs };
+      onDisconnect = this.#startQueue.add(
+        () => this.#handler.handle(request, answerSender),
+        // The response closes some iterations of the event loop later.
+        { isGone: () => hasLeft(message.socket) },
       );
     };
     const isAdmitted = this.#pipelined.start(message, response, {
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -5,6 +5,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { InputDelay } from "../core/input_delay.ts";
+import { StartQueue } from "../core/start_queue.ts";
 import { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import { NullLogger } from "../telemetry/logger.ts";
@@ -18,6 +19,11 @@
 
 const WAIT_MS = 50;
 
+function createOptions() {
+  const inputDelay = new InputDelay();
+  return { inputDelay, startQueue: new StartQueue(inputDelay) };
+}
+
 // Guards against a caller that is closed as an idle one while it sends a body,
 // because the answer to its earlier request on the connection has been written.
 test("a body that follows an answered request keeps its connection from being idle", async (t) => {
@@ -42,7 +48,7 @@
       upstreamConnectionsMaxCount: 1,
       refusals: new CallerRefusals(new NullLogger()),
     },
-    new InputDelay(),
+    createOptions(),
   );
   const { port } = await listener.listen({ host: "127.0.0.1", port: 0 });
   t.after(() => listener.close());
@@ -84,7 +90,7 @@
     connectionsMaxCount: 10,
     upstreamConnectionsMaxCount: 1,
     refusals,
-  }, new InputDelay());
+  }, createOptions());
 }
 
 /** Handler that answers when the test asks for it. */
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,5 +1,6 @@
 /** Current values of the gauges of a daemon. */
 import type { InputDelay } from "../core/input_delay.ts";
+import type { StartQueue } from "../core/start_queue.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
@@ -25,6 +26,7 @@
   usage: FleetUsageCaps;
   callerMemory: CallerMemory;
   inputDelay: InputDelay;
+  startQueue: StartQueue;
   /** Number of open connections of callers. */
   callerConnectionsCount: () => number;
 };
@@ -65,5 +67,7 @@
     callerHeldMaxBytes: parts.callerMemory.maxBytes,
     callerConnectionsCount: parts.callerConnectionsCount(),
     inputDelayMs: Math.round(parts.inputDelay.measureMs()),
+    startsDelayedCount: parts.startQueue.delayedCount,
+    startsDroppedCount: parts.startQueue.droppedCount,
   };
 }
--- a/src/telemetry/fleet_metrics.ts
+++ b/src/telemetry/fleet_metrics.ts
@@ -48,6 +48,10 @@
   readonly callerConnectionsCount: number;
   /** Longest time for which input that is read now may have waited, in ms. */
   readonly inputDelayMs: number;
+  /** Requests that were started after further input had been read. */
+  readonly startsDelayedCount: number;
+  /** Those among them whose callers had left. */
+  readonly startsDroppedCount: number;
 };
 
 /** Current admission of a pool that all daemons coordinate. */
@@ -97,6 +101,8 @@
   callerHeldMaxBytes: "Bytes from which on callers are refused",
   callerConnectionsCount: "Open connections of callers",
   inputDelayMs: "Longest time for which unread input may have waited",
+  startsDelayedCount: "Requests started after further input was read",
+  startsDroppedCount: "Delayed requests not started: their callers had left",
 };
 
 /** A finished request, besides its route and outcome. */
--- a/src/telemetry/fleet_metrics_test.ts
+++ b/src/telemetry/fleet_metrics_test.ts
@@ -31,6 +31,8 @@
     callerHeldMaxBytes: 0,
     callerConnectionsCount: 0,
     inputDelayMs: 0,
+    startsDelayedCount: 0,
+    startsDroppedCount: 0,
     logLinesDroppedCount: 0,
   }));
   for (let index = 0; index < 200; index++) {
