Take the wait of a frame off the remaining time of its request

What callers saw: nothing; their requests ran at the endpoint after their deadlines, or although they had left.

Cause: a frame carries the remaining time as a duration that starts anew when it is read. Time in the queue of the sender, on the way and unread in the receiver stood still, except after a stall of over 250 ms (or 350 ms without a tick), and then for frames read within 20 ms of it only. The cancel behind a request was read after the request had been sent to the endpoint.

Change: the measured delay of the frame is taken off the remaining time and off the time to the goal. While it is not known and the process is behind, the longest possible delay is, as before. Requests of peers go through StartQueue, so a cancel that has arrived is read first. The two thresholds for stalls in DaemonLinkHost are gone.

--- a/src/fleet/control_tick.ts
+++ b/src/fleet/control_tick.ts
@@ -57,7 +57,7 @@
     const { linkHost, directory, linkServer, access, config } = this.#parts;
     const stalledMs = this.#parts.inputDelay.tick();
     this.#parts.inputDelayLog.tick(nowMs);
-    linkHost.tick(nowMs, stalledMs);
+    linkHost.tick(nowMs);
     directory.tick(nowMs, stalledMs);
     linkServer.tick(nowMs, stalledMs);
     this.#parts.watchElection.tick(nowMs);
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -1,5 +1,6 @@
 /** Connects the links to the state and the services of the daemon. */
 import type { InputDelay } from "../core/input_delay.ts";
+import type { StartQueue } from "../core/start_queue.ts";
 import type { CallGraph } from "../decisions/call_graph.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigPeer } from "../link/config_peer.ts";
@@ -27,16 +28,8 @@
 import type { UpstreamGate } from "./upstream_gate.ts";
 import type { UsageCapPeers } from "./usage_caps.ts";
 
-/**
- * Time after a stall in which received requests may have waited for the process.
- * They are read in the first iterations of the event loop.
- */
-const STALE_WINDOW_MS = 20;
-/**
- * Time without a tick from which the process counts as stalled. After a pause,
- * the event loop reads from connections before it runs timers.
- */
-const TICK_MISSING_MAX_MS = 350;
+/** Wait that is too short to be taken off the remaining time of a request. */
+const WAIT_MIN_MS = 1;
 
 /** Parts of the daemon that {@link DaemonLinkHost} uses. */
 export type DaemonLinkHostParts = {
@@ -55,6 +48,7 @@
   memory: CallerMemory;
   inputDelay: Pick<InputDelay, "isBehind" | "measureMs">;
   inputDelayLog: Pick<InputDelayLog, "recordFrame">;
+  startQueue: StartQueue;
   log: Logger;
 };
 
@@ -65,9 +59,6 @@
 export class DaemonLinkHost implements LinkHost, LinkServerHost {
   readonly #parts: DaemonLinkHostParts;
   readonly #configQueries: ConfigQueries;
-  #tickedAtMs = Infinity;
-  #stallEndedAtMs = -Infinity;
-  #stalledMs = 0;
 
   /**
    * @param parts Parts of the daemon.
@@ -126,7 +117,7 @@
     this.#parts.inputDelayLog.recordFrame(frameDelayMs ?? 0);
     const bodyBytes = request.body?.length ?? 0;
     if (bodyBytes === 0) {
-      return this.#serveInTime(request, receiver);
+      return this.#serveInTime(request, receiver, frameDelayMs);
     }
     const { memory } = this.#parts;
     if (memory.isFull) {
@@ -137,7 +128,7 @@
       });
       return { cancel: () => {} };
     }
-    return this.#serveHolding(bodyBytes, request, receiver);
+    return this.#serveHolding(bodyBytes, request, receiver, frameDelayMs);
   }
 
   /** Serves a request and counts its body until it ends. */
@@ -145,6 +136,7 @@
     bodyBytes: number,
     request: ForwardedRequest,
     receiver: ResultReceiver,
+    frameDelayMs: number | undefined,
   ): RequestHandle {
     const { memory } = this.#parts;
     let isHeld = true;
@@ -165,7 +157,7 @@
         receiver.onFailure(failure);
       },
       onRunning: (runMs) => receiver.onRunning?.(runMs),
-    });
+    }, frameDelayMs);
     return {
       queryRun: () => handle.queryRun?.(),
       cancel: () => {
@@ -175,13 +167,38 @@
     };
   }
 
+  /**
+   * Serves a request, after a cancel that may have arrived behind it has been
+   * read. While the delay of its frame is not known, it is taken to be as long as
+   * it may have been.
+   */
   #serveInTime(
     request: ForwardedRequest,
     receiver: ResultReceiver,
+    frameDelayMs: number | undefined,
   ): RequestHandle {
-    const waitedMs = this.#waitedMaxMs();
-    if (waitedMs === 0) {
-      return this.#parts.gate.serve(request, receiver);
+    const { inputDelay, startQueue } = this.#parts;
+    const unknownDelayMs = inputDelay.isBehind ? inputDelay.measureMs() : 0;
+    const sentAtMs = performance.now() - (frameDelayMs ?? unknownDelayMs);
+    let handle: RequestHandle | undefined;
+    const cancel = startQueue.add(() => {
+      const waitedMs = performance.now() - sentAtMs;
+      const served = this.#serveAfter(waitedMs, request, receiver);
+      handle = served;
+      return () => served.cancel();
+    });
+    return { cancel, queryRun: () => handle?.queryRun?.() };
+  }
+
+  /** Serves a request that has waited, in the time that is left. */
+  #serveAfter(
+    waitedMs: number,
+    request: ForwardedRequest,
+    receiver: ResultReceiver,
+  ): RequestHandle {
+    const { gate } = this.#parts;
+    if (waitedMs < WAIT_MIN_MS) {
+      return gate.serve(request, receiver);
     }
     const remainingMs = request.remainingMs - waitedMs;
     if (remainingMs <= 0) {
@@ -192,35 +209,18 @@
       });
       return { cancel: () => {} };
     }
-    return this.#parts.gate.serve({ ...request, remainingMs }, receiver);
+    const goalRemainingMs = request.goalRemainingMs - waitedMs;
+    return gate.serve({ ...request, remainingMs, goalRemainingMs }, receiver);
   }
 
   /**
-   * Records a control interval, to notice that the process was stalled. Requests
-   * carry their remaining time, which runs on while they wait to be read. Asks
-   * peers again for a configuration that has not arrived.
+   * Asks peers again for a configuration that has not arrived. Called once per
+   * control interval.
    *
    * @param nowMs Monotonic time, in ms.
-   * @param stalledMs Time for which the process was stalled before, in ms.
    */
-  tick(nowMs: number, stalledMs: number): void {
-    this.#tickedAtMs = nowMs;
+  tick(nowMs: number): void {
     this.#configQueries.tick(nowMs);
-    if (stalledMs > 0) {
-      this.#stallEndedAtMs = nowMs;
-      this.#stalledMs = stalledMs;
-    }
-  }
-
-  /** Longest time that a request read now may have waited, in ms. */
-  #waitedMaxMs(): number {
-    const nowMs = performance.now();
-    const sinceTickMs = nowMs - this.#tickedAtMs;
-    if (sinceTickMs > TICK_MISSING_MAX_MS) {
-      return sinceTickMs;
-    }
-    const sinceStallMs = nowMs - this.#stallEndedAtMs;
-    return sinceStallMs < STALE_WINDOW_MS ? this.#stalledMs : 0;
   }
 
   /** @inheritdoc */
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -156,6 +156,7 @@
       memory: this.#callerLimits.memory,
       inputDelay: this.#inputDelay,
       inputDelayLog: this.#inputDelayLog,
+      startQueue: this.#startQueue,
       log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
@@ -275,7 +276,7 @@
 
   get #openCount(): number {
     return this.#outboundListener.openCount +
-      this.#upstreamParts.gate.openCount;
+      this.#upstreamParts.gate.openCount + this.#startQueue.waitingCount;
   }
 
   #createLifecycle(): FleetDaemonLifecycle {
