Read the cancels that have arrived before a freed slot is filled

What callers saw: nothing; requests that they had given up ran.

Cause: a process that was paused reads the answer that frees a slot, and starts the waiting request whose cancel lies unread on another connection.

Change: while the process is behind, waiting requests start through StartQueue, after one more poll for input.

Evidence: the new test of upstream_gate_test fails without the change (checked by starting at once): /gone is sent before /wanted. It could not be made to fail with real processes, because the link happened to be read first.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -155,6 +155,8 @@
           }),
       } as unknown as UpstreamHttpClient,
       heartbeatMs: HEARTBEAT_MS,
+      // The simulation has no input that is read late.
+      startQueue: { add: (start) => start() },
       observer,
       decisions,
       log,
--- a/src/fleet/create_upstream_parts.ts
+++ b/src/fleet/create_upstream_parts.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of a daemon that serve its local upstream. */
 import { SystemClock } from "../core/clock.ts";
+import type { StartQueue } from "../core/start_queue.ts";
 import type { CallObserver } from "../decisions/call_graph.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
@@ -15,6 +16,7 @@
   settings: FleetSettings;
   platform: FleetPlatform;
   observer: CallObserver;
+  startQueue: StartQueue;
   decisions: DecisionLog;
   log: Logger;
   /** Maximum number of connections to the upstream. */
@@ -67,6 +69,7 @@
     client,
     heartbeatMs: settings.heartbeatMs,
     observer: options.observer,
+    startQueue: options.startQueue,
     decisions: options.decisions,
     log,
     requestIdHeader: platform.headers.requestId,
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -113,6 +113,7 @@
       settings,
       platform,
       observer: this.#callObserver,
+      startQueue: this.#startQueue,
       decisions,
       log,
       connectionsMaxCount: this.#callerLimits.upstreamConnectionsMaxCount,
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -1,4 +1,5 @@
 /** Concurrency limit and queue of the local upstream. */
+import type { StartQueue } from "../core/start_queue.ts";
 import type { CallObserver } from "../decisions/call_graph.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import { SlotQueue } from "../decisions/sharing/slot_queue.ts";
@@ -52,6 +53,8 @@
   heartbeatMs: number;
   /** Receives the downstream calls of each run. */
   observer: CallObserver;
+  /** Delays the start of waiting requests until their cancels have been read. */
+  startQueue: Pick<StartQueue, "add">;
   decisions: DecisionLog;
   log: Logger;
   /** Name of the header with the caller's request id, in lower case. */
@@ -69,6 +72,7 @@
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   readonly #starts: StartControl;
   #isStopped = false;
+  #isStartDue = false;
 
   /**
    * @param options Upstream, its HTTP client, observer of downstream calls and
@@ -390,8 +394,21 @@
     }
   }
 
-  /** Runs waiting requests while slots are free. */
+  /** Runs waiting requests, once cancels that have arrived are known. */
   #startWaiting(): void {
+    if (this.waitingCount === 0 || this.#isStartDue) {
+      return;
+    }
+    this.#isStartDue = true;
+    this.#options.startQueue.add(() => {
+      this.#isStartDue = false;
+      this.#startWhileFree();
+      return () => {};
+    });
+  }
+
+  /** Runs waiting requests while slots are free. */
+  #startWhileFree(): void {
     this.#slots.setLimit(this.capacity.presentLimitCount(performance.now()));
     for (;;) {
       const next = this.#starts.mayStart(this.runningCount)
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setImmediate as nextIteration } from "node:timers/promises";
+import { StartQueue } from "../core/start_queue.ts";
 import { CallObserver } from "../decisions/call_graph.ts";
 import type {
   ForwardedRequest,
@@ -14,7 +16,7 @@
 const UPSTREAM_ID = "u-1";
 
 /** Creates the gate of an upstream that has one slot and never answers. */
-function createGate(slotsCount = 1) {
+function createGate(slotsCount = 1, inputDelay = { isBehind: false }) {
   const sentPaths: string[] = [];
   const upstream = {
     report: { upstreamId: UPSTREAM_ID, slotsCount },
@@ -34,6 +36,7 @@
     client,
     heartbeatMs: 1_500,
     observer: new CallObserver(),
+    startQueue: new StartQueue(inputDelay),
     decisions: new DecisionLog(new NullLogger()),
     log: new NullLogger(),
     requestIdHeader: "request-id",
@@ -104,6 +107,22 @@
   ]);
 });
 
+// Guards against work for callers that have left: a process that was paused reads
+// the answer that frees a slot before the cancel of the request that waits for it.
+test("a waiting request whose cancel has arrived does not run when a slot becomes free", async () => {
+  const inputDelay = { isBehind: false };
+  const { serve, sentPaths } = createGate(1, inputDelay);
+  const running = serve("/running");
+  const [gone] = [serve("/gone"), serve("/wanted")];
+  inputDelay.isBehind = true;
+  running.cancel();
+  gone.cancel();
+  for (let iteration = 0; iteration < 3; iteration++) {
+    await nextIteration();
+  }
+  assert.deepEqual(sentPaths, ["/running", "/wanted"]);
+});
+
 // Callers would send more to a slow upstream than it handles, or would follow
 // each short trial of another limit.
 test("the learned limit is published, and that of a trial only applies", () => {
