Drop requests of gone callers in the product's data path, too

What callers saw: nothing; upstreams ran requests whose callers had left while the daemon did not read its connections.

Cause: the class of fault of the fleet's daemon: the close of a connection is read one iteration of the event loop after the request before it, and a freed slot is filled before cancels have been read.

Change: EntryHandler and HopHandler send requests through StartQueue once their bodies are received, and InboundService polls its queue through it. hasLeft is shared with the fleet's listener.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -6,6 +6,9 @@
 import { ConfigStore } from "../config/config_store.ts";
 import { type Clock, SystemClock } from "../core/clock.ts";
 import { EventLoop } from "../core/event_loop.ts";
+import { CONTROL_TICK_MS, InputDelay } from "../core/input_delay.ts";
+import { StartQueue } from "../core/start_queue.ts";
+import { timerStream } from "../core/timer_stream.ts";
 import { hash32 } from "../core/hash.ts";
 import { type RandomSource, SeededRandom } from "../core/random.ts";
 import { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
@@ -243,6 +246,7 @@
     instance: settings.instance,
   });
   const ledger = new MemoryLedger(LEDGER_LIMITS);
+  const inputDelay = new InputDelay();
   const dataPath = new DataPath({
     config,
     directory,
@@ -258,6 +262,7 @@
     keyClock,
     observer: metrics.requests,
     bounds,
+    startQueue: new StartQueue(inputDelay),
   }, {
     identity,
     keys: settings.peers.keys,
@@ -366,6 +371,11 @@
   loop.register(lifecycle);
   loop.register(drain);
   loop.register(housekeeping);
+  loop.register({
+    name: "input delay",
+    inputs: timerStream(CONTROL_TICK_MS),
+    handle: () => void inputDelay.tick(),
+  });
   loop.register({
     name: "rules in force",
     inputs: controlPlane.configChanges,
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -14,6 +14,7 @@
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import { hasLeft } from "../core/has_left.ts";
 import type { InputDelay } from "../core/input_delay.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { OpenResponses } from "../core/open_responses.ts";
@@ -77,10 +78,6 @@
 
 type ParserError = Error & { code?: string };
 
-function hasLeft({ readableEnded, destroyed }: Socket): boolean {
-  return readableEnded || destroyed;
-}
-
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
     (headers["content-length"] ?? "0") !== "0";
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -1,5 +1,6 @@
 /** Connects the stages of the data path. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { StartQueue } from "../core/start_queue.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
 import type { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
@@ -20,7 +21,7 @@
 import { OutboundService } from "./outbound_service.ts";
 import { RunningRequests } from "./running_requests.ts";
 
-/** Policies, data sources, ledger, observer and bounds of the data path. */
+/** Policies, data sources, ledger, observer, bounds and queue of the data path. */
 export type DataPathParts = {
   config: ConfigSource;
   directory: UpstreamDirectory;
@@ -31,6 +32,8 @@
   keyClock: KeyClock;
   observer: RequestObserver;
   bounds: CallerBounds;
+  /** Starts requests once what has arrived behind them has been read. */
+  startQueue: StartQueue;
 };
 
 /** Options of {@link DataPath}. */
@@ -75,11 +78,11 @@
   readonly #hopHandler: HopHandler;
 
   /**
-   * @param parts Policies, data sources, ledger, observer and bounds.
+   * @param parts Policies, data sources, ledger, observer, bounds and queue.
    * @param options Identity, keys and clocks.
    */
   constructor(parts: DataPathParts, options: DataPathOptions) {
-    const { config, policies, observer, bounds } = parts;
+    const { config, policies, observer, bounds, startQueue } = parts;
     const { identity, nowMs } = options;
     const { instanceId } = identity;
     const runningRequests = this.#runningRequests;
@@ -92,6 +95,7 @@
       instanceId,
       nowMs,
       observer,
+      startQueue,
       keyedGate: this.#keyedGate,
       tenantWeight: (tenant) =>
         config.current()?.tables.routes.tenants[tenant]?.weight ?? 1,
@@ -113,15 +117,18 @@
       config,
       outbound,
       bodies: new BodyReader("callers", { bounds, nowMs }),
+      startQueue,
     }, { nowMs });
     this.#localUpstreamHandler = new EntryHandler({
       config,
       outbound,
       bodies: new BodyReader("outbound", { bounds, nowMs }),
+      startQueue,
       runningRequests,
     }, { nowMs });
     this.#hopHandler = new HopHandler(this.inbound, this.tokens, {
       bodies: new BodyReader("hop", { bounds, nowMs }),
+      startQueue,
       identity,
       nowMs,
     });
--- a/src/proxy/entry_handler.ts
+++ b/src/proxy/entry_handler.ts
@@ -1,13 +1,15 @@
 /** Handles requests of external callers and calls of the local upstream. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { v4 as randomRequestId } from "uuid";
+import { hasLeft } from "../core/has_left.ts";
+import type { Cancel, StartQueue } from "../core/start_queue.ts";
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
 import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
 import { homeDataCentre } from "../decisions/key_owner.ts";
 import { admissionKey } from "../decisions/importance.ts";
 import type { RouteRules } from "../decisions/route_matcher.ts";
 import { RelayError } from "../errors/relay_error.ts";
-import type { Failure } from "./answer_receiver.ts";
+import type { Failure, ForwardRequest } from "./answer_receiver.ts";
 import type { BodyReader } from "./body_reader.ts";
 import { filterHeaders } from "./header_filter.ts";
 import type { OutboundService } from "./outbound_service.ts";
@@ -22,6 +24,7 @@
   config: ConfigSource;
   outbound: OutboundService;
   bodies: BodyReader;
+  startQueue: StartQueue;
   /** Registry of running requests; set for calls of the local upstream only. */
   runningRequests?: RunningRequests;
 };
@@ -32,6 +35,12 @@
   nowMs: () => number;
 };
 
+type ForwardOptions = {
+  context: RequestContext;
+  rules: RouteRules;
+  parent: RunningRequest | undefined;
+};
+
 /** Reads the caller's limit on the time until the answer's head, in ms. */
 function readTimeLimitMs(request: IncomingMessage): number | undefined {
   const text = request.headers["goldcrest-deadline-ms"];
@@ -84,8 +93,8 @@
   readonly #tenants = new TenantCheck();
 
   /**
-   * @param parts Configuration, outbound service, reader of bodies and running
-   *   requests.
+   * @param parts Configuration, outbound service, reader of bodies, queue that
+   *   starts the requests, and running requests.
    * @param options Clock.
    */
   constructor(parts: EntryHandlerParts, options: EntryHandlerOptions) {
@@ -124,19 +133,31 @@
   async #forward(
     request: IncomingMessage,
     response: ServerResponse,
-    options: {
-      context: RequestContext;
-      rules: RouteRules;
-      parent: RunningRequest | undefined;
-    },
+    options: ForwardOptions,
   ): Promise<void> {
-    const { context, rules, parent } = options;
-    const { requestId, tenant } = context;
+    const { context, rules } = options;
     try {
       const body = await this.#parts.bodies.read(request, response, {
         bodyMaxBytes: rules.route.bodyMaxBytes,
         deadlineMs: context.deadlineMs,
       });
+      this.#parts.startQueue.add(
+        () => this.#send(request, response, { ...options, body }),
+        { isGone: () => hasLeft(request.socket) },
+      );
+    } catch (error) {
+      this.#answerError(response, error, context);
+    }
+  }
+
+  /** Sends a request to an upstream. Its response cancels it when it closes. */
+  #send(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { context, parent, body }: ForwardOptions & Pick<ForwardRequest, "body">,
+  ): Cancel {
+    const { requestId, tenant } = context;
+    try {
       const receiver = new ResponseReceiver(
         response,
         new PublicAnswerDecorator(requestId, tenant),
@@ -152,8 +173,9 @@
       );
       receiver.connect(source);
     } catch (error) {
-      this.#answerError(response, error, { requestId, tenant });
+      this.#answerError(response, error, context);
     }
+    return () => {};
   }
 
   #findParent(request: IncomingMessage): RunningRequest | undefined {
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -1,6 +1,13 @@
 /** Handles requests of other daemons for the local upstream. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AnswerHead, Failure, ServingState } from "./answer_receiver.ts";
+import { hasLeft } from "../core/has_left.ts";
+import type { Cancel, StartQueue } from "../core/start_queue.ts";
+import type {
+  AnswerHead,
+  Failure,
+  ForwardRequest,
+  ServingState,
+} from "./answer_receiver.ts";
 import { RelayError } from "../errors/relay_error.ts";
 import type { BodyReader } from "./body_reader.ts";
 import { filterHeaders } from "./header_filter.ts";
@@ -21,6 +28,7 @@
 export type HopHandlerOptions = {
   /** Reads the bodies of the requests. */
   bodies: BodyReader;
+  startQueue: StartQueue;
   /**
    * Identity of this daemon. The incarnation is read at each use, because it
    * may be raised at run time.
@@ -36,6 +44,13 @@
 // The entry daemon has already enforced the route's limit on the body.
 const HOP_BODY_MAX_BYTES = Number.MAX_SAFE_INTEGER;
 
+function failureOf(error: unknown): Failure {
+  return error instanceof RelayError
+    ? { kind: error.kind, outcome: error.outcome }
+    // An unexpected error may occur after the request was forwarded.
+    : { kind: "internal", outcome: "unknown" };
+}
+
 /** Adds the header of a hop answer, which the calling daemon checks. */
 class HopAnswerDecorator implements AnswerDecorator {
   readonly #requestId: string;
@@ -88,7 +103,8 @@
   /**
    * @param inbound Service of the local upstream.
    * @param tokens Tokens that authenticate requests and answers.
-   * @param options Reader of bodies, identity and clock.
+   * @param options Reader of bodies, queue that starts the requests, identity and
+   *   clock.
    */
   constructor(
     inbound: InboundService,
@@ -138,16 +154,24 @@
         request.rawHeaders,
         request.headers.connection,
       );
-      const source = this.#inbound.serve({ context, headers, body }, receiver);
+      this.#options.startQueue.add(
+        () => this.#start({ context, headers, body }, receiver),
+        { isGone: () => hasLeft(request.socket) },
+      );
+    } catch (error) {
+      receiver.onFailure(failureOf(error));
+    }
+  }
+
+  /** Serves a request. Its response cancels it when it closes. */
+  #start(request: ForwardRequest, receiver: ResponseReceiver): Cancel {
+    try {
+      const source = this.#inbound.serve(request, receiver);
       receiver.connect(source);
     } catch (error) {
-      receiver.onFailure(
-        error instanceof RelayError
-          ? { kind: error.kind, outcome: error.outcome }
-          // An unexpected error may occur after the request was forwarded.
-          : { kind: "internal", outcome: "unknown" },
-      );
+      receiver.onFailure(failureOf(error));
     }
+    return () => {};
   }
 
   #authenticate(request: IncomingMessage): HopRequestFields | undefined {
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -1,5 +1,6 @@
 /** Admits requests to the local upstream and forwards them. */
 import { ChurnMap } from "../core/churn_map.ts";
+import type { StartQueue } from "../core/start_queue.ts";
 import type {
   AdmissionPolicy,
   FinishedRequest,
@@ -32,6 +33,8 @@
    * running them.
    */
   observer: RequestObserver;
+  /** Starts waiting requests once their cancels have been read. */
+  startQueue: StartQueue;
   /** Checks keyed requests before they are admitted and before they run. */
   keyedGate: KeyedGate;
   /** Weight of a tenant under overload. */
@@ -77,12 +80,14 @@
   readonly #exchanges = new ChurnMap<number, InboundExchange>();
   #upstream: AttachedUpstream | undefined;
   #pollTimer: NodeJS.Timeout | undefined;
+  #isStartDue = false;
   #nextTicket = 1;
   #draining = false;
 
   /**
    * @param runningRequests Registry of running requests.
-   * @param options Identity, clock, observer, gate for keyed requests and weights.
+   * @param options Identity, clock, observer, queue, gate for keyed requests and
+   *   weights.
    */
   constructor(
     runningRequests: RunningRequests,
@@ -161,7 +166,7 @@
     }
     this.#upstream?.admission.finish(finished, this.nowMs());
     this.#record(exchange, RECORD_RESULTS[finished.result]);
-    this.#poll();
+    this.#startWaiting();
   }
 
   /** @inheritdoc */
@@ -239,10 +244,23 @@
       return;
     }
     exchange.markQueued();
-    this.#poll();
+    this.#startWaiting();
     this.#schedulePoll();
   }
 
+  /** Polls the queue, once cancels that have arrived are known. */
+  #startWaiting(): void {
+    if (this.#isStartDue) {
+      return;
+    }
+    this.#isStartDue = true;
+    this.#options.startQueue.add(() => {
+      this.#isStartDue = false;
+      this.#poll();
+      return () => {};
+    });
+  }
+
   #poll(): void {
     const decisions = this.#upstream?.admission.poll(this.nowMs()) ?? [];
     for (const { ticket, decision } of decisions) {
@@ -265,7 +283,7 @@
     }
     this.#pollTimer = setTimeout(() => {
       this.#pollTimer = undefined;
-      this.#poll();
+      this.#startWaiting();
       if ((this.#upstream?.admission.load().queuedCount ?? 0) > 0) {
         this.#schedulePoll();
       }
