Bound an unknown delay of a frame by the stall of the process

Cause: a frame on a new link has no measured delay. The time since the process last waited for input took its place, which for a process that is busy without a pause is far longer than any frame can have waited; requests that are still wanted would have been refused.

FrameDelay becomes MessageDelay in src/core, for the product's hop.

--- a/src/core/input_delay.ts
+++ b/src/core/input_delay.ts
@@ -34,6 +34,7 @@
   #busySinceMs: number;
   /** Infinite before the first tick, so that the start is no pause. */
   #tickedAtMs = Infinity;
+  #lastLateMs = 0;
   #longestMs = 0;
 
   /**
@@ -80,6 +81,23 @@
     return delayMs;
   }
 
+  /**
+   * Measures how long the process may have been stalled: one iteration of the
+   * event loop was long, or the process was paused. A process that is busy without
+   * a pause, and reads its input in each short iteration, is not stalled.
+   *
+   * @returns Longest time for which input that is read now may have waited because
+   *   of a stall, in ms; 0 without one.
+   */
+  measureStallMs(): number {
+    this.measureMs();
+    const overdueMs = this.#measuredAtMs - this.#tickedAtMs - CONTROL_TICK_MS;
+    if (overdueMs >= BEHIND_MIN_MS) {
+      return overdueMs;
+    }
+    return this.#busySinceMs <= this.#tickedAtMs ? this.#lastLateMs : 0;
+  }
+
   /**
    * Reads the longest delay that was measured, and begins anew.
    *
@@ -102,7 +120,8 @@
     this.measureMs();
     const lateMs = this.#measuredAtMs - this.#tickedAtMs - CONTROL_TICK_MS;
     this.#tickedAtMs = this.#measuredAtMs;
-    return lateMs >= BEHIND_MIN_MS ? lateMs : 0;
+    this.#lastLateMs = lateMs >= BEHIND_MIN_MS ? lateMs : 0;
+    return this.#lastLateMs;
   }
 }
 
--- a/src/core/input_delay_test.ts
+++ b/src/core/input_delay_test.ts
@@ -42,6 +42,7 @@
     run(60);
     assert.equal(delay.measureMs(), step * 60);
     assert.equal(delay.tick(), 0);
+    assert.equal(delay.measureStallMs(), 0);
   }
   assert.ok(delay.isBehind);
   wait(1);
@@ -53,12 +54,15 @@
   delay.tick();
   wait(CONTROL_TICK_MS + 1_000);
   assert.equal(delay.measureMs(), 1_000);
+  assert.equal(delay.measureStallMs(), 1_000);
   assert.equal(delay.tick(), 1_000);
   run(5);
   assert.equal(delay.measureMs(), 1_005);
+  assert.equal(delay.measureStallMs(), 1_000);
   wait(1);
   run(5);
   assert.equal(delay.measureMs(), 5);
+  assert.equal(delay.measureStallMs(), 0);
 });
 
 test("a tick that is hardly late shows no stall", () => {
--- a/src/link/frame_delay.ts
+++ b/src/core/message_delay.ts
@@ -1,20 +1,20 @@
-/** Measures how long frames wait between two daemons. */
+/** Measures how long messages wait between two processes. */
 
 /**
- * Time for which a frame counts as a sample of the fastest ones. The clocks of
+ * Time for which a message counts as a sample of the fastest ones. The clocks of
  * two machines drift apart by less than a millisecond in it.
  */
 const WINDOW_MS = 5_000;
 
 /**
- * Compares the clocks of the two ends of a connection by the frames that took
- * least (one-way delay variation). What a frame took beyond that, it has waited:
- * in the queue of its sender, on the way, or unread.
+ * Compares the clocks of the two ends of a connection by the messages that took
+ * least (one-way delay variation). What a message took beyond that, it has
+ * waited: in the queue of its sender, on the way, or unread.
  *
  * @example
- * const delayMs = frameDelay.measure(sentAtMs, { nowMs, isBehind: false });
+ * const delayMs = delay.measure(sentAtMs, { nowMs, isBehind: false });
  */
-export class FrameDelay {
+export class MessageDelay {
   #windowStartedAtMs = -Infinity;
   /**
    * Least difference between the clock of the receiver at the arrival and that of
@@ -24,13 +24,13 @@
   #lastLeastMs = Infinity;
 
   /**
-   * Measures the delay of a frame.
+   * Measures the delay of a message.
    *
    * @param sentAtMs Monotonic time of the sender, in ms.
    * @param receiver Monotonic time of the receiver in ms, and whether it is behind
    *   with its input.
-   * @returns Time that the frame has waited for at least, in ms; undefined while
-   *   no frame has been received without a wait.
+   * @returns Time that the message has waited for at least, in ms; undefined while
+   *   none has been received without a wait.
    */
   measure(
     sentAtMs: number,
--- a/src/link/frame_delay_test.ts
+++ b/src/core/message_delay_test.ts
@@ -1,14 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { FrameDelay } from "./frame_delay.ts";
+import { MessageDelay } from "./message_delay.ts";
 
 /** Difference between the clocks of the two ends. */
 const CLOCKS_MS = 7_000;
 const TRANSIT_MS = 2;
 
-/** Returns a function that measures a frame by its start and its wait. */
+/** Returns a function that measures a message by its start and its wait. */
 function createMeasure() {
-  const delay = new FrameDelay();
+  const delay = new MessageDelay();
   return (sentAtMs: number, waitMs: number, isBehind = false) =>
     delay.measure(sentAtMs, {
       nowMs: CLOCKS_MS + sentAtMs + TRANSIT_MS + waitMs,
@@ -16,7 +16,7 @@
     });
 }
 
-test("a frame that waited is measured against the fastest one", () => {
+test("a message that waited is measured against the fastest one", () => {
   const measure = createMeasure();
   assert.equal(measure(0, 30), 0);
   assert.equal(measure(10, 0), 0);
@@ -32,7 +32,7 @@
   assert.equal(measure(800, 250, true), 250);
 });
 
-// Guards against a clock that is set back, after which frames would count as
+// Guards against a clock that is set back, after which messages would count as
 // delayed for as long as the connection lasts.
 test("a lasting change of the difference counts as a delay for a limited time", () => {
   const measure = createMeasure();
@@ -44,7 +44,7 @@
   assert.deepEqual(waits.slice(110), waits.slice(110).map(() => 0));
 });
 
-test("a connection without frames for long begins anew", () => {
+test("a connection without messages for long begins anew", () => {
   const measure = createMeasure();
   assert.equal(measure(0, 0), 0);
   assert.equal(measure(30_000, 500), 0);
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -46,7 +46,7 @@
   poolFigures: PoolFiguresSource;
   /** Account of what is held for callers, here and at peers. */
   memory: CallerMemory;
-  inputDelay: Pick<InputDelay, "isBehind" | "measureMs">;
+  inputDelay: Pick<InputDelay, "isBehind" | "measureStallMs">;
   inputDelayLog: Pick<InputDelayLog, "recordFrame">;
   startQueue: StartQueue;
   log: Logger;
@@ -169,8 +169,8 @@
 
   /**
    * Serves a request, after a cancel that may have arrived behind it has been
-   * read. While the delay of its frame is not known, it is taken to be as long as
-   * it may have been.
+   * read. While the delay of its frame is not known, it may have waited for as long
+   * as the process was stalled.
    */
   #serveInTime(
     request: ForwardedRequest,
@@ -178,8 +178,8 @@
     frameDelayMs: number | undefined,
   ): RequestHandle {
     const { inputDelay, startQueue } = this.#parts;
-    const unknownDelayMs = inputDelay.isBehind ? inputDelay.measureMs() : 0;
-    const sentAtMs = performance.now() - (frameDelayMs ?? unknownDelayMs);
+    const delayMs = frameDelayMs ?? inputDelay.measureStallMs();
+    const sentAtMs = performance.now() - delayMs;
     let handle: RequestHandle | undefined;
     const cancel = startQueue.add(() => {
       const waitedMs = performance.now() - sentAtMs;
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -40,7 +40,7 @@
   };
   const config = { version: 1 };
   const memory = new CallerMemory(MEMORY_MAX_BYTES);
-  const inputDelay = { isBehind: delayMs > 0, measureMs: () => delayMs };
+  const inputDelay = { isBehind: delayMs > 0, measureStallMs: () => delayMs };
   const host = new DaemonLinkHost(
     {
       gate,
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -8,6 +8,7 @@
 } from "./upstream_channel.ts";
 import { ChurnMap } from "../core/churn_map.ts";
 import { listenOn } from "../core/listen_on.ts";
+import { MessageDelay } from "../core/message_delay.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import {
@@ -19,7 +20,6 @@
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
-import { FrameDelay } from "./frame_delay.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 
 /**
@@ -103,7 +103,7 @@
     removedMaxCount: REMOVED_MAX_COUNT,
   });
   readonly #onEnd: (link: AcceptedLink) => void;
-  readonly #frameDelay = new FrameDelay();
+  readonly #frameDelay = new MessageDelay();
   /** @inheritdoc */
   peerName = "";
   /** @inheritdoc */
