Take the wait of a hop request off its remaining time

What callers saw: nothing; their requests ran after their deadlines.

Cause: the header of a hop request carries the remaining time as a duration that starts anew when the header is read, as the frames of the fleet's daemon did.

Change: the header carries the monotonic time of the sender as a further number of the field with the times, which earlier versions ignore. HopHandler measures the delay on each connection; InboundService refuses a request whose deadline has passed, in place of sending it and cutting it at once.

Tests: new in listeners_test. The golden files get the new number, which is masked like the others.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -263,6 +263,7 @@
     observer: metrics.requests,
     bounds,
     startQueue: new StartQueue(inputDelay),
+    inputDelay,
   }, {
     identity,
     keys: settings.peers.keys,
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -1,5 +1,6 @@
 /** Connects the stages of the data path. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { InputDelay } from "../core/input_delay.ts";
 import type { StartQueue } from "../core/start_queue.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
@@ -34,6 +35,7 @@
   bounds: CallerBounds;
   /** Starts requests once what has arrived behind them has been read. */
   startQueue: StartQueue;
+  inputDelay: InputDelay;
 };
 
 /** Options of {@link DataPath}. */
@@ -78,7 +80,8 @@
   readonly #hopHandler: HopHandler;
 
   /**
-   * @param parts Policies, data sources, ledger, observer, bounds and queue.
+   * @param parts Policies, data sources, ledger, observer, bounds, queue and
+   *   delay of the input.
    * @param options Identity, keys and clocks.
    */
   constructor(parts: DataPathParts, options: DataPathOptions) {
@@ -129,6 +132,7 @@
     this.#hopHandler = new HopHandler(this.inbound, this.tokens, {
       bodies: new BodyReader("hop", { bounds, nowMs }),
       startQueue,
+      inputDelay: parts.inputDelay,
       identity,
       nowMs,
     });
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -1,6 +1,9 @@
 /** Handles requests of other daemons for the local upstream. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { hasLeft } from "../core/has_left.ts";
+import type { InputDelay } from "../core/input_delay.ts";
+import { MessageDelay } from "../core/message_delay.ts";
 import type { Cancel, StartQueue } from "../core/start_queue.ts";
 import type {
   AnswerHead,
@@ -29,6 +32,7 @@
   /** Reads the bodies of the requests. */
   bodies: BodyReader;
   startQueue: StartQueue;
+  inputDelay: Pick<InputDelay, "isBehind" | "measureStallMs">;
   /**
    * Identity of this daemon. The incarnation is read at each use, because it
    * may be raised at run time.
@@ -99,12 +103,14 @@
   readonly #inbound: InboundService;
   readonly #tokens: HopTokens;
   readonly #options: HopHandlerOptions;
+  /** Delays on the connections, whose peers have clocks of their own. */
+  readonly #delays = new WeakMap<Socket, MessageDelay>();
 
   /**
    * @param inbound Service of the local upstream.
    * @param tokens Tokens that authenticate requests and answers.
-   * @param options Reader of bodies, queue that starts the requests, identity and
-   *   clock.
+   * @param options Reader of bodies, queue that starts the requests, delay of the
+   *   input, identity and clock.
    */
   constructor(
     inbound: InboundService,
@@ -214,12 +220,27 @@
       repeated: fields.repeated,
       depthCount: fields.depthCount,
       attemptsLeftCount: fields.attemptsLeftCount,
-      deadlineMs: this.#options.nowMs() + fields.remainingMs,
+      deadlineMs: this.#options.nowMs() + fields.remainingMs -
+        this.#measureDelay(request.socket, fields),
       idleTimeoutMs: fields.idleTimeoutMs,
       idempotencyKey: fields.keyed && typeof key === "string" ? key : undefined,
     };
   }
 
+  /** Time for which a request has waited since it was sent, in ms. */
+  #measureDelay(socket: Socket, { sentAtMs }: HopRequestFields): number {
+    const { inputDelay, nowMs } = this.#options;
+    if (sentAtMs === undefined) {
+      return inputDelay.measureStallMs();
+    }
+    const delay = this.#delays.get(socket) ?? new MessageDelay();
+    this.#delays.set(socket, delay);
+    return delay.measure(sentAtMs, {
+      nowMs: nowMs(),
+      isBehind: inputDelay.isBehind,
+    }) ?? inputDelay.measureStallMs();
+  }
+
   #createDecorator(
     requestId: string,
     toInstanceId: string,
--- a/src/proxy/hop_header.ts
+++ b/src/proxy/hop_header.ts
@@ -15,6 +15,7 @@
 export const HOP_ANSWER_HEADER = "goldcrest-answer";
 
 const SEPARATOR = ";";
+const TIMES_SEPARATOR = ",";
 const REQUEST_PARTS_COUNT = 15;
 // Bits of the flags of a request.
 const IDEMPOTENT_FLAG = 1;
@@ -45,6 +46,11 @@
   attemptsLeftCount: z.int().min(0).max(5),
   remainingMs: z.int().min(0),
   idleTimeoutMs: z.int().min(1),
+  /**
+   * Monotonic time of the sending daemon, in ms; earlier versions do not send it
+   * and ignore it.
+   */
+  sentAtMs: z.int().min(0).optional(),
 });
 /** Fields of a hop request. */
 export type HopRequestFields = z.infer<typeof hopRequestFieldsSchema>;
@@ -96,7 +102,9 @@
     (fields.repeated ? REPEATED_FLAG : 0),
     fields.depthCount,
     fields.attemptsLeftCount,
-    `${fields.remainingMs},${fields.idleTimeoutMs}`,
+    [fields.remainingMs, fields.idleTimeoutMs, fields.sentAtMs]
+      .filter((timeMs) => timeMs !== undefined)
+      .join(TIMES_SEPARATOR),
     token,
   ].join(SEPARATOR);
 }
@@ -114,7 +122,8 @@
   if (parts.length !== REQUEST_PARTS_COUNT || parts[0] !== HOP_VERSION) {
     return undefined;
   }
-  const [remainingMs, idleTimeoutMs] = (parts[13] as string).split(",");
+  const [remainingMs, idleTimeoutMs, sentAtMs] = (parts[13] as string)
+    .split(TIMES_SEPARATOR);
   const result = hopRequestFieldsSchema.safeParse({
     requestId: parts[1],
     fromInstanceId: parts[2],
@@ -132,6 +141,7 @@
     attemptsLeftCount: Number(parts[12]),
     remainingMs: Number(remainingMs),
     idleTimeoutMs: Number(idleTimeoutMs),
+    sentAtMs: sentAtMs === undefined ? undefined : Number(sentAtMs),
   });
   return result.success
     ? { fields: result.data, token: parts[14] as string }
--- a/src/proxy/hop_transport.ts
+++ b/src/proxy/hop_transport.ts
@@ -111,7 +111,8 @@
   }
 
   #encodeHeader(endpoint: Endpoint, { context }: ForwardRequest): string {
-    const { instanceId, nowMs } = this.#options;
+    const { instanceId } = this.#options;
+    const nowMs = this.#options.nowMs();
     const token = this.#tokens.make({
       direction: "request",
       fromInstanceId: instanceId,
@@ -132,8 +133,9 @@
       repeated: context.repeated,
       depthCount: context.depthCount,
       attemptsLeftCount: context.attemptsLeftCount,
-      remainingMs: Math.max(0, Math.round(context.deadlineMs - nowMs())),
+      remainingMs: Math.max(0, Math.round(context.deadlineMs - nowMs)),
       idleTimeoutMs: context.idleTimeoutMs,
+      sentAtMs: Math.round(nowMs),
     }, token);
   }
 
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -125,11 +125,7 @@
    */
   serve(request: ForwardRequest, receiver: AnswerReceiver): AnswerSource {
     const upstream = this.#upstream;
-    const refusal = this.#draining
-      ? "draining"
-      : upstream?.pool !== request.context.pool
-      ? "no_upstream"
-      : undefined;
+    const refusal = this.#refusalKind(request);
     if (upstream === undefined || refusal !== undefined) {
       const exchange = this.#createExchange(request, receiver);
       exchange.refuse(refusal ?? "no_upstream");
@@ -196,6 +192,20 @@
     return this.#options.nowMs();
   }
 
+  /** Kind of the refusal of a request that does not run; otherwise undefined. */
+  #refusalKind({ context }: ForwardRequest): ErrorKind | undefined {
+    if (this.#draining) {
+      return "draining";
+    }
+    if (this.#upstream?.pool !== context.pool) {
+      return "no_upstream";
+    }
+    // The request may have waited on the way to this daemon.
+    return this.nowMs() >= context.deadlineMs
+      ? "deadline_unmeetable"
+      : undefined;
+  }
+
   #serveKeyed(
     request: ForwardRequest,
     receiver: AnswerReceiver,
--- a/src/proxy/listeners_test.ts
+++ b/src/proxy/listeners_test.ts
@@ -46,6 +46,9 @@
   return { mesh, server, entry };
 }
 
+/** Difference between the clocks of two daemons. */
+const CLOCKS_MS = 7_000;
+
 type Listener = "callers" | "hop";
 
 function open(instance: MeshInstance, listener: Listener = "callers"): Socket {
@@ -240,7 +243,10 @@
 }
 
 /** Returns the header of a hop request to the daemon beside an upstream. */
-function hopHeader({ endpoint }: MeshInstance): string {
+function hopHeader(
+  { endpoint }: MeshInstance,
+  times: { sentAtMs?: number; remainingMs?: number } = {},
+): string {
   const tokens = new HopTokens(
     [{ id: "k1", secret: "0123456789abcdef" }],
     () => Date.now(),
@@ -262,6 +268,7 @@
     attemptsLeftCount: 1,
     remainingMs: 10_000,
     idleTimeoutMs: 10_000,
+    ...times,
   }, tokens.make({ direction: "request", ...ids }));
   return `${HOP_REQUEST_HEADER}: ${value}`;
 }
@@ -291,6 +298,29 @@
   });
 }
 
+// Guards against a remaining time that stands still while a request is on its way.
+test("a hop request that has waited on its way until its deadline does not run", async (t) => {
+  const { server } = await startPair(t);
+  const socket = open(server, "hop");
+  let received = "";
+  socket.on("data", (chunk) => received += chunk);
+  const send = async (waitedMs: number, answersCount: number) => {
+    const sentAtMs = Math.round(performance.now()) + CLOCKS_MS - waitedMs;
+    const header = hopHeader(server, { sentAtMs, remainingMs: 1_000 });
+    socket.write(requestText("POST /uploads?token=a", [header]));
+    await waitFor(
+      "the answer",
+      () => (received.match(/HTTP\/1\.1/g) ?? []).length === answersCount,
+    );
+  };
+  await send(0, 1);
+  await send(500, 2);
+  await send(2_000, 3);
+  assert.equal(server.upstream.requests.length, 2);
+  assert.match(received, /;deadline_unmeetable;not-run;/);
+  socket.destroy();
+});
+
 test("a hop request to another incarnation is refused and does not run", async (t) => {
   const { entry, server, mesh } = await startPair(t);
   mesh.directory.replace([{ ...server.endpoint, incarnationEpochMs: 1 }]);
--- a/src/testing/session_log.ts
+++ b/src/testing/session_log.ts
@@ -16,7 +16,7 @@
   [/;1[5-9]\d{11};/g, ";<incarnation>;"],
   // The admission key is a hash of the request id.
   [/^(goldcrest-hop: (?:[^;]*;){9})\d+/, "$1<admission key>"],
-  [/;\d+,(\d+);<token>/g, ";<remaining ms>,$1;<token>"],
+  [/;\d+,(\d+),\d+;<token>/g, ";<remaining ms>,$1,<sent at ms>;<token>"],
   [/^(goldcrest-deadline-ms: )\d+/i, "$1<remaining ms>"],
 ];
 
