Reproduce crowds of callers that send heads only

Cause: what callers send before or besides bodies is not bounded over all of them: many requests in a row on each connection, and heads without an end.

--- a/src/proxy/uncontrolled_callers_test.ts
+++ b/src/proxy/uncontrolled_callers_test.ts
@@ -1,6 +1,6 @@
 /** Tests of crowds of callers that take the memory or the descriptors. */
 import { test } from "node:test";
-import { CROWD_KINDS } from "../testing/caller_crowd.ts";
+import { BODY_CROWD_KINDS } from "../testing/caller_crowd.ts";
 import { startProductDaemonProcess } from "../testing/product_daemon_process.ts";
 import { assertWithstandsCrowd } from "../testing/withstand_crowd.ts";
 
@@ -12,7 +12,7 @@
 
 // Guards against a process that ends, exceeds the limits of its machine or no
 // longer answers because of callers that are not under the operator's control.
-for (const kind of CROWD_KINDS) {
+for (const kind of [...BODY_CROWD_KINDS, "pipelinedRequests"] as const) {
   test(`a product daemon withstands a crowd of callers (${kind})`, async (t) => {
     const { child, callers } = await startProductDaemonProcess(t, MACHINE);
     await assertWithstandsCrowd(t, kind, {
--- a/src/testing/caller_crowd.ts
+++ b/src/testing/caller_crowd.ts
@@ -3,8 +3,8 @@
 import type { TestContext } from "node:test";
 import type { Address } from "../schemas/common_schema.ts";
 
-/** Kinds of callers, by the bodies that they send. */
-export const CROWD_KINDS = [
+/** Kinds of callers that differ in the bodies that they send. */
+export const BODY_CROWD_KINDS = [
   /** Large permitted bodies, sent whole. */
   "wholeBodies",
   /** Large permitted bodies in pieces, without the last byte. */
@@ -19,8 +19,18 @@
   "byteChunks",
 ] as const;
 
+/** Kinds of callers without bodies. */
+export const HEAD_CROWD_KINDS = [
+  /** Large permitted heads, without their end. */
+  "unfinishedHeads",
+  /** Many small requests in a row on each connection. */
+  "pipelinedRequests",
+] as const;
+
 /** Kind of a caller. */
-export type CrowdKind = typeof CROWD_KINDS[number];
+export type CrowdKind =
+  | typeof BODY_CROWD_KINDS[number]
+  | typeof HEAD_CROWD_KINDS[number];
 
 /** Largest body that the tests' configurations permit, in bytes. */
 export const CROWD_BODY_MAX_BYTES = 1_048_576;
@@ -44,14 +54,23 @@
   Buffer.from("\r\n"),
 ]);
 const BYTE_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(BYTE_CHUNKS_COUNT));
+/** Size of an unfinished head. */
+const HEAD_BYTES = 60_000;
+const HEAD_LINE = `Pad: ${"x".repeat(993)}\r\n`;
+/** Requests that each caller sends in a row. */
+const PIPELINED_COUNT = 2_000;
 
-type Sending = { framing: string; pieces: readonly Buffer[] };
+type Sending = {
+  /** Header line that frames the body; undefined without a body. */
+  framing: string | undefined;
+  pieces: readonly Buffer[];
+};
 
 function repeatPiece(piece: Buffer, count: number): Buffer[] {
   return Array.from({ length: count }, () => piece);
 }
 
-function sendingOf(kind: CrowdKind): Sending {
+function sendingOf(kind: CrowdKind, headLines: readonly string[]): Sending {
   const piecesCount = CROWD_BODY_MAX_BYTES / PIECE_BYTES;
   const announced = `Content-Length: ${CROWD_BODY_MAX_BYTES}`;
   const chunked = "Transfer-Encoding: chunked";
@@ -80,30 +99,48 @@
       return { framing: chunked, pieces: repeatPiece(CHUNK, piecesCount) };
     case "byteChunks":
       return { framing: chunked, pieces: [BYTE_CHUNKS] };
+    case "unfinishedHeads": {
+      const lines = HEAD_LINE.repeat(HEAD_BYTES / HEAD_LINE.length);
+      return { framing: undefined, pieces: [Buffer.from(lines)] };
+    }
+    case "pipelinedRequests": {
+      const request = [...headLines, "", ""].join("\r\n");
+      return {
+        framing: undefined,
+        pieces: [Buffer.from(`\r\n${request.repeat(PIPELINED_COUNT)}`)],
+      };
+    }
   }
 }
 
+function callersCountOf(kind: CrowdKind): number {
+  return kind === "byteChunks" ? BYTE_CHUNKS_CALLERS_COUNT : CALLERS_COUNT;
+}
+
 /**
- * Opens a crowd of callers, and waits until each one has sent its body, and has
- * an answer if the body is complete, or its connection has been closed. The connections that are open stay open until the
- * end of the test.
+ * Opens a crowd of callers, and waits until each one has sent everything, and has
+ * an answer if its first request is complete, or its connection has been closed.
+ * The connections that are open stay open until the end of the test.
  *
  * @param t Test that owns the connections.
  * @param address Listener for callers.
- * @param options Kind of the callers, and the lines of their heads without the
- *   framing of the body.
+ * @param options Kind and number of the callers, and the lines of their heads
+ *   without the framing of the body.
  */
 export async function openCrowd(
   t: TestContext,
   address: Address,
-  options: { kind: CrowdKind; headLines: readonly string[] },
+  options: {
+    kind: CrowdKind;
+    headLines: readonly string[];
+    count?: number | undefined;
+  },
 ): Promise<void> {
-  const { kind, headLines } = options;
-  const { framing, pieces } = sendingOf(kind);
-  const count = kind === "byteChunks"
-    ? BYTE_CHUNKS_CALLERS_COUNT
-    : CALLERS_COUNT;
-  const head = [...headLines, framing, "", ""].join("\r\n");
+  const { kind, headLines, count = callersCountOf(kind) } = options;
+  const { framing, pieces } = sendingOf(kind, headLines);
+  const head = framing === undefined
+    ? [...headLines, ""].join("\r\n")
+    : [...headLines, framing, "", ""].join("\r\n");
   const send = (index: number) =>
     new Promise<void>((resolve) => {
       const socket: Socket = connect(address);
--- a/src/testing/withstand_crowd.ts
+++ b/src/testing/withstand_crowd.ts
@@ -28,6 +28,8 @@
   readonly ordinaryHeaders: (id: string) => OutgoingHttpHeaders;
   /** Lines of the heads of the crowd; see {@link openCrowd}. */
   readonly headLines: readonly string[];
+  /** Number of callers, if it is not the usual one of their kind. */
+  readonly callersCount?: number;
   readonly memoryMaxBytes: number;
   readonly descriptorsMaxCount: number;
 };
@@ -81,10 +83,10 @@
   kind: CrowdKind,
   target: CrowdTarget,
 ): Promise<void> {
-  const { child, address, headLines } = target;
+  const { child, address, headLines, callersCount: count } = target;
   assert.equal(await sendOrdinary(target, "before"), STATUS_OK);
   const watch = new ProcessWatch(child);
-  await openCrowd(t, address, { kind, headLines });
+  await openCrowd(t, address, { kind, headLines, count });
   const status = await sendUntilRun(target);
   const { memoryBytes, descriptorsCount } = watch.stop();
   t.diagnostic(
