Stop parsing a connection whose pipelined request is refused

What callers saw: both daemons ended, out of memory, when 300 callers sent 2,000 small requests in a row each.

Cause: Node.js parses all that it has read of a connection at once, up to 64 KB, and makes objects of several KB for each request in it, also for those behind a refused one. The product's data path had no bound on pipelined requests at all. Connections with many forwarded requests were never closed, so that such callers kept all of them.

Change: StoppableMessage stops the parser behind the next head once a request is refused. PipelinedRequests and StoppedConnections move to src/reception and serve both daemons. While descriptors are short, connections with 16 or more forwarded requests are closed after all others.

--- a/src/core/open_responses.ts
+++ b/src/core/open_responses.ts
@@ -40,6 +40,16 @@
     return this.#bySocket.get(socket)?.length ?? 0;
   }
 
+  /**
+   * Returns the response that is being written.
+   *
+   * @param socket Connection.
+   * @returns Response of its oldest open request; undefined without one.
+   */
+  oldestOf(socket: Socket): ServerResponse | undefined {
+    return this.#bySocket.get(socket)?.[0];
+  }
+
   /**
    * Handles bytes that are no request: closes their connection, or has them
    * answered if no response on it is open.
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -279,7 +279,7 @@
           dataPath.handleCall(request, response)
         ),
       ),
-      bounds.connections.callers,
+      bounds.limitsOf("callers"),
     ),
     // Has no drain filter: the inbound service itself refuses forwarded requests
     // during a drain.
@@ -288,7 +288,7 @@
         "hop",
         (request, response) => dataPath.handleHop(request, response),
       ),
-      bounds.connections.hop,
+      bounds.limitsOf("hop"),
     ),
     outbound: new Listener(
       openExchanges.track(
@@ -299,7 +299,7 @@
           (request) => dataPath.belongsToRunningRequest(request),
         ),
       ),
-      bounds.connections.outbound,
+      bounds.limitsOf("outbound"),
     ),
   };
 
--- a/src/daemon/drain_filter.ts
+++ b/src/daemon/drain_filter.ts
@@ -21,7 +21,7 @@
  *
  * @example
  * const filter = new DrainFilter();
- * new Listener(filter.guard(handle), bounds.connections.callers);
+ * new Listener(filter.guard(handle), bounds.limitsOf("callers"));
  * filter.refuseNewWork();
  */
 export class DrainFilter {
--- a/src/daemon/open_exchanges.ts
+++ b/src/daemon/open_exchanges.ts
@@ -57,7 +57,7 @@
    * @returns Handler that also tracks the exchange.
    *
    * @example
-   * new Listener(open.track("hop", handle), bounds.connections.hop);
+   * new Listener(open.track("hop", handle), bounds.limitsOf("hop"));
    */
   track(listener: string, handler: RequestHandler): RequestHandler {
     return (request, response) => {
--- a/src/decisions/memory/connection_order_test.ts
+++ b/src/decisions/memory/connection_order_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { chooseClosed } from "./connection_order.ts";
+import { chooseClosed, PIPELINED_MAX_COUNT } from "./connection_order.ts";
 
 const NOW_MS = 10_000;
 
@@ -34,6 +34,21 @@
   ]);
 });
 
+// Guards against callers whose many requests in a row keep all connections.
+test("a connection with many forwarded requests is closed after all others", () => {
+  const connections = [
+    connection("many", { forwardedCount: PIPELINED_MAX_COUNT }),
+    connection("more", { forwardedCount: PIPELINED_MAX_COUNT + 1 }),
+    connection("some", { forwardedCount: PIPELINED_MAX_COUNT - 1 }),
+    connection("receiving", { receivingBytes: 1 }),
+  ];
+  const closed = chooseClosed(connections, { count: 9, nowMs: NOW_MS });
+  assert.deepEqual(
+    closed.map(({ name }) => name),
+    ["receiving", "more", "many"],
+  );
+});
+
 // Guards against requests that may have run and get no answer.
 test("a connection with a forwarded request is never closed", () => {
   const connections = [
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -20,6 +20,7 @@
 import { OpenResponses } from "../core/open_responses.ts";
 import type { StartQueue } from "../core/start_queue.ts";
 import { stopReading } from "../core/stop_reading.ts";
+import { StoppableMessage } from "../core/stoppable_message.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { FleetConfig } from "../schemas/fleet_schema.ts";
 import type { AnswerSender } from "./routed_request.ts";
@@ -32,8 +33,8 @@
 } from "../reception/body_reception.ts";
 import type { CallerLimits } from "../reception/caller_limits.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
-import { PipelinedRequests } from "./pipelined_requests.ts";
-import { StoppedConnections } from "./stopped_connections.ts";
+import { PipelinedRequests } from "../reception/pipelined_requests.ts";
+import { StoppedConnections } from "../reception/stopped_connections.ts";
 
 /**
  * Maximum size of the headers of a request. It is fixed when the HTTP server is
@@ -137,11 +138,13 @@
         ),
     );
     this.#server = createServer({
+      IncomingMessage: StoppableMessage,
       maxHeaderSize: HEADER_MAX_BYTES,
       requestTimeout: 0,
       headersTimeout: 0,
       noDelay: true,
     }, (message, response) => this.#receive(message, response));
+    this.#pipelined.handleStopped(this.#server);
     this.#server.on(
       "connection",
       (socket: Socket) => this.#connections.add(socket),
--- a/src/proxy/caller_bounds.ts
+++ b/src/proxy/caller_bounds.ts
@@ -14,6 +14,7 @@
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import { createCallerLimits } from "../reception/caller_limits.ts";
+import type { ListenerLimits } from "./listener.ts";
 
 /**
  * Part of the connections of each listener. They are separate, so that a crowd
@@ -107,6 +108,17 @@
       .reduce((sum, { count }) => sum + count, 0);
   }
 
+  /**
+   * Returns the bounds of one listener.
+   *
+   * @param listener Listener.
+   * @returns Its connections, and the account of all listeners.
+   */
+  limitsOf(listener: ListenerName): ListenerLimits {
+    const { memory, refusals } = this;
+    return { connections: this.connections[listener], memory, refusals };
+  }
+
   /** Starts the periodic check of the progress of bodies. */
   start(): void {
     this.#timer = setInterval(() => {
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -66,7 +66,7 @@
  * @example
  * const dataPath = new DataPath(parts, options);
  * const handle = (request, response) => dataPath.handleCall(request, response);
- * new Listener(handle, bounds.connections.callers);
+ * new Listener(handle, bounds.limitsOf("callers"));
  */
 export class DataPath {
   readonly inbound: InboundService;
--- a/src/proxy/hop_handler.ts
+++ b/src/proxy/hop_handler.ts
@@ -24,6 +24,7 @@
 } from "./hop_header.ts";
 import type { HopTokens } from "./hop_token.ts";
 import type { InboundService } from "./inbound_service.ts";
+import { RejectionDecorator } from "./rejection_decorator.ts";
 import type { RequestContext } from "./request_context.ts";
 import { type AnswerDecorator, ResponseReceiver } from "./response_receiver.ts";
 
@@ -258,16 +259,7 @@
   }
 
   #reject(response: ServerResponse): void {
-    const decorator: AnswerDecorator = {
-      headHeaders: () => [],
-      failureHeaders: (failure) => [
-        "goldcrest-outcome",
-        failure.outcome,
-        "goldcrest-error",
-        failure.kind,
-      ],
-    };
-    new ResponseReceiver(response, decorator).onFailure({
+    new ResponseReceiver(response, new RejectionDecorator()).onFailure({
       kind: "hop_rejected",
       outcome: "not-run",
     });
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -9,7 +9,14 @@
 import { listenOn } from "../core/listen_on.ts";
 import type { CallerConnections } from "../decisions/memory/caller_connections.ts";
 import { OpenResponses } from "../core/open_responses.ts";
+import { StoppableMessage } from "../core/stoppable_message.ts";
+import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
+import { PipelinedRequests } from "../reception/pipelined_requests.ts";
+import { StoppedConnections } from "../reception/stopped_connections.ts";
 import type { Address } from "../schemas/common_schema.ts";
+import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
+import { RejectionDecorator } from "./rejection_decorator.ts";
+import { ResponseReceiver } from "./response_receiver.ts";
 
 const HEADER_MAX_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -21,6 +28,16 @@
   response: ServerResponse,
 ) => void;
 
+/** Bounds of a listener. */
+export type ListenerLimits = {
+  /** Bound on the connections. */
+  connections: CallerConnections;
+  /** Account of what is held for callers. */
+  memory: CallerMemory;
+  /** Records callers that are refused or closed. */
+  refusals: CallerRefusals;
+};
+
 type ParserError = Error & { code?: string };
 
 function answerParserError(error: ParserError, socket: Socket): void {
@@ -37,6 +54,16 @@
   );
 }
 
+/**
+ * Refuses a request that is behind others on its connection, because too much is
+ * held for callers.
+ */
+function refuseForMemory(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  new ResponseReceiver(response, new RejectionDecorator())
+    .onFailure({ kind: "memory_short", outcome: "not-run" });
+}
+
 /** HTTP server that listens on one address. */
 export class Listener {
   readonly #server: Server;
@@ -44,10 +71,17 @@
 
   /**
    * @param handler Handles each request.
-   * @param connections Bound on the connections.
+   * @param limits Bounds on the connections and on what is held for callers.
    */
-  constructor(handler: RequestHandler, connections: CallerConnections) {
+  constructor(handler: RequestHandler, limits: ListenerLimits) {
+    const { connections, memory, refusals } = limits;
+    const pipelined = new PipelinedRequests(
+      limits,
+      this.#openResponses,
+      new StoppedConnections(),
+    );
     this.#server = createServer({
+      IncomingMessage: StoppableMessage,
       maxHeaderSize: HEADER_MAX_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
@@ -67,8 +101,18 @@
         state.forwardedCount--;
         state.endedAtMs = performance.now();
       });
-      handler(request, response);
+      const isAdmitted = pipelined.start(request, response, {
+        isClosing: () => state.isClosing,
+      });
+      if (isAdmitted) {
+        handler(request, response);
+        return;
+      }
+      state.isClosing = true;
+      refusals.record("memory_short", { heldBytes: memory.heldBytes });
+      refuseForMemory(response);
     });
+    pipelined.handleStopped(this.#server);
     this.#server.on("connection", (socket: Socket) => connections.add(socket));
     this.#server.on(
       "clientError",
--- a/src/reception/pipelined_requests.ts
+++ b/src/reception/pipelined_requests.ts
@@ -1,16 +1,14 @@
 /** Bounds what the open requests of a connection hold besides their bodies. */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { PIPELINED_MAX_COUNT } from "../decisions/memory/connection_order.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { OpenResponses } from "../core/open_responses.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
-import type { CallerLimits } from "../reception/caller_limits.ts";
+import { stopParsing } from "../core/stoppable_message.ts";
+import type { CallerLimits } from "./caller_limits.ts";
 import type { StoppedConnections } from "./stopped_connections.ts";
 
-/**
- * Open requests of a connection from which on no further one is read, until one
- * of them has been answered.
- */
-const OPEN_MAX_COUNT = 16;
 /** Memory that a request takes besides its head and its body. */
 const REQUEST_BYTES = 4_096;
 
@@ -50,13 +48,35 @@
   }
 
   /**
-   * Counts a request until its response has closed.
+   * Handles the connections of a server whose parsers were stopped because a
+   * request was refused. The server must use `StoppableMessage`.
+   *
+   * @param server HTTP server.
+   */
+  handleStopped(server: Server): void {
+    // Node.js no longer handles the events of these connections.
+    server.on("upgrade", (_request, stream) => {
+      const socket = stream as Socket;
+      socket.on("error", () => socket.destroy());
+      socket.on("end", () => socket.destroy());
+      socket.on(
+        "drain",
+        () => this.#openResponses.oldestOf(socket)?.emit("drain"),
+      );
+      this.#stopped.stop(socket);
+    });
+  }
+
+  /**
+   * Counts a request until its response has closed. The parser of the connection
+   * of one that should be refused is stopped.
    *
    * @param message Request.
    * @param response Its response, which is tracked already.
    * @param options Returns whether no later request of the connection is
    *   handled.
-   * @returns False when the request should be refused.
+   * @returns False when the request should be refused, with an answer that closes
+   *   its connection.
    */
   start(
     message: IncomingMessage,
@@ -68,18 +88,21 @@
     const isAdmitted = openCount <= 1 || !this.#memory.isFull;
     const heldBytes = headBytesOf(message) + REQUEST_BYTES;
     this.#memory.hold(heldBytes);
-    if (openCount === OPEN_MAX_COUNT) {
+    if (openCount === PIPELINED_MAX_COUNT) {
       this.#refusals.record("requests_pipelined", {
         heldBytes: this.#memory.heldBytes,
       });
     }
-    if (openCount >= OPEN_MAX_COUNT) {
+    if (openCount >= PIPELINED_MAX_COUNT) {
       this.#stopped.stop(socket);
     }
+    if (!isAdmitted) {
+      stopParsing(socket);
+    }
     response.once("close", () => {
       this.#memory.release(heldBytes);
       const isBelowBound =
-        this.#openResponses.countOf(socket) === OPEN_MAX_COUNT - 1;
+        this.#openResponses.countOf(socket) === PIPELINED_MAX_COUNT - 1;
       if (isBelowBound && !isClosing()) {
         this.#stopped.continue(socket);
       }
