Read heads only up to the size that the configuration permits

What callers saw: the process of the fleet's daemon exceeded the memory of its machine while 1,400 callers each sent 60 KB of a head without its end.

Cause: incomplete heads are in the parser, which no account counts, and were read up to 64 KB each, although the configuration permits 16 KB.

Change: the size of the configuration holds for connections that are accepted under it. When it rises, older ones close after their next answer, so that a larger head is not refused for long. Before the first configuration it is 64 KB.

New test of the listener.

--- a/src/decisions/memory/caller_connections.ts
+++ b/src/decisions/memory/caller_connections.ts
@@ -28,6 +28,8 @@
   readonly socket: Closable;
   /** Number of the newest request on the connection. */
   newestNumber = 0;
+  /** Largest head that is read on the connection. */
+  readonly headerMaxBytes: number;
   /** Whether the answer that closes the connection has been sent. */
   isClosing = false;
   /** @inheritdoc */
@@ -39,9 +41,11 @@
 
   /**
    * @param socket Connection.
+   * @param headerMaxBytes Largest head that is read on it.
    */
-  constructor(socket: Closable) {
+  constructor(socket: Closable, headerMaxBytes: number) {
     this.socket = socket;
+    this.headerMaxBytes = headerMaxBytes;
   }
 
   /** @inheritdoc */
@@ -88,14 +92,15 @@
    * if all others have forwarded requests.
    *
    * @param socket Connection that was accepted.
+   * @param options Largest head that is read on it.
    */
-  add(socket: S): void {
+  add(socket: S, { headerMaxBytes = Infinity } = {}): void {
     if (this.#states.size >= this.#maxCount && !this.#makeRoom()) {
       this.#onClosed({ isNew: true });
       socket.destroy();
       return;
     }
-    this.#states.set(socket, new ConnectionState(socket));
+    this.#states.set(socket, new ConnectionState(socket, headerMaxBytes));
     socket.once("close", () => this.#states.delete(socket));
   }
 
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -36,11 +36,8 @@
 import { PipelinedRequests } from "../reception/pipelined_requests.ts";
 import { StoppedConnections } from "../reception/stopped_connections.ts";
 
-/**
- * Maximum size of the headers of a request. It is fixed when the HTTP server is
- * created, so a configuration does not change it.
- */
-const HEADER_MAX_BYTES = 65_536;
+/** Maximum size of the head of a request before the first configuration. */
+const INITIAL_HEADER_MAX_BYTES = 65_536;
 /** Maximum size of a body before the first configuration. */
 const INITIAL_BODY_MAX_BYTES = 67_108_864;
 /**
@@ -103,6 +100,7 @@
   readonly #stopped = new StoppedConnections();
   readonly #pipelined: PipelinedRequests;
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
+  #headerMaxBytes = INITIAL_HEADER_MAX_BYTES;
   #openCount = 0;
   #heldBytes = 0;
   #isStopping = false;
@@ -139,16 +137,15 @@
     );
     this.#server = createServer({
       IncomingMessage: StoppableMessage,
-      maxHeaderSize: HEADER_MAX_BYTES,
+      maxHeaderSize: INITIAL_HEADER_MAX_BYTES,
       requestTimeout: 0,
       headersTimeout: 0,
       noDelay: true,
     }, (message, response) => this.#receive(message, response));
     this.#pipelined.handleStopped(this.#server);
-    this.#server.on(
-      "connection",
-      (socket: Socket) => this.#connections.add(socket),
-    );
+    this.#server.on("connection", (socket: Socket) => {
+      this.#connections.add(socket, { headerMaxBytes: this.#headerMaxBytes });
+    });
     this.#server.on(
       "clientError",
       (error: ParserError, socket: Socket) =>
@@ -186,12 +183,16 @@
   }
 
   /**
-   * Applies the maximum size of bodies and the timeouts of a configuration.
+   * Applies the maximum sizes and the timeouts of a configuration. A larger head is
+   * read only on new connections; others close after their next answer.
    *
    * @param limits Limits of the configuration.
    */
   applyLimits(limits: FleetConfig["limits"]): void {
     this.#bodyMaxBytes = limits.bodyMaxBytes;
+    this.#headerMaxBytes = limits.headerMaxBytes;
+    // Node.js reads this when a connection is accepted.
+    Object.assign(this.#server, { maxHeaderSize: limits.headerMaxBytes });
     this.#memory.setLargestBody(limits.bodyMaxBytes);
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -297,11 +298,13 @@
 
   /**
    * Returns whether the answer to a request closes its connection, and records
-   * it. While stopping, the answer to the newest request does. Earlier answers
-   * precede it, because answers are sent in the order of the requests.
+   * it. While stopping, and on a connection that reads smaller heads than are
+   * permitted, the answer to the newest request does. Earlier answers precede it,
+   * because answers are sent in the order of the requests.
    */
   #closesConnection(state: ConnectionState, number: number): boolean {
-    if (this.#isStopping && number === state.newestNumber) {
+    const isOutdated = state.headerMaxBytes < this.#headerMaxBytes;
+    if ((this.#isStopping || isOutdated) && number === state.newestNumber) {
       state.isClosing = true;
     }
     return state.isClosing && number === state.newestNumber;
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -250,3 +250,40 @@
   assert.equal(refusals.countOf("answer_unread"), 1);
   await waitFor("nothing is held", () => listener.heldBytes === 0);
 });
+
+// Guards against many unfinished heads, each far larger than callers need.
+test("the configured size of heads holds for new connections, and others close when it rises", async (t) => {
+  const handler = new HeldHandler();
+  const listener = createListener(new CallerMemory(1_000_000), handler);
+  const applyHeaderMax = (headerMaxBytes: number) =>
+    listener.applyLimits({
+      headerMaxBytes,
+      bodyMaxBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 3_000,
+    });
+  applyHeaderMax(2_000);
+  const first = await connectTo(t, listener);
+  await once(first, "connect");
+  const { remotePort: port } = first;
+  const open = () => {
+    const socket = connect(port ?? 0, "127.0.0.1");
+    t.after(() => socket.destroy());
+    return socket;
+  };
+  const request = `GET / HTTP/1.1\r\nhost: a\r\npad: ${
+    "x".repeat(4_000)
+  }\r\n\r\n`;
+  const second = open();
+  second.write(request);
+  const [refusal] = await once(second, "data");
+  assert.match(String(refusal), /^HTTP\/1\.1 431 /);
+  applyHeaderMax(8_000);
+  first.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  await waitFor("a request runs", () => handler.senders.length === 1);
+  handler.answerNext();
+  const [answer] = await once(first, "data");
+  assert.match(String(answer), /^HTTP\/1\.1 200 [^]*connection: close/i);
+  open().write(request);
+  await waitFor("a larger head is read", () => handler.senders.length === 1);
+});
