--- a/src/fleet/create_outbound_service.ts
+++ b/src/fleet/create_outbound_service.ts
@@ -3,7 +3,7 @@
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
-import type { ExchangeParts } from "./forwarded_exchange.ts";
+import type { ExchangeParts } from "./exchange_parts.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import {
   OutboundService,
--- a/src/fleet/exchange_attempts.ts
+++ b/src/fleet/exchange_attempts.ts
@@ -3,7 +3,7 @@
   ForwardFailure,
   UpstreamChannel,
 } from "../link/upstream_channel.ts";
-import type { ExchangeParts } from "./forwarded_exchange.ts";
+import type { ExchangeParts } from "./exchange_parts.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 /**
--- a/src/fleet/forwarded_exchange_test.ts
+++ b/src/fleet/forwarded_exchange_test.ts
@@ -3,7 +3,8 @@
 import type { CapDecision } from "../decisions/caps/tenant_waiters.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ResultReceiver } from "../link/upstream_channel.ts";
-import { type ExchangeParts, ForwardedExchange } from "./forwarded_exchange.ts";
+import type { ExchangeParts } from "./exchange_parts.ts";
+import { ForwardedExchange } from "./forwarded_exchange.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 const REQUEST = {
