Let the host of links know peers by ConfigPeer only

Cause: link_host and peer_link imported each other's types. Change: the callbacks of LinkHost get a ConfigPeer, whose name is all that they use. No change of behaviour.

--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -5,7 +5,7 @@
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigPeer } from "../link/config_peer.ts";
 import type { LinkServerHost } from "../link/link_server.ts";
-import type { LinkHost, PeerLink } from "../link/peer_link.ts";
+import type { LinkHost } from "../link/link_host.ts";
 import type {
   ForwardedRequest,
   RequestHandle,
@@ -234,14 +234,14 @@
   }
 
   /** @inheritdoc */
-  onCurrency(answer: CurrencyAnswer, link: PeerLink): void {
-    this.#parts.currency.onAnswer(answer, link.member.name);
-    this.onConfigVersion(answer.version, link);
+  onCurrency(answer: CurrencyAnswer, peer: ConfigPeer): void {
+    this.#parts.currency.onAnswer(answer, peer.peerName);
+    this.onConfigVersion(answer.version, peer);
   }
 
   /** @inheritdoc */
-  onState(state: UpstreamState, link: PeerLink): void {
-    this.#parts.graph.update(link.member.name, state.calls);
+  onState(state: UpstreamState, peer: ConfigPeer): void {
+    this.#parts.graph.update(peer.peerName, state.calls);
   }
 
   /** @inheritdoc */
@@ -250,8 +250,8 @@
   }
 
   /** @inheritdoc */
-  onMembers(records: readonly MemberRecord[], link: PeerLink): void {
-    this.#parts.directory().handlePeerRecords(records, link.member.name);
+  onMembers(records: readonly MemberRecord[], peer: ConfigPeer): void {
+    this.#parts.directory().handlePeerRecords(records, peer.peerName);
   }
 
   /** @inheritdoc */
@@ -271,8 +271,8 @@
   }
 
   /** @inheritdoc */
-  onUsageGrant(frame: readonly unknown[], link: PeerLink): void {
-    this.#parts.usageCaps.handleGrantFrame(frame, link.member.name);
+  onUsageGrant(frame: readonly unknown[], peer: ConfigPeer): void {
+    this.#parts.usageCaps.handleGrantFrame(frame, peer.peerName);
   }
 
   /** @inheritdoc */
--- a/src/fleet/daemon_link_host_test.ts
+++ b/src/fleet/daemon_link_host_test.ts
@@ -8,7 +8,6 @@
   ForwardFailure,
   ResultReceiver,
 } from "../link/upstream_channel.ts";
-import type { PeerLink } from "../link/peer_link.ts";
 import { NullLogger } from "../telemetry/logger.ts";
 import {
   DaemonLinkHost,
@@ -137,7 +136,7 @@
   }));
   const [one, two] = links as [typeof links[0], typeof links[0]];
   for (const link of links) {
-    host.onConfigVersion(2, link as unknown as PeerLink);
+    host.onConfigVersion(2, link);
   }
   one.isUp = false;
   const nowMs = performance.now();
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -7,7 +7,8 @@
   rankCandidates,
   watchersCount,
 } from "../decisions/watcher_election.ts";
-import type { PeerLink, PeerLinkOptions } from "../link/peer_link.ts";
+import type { PeerLinkOptions } from "../link/link_host.ts";
+import type { PeerLink } from "../link/peer_link.ts";
 import type {
   MemberRecord,
   UpstreamDeparture,
--- a/src/fleet/peer_links.ts
+++ b/src/fleet/peer_links.ts
@@ -1,7 +1,8 @@
 /** Links to a bounded part of the known members. */
 import { selectLinks } from "../decisions/placement/link_subset.ts";
 import type { WatcherCandidate } from "../decisions/watcher_election.ts";
-import { PeerLink, type PeerLinkOptions } from "../link/peer_link.ts";
+import type { PeerLinkOptions } from "../link/link_host.ts";
+import { PeerLink } from "../link/peer_link.ts";
 import type { MemberRecord } from "../schemas/fleet_schema.ts";
 import type { ChannelTable } from "./channel_table.ts";
 
--- a/src/link/link_host.ts
+++ b/src/link/link_host.ts
@@ -4,7 +4,6 @@
 import type { CurrencyAnswer, UpstreamState } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
-import type { PeerLink } from "./peer_link.ts";
 
 /** State and callbacks of the daemon that dialled links use. */
 export interface LinkHost {
@@ -21,20 +20,20 @@
   /** Called with the configuration version that a peer has sent. */
   onConfigVersion(version: number, peer: ConfigPeer): void;
   /** Called with the state of a peer's upstream, also when it first arrives. */
-  onState(state: UpstreamState, link: PeerLink): void;
+  onState(state: UpstreamState, peer: ConfigPeer): void;
   /** Called with the configuration that a peer returns to a query. */
   onConfig(config: unknown): void;
   /** Called with the currency that a peer returns to a query. */
-  onCurrency(answer: CurrencyAnswer, link: PeerLink): void;
+  onCurrency(answer: CurrencyAnswer, peer: ConfigPeer): void;
   /** Called with the records of members that a peer sends. */
-  onMembers(records: readonly MemberRecord[], link: PeerLink): void;
+  onMembers(records: readonly MemberRecord[], peer: ConfigPeer): void;
   /** Called with the answer of a peer that owns usage caps. */
-  onUsageGrant?(frame: readonly unknown[], link: PeerLink): void;
+  onUsageGrant?(frame: readonly unknown[], peer: ConfigPeer): void;
   /** Called when the bytes of incomplete frames change, by how many. */
   onIncomplete?(changeBytes: number): void;
 }
 
-/** Options of {@link PeerLink}. */
+/** Options of a dialled link. */
 export type PeerLinkOptions = {
   host: LinkHost;
   log: Logger;
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -31,8 +31,6 @@
 import { OfferReports } from "./offer_reports.ts";
 import { SilenceMonitor } from "./silence_monitor.ts";
 
-export type { LinkHost, PeerLinkOptions } from "./link_host.ts";
-
 /** Time from dialling until the hello frame of the peer must have arrived. */
 const DIAL_TIMEOUT_MS = 1_000;
 
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -8,7 +8,8 @@
 import { NullLogger } from "../telemetry/logger.ts";
 import { UPSTREAM_STATE } from "../testing/upstream_state.ts";
 import { encodeFrame, FrameReader } from "./frame_codec.ts";
-import { type LinkHost, PeerLink } from "./peer_link.ts";
+import type { LinkHost } from "./link_host.ts";
+import { PeerLink } from "./peer_link.ts";
 import type { ForwardedRequest, ForwardFailure } from "./upstream_channel.ts";
 
 const TICK_MS = 100;
