--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -2,6 +2,11 @@
 import type { StartQueue } from "../core/start_queue.ts";
 import type { CallObserver } from "../decisions/call_graph.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
+import {
+  exceedsGoal,
+  expectedWaitMs,
+  maxWaitMs,
+} from "../decisions/sharing/queue_waits.ts";
 import { SlotQueue } from "../decisions/sharing/slot_queue.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { LoadReport } from "../schemas/link_schema.ts";
@@ -26,16 +31,6 @@
   ResultReceiver,
 } from "../link/upstream_channel.ts";
 
-/**
- * A refusable request is refused on arrival when its expected wait exceeds this
- * share of the time until its latency goal.
- */
-const WAIT_MAX_GOAL_RATIO = 0.5;
-/**
- * A refusable request may wait in the queue for at least this share of its
- * remaining time.
- */
-const WAIT_MIN_RATIO = 0.5;
 /** Weight of one control interval of 100 ms in the busy ratio. */
 const BUSY_WEIGHT = 0.35;
 /**
@@ -204,7 +199,7 @@
     } else if (this.#enterSlot(served)) {
       served.admit();
     } else {
-      served.queue(this.#waitMaxMs(request));
+      served.queue(maxWaitMs(request, this.#expectedRunMs));
       this.#scheduleStart();
     }
     return served;
@@ -298,13 +293,12 @@
     ) {
       return "no_upstream";
     }
-    const waitMaxMs = Math.max(0, request.goalRemainingMs) *
-      WAIT_MAX_GOAL_RATIO;
     // An upstream that has named a limit needs not be the only one of its pool,
     // so downstream calls are refused as well, to be sent to another one.
     const isRefusable = request.isRefusable ||
       this.#starts.limitPerS !== undefined;
-    return isRefusable && this.#queueWaitMs(goalAtMs) > waitMaxMs
+    return isRefusable &&
+        exceedsGoal(this.#queueWaitMs(goalAtMs), request.goalRemainingMs)
       ? "queue_full"
       : undefined;
   }
@@ -330,25 +324,12 @@
   /** Expected wait of a new request with the given latency goal, in ms. */
   #queueWaitMs(goalAtMs: number): number {
     const aheadCount = this.#slots.countAhead(goalAtMs);
-    const { limitCount } = this.capacity;
-    const slotWaitMs = limitCount === 0
-      ? 0
-      : aheadCount * this.#expectedRunMs / limitCount;
-    const rateWaitMs = this.#starts.waitMs(aheadCount);
-    return Math.max(slotWaitMs, rateWaitMs);
-  }
-
-  /**
-   * Maximum wait of a request in the queue, in ms. A refusable one is refused
-   * while there is still time to run it at another upstream.
-   */
-  #waitMaxMs({ isRefusable, remainingMs }: ForwardedRequest): number {
-    return isRefusable
-      ? Math.max(
-        remainingMs * WAIT_MIN_RATIO,
-        remainingMs - this.#expectedRunMs,
-      )
-      : remainingMs;
+    return expectedWaitMs({
+      aheadCount,
+      limitCount: this.capacity.limitCount,
+      expectedRunMs: this.#expectedRunMs,
+      rateWaitMs: this.#starts.waitMs(aheadCount),
+    });
   }
 
   get #expectedRunMs(): number {
