Create the parts that watch the input in one module

Cause: fleet_daemon.ts passed the delay of the input, its log and the queue of starts to five places one by one. Change: createInputParts; no change of behaviour.

--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -1,12 +1,10 @@
 /** Daemon on a deployment platform: constructs its parts and connects them. */
 import type { Stream } from "most";
 import { EventLoop } from "../core/event_loop.ts";
-import { InputDelay } from "../core/input_delay.ts";
 import type { RandomSource } from "../core/random.ts";
 import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
-import { StartQueue } from "../core/start_queue.ts";
 import { LinkServer } from "../link/link_server.ts";
-import type { LinkHost } from "../link/peer_link.ts";
+import type { LinkHost } from "../link/link_host.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
 import { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
@@ -16,6 +14,7 @@
 } from "../reception/caller_limits.ts";
 import { ConfigFollower } from "./config_follower.ts";
 import { ControlTick } from "./control_tick.ts";
+import { createInputParts, type InputParts } from "./create_input_parts.ts";
 import { createOutboundService } from "./create_outbound_service.ts";
 import {
   createUpstreamParts,
@@ -24,7 +23,6 @@
 import { DaemonLinkHost } from "./daemon_link_host.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { EntryAdmission } from "./entry_admission.ts";
-import { InputDelayLog } from "./input_delay_log.ts";
 import {
   type FleetDaemonEvent,
   FleetDaemonLifecycle,
@@ -82,9 +80,7 @@
   readonly #listeners: FleetListeners;
   readonly #metrics: FleetMetrics;
   readonly #callerLimits: CallerLimits;
-  readonly #inputDelay = new InputDelay();
-  readonly #inputDelayLog: InputDelayLog;
-  readonly #startQueue = new StartQueue(this.#inputDelay);
+  readonly #input: InputParts;
 
   /**
    * @param settings Validated settings.
@@ -96,7 +92,7 @@
     this.#settings = settings;
     this.#options = options;
     this.#callerLimits = createCallerLimits(settings, log);
-    this.#inputDelayLog = new InputDelayLog(this.#inputDelay, log);
+    this.#input = createInputParts(log);
     this.#loop = new EventLoop((part, error) =>
       log.error("Control part failed", { part, ...errorFields(error) })
     );
@@ -113,7 +109,7 @@
       settings,
       platform,
       observer: this.#callObserver,
-      startQueue: this.#startQueue,
+      startQueue: this.#input.startQueue,
       decisions,
       log,
       connectionsMaxCount: this.#callerLimits.upstreamConnectionsMaxCount,
@@ -155,9 +151,7 @@
       publisher: this.#publisher,
       directory: () => this.#directory,
       memory: this.#callerLimits.memory,
-      inputDelay: this.#inputDelay,
-      inputDelayLog: this.#inputDelayLog,
-      startQueue: this.#startQueue,
+      ...this.#input,
       log,
     });
     this.#directory = this.#createDirectory(this.#linkHost);
@@ -189,7 +183,7 @@
     this.#outboundListener = new OutboundListener(
       this.#outboundService,
       this.#callerLimits,
-      { inputDelay: this.#inputDelay, startQueue: this.#startQueue },
+      this.#input,
     );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
@@ -211,8 +205,7 @@
           usage: this.#access.usage,
           currency: this.#access.currency,
           callerMemory: this.#callerLimits.memory,
-          inputDelay: this.#inputDelay,
-          startQueue: this.#startQueue,
+          ...this.#input,
           callerConnectionsCount: () => this.#outboundListener.connectionsCount,
         }),
       (reason) => this.#callerLimits.refusals.countOf(reason),
@@ -277,7 +270,7 @@
 
   get #openCount(): number {
     return this.#outboundListener.openCount +
-      this.#upstreamParts.gate.openCount + this.#startQueue.waitingCount;
+      this.#upstreamParts.gate.openCount + this.#input.startQueue.waitingCount;
   }
 
   #createLifecycle(): FleetDaemonLifecycle {
@@ -363,8 +356,7 @@
     this.#loop.register(this.#directory);
     this.#loop.register(
       new ControlTick({
-        inputDelay: this.#inputDelay,
-        inputDelayLog: this.#inputDelayLog,
+        ...this.#input,
         linkHost: this.#linkHost,
         directory: this.#directory,
         linkServer: this.#linkServer,
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -32,6 +32,7 @@
   PROGRESS_CHECK_MS,
 } from "../reception/body_reception.ts";
 import type { CallerLimits } from "../reception/caller_limits.ts";
+import type { InputParts } from "./create_input_parts.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 import { PipelinedRequests } from "../reception/pipelined_requests.ts";
 import { StoppedConnections } from "../reception/stopped_connections.ts";
@@ -68,12 +69,6 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
-/** Options of {@link OutboundListener}. */
-export type OutboundListenerOptions = {
-  inputDelay: Pick<InputDelay, "measureMs">;
-  startQueue: StartQueue;
-};
-
 type ParserError = Error & { code?: string };
 
 function hasBody({ headers }: IncomingMessage): boolean {
@@ -109,13 +104,13 @@
   /**
    * @param handler Handles each request.
    * @param limits Bounds on what is held for callers.
-   * @param options Delay of the input of this process, and queue that starts the
+   * @param input Delay of the input of this process, and queue that starts the
    *   requests.
    */
   constructor(
     handler: OutboundHandler,
     limits: CallerLimits,
-    { inputDelay, startQueue }: OutboundListenerOptions,
+    { inputDelay, startQueue }: Pick<InputParts, "inputDelay" | "startQueue">,
   ) {
     this.#handler = handler;
     this.#inputDelay = inputDelay;
