--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -61,11 +61,13 @@
   const clock = new SystemClock();
   const nowMs = () => clock.monotonicMs();
   const random = new SeededRandom(randomSeed(settings, clock.wallMs()));
+  const inputDelay = new InputDelay();
   const bounds = new CallerBounds(machineLimits(settings.machine), log);
   const metrics = new Metrics(() =>
     daemonGauges({
       callerHeldBytes: bounds.memory.heldBytes,
       callerConnectionsCount: bounds.connectionsCount,
+      inputDelayMs: inputDelay.measureMs(),
       load: connector.load(),
       openCount: openExchanges.count,
       isServing: drain.isServing,
@@ -99,7 +101,6 @@
     instance: settings.instance,
   });
   const ledger = new MemoryLedger(LEDGER_LIMITS);
-  const inputDelay = new InputDelay();
   const dataPath = new DataPath({
     config,
     directory,
--- a/src/daemon/daemon_gauges.ts
+++ b/src/daemon/daemon_gauges.ts
@@ -16,6 +16,8 @@
   readonly callerHeldBytes: number;
   /** Number of open connections of callers, peers and the local upstream. */
   readonly callerConnectionsCount: number;
+  /** Longest time for which input that is read now may have waited, in ms. */
+  readonly inputDelayMs: number;
   readonly isServing: boolean;
   readonly status: ControlStatus;
 };
@@ -39,6 +41,7 @@
     goldcrest_open_exchanges: openCount,
     goldcrest_caller_held_bytes: sources.callerHeldBytes,
     goldcrest_caller_connections: sources.callerConnectionsCount,
+    goldcrest_input_delay_ms: Math.round(sources.inputDelayMs),
     goldcrest_config_generation: config.generation,
     goldcrest_config_confirmed_age_ms: config.confirmedAgeMs,
     goldcrest_members_alive: countMembers("alive"),
--- a/src/telemetry/metric_descriptions.ts
+++ b/src/telemetry/metric_descriptions.ts
@@ -94,6 +94,13 @@
     help: "Open connections of callers, other daemons and the local upstream",
     advice: "0.6 of descriptorsMaxCount at most: idle connections are closed",
   },
+  goldcrest_input_delay_ms: {
+    kind: "gauge",
+    labels: [],
+    help: "Longest time for which input that is read now may have waited",
+    advice: "100 and more: the process is behind, and starts requests only " +
+      "after it has read what has arrived behind them",
+  },
   goldcrest_config_generation: {
     kind: "gauge",
     labels: [],
