Spread costly reads of many connections over iterations of the event loop

Cause: Node.js reads all connections that are ready in one iteration of the event loop, and each such read takes up to 20 ms.

Change: ReadPacer, in the listeners of both daemons: after 50 ms of reads in one iteration, the other connections without a forwarded request are stopped, and continued in batches that grow while reads are cheap.

Evidence: the new test of outbound_listener failed before (40 costly reads in one iteration; at most 4 are expected) and passes.

--- a/src/decisions/memory/caller_connections.ts
+++ b/src/decisions/memory/caller_connections.ts
@@ -87,6 +87,13 @@
     return this.#states.keys();
   }
 
+  /** Open connections without a forwarded request. */
+  get unforwardedSockets(): S[] {
+    return [...this.#states]
+      .filter(([, { forwardedCount }]) => forwardedCount === 0)
+      .map(([socket]) => socket);
+  }
+
   /**
    * Adds a new connection. If there are too many, others are closed, or this one
    * if all others have forwarded requests.
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -35,6 +35,7 @@
 import type { InputParts } from "./create_input_parts.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 import { PipelinedRequests } from "../reception/pipelined_requests.ts";
+import { ReadPacer } from "../reception/read_pacer.ts";
 import { StoppedConnections } from "../reception/stopped_connections.ts";
 
 /** Maximum size of the head of a request before the first configuration. */
@@ -93,6 +94,8 @@
   readonly #receptions = new Set<BodyReception>();
   readonly #openResponses = new OpenResponses();
   readonly #stopped = new StoppedConnections();
+  // The close of a caller is still read while its request is forwarded.
+  readonly #pacer = new ReadPacer(() => this.#connections.unforwardedSockets);
   readonly #pipelined: PipelinedRequests;
   #bodyMaxBytes = INITIAL_BODY_MAX_BYTES;
   #headerMaxBytes = INITIAL_HEADER_MAX_BYTES;
@@ -140,6 +143,7 @@
     this.#pipelined.handleStopped(this.#server);
     this.#server.on("connection", (socket: Socket) => {
       this.#connections.add(socket, { headerMaxBytes: this.#headerMaxBytes });
+      this.#pacer.accept(socket);
     });
     this.#server.on(
       "clientError",
@@ -238,6 +242,7 @@
   }
 
   #receive(message: IncomingMessage, response: ServerResponse): void {
+    this.#pacer.recordRead();
     const arrivedAtMs = performance.now();
     const inputDelayMs = this.#inputDelay.measureMs();
     const state = this.#connections.find(message.socket);
--- a/src/fleet/outbound_listener_test.ts
+++ b/src/fleet/outbound_listener_test.ts
@@ -18,6 +18,7 @@
 import type { AnswerSender } from "./routed_request.ts";
 
 const WAIT_MS = 50;
+const NEVER_BEHIND = { isBehind: false };
 
 function createOptions() {
   const inputDelay = new InputDelay();
@@ -287,3 +288,68 @@
   open().write(request);
   await waitFor("a larger head is read", () => handler.senders.length === 1);
 });
+
+/** Processor time that the read of a connection takes, at least, in ms. */
+const COSTLY_READ_MS = 20;
+const COSTLY_CALLERS_COUNT = 40;
+/** Reads in one iteration of the event loop, with a bound of 50 ms. */
+const READS_MAX_COUNT = 4;
+
+// Guards against an event loop that stands still while the first reads of many
+// callers are costly: 1,400 bodies in chunks of one byte held it for 10 s.
+test("costly reads of many connections are spread over iterations of the event loop", async (t) => {
+  let iteration = 0;
+  let isDone = false;
+  const countIterations = () => {
+    iteration++;
+    if (!isDone) {
+      setImmediate(countIterations);
+    }
+  };
+  const readsByIteration = new Map<number, number>();
+  const listener = new OutboundListener(
+    {
+      handle: (_request, answerSender) => {
+        const endsAtMs = performance.now() + COSTLY_READ_MS;
+        while (performance.now() < endsAtMs) {
+          // Takes processor time, as the parser does.
+        }
+        const count = readsByIteration.get(iteration) ?? 0;
+        readsByIteration.set(iteration, count + 1);
+        answerSender.fail("shed");
+        return () => {};
+      },
+      retryAfterMs: () => undefined,
+    },
+    {
+      memory: new CallerMemory(10_000_000),
+      connectionsMaxCount: COSTLY_CALLERS_COUNT,
+      upstreamConnectionsMaxCount: 1,
+      refusals: new CallerRefusals(new NullLogger()),
+    },
+    { inputDelay: new InputDelay(), startQueue: new StartQueue(NEVER_BEHIND) },
+  );
+  const { port } = await listener.listen({ host: "127.0.0.1", port: 0 });
+  t.after(() => listener.close());
+  const sockets = await Promise.all(
+    Array.from({ length: COSTLY_CALLERS_COUNT }, async () => {
+      const socket = connect(port, "127.0.0.1");
+      t.after(() => socket.destroy());
+      await once(socket, "connect");
+      return socket;
+    }),
+  );
+  await waitFor(
+    "all are accepted",
+    () => listener.connectionsCount === COSTLY_CALLERS_COUNT,
+  );
+  countIterations();
+  const answers = sockets.map((socket) => once(socket, "data"));
+  sockets.forEach((socket) =>
+    socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+  );
+  await Promise.all(answers);
+  isDone = true;
+  const mostCount = Math.max(...readsByIteration.values());
+  assert.ok(mostCount <= READS_MAX_COUNT, `${mostCount} reads at once`);
+});
--- a/src/proxy/caller_bounds.ts
+++ b/src/proxy/caller_bounds.ts
@@ -1,4 +1,5 @@
 /** Bounds on what the listeners of a daemon hold. */
+import type { Socket } from "node:net";
 import process from "node:process";
 import { collectGarbage } from "../core/collect_garbage.ts";
 import { CallerConnections } from "../decisions/memory/caller_connections.ts";
@@ -54,7 +55,9 @@
   /** Records callers that are refused or closed. */
   readonly refusals: CallerRefusals;
   /** Connections of each listener. */
-  readonly connections: Readonly<Record<ListenerName, CallerConnections>>;
+  readonly connections: Readonly<
+    Record<ListenerName, CallerConnections<Socket>>
+  >;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -80,12 +83,14 @@
     });
     this.streamedBodies = new StreamedBodies(this.memory);
     this.refusals = limits.refusals;
-    const createConnections = (listener: ListenerName): CallerConnections => {
+    const createConnections = (
+      listener: ListenerName,
+    ): CallerConnections<Socket> => {
       const maxCount = Math.max(
         1,
         Math.floor(limits.connectionsMaxCount * CONNECTION_RATIOS[listener]),
       );
-      const connections: CallerConnections = new CallerConnections(
+      const connections = new CallerConnections<Socket>(
         maxCount,
         ({ isNew }) =>
           this.refusals.record(
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -12,6 +12,7 @@
 import { StoppableMessage } from "../core/stoppable_message.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import { PipelinedRequests } from "../reception/pipelined_requests.ts";
+import { ReadPacer } from "../reception/read_pacer.ts";
 import { StoppedConnections } from "../reception/stopped_connections.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
@@ -31,7 +32,7 @@
 /** Bounds of a listener. */
 export type ListenerLimits = {
   /** Bound on the connections. */
-  connections: CallerConnections;
+  connections: CallerConnections<Socket>;
   /** Account of what is held for callers. */
   memory: CallerMemory;
   /** Records callers that are refused or closed. */
@@ -80,6 +81,8 @@
       this.#openResponses,
       new StoppedConnections(),
     );
+    // The close of a caller is still read while its request is forwarded.
+    const pacer = new ReadPacer(() => connections.unforwardedSockets);
     this.#server = createServer({
       IncomingMessage: StoppableMessage,
       maxHeaderSize: HEADER_MAX_BYTES,
@@ -88,6 +91,7 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       noDelay: true,
     }, (request, response) => {
+      pacer.recordRead();
       const state = connections.find(request.socket);
       // The answer that closes the connection has been sent, so this request
       // gets none and must not run.
@@ -113,7 +117,10 @@
       refuseForMemory(response);
     });
     pipelined.handleStopped(this.#server);
-    this.#server.on("connection", (socket: Socket) => connections.add(socket));
+    this.#server.on("connection", (socket: Socket) => {
+      connections.add(socket);
+      pacer.accept(socket);
+    });
     this.#server.on(
       "clientError",
       (error: ParserError, socket: Socket) =>
