--- a/src/fleet/control_tick.ts
+++ b/src/fleet/control_tick.ts
@@ -38,7 +38,10 @@
   stopSequence: StopSequence;
 };
 
-/** Calls the parts in a fixed order, and tells them for how long the process was stalled. */
+/**
+ * Calls the parts in a fixed order, and tells them for how long the process was
+ * stalled.
+ */
 export class ControlTick implements ControlPart<number> {
   readonly name = "tick";
   readonly inputs: Stream<number> = timerStream(CONTROL_TICK_MS);
