Sort the decisions into folders by subject

Cause: src/decisions had 46 files beside its folders. Change: admission, keys, limits, retries, routing and selection; eight files of general use remain. Only paths of imports change.

--- a/bench/policy/call_graph.ts
+++ b/bench/policy/call_graph.ts
@@ -1,7 +1,7 @@
 /** Simulated calls between the upstreams of a scenario. */
 import { SeededRandom } from "../../src/core/random.ts";
-import type { FinishedRequest } from "../../src/decisions/admission_policy.ts";
-import type { PoolView } from "../../src/decisions/upstream_selector.ts";
+import type { FinishedRequest } from "../../src/decisions/admission/admission_policy.ts";
+import type { PoolView } from "../../src/decisions/selection/upstream_selector.ts";
 import { EventQueue } from "./event_queue.ts";
 import { type ClientTry, Metrics } from "./metrics.ts";
 import type { BenchPolicy } from "./policies.ts";
--- a/bench/policy/clients.ts
+++ b/bench/policy/clients.ts
@@ -3,7 +3,7 @@
 import {
   ADMISSION_KEYS_COUNT,
   admissionRank,
-} from "../../src/decisions/importance.ts";
+} from "../../src/decisions/admission/importance.ts";
 import { type Answer, type CallGraph, refusal } from "./call_graph.ts";
 import { CoarseTimeouts } from "./event_queue.ts";
 import { ClientTry } from "./metrics.ts";
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -1,16 +1,16 @@
 /** Policies that the bench compares. */
 import { SeededRandom } from "../../src/core/random.ts";
-import type { AdmissionPolicy } from "../../src/decisions/admission_policy.ts";
-import { createLimiter } from "../../src/decisions/create_limiter.ts";
-import { FixedAdmission } from "../../src/decisions/fixed_admission.ts";
-import { UnlimitedAdmission } from "../../src/decisions/unlimited_admission.ts";
-import { PerHopRetries } from "../../src/decisions/per_hop_retries.ts";
-import { RandomSelector } from "../../src/decisions/random_selector.ts";
-import { RankAdmission } from "../../src/decisions/rank_admission.ts";
-import type { RetryPolicy } from "../../src/decisions/retry_policy.ts";
-import { SlidingRatioRetries } from "../../src/decisions/sliding_ratio_retries.ts";
-import { TwoChoiceSelector } from "../../src/decisions/two_choice_selector.ts";
-import type { UpstreamSelector } from "../../src/decisions/upstream_selector.ts";
+import type { AdmissionPolicy } from "../../src/decisions/admission/admission_policy.ts";
+import { createLimiter } from "../../src/decisions/limits/create_limiter.ts";
+import { FixedAdmission } from "../../src/decisions/admission/fixed_admission.ts";
+import { UnlimitedAdmission } from "../../src/decisions/admission/unlimited_admission.ts";
+import { PerHopRetries } from "../../src/decisions/retries/per_hop_retries.ts";
+import { RandomSelector } from "../../src/decisions/selection/random_selector.ts";
+import { RankAdmission } from "../../src/decisions/admission/rank_admission.ts";
+import type { RetryPolicy } from "../../src/decisions/retries/retry_policy.ts";
+import { SlidingRatioRetries } from "../../src/decisions/retries/sliding_ratio_retries.ts";
+import { TwoChoiceSelector } from "../../src/decisions/selection/two_choice_selector.ts";
+import type { UpstreamSelector } from "../../src/decisions/selection/upstream_selector.ts";
 
 const QUEUE_MAX_COUNT = 200;
 const QUEUE_AGE_MAX_MS = 500;
--- a/bench/policy/simulated_deployment.ts
+++ b/bench/policy/simulated_deployment.ts
@@ -1,10 +1,10 @@
 /** Simulated daemons and upstreams of one run. */
-import type { RetryPolicy } from "../../src/decisions/retry_policy.ts";
-import type { Endpoint } from "../../src/decisions/upstream_directory.ts";
+import type { RetryPolicy } from "../../src/decisions/retries/retry_policy.ts";
+import type { Endpoint } from "../../src/decisions/selection/upstream_directory.ts";
 import type {
   PoolView,
   UpstreamSelector,
-} from "../../src/decisions/upstream_selector.ts";
+} from "../../src/decisions/selection/upstream_selector.ts";
 import { poolSchema } from "../../src/schemas/tables_schema.ts";
 import type { EventQueue } from "./event_queue.ts";
 import type { BenchPolicy } from "./policies.ts";
--- a/bench/policy/upstream_model.ts
+++ b/bench/policy/upstream_model.ts
@@ -2,7 +2,7 @@
 import type {
   AdmissionPolicy,
   FinishedRequest,
-} from "../../src/decisions/admission_policy.ts";
+} from "../../src/decisions/admission/admission_policy.ts";
 import type { ErrorKind } from "../../src/errors/error_kinds.ts";
 import type { EventQueue } from "./event_queue.ts";
 import type { ClientTry } from "./metrics.ts";
--- a/src/cli/explain_route.ts
+++ b/src/cli/explain_route.ts
@@ -1,5 +1,5 @@
 /** Explains which rules apply to a request, with reasons. */
-import { RouteMatcher } from "../decisions/route_matcher.ts";
+import { RouteMatcher } from "../decisions/routing/route_matcher.ts";
 import type { ImportanceClass } from "../schemas/common_schema.ts";
 import type { Pool, Route, Tables } from "../schemas/tables_schema.ts";
 
--- a/src/config/config_store.ts
+++ b/src/config/config_store.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../core/clock.ts";
 import { EventSource } from "../core/event_source.ts";
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
-import { RouteMatcher } from "../decisions/route_matcher.ts";
+import { RouteMatcher } from "../decisions/routing/route_matcher.ts";
 import type { ConfigHead, ConfigStep } from "../schemas/config_schema.ts";
 import type {
   AppliedGeneration,
--- a/src/config/validate_tables.ts
+++ b/src/config/validate_tables.ts
@@ -1,5 +1,5 @@
 /** Rules that a pair of tables must satisfy beyond the schema of each table. */
-import { CONNECTIONS_PER_CALLER_COUNT } from "../decisions/rendezvous_subset.ts";
+import { CONNECTIONS_PER_CALLER_COUNT } from "../decisions/selection/rendezvous_subset.ts";
 import { IMPORTANCE_CLASSES } from "../schemas/common_schema.ts";
 import type { TableMistake } from "../schemas/config_schema.ts";
 import type {
--- a/src/daemon/create_control_plane.ts
+++ b/src/daemon/create_control_plane.ts
@@ -5,7 +5,7 @@
 import { ConfigStore } from "../config/config_store.ts";
 import type { Clock } from "../core/clock.ts";
 import type { RandomSource } from "../core/random.ts";
-import type { KeyClock } from "../decisions/keyed_admission.ts";
+import type { KeyClock } from "../decisions/keys/keyed_admission.ts";
 import { AnnouncementPart } from "../membership/announcement_part.ts";
 import { MemberOwners, ownerRulesOf } from "../membership/member_owners.ts";
 import { MembershipPart } from "../membership/membership_part.ts";
--- a/src/daemon/daemon_gauges.ts
+++ b/src/daemon/daemon_gauges.ts
@@ -1,5 +1,5 @@
 /** Values of the gauges of a daemon. */
-import type { LoadState } from "../decisions/admission_policy.ts";
+import type { LoadState } from "../decisions/admission/admission_policy.ts";
 import type { GaugeValues } from "../telemetry/metrics.ts";
 import type { ControlStatus } from "./daemon_operator_service.ts";
 
--- a/src/daemon/daemon_operator_service.ts
+++ b/src/daemon/daemon_operator_service.ts
@@ -1,6 +1,6 @@
 /** Operator service of a daemon. */
 import type { ConfigSource } from "../decisions/config_source.ts";
-import type { LoadState } from "../decisions/admission_policy.ts";
+import type { LoadState } from "../decisions/admission/admission_policy.ts";
 import type {
   OperatorService,
   Readiness,
--- a/src/daemon/daemon_types.ts
+++ b/src/daemon/daemon_types.ts
@@ -3,8 +3,8 @@
 import type { ControlPart, EventLoop } from "../core/event_loop.ts";
 import type { NeighbourSource } from "../core/peer_transport.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import type { OwnerHistory } from "../decisions/key_owner.ts";
-import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import type { OwnerHistory } from "../decisions/keys/key_owner.ts";
+import type { UpstreamDirectory } from "../decisions/selection/upstream_directory.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
   Announcement,
--- a/src/daemon/fixed_control_plane.ts
+++ b/src/daemon/fixed_control_plane.ts
@@ -2,8 +2,8 @@
 import { never, type Stream } from "most";
 import type { EventLoop } from "../core/event_loop.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
-import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/keys/key_owner.ts";
+import type { UpstreamDirectory } from "../decisions/selection/upstream_directory.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type { Announcement } from "../schemas/settings_schema.ts";
 import type {
--- a/src/daemon/membership_handle.ts
+++ b/src/daemon/membership_handle.ts
@@ -4,12 +4,12 @@
   Peer,
   PeerIdentity,
 } from "../core/peer_transport.ts";
-import type { EligibleOwners } from "../decisions/eligible_owners.ts";
+import type { EligibleOwners } from "../decisions/keys/eligible_owners.ts";
 import type {
   Endpoint,
   PeerConnectivity,
   UpstreamDirectory,
-} from "../decisions/upstream_directory.ts";
+} from "../decisions/selection/upstream_directory.ts";
 import type { MembershipPart } from "../membership/membership_part.ts";
 import type { Announcement } from "../schemas/settings_schema.ts";
 import type { MemberStatus } from "../schemas/status_schema.ts";
--- a/src/daemon/peer_control_plane.ts
+++ b/src/daemon/peer_control_plane.ts
@@ -2,7 +2,7 @@
 import type { Stream } from "most";
 import type { ConfigStore } from "../config/config_store.ts";
 import type { EventLoop } from "../core/event_loop.ts";
-import type { OwnerHistory } from "../decisions/key_owner.ts";
+import type { OwnerHistory } from "../decisions/keys/key_owner.ts";
 import type { AnnouncementPart } from "../membership/announcement_part.ts";
 import type { MembershipPart } from "../membership/membership_part.ts";
 import type { GrpcPeerTransport } from "../peer/grpc_peer_transport.ts";
--- a/src/daemon/upstream_connector.ts
+++ b/src/daemon/upstream_connector.ts
@@ -3,7 +3,7 @@
   AdmissionPolicy,
   AdmissionRules,
   LoadState,
-} from "../decisions/admission_policy.ts";
+} from "../decisions/admission/admission_policy.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
 import type { PolicySet } from "../decisions/policy_set.ts";
 import type { InboundService } from "../proxy/inbound_service.ts";
--- a/src/decisions/admission_policy.ts
+++ b/src/decisions/admission/admission_policy.ts
@@ -1,6 +1,6 @@
 /** Interface of the admission decision of one upstream. */
-import type { ErrorKind } from "../errors/error_kinds.ts";
-import type { CentralRules, Pool } from "../schemas/tables_schema.ts";
+import type { ErrorKind } from "../../errors/error_kinds.ts";
+import type { CentralRules, Pool } from "../../schemas/tables_schema.ts";
 
 /** Properties of a request on which the admission decision depends. */
 export type AdmissionRequest = {
--- a/src/decisions/downstream_levels_test.ts
+++ b/src/decisions/admission/downstream_levels_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SeededRandom } from "../core/random.ts";
+import { SeededRandom } from "../../core/random.ts";
 import { DownstreamLevels } from "./downstream_levels.ts";
 
 const DOWNSTREAM_LEVEL = 200;
--- a/src/decisions/importance.ts
+++ b/src/decisions/admission/importance.ts
@@ -2,8 +2,8 @@
 import {
   IMPORTANCE_CLASSES,
   type ImportanceClass,
-} from "../schemas/common_schema.ts";
-import { hash32 } from "../core/hash.ts";
+} from "../../schemas/common_schema.ts";
+import { hash32 } from "../../core/hash.ts";
 
 /** Number of admission keys per class. */
 export const ADMISSION_KEYS_COUNT = 128;
--- a/src/decisions/overload_tuning.ts
+++ b/src/decisions/admission/overload_tuning.ts
@@ -1,6 +1,6 @@
 /** Parameters of the overload policy, scaled by `overloadPreference`. */
 
-import { IMPORTANCE_CLASSES } from "../schemas/common_schema.ts";
+import { IMPORTANCE_CLASSES } from "../../schemas/common_schema.ts";
 
 /** Interval at which the admission level is adjusted, in ms. */
 export const CONTROL_INTERVAL_MS = 100;
--- a/src/decisions/pool_gate.ts
+++ b/src/decisions/admission/pool_gate.ts
@@ -1,5 +1,5 @@
 /** Refuses requests in the calling daemon that the whole pool would refuse. */
-import type { RandomSource } from "../core/random.ts";
+import type { RandomSource } from "../../core/random.ts";
 
 /** One of this many refused requests is sent as a probe, to detect recovery. */
 const PROBE_ONE_IN_COUNT = 100;
--- a/src/decisions/rank_admission.ts
+++ b/src/decisions/admission/rank_admission.ts
@@ -9,24 +9,24 @@
   LoadState,
   QueueDecision,
 } from "./admission_policy.ts";
-import type { ConcurrencyLimiter } from "./concurrency_limiter.ts";
-import { createLimiter } from "./create_limiter.ts";
-import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { ConcurrencyLimiter } from "../limits/concurrency_limiter.ts";
+import { createLimiter } from "../limits/create_limiter.ts";
+import type { ErrorKind } from "../../errors/error_kinds.ts";
 import { DownstreamLevels } from "./downstream_levels.ts";
 import {
   ADMISSION_KEYS_COUNT,
   CLASSES_COUNT,
   effectiveRank,
 } from "./importance.ts";
-import { IntervalMeter } from "./interval_meter.ts";
-import { LoadReportBound } from "./load_report_bound.ts";
+import { IntervalMeter } from "../interval_meter.ts";
+import { LoadReportBound } from "../load_report_bound.ts";
 import {
   CONTROL_INTERVAL_MS,
   type OverloadTuning,
   tuneOverload,
 } from "./overload_tuning.ts";
 import { type QueueEntry, RankQueue } from "./rank_queue.ts";
-import { ServiceEstimates } from "./service_estimates.ts";
+import { ServiceEstimates } from "../service_estimates.ts";
 import { TenantShares } from "./tenant_shares.ts";
 
 /** Largest number of missed control intervals to process after a pause. */
--- a/src/decisions/rank_admission_test.ts
+++ b/src/decisions/admission/rank_admission_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SeededRandom } from "../core/random.ts";
+import { SeededRandom } from "../../core/random.ts";
 import type { AdmissionRequest } from "./admission_policy.ts";
-import { createLimiter } from "./create_limiter.ts";
+import { createLimiter } from "../limits/create_limiter.ts";
 import { RankAdmission } from "./rank_admission.ts";
 
 const STEP_MS = 5;
--- a/src/decisions/config_source.ts
+++ b/src/decisions/config_source.ts
@@ -1,6 +1,6 @@
 /** Interface through which the data path reads the configuration in force. */
 import type { Tables } from "../schemas/tables_schema.ts";
-import type { RouteMatcher } from "./route_matcher.ts";
+import type { RouteMatcher } from "./routing/route_matcher.ts";
 
 /** One accepted configuration. */
 export type ActiveConfig = {
--- a/src/decisions/idempotency_key.ts
+++ b/src/decisions/keys/idempotency_key.ts
@@ -1,5 +1,5 @@
 /** Idempotency keys: a UUIDv7 with an optional home data centre. */
-import { nameSchema } from "../schemas/common_schema.ts";
+import { nameSchema } from "../../schemas/common_schema.ts";
 
 /** Parsed idempotency key. */
 export type IdempotencyKey = {
--- a/src/decisions/key_owner.ts
+++ b/src/decisions/keys/key_owner.ts
@@ -1,8 +1,8 @@
 /** Home data centre and owner instance of an idempotency key. */
-import { hash32 } from "../core/hash.ts";
+import { hash32 } from "../../core/hash.ts";
 import type { IdempotencyKey } from "./idempotency_key.ts";
-import type { Endpoint } from "./upstream_directory.ts";
-import type { Selection } from "./upstream_selector.ts";
+import type { Endpoint } from "../selection/upstream_directory.ts";
+import type { Selection } from "../selection/upstream_selector.ts";
 
 /** Data centres and owners of a pool over one period. */
 export type OwnerList = {
--- a/src/decisions/keyed_admission.ts
+++ b/src/decisions/keys/keyed_admission.ts
@@ -1,5 +1,5 @@
 /** Decides whether the owner's daemon runs a keyed request. */
-import type { ErrorKind } from "../errors/error_kinds.ts";
+import type { ErrorKind } from "../../errors/error_kinds.ts";
 import { parseIdempotencyKey } from "./idempotency_key.ts";
 import type { IdempotencyKey } from "./idempotency_key.ts";
 import type {
@@ -13,7 +13,7 @@
   type OwnerHistory,
 } from "./key_owner.ts";
 import { SelfFence } from "./self_fence.ts";
-import type { PeerConnectivity } from "./upstream_directory.ts";
+import type { PeerConnectivity } from "../selection/upstream_directory.ts";
 
 /** A keyed request as the owner's daemon receives it. */
 export type KeyedRequest = {
--- a/src/decisions/self_fence.ts
+++ b/src/decisions/keys/self_fence.ts
@@ -1,5 +1,5 @@
 /** Stops keyed requests while another daemon may own the keys of this one. */
-import type { PeerConnectivity } from "./upstream_directory.ts";
+import type { PeerConnectivity } from "../selection/upstream_directory.ts";
 
 /** Options of {@link SelfFence}. */
 export type SelfFenceOptions = {
--- a/src/decisions/concurrency_limiter.ts
+++ b/src/decisions/limits/concurrency_limiter.ts
@@ -1,6 +1,6 @@
 /** Interface of the concurrency limit of one upstream. */
 
-import type { Pool } from "../schemas/tables_schema.ts";
+import type { Pool } from "../../schemas/tables_schema.ts";
 
 /** Measurements of one finished request. */
 export type LatencySample = {
--- a/src/decisions/create_limiter.ts
+++ b/src/decisions/limits/create_limiter.ts
@@ -1,5 +1,5 @@
 /** Creates the concurrency limiter that the table of pools selects. */
-import type { Pool } from "../schemas/tables_schema.ts";
+import type { Pool } from "../../schemas/tables_schema.ts";
 import { AimdLimiter } from "./aimd_limiter.ts";
 import type { ConcurrencyLimiter } from "./concurrency_limiter.ts";
 import { FixedLimiter } from "./fixed_limiter.ts";
--- a/src/decisions/limiters_test.ts
+++ b/src/decisions/limits/limiters_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Pool } from "../schemas/tables_schema.ts";
+import type { Pool } from "../../schemas/tables_schema.ts";
 import { createLimiter } from "./create_limiter.ts";
-import { LoadReportBound } from "./load_report_bound.ts";
+import { LoadReportBound } from "../load_report_bound.ts";
 
 /** Period in which the latency is a fixed function of the running requests. */
 type Phase = { latencyMs(inFlightCount: number): number; durationMs: number };
--- a/src/decisions/policy_set.ts
+++ b/src/decisions/policy_set.ts
@@ -2,17 +2,20 @@
 import type { RandomSource } from "../core/random.ts";
 import type { Settings } from "../schemas/settings_schema.ts";
 import type { CentralRules } from "../schemas/tables_schema.ts";
-import type { AdmissionPolicy, AdmissionRules } from "./admission_policy.ts";
-import { createLimiter } from "./create_limiter.ts";
-import { FixedAdmission } from "./fixed_admission.ts";
-import { UnlimitedAdmission } from "./unlimited_admission.ts";
-import { PerHopRetries } from "./per_hop_retries.ts";
-import { RandomSelector } from "./random_selector.ts";
-import { RankAdmission } from "./rank_admission.ts";
-import type { RetryPolicy } from "./retry_policy.ts";
-import { SlidingRatioRetries } from "./sliding_ratio_retries.ts";
-import { TwoChoiceSelector } from "./two_choice_selector.ts";
-import type { UpstreamSelector } from "./upstream_selector.ts";
+import type {
+  AdmissionPolicy,
+  AdmissionRules,
+} from "./admission/admission_policy.ts";
+import { createLimiter } from "./limits/create_limiter.ts";
+import { FixedAdmission } from "./admission/fixed_admission.ts";
+import { UnlimitedAdmission } from "./admission/unlimited_admission.ts";
+import { PerHopRetries } from "./retries/per_hop_retries.ts";
+import { RandomSelector } from "./selection/random_selector.ts";
+import { RankAdmission } from "./admission/rank_admission.ts";
+import type { RetryPolicy } from "./retries/retry_policy.ts";
+import { SlidingRatioRetries } from "./retries/sliding_ratio_retries.ts";
+import { TwoChoiceSelector } from "./selection/two_choice_selector.ts";
+import type { UpstreamSelector } from "./selection/upstream_selector.ts";
 
 /** Components that make the decisions of one overload policy. */
 export interface PolicySet {
--- a/src/decisions/retry_policy.ts
+++ b/src/decisions/retries/retry_policy.ts
@@ -1,5 +1,5 @@
 /** Interface of the decision to retry a failed attempt. */
-import type { Outcome } from "../errors/error_kinds.ts";
+import type { Outcome } from "../../errors/error_kinds.ts";
 
 /** Properties of a failed attempt on which the decision depends. */
 export type FailedAttempt = {
--- a/src/decisions/sliding_ratio_retries_test.ts
+++ b/src/decisions/retries/sliding_ratio_retries_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ManualClock } from "../core/clock.ts";
-import { SeededRandom } from "../core/random.ts";
+import { ManualClock } from "../../core/clock.ts";
+import { SeededRandom } from "../../core/random.ts";
 import { PerHopRetries } from "./per_hop_retries.ts";
 import type { FailedAttempt, RetryPolicy } from "./retry_policy.ts";
 import { SlidingRatioRetries } from "./sliding_ratio_retries.ts";
--- a/src/decisions/fleet_routes.ts
+++ b/src/decisions/routing/fleet_routes.ts
@@ -1,6 +1,6 @@
 /** Finds the route of a request by host and path, and the pool that runs it. */
-import type { FleetConfig, FleetRoute } from "../schemas/fleet_schema.ts";
-import { TenantKeys } from "./tenants/tenant_keys.ts";
+import type { FleetConfig, FleetRoute } from "../../schemas/fleet_schema.ts";
+import { TenantKeys } from "../tenants/tenant_keys.ts";
 
 type SplitState = {
   readonly credits: Float64Array;
--- a/src/decisions/fleet_routes_test.ts
+++ b/src/decisions/routing/fleet_routes_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { FleetConfig, FleetRoute } from "../schemas/fleet_schema.ts";
+import type { FleetConfig, FleetRoute } from "../../schemas/fleet_schema.ts";
 import { FleetRoutes } from "./fleet_routes.ts";
 
 function route(
--- a/src/decisions/route_matcher.ts
+++ b/src/decisions/routing/route_matcher.ts
@@ -1,11 +1,11 @@
 /** Finds the route of a request and the rules that apply to it. */
-import type { ImportanceClass } from "../schemas/common_schema.ts";
+import type { ImportanceClass } from "../../schemas/common_schema.ts";
 import type {
   Pool,
   Route,
   RoutesTable,
   Tables,
-} from "../schemas/tables_schema.ts";
+} from "../../schemas/tables_schema.ts";
 
 /** A route with the rules of the tenant's branch applied. */
 export type RouteRules = {
--- a/src/decisions/endpoint_record.ts
+++ b/src/decisions/selection/endpoint_record.ts
@@ -1,8 +1,8 @@
 /** State that a calling daemon keeps about one upstream. */
-import { loadChart } from "../charts/load_chart.ts";
-import { StateMachine } from "../charts/state_machine.ts";
-import type { LoadState } from "./admission_policy.ts";
-import { RANKS_COUNT } from "./importance.ts";
+import { loadChart } from "../../charts/load_chart.ts";
+import { StateMachine } from "../../charts/state_machine.ts";
+import type { LoadState } from "../admission/admission_policy.ts";
+import { RANKS_COUNT } from "../admission/importance.ts";
 import type { Endpoint } from "./upstream_directory.ts";
 import type { AttemptResult } from "./upstream_selector.ts";
 
--- a/src/decisions/random_selector.ts
+++ b/src/decisions/selection/random_selector.ts
@@ -1,5 +1,5 @@
 /** Baseline selection: a random endpoint. */
-import type { RandomSource } from "../core/random.ts";
+import type { RandomSource } from "../../core/random.ts";
 import type {
   AttemptResult,
   PoolView,
--- a/src/decisions/rendezvous_subset.ts
+++ b/src/decisions/selection/rendezvous_subset.ts
@@ -1,6 +1,6 @@
 /** Stable subset of a pool's endpoints per calling daemon. */
-import { hash32 } from "../core/hash.ts";
-import type { Pool } from "../schemas/tables_schema.ts";
+import { hash32 } from "../../core/hash.ts";
+import type { Pool } from "../../schemas/tables_schema.ts";
 import type { Endpoint } from "./upstream_directory.ts";
 
 /** Connections that one calling daemon keeps open to one endpoint. */
--- a/src/decisions/two_choice_selector.ts
+++ b/src/decisions/selection/two_choice_selector.ts
@@ -1,8 +1,8 @@
 /** Chooses the less loaded of two random upstreams. */
-import type { RandomSource } from "../core/random.ts";
+import type { RandomSource } from "../../core/random.ts";
 import { EndpointRecord } from "./endpoint_record.ts";
-import { PoolGate } from "./pool_gate.ts";
-import { effectiveRank } from "./importance.ts";
+import { PoolGate } from "../admission/pool_gate.ts";
+import { effectiveRank } from "../admission/importance.ts";
 import { rendezvousSubset } from "./rendezvous_subset.ts";
 import type { Endpoint } from "./upstream_directory.ts";
 import type {
--- a/src/decisions/two_choice_selector_test.ts
+++ b/src/decisions/selection/two_choice_selector_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SeededRandom } from "../core/random.ts";
-import { poolSchema } from "../schemas/tables_schema.ts";
+import { SeededRandom } from "../../core/random.ts";
+import { poolSchema } from "../../schemas/tables_schema.ts";
 import { rendezvousSubset, subsetSize } from "./rendezvous_subset.ts";
 import { TwoChoiceSelector } from "./two_choice_selector.ts";
 import type { Endpoint } from "./upstream_directory.ts";
--- a/src/decisions/upstream_selector.ts
+++ b/src/decisions/selection/upstream_selector.ts
@@ -1,7 +1,7 @@
 /** Interface of the selection of an upstream for one attempt. */
-import type { ErrorKind } from "../errors/error_kinds.ts";
-import type { Pool } from "../schemas/tables_schema.ts";
-import type { LoadState } from "./admission_policy.ts";
+import type { ErrorKind } from "../../errors/error_kinds.ts";
+import type { Pool } from "../../schemas/tables_schema.ts";
+import type { LoadState } from "../admission/admission_policy.ts";
 import type { Endpoint } from "./upstream_directory.ts";
 
 /** Properties of a pool on which the choice depends. */
--- a/src/fleet/authenticator_test.ts
+++ b/src/fleet/authenticator_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { FleetRoutes } from "../decisions/routing/fleet_routes.ts";
 import type { ForwardedRequest } from "../link/upstream_channel.ts";
 import type {
   FleetConfig,
--- a/src/fleet/config_follower.ts
+++ b/src/fleet/config_follower.ts
@@ -2,7 +2,7 @@
 import type { Stream } from "most";
 import type { ControlPart } from "../core/event_loop.ts";
 import type { StoredObject } from "../core/platform_client.ts";
-import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { FleetRoutes } from "../decisions/routing/fleet_routes.ts";
 import {
   type FleetConfig,
   fleetConfigSchema,
--- a/src/fleet/create_outbound_service.ts
+++ b/src/fleet/create_outbound_service.ts
@@ -1,5 +1,5 @@
 /** Creates the outbound service of a daemon from its other parts. */
-import { RetryBudget } from "../decisions/retry_budget.ts";
+import { RetryBudget } from "../decisions/retries/retry_budget.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { FleetMetrics } from "../telemetry/fleet_metrics.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -1,7 +1,7 @@
 /** Connects the links to the state and the services of the daemon. */
 import type { InputDelay } from "../core/input_delay.ts";
 import type { StartQueue } from "../core/start_queue.ts";
-import type { CallGraph } from "../decisions/call_graph.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigPeer } from "../link/config_peer.ts";
 import type { LinkServerHost } from "../link/link_server.ts";
--- a/src/fleet/entry_admission.ts
+++ b/src/fleet/entry_admission.ts
@@ -1,6 +1,6 @@
 /** Admission control of callers' requests by the load of the pools they use. */
 import type { RandomSource } from "../core/random.ts";
-import type { CallGraph } from "../decisions/call_graph.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
 import {
   CompletionLevels,
   type PoolRefusals,
@@ -17,7 +17,7 @@
 import type { PoolFigures } from "../decisions/sharing/pool_figures.ts";
 import { OfferRates } from "../decisions/sharing/offer_rates.ts";
 import { ScarcePools } from "../decisions/sharing/scarce_pools.ts";
-import type { FleetRoutes } from "../decisions/fleet_routes.ts";
+import type { FleetRoutes } from "../decisions/routing/fleet_routes.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { PoolGauges } from "../telemetry/fleet_metrics.ts";
--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandom } from "../core/random.ts";
-import { CallGraph } from "../decisions/call_graph.ts";
-import { FleetRoutes } from "../decisions/fleet_routes.ts";
+import { CallGraph } from "../decisions/routing/call_graph.ts";
+import { FleetRoutes } from "../decisions/routing/fleet_routes.ts";
 import type { UpstreamFigures } from "../decisions/sharing/pool_figures.ts";
-import { RetryBudget } from "../decisions/retry_budget.ts";
+import { RetryBudget } from "../decisions/retries/retry_budget.ts";
 import {
   type UpstreamChannel,
   UpstreamLoad,
--- a/src/fleet/exchange_parts.ts
+++ b/src/fleet/exchange_parts.ts
@@ -1,5 +1,5 @@
 /** Parts of the daemon that forwarded requests use. */
-import type { RetryBudget } from "../decisions/retry_budget.ts";
+import type { RetryBudget } from "../decisions/retries/retry_budget.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ChannelTable } from "./channel_table.ts";
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -2,7 +2,7 @@
 import type { Stream } from "most";
 import { EventLoop } from "../core/event_loop.ts";
 import type { RandomSource } from "../core/random.ts";
-import { CallGraph, CallObserver } from "../decisions/call_graph.ts";
+import { CallGraph, CallObserver } from "../decisions/routing/call_graph.ts";
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/link_host.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
--- a/src/fleet/pool_demands.ts
+++ b/src/fleet/pool_demands.ts
@@ -1,6 +1,6 @@
 /** Runs that the requests of this daemon's callers need at each pool. */
-import type { CallGraph } from "../decisions/call_graph.ts";
-import type { FleetRoutes } from "../decisions/fleet_routes.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
+import type { FleetRoutes } from "../decisions/routing/fleet_routes.ts";
 import type { CompetingRoute } from "../decisions/sharing/competing_pools.ts";
 import type { FlowDemands } from "../decisions/sharing/fair_share.ts";
 import {
--- a/src/fleet/read_gauges.ts
+++ b/src/fleet/read_gauges.ts
@@ -1,7 +1,7 @@
 /** Current values of the gauges of a daemon. */
 import type { InputDelay } from "../core/input_delay.ts";
 import type { StartQueue } from "../core/start_queue.ts";
-import type { CallGraph } from "../decisions/call_graph.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
 import type { FleetGauges } from "../telemetry/fleet_metrics.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import type { ConfigFollower } from "./config_follower.ts";
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -1,5 +1,8 @@
 /** Sends the state of the local upstream to the other daemons. */
-import type { CallEdge, CallObserver } from "../decisions/call_graph.ts";
+import type {
+  CallEdge,
+  CallObserver,
+} from "../decisions/routing/call_graph.ts";
 import { REFUSED_MIN_RATIO } from "../decisions/sharing/completion_levels.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
--- a/src/membership/member_owners.ts
+++ b/src/membership/member_owners.ts
@@ -3,8 +3,8 @@
   DEFAULT_OWNER_RULES,
   type EligibleOwners,
   type OwnerRules,
-} from "../decisions/eligible_owners.ts";
-import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
+} from "../decisions/keys/eligible_owners.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/keys/key_owner.ts";
 import type { Pool } from "../schemas/tables_schema.ts";
 import type { PlacementHistory } from "./placement_history.ts";
 
--- a/src/membership/membership_core.ts
+++ b/src/membership/membership_core.ts
@@ -1,6 +1,6 @@
 /** Decisions of the membership: which messages follow from an event. */
 import type { PeerIdentity } from "../core/peer_transport.ts";
-import type { PeerConnectivity } from "../decisions/upstream_directory.ts";
+import type { PeerConnectivity } from "../decisions/selection/upstream_directory.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
   MemberUpdate,
--- a/src/membership/membership_directory.ts
+++ b/src/membership/membership_directory.ts
@@ -4,12 +4,12 @@
   DEFAULT_OWNER_RULES,
   EligibleOwners,
   type OwnerRules,
-} from "../decisions/eligible_owners.ts";
+} from "../decisions/keys/eligible_owners.ts";
 import type {
   Endpoint,
   PeerConnectivity,
   UpstreamDirectory,
-} from "../decisions/upstream_directory.ts";
+} from "../decisions/selection/upstream_directory.ts";
 import type { MemberState } from "../schemas/member_schema.ts";
 import { isLiveState, type MemberChange } from "./member_registry.ts";
 import type { MembershipCore } from "./membership_core.ts";
--- a/src/membership/membership_part.ts
+++ b/src/membership/membership_part.ts
@@ -10,7 +10,7 @@
   type PeerTransport,
 } from "../core/peer_transport.ts";
 import { timerStream } from "../core/timer_stream.ts";
-import type { OwnerRules } from "../decisions/eligible_owners.ts";
+import type { OwnerRules } from "../decisions/keys/eligible_owners.ts";
 import type { Address } from "../schemas/common_schema.ts";
 import type {
   MemberState,
--- a/src/membership/own_member.ts
+++ b/src/membership/own_member.ts
@@ -1,5 +1,5 @@
 /** This daemon as a member: version, attributes and connectivity with peers. */
-import type { PeerConnectivity } from "../decisions/upstream_directory.ts";
+import type { PeerConnectivity } from "../decisions/selection/upstream_directory.ts";
 import type {
   MemberAttributes,
   MemberUpdate,
--- a/src/proxy/answer_receiver.ts
+++ b/src/proxy/answer_receiver.ts
@@ -1,6 +1,6 @@
 /** A request and its answer as the stages of the data path pass them on. */
 import type { Readable } from "node:stream";
-import type { LoadState } from "../decisions/admission_policy.ts";
+import type { LoadState } from "../decisions/admission/admission_policy.ts";
 import type { ErrorKind, Outcome } from "../errors/error_kinds.ts";
 import type { RequestContext } from "./request_context.ts";
 
--- a/src/proxy/attempt_transport.ts
+++ b/src/proxy/attempt_transport.ts
@@ -1,5 +1,5 @@
 /** Interface for sending attempts, and the transport to the local upstream. */
-import type { Endpoint } from "../decisions/upstream_directory.ts";
+import type { Endpoint } from "../decisions/selection/upstream_directory.ts";
 import type {
   AnswerReceiver,
   AnswerSource,
--- a/src/proxy/data_path.ts
+++ b/src/proxy/data_path.ts
@@ -3,11 +3,14 @@
 import type { InputDelay } from "../core/input_delay.ts";
 import type { StartQueue } from "../core/start_queue.ts";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
-import type { KeyClock, KeyedAdmission } from "../decisions/keyed_admission.ts";
-import type { OwnerHistory } from "../decisions/key_owner.ts";
+import type { IdempotencyLedger } from "../decisions/keys/idempotency_ledger.ts";
+import type {
+  KeyClock,
+  KeyedAdmission,
+} from "../decisions/keys/keyed_admission.ts";
+import type { OwnerHistory } from "../decisions/keys/key_owner.ts";
 import type { PolicySet } from "../decisions/policy_set.ts";
-import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+import type { UpstreamDirectory } from "../decisions/selection/upstream_directory.ts";
 import type { PeerKey } from "../schemas/settings_schema.ts";
 import type { RequestObserver } from "../telemetry/request_observer.ts";
 import { LocalTransport } from "./attempt_transport.ts";
--- a/src/proxy/hop_transport.ts
+++ b/src/proxy/hop_transport.ts
@@ -1,6 +1,6 @@
 /** Sends attempts over HTTP to the daemons beside upstreams. */
 import { Pool } from "undici";
-import type { Endpoint } from "../decisions/upstream_directory.ts";
+import type { Endpoint } from "../decisions/selection/upstream_directory.ts";
 import { isErrorKind } from "../errors/error_kinds.ts";
 import type {
   AnswerReceiver,
--- a/src/proxy/inbound_exchange.ts
+++ b/src/proxy/inbound_exchange.ts
@@ -1,7 +1,7 @@
 /** One request in the daemon beside the upstream that serves it. */
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { FinishedRequest } from "../decisions/admission_policy.ts";
+import type { FinishedRequest } from "../decisions/admission/admission_policy.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type {
   AnswerHead,
--- a/src/proxy/inbound_service.ts
+++ b/src/proxy/inbound_service.ts
@@ -4,7 +4,7 @@
 import type {
   AdmissionPolicy,
   FinishedRequest,
-} from "../decisions/admission_policy.ts";
+} from "../decisions/admission/admission_policy.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type {
   RequestObserver,
--- a/src/proxy/keyed_exchange.ts
+++ b/src/proxy/keyed_exchange.ts
@@ -1,8 +1,8 @@
 /** Records the outcome of one keyed request. */
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
-import type { Reservation } from "../decisions/keyed_admission.ts";
+import type { IdempotencyLedger } from "../decisions/keys/idempotency_ledger.ts";
+import type { Reservation } from "../decisions/keys/keyed_admission.ts";
 import type {
   AnswerHead,
   AnswerReceiver,
--- a/src/proxy/keyed_gate.ts
+++ b/src/proxy/keyed_gate.ts
@@ -4,15 +4,15 @@
  */
 import { createHash } from "node:crypto";
 import type { ConfigSource } from "../decisions/config_source.ts";
-import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
+import type { IdempotencyLedger } from "../decisions/keys/idempotency_ledger.ts";
 import type {
   KeyClock,
   KeyedAdmission,
   KeyedContext,
   KeyedDecision,
   KeyedRequest,
-} from "../decisions/keyed_admission.ts";
-import type { UpstreamDirectory } from "../decisions/upstream_directory.ts";
+} from "../decisions/keys/keyed_admission.ts";
+import type { UpstreamDirectory } from "../decisions/selection/upstream_directory.ts";
 import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
 import type {
   AnswerReceiver,
--- a/src/proxy/outbound_exchange.ts
+++ b/src/proxy/outbound_exchange.ts
@@ -1,9 +1,9 @@
 /** One request in the daemon that chooses an upstream for it. */
 import { loadChart } from "../charts/load_chart.ts";
 import { StateMachine } from "../charts/state_machine.ts";
-import type { AttemptResult } from "../decisions/upstream_selector.ts";
-import type { Endpoint } from "../decisions/upstream_directory.ts";
-import type { Selection } from "../decisions/upstream_selector.ts";
+import type { AttemptResult } from "../decisions/selection/upstream_selector.ts";
+import type { Endpoint } from "../decisions/selection/upstream_directory.ts";
+import type { Selection } from "../decisions/selection/upstream_selector.ts";
 import type { ErrorKind } from "../errors/error_kinds.ts";
 import type { RequestRecord } from "../telemetry/request_observer.ts";
 import type {
--- a/src/proxy/outbound_service.ts
+++ b/src/proxy/outbound_service.ts
@@ -1,18 +1,18 @@
 /** Sends requests to upstreams of any pool. */
 import type { ConfigSource } from "../decisions/config_source.ts";
-import { parseIdempotencyKey } from "../decisions/idempotency_key.ts";
-import { chooseOwner, type OwnerHistory } from "../decisions/key_owner.ts";
-import type { KeyClock } from "../decisions/keyed_admission.ts";
-import type { RetryPolicy } from "../decisions/retry_policy.ts";
+import { parseIdempotencyKey } from "../decisions/keys/idempotency_key.ts";
+import { chooseOwner, type OwnerHistory } from "../decisions/keys/key_owner.ts";
+import type { KeyClock } from "../decisions/keys/keyed_admission.ts";
+import type { RetryPolicy } from "../decisions/retries/retry_policy.ts";
 import type {
   Endpoint,
   UpstreamDirectory,
-} from "../decisions/upstream_directory.ts";
+} from "../decisions/selection/upstream_directory.ts";
 import type {
   AttemptResult,
   Selection,
   UpstreamSelector,
-} from "../decisions/upstream_selector.ts";
+} from "../decisions/selection/upstream_selector.ts";
 import type { Pool } from "../schemas/tables_schema.ts";
 import type {
   RequestObserver,
--- a/src/proxy/request_context.ts
+++ b/src/proxy/request_context.ts
@@ -1,5 +1,5 @@
 /** Context that the daemons and stages along the path of a request share. */
-import { admissionRank } from "../decisions/importance.ts";
+import { admissionRank } from "../decisions/admission/importance.ts";
 import type { ImportanceClass } from "../schemas/common_schema.ts";
 
 /** Properties of a request, passed from the entry to the serving daemon. */
--- a/src/testing/data_path_fixtures.ts
+++ b/src/testing/data_path_fixtures.ts
@@ -1,12 +1,12 @@
 /** Configuration, directory and key owners that tests of the data path set. */
 import type { ActiveConfig, ConfigSource } from "../decisions/config_source.ts";
-import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
-import { RouteMatcher } from "../decisions/route_matcher.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/keys/key_owner.ts";
+import { RouteMatcher } from "../decisions/routing/route_matcher.ts";
 import type {
   Endpoint,
   PeerConnectivity,
   UpstreamDirectory,
-} from "../decisions/upstream_directory.ts";
+} from "../decisions/selection/upstream_directory.ts";
 import {
   poolsTableSchema,
   routesTableSchema,
--- a/src/testing/keyed_simulation.ts
+++ b/src/testing/keyed_simulation.ts
@@ -4,19 +4,19 @@
  */
 import { v7 as createUuid } from "uuid";
 import { type RandomSource, SeededRandom } from "../core/random.ts";
-import type { IdempotencyLedger } from "../decisions/idempotency_ledger.ts";
+import type { IdempotencyLedger } from "../decisions/keys/idempotency_ledger.ts";
 import {
   chooseByRendezvous,
   type OwnerHistory,
   type OwnerList,
-} from "../decisions/key_owner.ts";
+} from "../decisions/keys/key_owner.ts";
 import {
   KeyedAdmission,
   type KeyedContext,
   type KeyedRequest,
-} from "../decisions/keyed_admission.ts";
-import { MemoryLedger } from "../decisions/memory_ledger.ts";
-import type { PeerConnectivity } from "../decisions/upstream_directory.ts";
+} from "../decisions/keys/keyed_admission.ts";
+import { MemoryLedger } from "../decisions/keys/memory_ledger.ts";
+import type { PeerConnectivity } from "../decisions/selection/upstream_directory.ts";
 import type {
   KeyedSimulationResult,
   KeyedSimulationRules,
--- a/src/testing/lagged_owners.ts
+++ b/src/testing/lagged_owners.ts
@@ -1,5 +1,5 @@
 /** History of key owners with a lag, for simulations. */
-import type { OwnerHistory, OwnerList } from "../decisions/key_owner.ts";
+import type { OwnerHistory, OwnerList } from "../decisions/keys/key_owner.ts";
 
 /** History of a daemon that learns of each period a fixed time after its start. */
 export class LaggedOwners implements OwnerHistory {
--- a/src/testing/mesh.ts
+++ b/src/testing/mesh.ts
@@ -4,7 +4,7 @@
 import type { DaemonEvent } from "../daemon/daemon_lifecycle.ts";
 import { createDaemon } from "../daemon/create_daemon.ts";
 import { EventSource } from "../core/event_source.ts";
-import type { Endpoint } from "../decisions/upstream_directory.ts";
+import type { Endpoint } from "../decisions/selection/upstream_directory.ts";
 import { type Settings, settingsSchema } from "../schemas/settings_schema.ts";
 import { UpstreamServer } from "../../stand_ins/upstream_server.ts";
 import {
