Keep the start of processes out of src, and split the parser's errors from the listener

Change: product_daemon_process moves to stand_ins, the paused process is an interface, and answer_parser_error is a module of its own.

--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -13,7 +13,7 @@
 import { UnreadAnswers } from "../decisions/memory/unread_answers.ts";
 import { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
-import { errorAnswer, type ErrorKind } from "../errors/error_kinds.ts";
+import type { ErrorKind } from "../errors/error_kinds.ts";
 import { hasLeft } from "../core/has_left.ts";
 import type { InputDelay } from "../core/input_delay.ts";
 import { listenOn } from "../core/listen_on.ts";
@@ -32,6 +32,7 @@
   PROGRESS_CHECK_MS,
 } from "../reception/body_reception.ts";
 import type { CallerLimits } from "../reception/caller_limits.ts";
+import { answerParserError, type ParserError } from "./answer_parser_error.ts";
 import type { InputParts } from "./create_input_parts.ts";
 import { HttpAnswerSender } from "./http_answer_sender.ts";
 import { PipelinedRequests } from "../reception/pipelined_requests.ts";
@@ -70,8 +71,6 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
-type ParserError = Error & { code?: string };
-
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
     (headers["content-length"] ?? "0") !== "0";
@@ -383,23 +382,3 @@
     reception.start();
   }
 }
-
-/**
- * Answers a request that the HTTP parser rejected, and closes the connection.
- */
-function answerParserError(error: ParserError, socket: Socket): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
-  const kind = error.code === "HPE_HEADER_OVERFLOW"
-    ? "header_too_large"
-    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
-    ? "header_timeout"
-    : "bad_request";
-  const { status, message } = errorAnswer(kind);
-  socket.end(
-    `HTTP/1.1 ${status} ${message}\r\ncontent-length: 0\r\n` +
-      `connection: close\r\n\r\n`,
-  );
-}
--- a/src/proxy/callers_gone_test.ts
+++ b/src/proxy/callers_gone_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { leaveDuringPause, sendForStatus } from "../testing/leaving_callers.ts";
-import { startProductDaemonProcess } from "../testing/product_daemon_process.ts";
+import { startProductDaemonProcess } from "../../stand_ins/product_daemon_process.ts";
 
 const CALLERS_COUNT = 20;
 const MACHINE = { memoryMaxBytes: 200_000_000, descriptorsMaxCount: 350 };
--- a/src/proxy/uncontrolled_callers_test.ts
+++ b/src/proxy/uncontrolled_callers_test.ts
@@ -1,7 +1,7 @@
 /** Tests of crowds of callers that take the memory or the descriptors. */
 import { test } from "node:test";
 import { BODY_CROWD_KINDS } from "../testing/caller_crowd.ts";
-import { startProductDaemonProcess } from "../testing/product_daemon_process.ts";
+import { startProductDaemonProcess } from "../../stand_ins/product_daemon_process.ts";
 import { assertWithstandsCrowd } from "../testing/withstand_crowd.ts";
 
 const MACHINE = {
--- a/src/testing/leaving_callers.ts
+++ b/src/testing/leaving_callers.ts
@@ -1,5 +1,4 @@
 /** Callers that leave while a process is paused, for tests. */
-import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import type { TestContext } from "node:test";
@@ -13,6 +12,12 @@
 /** Time in which requests that are read late reach the upstream. */
 const SETTLING_MS = 500;
 
+/** A process that can be paused; a child process of Node.js is one. */
+export interface PausableProcess {
+  /** Sends a signal to the process. */
+  kill(signal: "SIGSTOP" | "SIGCONT"): boolean;
+}
+
 /**
  * Opens the connection of a caller.
  *
@@ -60,7 +65,7 @@
  * @param action What happens meanwhile.
  */
 export async function pauseDuring(
-  child: ChildProcess,
+  child: PausableProcess,
   action: () => Promise<void>,
 ): Promise<void> {
   child.kill("SIGSTOP");
@@ -91,7 +96,7 @@
  */
 export async function leaveDuringPause(
   t: TestContext,
-  child: ChildProcess,
+  child: PausableProcess,
   { address, texts, isKept = false }: LeavingCallers,
 ): Promise<void> {
   const openAll = () => Promise.all(texts.map(() => openCaller(t, address)));
--- a/src/testing/product_daemon_process.ts
+++ b/stand_ins/product_daemon_process.ts
@@ -4,13 +4,15 @@
 import process from "node:process";
 import type { TestContext } from "node:test";
 import { fileURLToPath } from "node:url";
-import { parseDaemonReadyLine } from "../../stand_ins/ready_lines.ts";
-import { UpstreamServer } from "../../stand_ins/upstream_server.ts";
-import { upstreamSettingsSchema } from "../../stand_ins/upstream_settings.ts";
-import type { Address } from "../schemas/common_schema.ts";
-import { CROWD_BODY_MAX_BYTES } from "./caller_crowd.ts";
+import { parseDaemonReadyLine } from "./ready_lines.ts";
+import { UpstreamServer } from "./upstream_server.ts";
+import { upstreamSettingsSchema } from "./upstream_settings.ts";
+import type { Address } from "../src/schemas/common_schema.ts";
+import { CROWD_BODY_MAX_BYTES } from "../src/testing/caller_crowd.ts";
 
-const PROGRAM = fileURLToPath(new URL("./daemon_program.js", import.meta.url));
+const PROGRAM = fileURLToPath(
+  new URL("../src/testing/daemon_program.js", import.meta.url),
+);
 const NODE_FLAGS = ["--max-old-space-size=160", "--max-semi-space-size=16"];
 const SLOTS_COUNT = 50;
 const UPSTREAM_CONNECTIONS_MAX_COUNT = 100;
