--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,25 +1,41 @@
-/** An endpoint that leaves, after a check-in of another writer. */
+/** Public requests around the restart of a daemon, in a deployment with tenants. */
 import { newAttemptId, send } from "../stand_ins_2/client.mjs";
 import {
   createManifest,
   startDeployment,
   startTraffic,
 } from "../stand_ins_2/deployment.mjs";
-import { postCheckIn, postLeave } from "../stand_ins_2/endpoint.mjs";
 import { pause, runScript } from "../stand_ins_2/script.mjs";
 
-const DRAIN_MS = 2_000;
-/** Time for which the endpoint goes on serving after its drain. */
-const LONGER_MS = 3_000;
-const REQUESTS_PER_S = 60;
-const ROUTE = { routeHost: "jepu9.example", path: "/puka111/2f" };
+const KEY = "tta828m82thhkmgjqnir";
+const TENANT = "pulo780";
+const KEYED = { routeHost: "hulo84.example", path: "/leny950/2f", key: KEY };
+const PUBLIC = { routeHost: "jepu9.example", path: "/puka111/2f" };
+const KEYED_PER_S = 80;
+const PUBLIC_PER_S = 100;
 const manifest = createManifest({
-  rules: [{
-    host: ROUTE.routeHost,
-    prefix: "/puka111/",
-    kind: "unsafe",
-    service: "lovo22d",
+  tenants: [{
+    name: TENANT,
+    api_keys: [KEY],
+    priority: 1,
+    rate_per_s: 0,
+    burst: 0,
   }],
+  rules: [
+    {
+      host: KEYED.routeHost,
+      prefix: "/leny950/",
+      kind: "safe",
+      service: "huvo11a",
+    },
+    {
+      host: PUBLIC.routeHost,
+      prefix: "/puka111/",
+      kind: "safe",
+      isPublic: true,
+      service: "lovo22d",
+    },
+  ],
 });
 
 await runScript(import.meta.url, async (script) => {
@@ -27,65 +43,63 @@
   const { machines } = await startDeployment(script, {
     manifest,
     endpoints: [
-      { service: "huvo11a", workMs: 100 },
-      { service: "lovo22d", workMs: 250 },
-      { service: "lovo22d", workMs: 250 },
+      { service: "huvo11a", workMs: 400 },
+      { service: "huvo11a", workMs: 400 },
+      { service: "lovo22d", workMs: 20 },
     ],
   });
-  const [{ daemon: front }, { endpoint, daemon }] = machines;
-  const sentAtMs = new Map();
+  const [first] = machines;
+  // Clients of a machine whose daemon is not ready get no new work.
+  let isFirstReady = true;
   const counts = new Map();
-  const stop = startTraffic(REQUESTS_PER_S, () => {
+  const count = (name, { status }) => {
+    const key = `${name} requests answered ${status}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  };
+  const publicIds = new Set();
+  const stopKeyed = machines.map((machine) =>
+    startTraffic(
+      KEYED_PER_S / machines.length,
+      () =>
+        machine === first && !isFirstReady ? undefined : send(
+          machine.daemon.outbound,
+          { ...KEYED, id: newAttemptId(), deadlineMs: 5_001 },
+        ).then((answer) => count("keyed", answer)),
+    )
+  );
+  await pause(4_000);
+  const stopPublic = startTraffic(PUBLIC_PER_S, () => {
+    if (!isFirstReady) {
+      return undefined;
+    }
     const id = newAttemptId();
-    sentAtMs.set(id, Date.now());
-    return send(front.outbound, {
-      ...ROUTE,
-      id,
-      deadlineMs: 6_000,
-      method: "POST",
-      body: "vote",
-    }).then(({ status }) => counts.set(status, (counts.get(status) ?? 0) + 1));
+    publicIds.add(id);
+    return send(first.daemon.outbound, { ...PUBLIC, id, deadlineMs: 1_000 })
+      .then((answer) => count("public", answer));
   });
-  await pause(3_000);
+  await pause(4_000);
   if (isTroubled) {
-    // Another writer, with a start and a count of its own, names a service that
-    // the manifest does not have.
-    const status = await postCheckIn(daemon.control, {
-      id: endpoint.id,
-      body: {
-        address: "127.0.0.1:9",
-        born: Date.now(),
-        info: { service: "zuno77x", version: "v1", zone: "z2", slots: 60 },
-        status: { state: "ready", sequence: 1, cold_remaining: "0ms" },
-      },
-    });
-    record(`check-in of another writer, service zuno77x: ${status}`);
-  }
-  await pause(3_000);
-
-  endpoint.isLeaving = true;
-  const status = await endpoint.checkIn();
-  const ackAtMs = Date.now();
-  record(`${endpoint.id} says that it is draining: ${status}`);
-  if (status !== 200) {
-    throw new Error("The check-in was not acknowledged");
+    isFirstReady = false;
+    await first.daemon.stop("SIGKILL");
+    record("killed the daemon of machine 1");
+    await pause(500);
+    first.daemon.start();
+    await first.daemon.waitUntilReady();
+    record("the daemon of machine 1 is ready again");
+    isFirstReady = true;
   }
-  await pause(DRAIN_MS + LONGER_MS);
-  endpoint.stopHeartbeats();
-  await postLeave(daemon.control, endpoint.id);
-  endpoint.close();
-  record(`${endpoint.id} has ended`);
-  await pause(1_000);
-  await stop();
+  await pause(8_000);
+  await Promise.all([stopPublic(), ...stopKeyed.map((stop) => stop())]);
 
-  for (const [answer, count] of counts) {
-    record(`answered ${answer}: ${count}`);
+  const runs = machines.flatMap(({ endpoint }) => endpoint.runs);
+  const publicRuns = runs.filter(({ attemptId }) => publicIds.has(attemptId));
+  for (const [text, number] of counts) {
+    record(`${text}: ${number}`);
   }
-  const late = endpoint.runs.filter(({ atMs, attemptId }) =>
-    atMs > ackAtMs + DRAIN_MS && sentAtMs.get(attemptId) > ackAtMs + DRAIN_MS
-  );
-  record(`runs at ${endpoint.id}: ${endpoint.runs.length}`);
-  return late.map(({ atMs, attemptId }) =>
-    `${attemptId} reached ${endpoint.id} ${atMs - ackAtMs} ms after the ack`
-  );
+  record(`runs: ${runs.length}, of public requests: ${publicRuns.length}`);
+  return publicRuns.filter(({ tenant }) => tenant !== undefined)
+    .map(({ attemptId, endpoint, tenant }) =>
+      `${endpoint} ran the public request ${attemptId}, sent without a key, ` +
+      `with Tenant-Name: ${tenant}`
+    );
 });
