--- a/review/stand_ins_2/client.mjs
+++ b/review/stand_ins_2/client.mjs
@@ -28,7 +28,7 @@
       agent: false,
       headers: {
         host: routeHost,
-        ...(id !== undefined && { "attempt-id": id }),
+        "attempt-id": id,
         "deadline-ms": String(deadlineMs),
         ...(key && { authorization: `Bearer ${key}` }),
       },
