--- a/review/stand_ins_2/daemons.mjs
+++ b/review/stand_ins_2/daemons.mjs
@@ -100,7 +100,11 @@
       env: { PATH: process.env.PATH, GOLDCRESTRELAY_CONFIG: file },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    this.child.stdout.on(
+    const { child } = this;
+    const kill = () => child.kill("SIGKILL");
+    process.once("exit", kill);
+    child.once("exit", () => process.off("exit", kill));
+    child.stdout.on(
       "data",
       (part) => writeFileSync(log, part, { flag: "a" }),
     );
