--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,12 +1,17 @@
 /** Public requests around the restart of a daemon, in a deployment with tenants. */
-import { newAttemptId, send } from "../stand_ins_2/client.mjs";
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { newAttemptId, send } from "../client_2.mjs";
 import {
   createManifest,
   startDeployment,
   startTraffic,
-} from "../stand_ins_2/deployment.mjs";
-import { pause, runScript } from "../stand_ins_2/script.mjs";
+} from "../deployment_2.mjs";
+import { pause, runScript } from "../script_2.mjs";
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== "0";
+const RECORD_FILE = new URL("record.txt", import.meta.url);
 const KEY = "tta828m82thhkmgjqnir";
 const TENANT = "pulo780";
 const KEYED = { routeHost: "hulo84.example", path: "/leny950/2f", key: KEY };
@@ -38,8 +43,8 @@
   ],
 });
 
-await runScript(import.meta.url, async (script) => {
-  const { record, isTroubled } = script;
+const { text, exitCode } = await runScript(async (script) => {
+  const { record } = script;
   const { machines } = await startDeployment(script, {
     manifest,
     endpoints: [
@@ -103,3 +108,5 @@
       `with Tenant-Name: ${tenant}`
     );
 });
+writeFileSync(RECORD_FILE, text);
+process.exit(exitCode);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # Node.js runs as they are, so there is nothing to compile.
 set -euo pipefail
 cd "$(dirname "$0")"
-for module in stand_ins_2/*.mjs {6,7,8,9,10}/*.mjs; do
+for module in *_2.mjs {6,7,8,9,10}/*.mjs; do
   [ ! -e "$module" ] || node --check "$module"
 done
--- a/review/stand_ins_2/daemons.mjs
+++ b/review/daemons_2.mjs
@@ -5,7 +5,7 @@
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 
-const ROOT = fileURLToPath(new URL("../..", import.meta.url));
+const ROOT = fileURLToPath(new URL("..", import.meta.url));
 const PORTS = { inbound: 8300, outbound: 8304, ready: 8302, control: 8306 };
 
 /** Reads a text field of the role in the deploy file. */
--- a/review/stand_ins_2/deployment.mjs
+++ b/review/deployment_2.mjs
@@ -1,8 +1,8 @@
 /** Small deployments: a store, and daemons beside endpoints. */
-import { Daemon } from "./daemons.mjs";
-import { Endpoint } from "./endpoint.mjs";
-import { pause } from "./script.mjs";
-import { Store } from "./store.mjs";
+import { Daemon } from "./daemons_2.mjs";
+import { Endpoint } from "./endpoint_2.mjs";
+import { pause } from "./script_2.mjs";
+import { Store } from "./store_2.mjs";
 
 /** Interval of the check-ins of endpoints, as in the settings of the daemons. */
 const HEARTBEAT_MS = 1_500;
