Derive the tenant of a call from its id only

Cause: a call inherited the tenant of a running request with the same deadline, within 2 ms. Such a match was accepted when the call graph had the edge, or while the parent's route had run fewer than four times. With 27 requests a second at an upstream 13% of all deadlines match one. Chance matches also entered the call graph and stayed there.

Change: CallParents states the evidence for a parent. Access, tenant and priority need an id that names a running request. A deadline still decides how a request is queued, at upstreams that have not named a call; what deadlines taught is discarded with the first call that does. Edges learned from deadlines need 1.5 times the matches of a deadline nearby. A request without a key that may be an unnamed call gets 503 (parent_unproven) in place of 401. OutboundService loses the search.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -10,6 +10,7 @@
 import type { ErrorKind } from "../../src/errors/error_kinds.ts";
 import { errorAnswer } from "../../src/errors/error_kinds.ts";
 import { Authenticator } from "../../src/fleet/authenticator.ts";
+import { CallParents } from "../../src/fleet/call_parents.ts";
 import { ChannelTable } from "../../src/fleet/channel_table.ts";
 import { ConfigFollower } from "../../src/fleet/config_follower.ts";
 import { DecisionLog } from "../../src/fleet/decision_log.ts";
@@ -308,7 +309,12 @@
       names: HEADERS,
       decodeParentId: parentIdOf,
       config: this.#config,
-      gate: this.gate,
+      callParents: new CallParents({
+        decodeParentId: parentIdOf,
+        gate: this.gate,
+        graph: this.#graph,
+        observer,
+      }),
       graph: this.#graph,
       observer,
       admission: this.#admission,
--- a/src/cli/request_trace.ts
+++ b/src/cli/request_trace.ts
@@ -90,6 +90,8 @@
     `The daemon could not tell whether configuration ${configVersion} is still the newest; it has not run`,
   parent_not_running: () =>
     "The request that makes this call does not run here; the call has not run",
+  parent_unproven: () =>
+    "The id names no running request, and a key is missing; it has not run",
   queue_full: ({ upstream, queueWaitMs }) =>
     `The queue of ${upstream} was too long (${queueWaitMs} ms); it has not run`,
   draining: ({ upstream }) =>
--- a/src/decisions/routing/call_graph.ts
+++ b/src/decisions/routing/call_graph.ts
@@ -17,6 +17,11 @@
  * processor time attributes only a part of the calls.
  */
 const CALLS_PER_RUN_KEPT_MIN = 0.1;
+/**
+ * Matches with running requests per match by chance, above which the requests of
+ * a route are taken for downstream calls.
+ */
+const CHANCE_FACTOR = 1.5;
 /** Requests of a route after which it may be classified as called. */
 const RECEIVED_MIN_COUNT = 4;
 /** Requests of a route after which its counts are halved. */
@@ -35,6 +40,8 @@
 type RunCounts = {
   runsCount: number;
   readonly calls: Map<string, number>;
+  /** Requests by route that match runs by chance. */
+  readonly chanceMatches: Map<string, number>;
 };
 
 type RouteRuns = {
@@ -48,6 +55,7 @@
 type RouteRequests = {
   receivedCount: number;
   withParentCount: number;
+  withChanceParentCount: number;
   isCalled: boolean;
 };
 
@@ -55,26 +63,66 @@
 export type ObservedRun = {
   /** Route of each downstream call that the run has made. */
   readonly calledRouteNames: readonly string[];
+  /** Route of each request that matches the run by chance; none by default. */
+  readonly chanceRouteNames?: readonly string[];
   readonly isSuccessful: boolean;
 };
 
-function addRun(counts: RunCounts, calledRouteNames: readonly string[]): void {
-  counts.runsCount++;
-  for (const called of calledRouteNames) {
-    counts.calls.set(called, (counts.calls.get(called) ?? 0) + 1);
+/** Running requests that a received request may be a downstream call of. */
+export type ParentMatch = {
+  /** Whether a running request makes it, by its id or its deadline. */
+  readonly hasParent: boolean;
+  /** Whether a running request has a deadline nearby by chance. */
+  readonly hasChanceParent: boolean;
+};
+
+function createRunCounts(): RunCounts {
+  return { runsCount: 0, calls: new Map(), chanceMatches: new Map() };
+}
+
+function increment(
+  counts: Map<string, number>,
+  routeNames: readonly string[],
+): void {
+  for (const name of routeNames) {
+    counts.set(name, (counts.get(name) ?? 0) + 1);
   }
+}
+
+function halve(counts: Map<string, number>): void {
+  for (const [name, count] of counts) {
+    counts.set(name, count / 2);
+  }
+}
+
+function addRun(
+  counts: RunCounts,
+  { calledRouteNames, chanceRouteNames = [] }: ObservedRun,
+): void {
+  counts.runsCount++;
+  increment(counts.calls, calledRouteNames);
+  increment(counts.chanceMatches, chanceRouteNames);
   if (counts.runsCount < RUNS_HALVING_COUNT) {
     return;
   }
   counts.runsCount /= 2;
-  for (const [called, count] of counts.calls) {
-    counts.calls.set(called, count / 2);
-  }
+  halve(counts.calls);
+  halve(counts.chanceMatches);
 }
 
-/** Calls per run; 0 while too few runs were observed. */
-function callsPerRun({ runsCount, calls }: RunCounts, called: string): number {
-  return runsCount < RUNS_MIN_COUNT ? 0 : (calls.get(called) ?? 0) / runsCount;
+/**
+ * Calls per run; 0 while too few runs were observed, and for requests that match
+ * the runs about as often by chance.
+ */
+function callsPerRun(
+  { runsCount, calls, chanceMatches }: RunCounts,
+  called: string,
+): number {
+  const callsCount = calls.get(called) ?? 0;
+  const chanceCount = chanceMatches.get(called) ?? 0;
+  return runsCount < RUNS_MIN_COUNT || callsCount < CHANCE_FACTOR * chanceCount
+    ? 0
+    : callsCount / runsCount;
 }
 
 /** Counts the runs at one upstream and the calls that they make. */
@@ -86,29 +134,33 @@
    * Counts a request that callers or the local upstream have sent here.
    *
    * @param routeName Route of the request.
-   * @param hasParent Whether a running request has the deadline of this one.
+   * @param match Whether it matches running requests.
    */
-  recordReceived(routeName: string, hasParent: boolean): void {
-    const requests = this.#received.get(routeName) ??
-      { receivedCount: 0, withParentCount: 0, isCalled: false };
-    this.#received.set(routeName, requests);
+  recordReceived(
+    routeName: string,
+    { hasParent, hasChanceParent }: ParentMatch,
+  ): void {
+    const requests = this.#receivedOf(routeName);
     requests.receivedCount++;
     requests.withParentCount += hasParent ? 1 : 0;
+    requests.withChanceParentCount += hasChanceParent ? 1 : 0;
     if (requests.receivedCount < RECEIVED_MIN_COUNT) {
       return;
     }
     const ratio = requests.withParentCount / requests.receivedCount;
-    requests.isCalled = ratio >=
-      (requests.isCalled ? CALLED_KEPT_MIN_RATIO : CALLED_MIN_RATIO);
+    requests.isCalled = requests.withParentCount >=
+        CHANCE_FACTOR * requests.withChanceParentCount &&
+      ratio >= (requests.isCalled ? CALLED_KEPT_MIN_RATIO : CALLED_MIN_RATIO);
     if (requests.receivedCount >= RECEIVED_HALVING_COUNT) {
       requests.receivedCount /= 2;
       requests.withParentCount /= 2;
+      requests.withChanceParentCount /= 2;
     }
   }
 
   /**
    * Returns whether the requests of a route are downstream calls of the local
-   * upstream, by the share of them that has the deadline of a running request.
+   * upstream, by the share of them that running requests make.
    *
    * @param routeName Route of the requests.
    * @returns True for a called route; false while too few were received.
@@ -126,17 +178,20 @@
    * @param routeName Route of the request.
    * @param run Route of each call that it made, and whether it succeeded.
    */
-  recordRun(
-    routeName: string,
-    { calledRouteNames, isSuccessful }: ObservedRun,
-  ): void {
+  recordRun(routeName: string, run: ObservedRun): void {
     const { successful, all } = this.#runsOf(routeName);
-    addRun(all, calledRouteNames);
-    if (isSuccessful) {
-      addRun(successful, calledRouteNames);
+    addRun(all, run);
+    if (run.isSuccessful) {
+      addRun(successful, run);
     }
   }
 
+  /** Discards all counts. */
+  clear(): void {
+    this.#byRoute.clear();
+    this.#received.clear();
+  }
+
   /**
    * Returns whether enough runs have succeeded to know all calls of a route.
    *
@@ -175,12 +230,26 @@
     );
   }
 
+  #receivedOf(routeName: string): RouteRequests {
+    let requests = this.#received.get(routeName);
+    if (requests === undefined) {
+      requests = {
+        receivedCount: 0,
+        withParentCount: 0,
+        withChanceParentCount: 0,
+        isCalled: false,
+      };
+      this.#received.set(routeName, requests);
+    }
+    return requests;
+  }
+
   #runsOf(routeName: string): RouteRuns {
     let runs = this.#byRoute.get(routeName);
     if (runs === undefined) {
       runs = {
-        successful: { runsCount: 0, calls: new Map() },
-        all: { runsCount: 0, calls: new Map() },
+        successful: createRunCounts(),
+        all: createRunCounts(),
         published: new Set(),
       };
       this.#byRoute.set(routeName, runs);
--- a/src/decisions/routing/call_graph_test.ts
+++ b/src/decisions/routing/call_graph_test.ts
@@ -59,11 +59,38 @@
   assert.deepEqual(observer.edges(), []);
 });
 
+// Guards against edges and called routes that are learned from requests of
+// callers, which have the deadline of a running request by chance.
+test("routes whose requests match runs as often by chance are not called", () => {
+  const observer = new CallObserver();
+  for (let index = 0; index < 400; index++) {
+    observer.recordRun("read", {
+      calledRouteNames: ["votes", "tally"],
+      chanceRouteNames: index % 4 === 0 ? ["votes"] : ["votes", "tally"],
+      isSuccessful: true,
+    });
+    observer.recordReceived("votes", {
+      hasParent: true,
+      hasChanceParent: true,
+    });
+    observer.recordReceived("tally", {
+      hasParent: true,
+      hasChanceParent: index % 2 === 0,
+    });
+  }
+  assert.deepEqual(observer.edges(), []);
+  assert.equal(observer.isCalled("votes"), false);
+  assert.equal(observer.isCalled("tally"), true);
+});
+
 test("a route is called when most of its requests have a parent, and stays so while some have", () => {
   const observer = new CallObserver();
   const receive = (routeName: string, parentEvery: number) => {
     for (let index = 0; index < 200; index++) {
-      observer.recordReceived(routeName, index % parentEvery === 0);
+      observer.recordReceived(routeName, {
+        hasParent: index % parentEvery === 0,
+        hasChanceParent: false,
+      });
     }
   };
   receive("enrol", 4);
--- a/src/decisions/tenants/credential.ts
+++ b/src/decisions/tenants/credential.ts
@@ -46,8 +46,10 @@
   readonly key: string | undefined;
   /** Whether its route needs no key. */
   readonly isPublic: boolean;
-  /** Whether it is a call of a request that the local upstream runs. */
+  /** Whether its id proves that a request at the local upstream makes it. */
   readonly isCall: boolean;
+  /** Whether it may be a call although its id does not prove it. */
+  readonly mayBeCall: boolean;
   /** Whether its id has the form of the id of a call. */
   readonly hasCallId: boolean;
 };
@@ -77,7 +79,8 @@
 
 /**
  * Decides whether a request may be forwarded, and for which tenant. A key on a
- * public route is ignored.
+ * public route is ignored. Only a call that is proven inherits a tenant. A request
+ * that may be a call gets no 401, since calls need no key.
  *
  * @param request Key, route, id and parent of the request, and the currency of
  *   the configuration.
@@ -86,7 +89,7 @@
 export function decideCredential(
   request: CredentialRequest,
 ): CredentialDecision {
-  const { tenants, key, isPublic, isCall, hasCallId } = request;
+  const { tenants, key, isPublic, isCall } = request;
   if (key !== undefined && !isPublic) {
     return decideKey(tenants.findByKey(key), request);
   }
@@ -96,10 +99,17 @@
   if (isPublic) {
     return { kind: "public" };
   }
-  return {
-    kind: "refused",
-    errorKind: hasCallId ? "parent_not_running" : "credential_unknown",
-  };
+  return { kind: "refused", errorKind: missingKeyKind(request) };
+}
+
+/** Error kind of a request without a key on a route that needs one. */
+function missingKeyKind(
+  { mayBeCall, hasCallId }: CredentialRequest,
+): ErrorKind {
+  if (hasCallId) {
+    return "parent_not_running";
+  }
+  return mayBeCall ? "parent_unproven" : "credential_unknown";
 }
 
 function decideKey(
--- a/src/decisions/tenants/credential_test.ts
+++ b/src/decisions/tenants/credential_test.ts
@@ -18,6 +18,7 @@
     key: undefined,
     isPublic: false,
     isCall: false,
+    mayBeCall: false,
     hasCallId: false,
     currencyAgeMs: 0,
     revocationMaxMs: 5_000,
@@ -54,6 +55,16 @@
   assert.equal(decide({ key: "k-9", isCall: true }), "credential_unknown");
 });
 
+// Guards against a caller without a key who gets the tenant of a request that
+// has the same deadline, and against a call that is answered 401.
+test("a call that is not proven gets neither access nor a tenant, and no 401", () => {
+  const mayBeCall = true;
+  assert.equal(decide({ isPublic: true, mayBeCall }), "public");
+  assert.equal(decide({ mayBeCall }), "parent_unproven");
+  assert.equal(decide({ hasCallId: true, mayBeCall }), "parent_not_running");
+  assert.equal(decide({ key: "k-9", mayBeCall }), "credential_unknown");
+});
+
 // Guards against a withdrawn key that is accepted after its bound, and against
 // refusals before it.
 test("keys are refused from 100 ms before the bound on; calls and public routes go on", () => {
--- a/src/errors/error_kinds.ts
+++ b/src/errors/error_kinds.ts
@@ -97,6 +97,13 @@
     retryAfterS: 1,
     message: "The request that makes this call is not running",
   },
+  parent_unproven: {
+    status: 503,
+    outcome: "not-run",
+    retry: "always",
+    retryAfterS: 1,
+    message: "The request has no key, and its id names no request that runs",
+  },
   usage_capped: {
     status: 429,
     outcome: "not-run",
--- a/src/fleet/authenticator.ts
+++ b/src/fleet/authenticator.ts
@@ -28,8 +28,10 @@
   route: FleetRoute;
   /** Key that the caller sent. */
   key: string | undefined;
-  /** Request at the local upstream that makes the call; undefined for others. */
+  /** Request at the local upstream that its id names; undefined for others. */
   parent: ServedRequest | undefined;
+  /** Whether it may be a call although it does not name its parent. */
+  mayBeCall: boolean;
   /** Whether the id has the form of the id of a call. */
   hasCallId: boolean;
 };
@@ -59,7 +61,7 @@
    * @returns Tenant and priority, or the kind of the refusal.
    */
   authenticate(request: AuthenticatedRequest): RequestAccess {
-    const { route, key, parent, hasCallId } = request;
+    const { route, key, parent, mayBeCall, hasCallId } = request;
     const tenants = this.#tenants;
     if (tenants === undefined) {
       return { priority: route.priority };
@@ -69,6 +71,7 @@
       key,
       isPublic: route.isPublic,
       isCall: parent !== undefined,
+      mayBeCall,
       hasCallId,
       ...this.#trust(),
     });
--- a/src/fleet/authenticator_test.ts
+++ b/src/fleet/authenticator_test.ts
@@ -43,6 +43,7 @@
           routeName: "parent",
         } as unknown as ForwardedRequest,
       } as ServedRequest,
+      mayBeCall: false,
       hasCallId: false,
     });
   const recheck = (key: string, tenantName: string) =>
--- a/src/fleet/create_outbound_service.ts
+++ b/src/fleet/create_outbound_service.ts
@@ -2,6 +2,7 @@
 import { RetryBudget } from "../decisions/retries/retry_budget.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { FleetMetrics } from "../telemetry/fleet_metrics.ts";
+import { CallParents } from "./call_parents.ts";
 import type { FleetPlatform } from "./fleet_platform.ts";
 import type { ExchangeParts } from "./exchange_parts.ts";
 import type { MemberDirectory } from "./member_directory.ts";
@@ -10,13 +11,13 @@
   type OutboundServiceParts,
 } from "./outbound_service.ts";
 import type { TenantAccess } from "./tenant_access.ts";
+import type { UpstreamGate } from "./upstream_gate.ts";
 
 /** Parts of the daemon that {@link createOutboundService} connects. */
 export type OutboundServiceSources =
   & Pick<
     OutboundServiceParts,
     | "config"
-    | "gate"
     | "graph"
     | "observer"
     | "admission"
@@ -27,6 +28,7 @@
   & {
     settings: FleetSettings;
     platform: FleetPlatform;
+    gate: UpstreamGate;
     access: TenantAccess;
     directory: MemberDirectory;
     metrics: () => FleetMetrics;
@@ -42,12 +44,18 @@
   sources: OutboundServiceSources,
 ): OutboundService {
   const { settings, platform, access, directory, metrics } = sources;
-  const { channels, decisions, graph, admission, ...others } = sources;
+  const { channels, decisions, graph, admission, gate, ...others } = sources;
   const { repeatRatio, repeatWindowMs, repeatSlackCount, pool } = settings;
   return new OutboundService({
     ...others,
     names: platform.headers,
     decodeParentId: platform.decodeParentId,
+    callParents: new CallParents({
+      decodeParentId: platform.decodeParentId,
+      gate,
+      graph,
+      observer: sources.observer,
+    }),
     graph,
     admission,
     authenticator: access.authenticator,
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -11,6 +11,7 @@
 import { callGoalAtMs } from "../decisions/sharing/call_goal.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { Authenticator, RequestAccess } from "./authenticator.ts";
+import type { CallMatch, CallParent, CallParents } from "./call_parents.ts";
 import type { ConfigFollower } from "./config_follower.ts";
 import type { EntryAdmission } from "./entry_admission.ts";
 import { copyEndToEndHeaders, type HeaderNames } from "./header_names.ts";
@@ -19,7 +20,6 @@
 import type { OutboundHandler, ReceivedRequest } from "./outbound_listener.ts";
 import type { AnswerSender, RoutedRequest } from "./routed_request.ts";
 import type { ServedRequest } from "./served_request.ts";
-import type { UpstreamGate } from "./upstream_gate.ts";
 
 /** Minimum time until a caller should retry a request refused for overload. */
 const OVERLOAD_RETRY_MS = 900;
@@ -53,7 +53,7 @@
   /** Id of the request that makes a downstream call, if the id tells it. */
   decodeParentId: (requestId: string) => string | undefined;
   config: ConfigFollower;
-  gate: UpstreamGate;
+  callParents: CallParents;
   graph: CallGraph;
   observer: CallObserver;
   admission: EntryAdmission;
@@ -67,11 +67,15 @@
   exchange: ExchangeParts;
 };
 
-/** Running request that makes a downstream call. */
-type CallParent = {
-  readonly served: ServedRequest;
-  /** Whether the id of the call names it; otherwise their deadlines match. */
-  readonly isNamed: boolean;
+/** Match of a request that is not a downstream call. */
+const NO_MATCH: CallMatch = {};
+
+/** Sender of a request, as far as it is known, and what it may do. */
+type RequestIdentity = {
+  readonly key: string | undefined;
+  /** Running request that makes the request as a downstream call. */
+  readonly parent: CallParent | undefined;
+  readonly access: RequestAccess;
 };
 
 /** Request that a pool has refused at the entry. */
@@ -133,26 +137,16 @@
       return this.#refuse(received, "no_route", answerSender);
     }
     const callerTimeoutMs = this.#callerTimeoutMs(received);
-    const hasTenants = routes.tenants !== undefined;
-    const key = hasTenants
-      ? bearerKey(message.headers.authorization)
-      : undefined;
-    // Endpoints make calls without a key.
-    const parent = key === undefined
-      ? this.#findParent(received, callerTimeoutMs)
-      : undefined;
-    const access = hasTenants
-      ? this.#authenticate(received, { route, key, parent })
-      : { priority: route.priority };
+    const { key, parent, access } = this.#identify(received, {
+      route,
+      hasTenants: routes.tenants !== undefined,
+      expiresAtMs: received.arrivedAtMs + callerTimeoutMs,
+    });
     if (access.refusal !== undefined) {
       return this.#refuse(received, access.refusal, answerSender);
     }
     const pool = routes.choosePool(route);
-    if (
-      this.#endsAtMs !== undefined &&
-      !(this.#isCallOf(parent, route) &&
-        this.#canRunUntil(this.#endsAtMs, route, pool))
-    ) {
+    if (this.#comesTooLate(parent, route, pool)) {
       return this.#refuse(received, "draining", answerSender);
     }
     if (!this.#largeAnswers.admits(route.name, this.#parts.heldBytes())) {
@@ -179,8 +173,7 @@
         });
       }
     }
-    const caller = request.isCall ? parent?.served : undefined;
-    return this.#forward(request, answerSender, caller);
+    return this.#forward(request, answerSender, parent?.served);
   }
 
   /** @inheritdoc */
@@ -240,59 +233,57 @@
     return String(message.headers[this.#parts.names.requestId] ?? "");
   }
 
-  /** Finds the request at the local upstream that makes a call. */
-  #findParent(
+  /** Finds out who has sent a request, and what it may do. */
+  #identify(
     received: ReceivedRequest,
-    callerTimeoutMs: number,
-  ): CallParent | undefined {
-    const { gate, decodeParentId } = this.#parts;
-    const named = gate.findRunning(decodeParentId(this.#requestId(received)));
-    if (named !== undefined) {
-      return { served: named, isNamed: true };
+    { route, hasTenants, expiresAtMs }: {
+      route: FleetRoute;
+      hasTenants: boolean;
+      expiresAtMs: number;
+    },
+  ): RequestIdentity {
+    const { callParents, authenticator, decodeParentId } = this.#parts;
+    const requestId = this.#requestId(received);
+    const key = hasTenants
+      ? bearerKey(received.message.headers.authorization)
+      : undefined;
+    // Upstreams make calls without a key.
+    const match = key === undefined
+      ? callParents.match({ requestId, expiresAtMs })
+      : NO_MATCH;
+    const parent = callParents.parentOf(match, route);
+    const access = hasTenants
+      ? authenticator.authenticate({
+        route,
+        key,
+        parent: parent?.evidence === "id" ? parent.served : undefined,
+        mayBeCall: callParents.mayBeUnnamedCall(match, route),
+        hasCallId: decodeParentId(requestId) !== undefined,
+      })
+      : { priority: route.priority };
+    // A call that is refused because its parent is not proven counts, too.
+    if (key === undefined || access.refusal === undefined) {
+      callParents.record(route.name, match);
     }
-    const served = gate.findParent(received.arrivedAtMs + callerTimeoutMs);
-    return served && { served, isNamed: false };
+    return { key, parent, access };
   }
 
   /**
-   * Returns whether a request is a downstream call of this parent. A matching
-   * deadline is sufficient only if the parent's route calls that of the request,
-   * or may call it, because a caller's request may have the same one by chance.
-   * That other endpoints call the route is not sufficient, because callers send
-   * requests of called routes, too.
+   * Returns whether the process is stopping and a request is not a call that will
+   * probably end in time.
    */
-  #isCallOf(parent: CallParent | undefined, route: FleetRoute): boolean {
-    if (parent === undefined || parent.isNamed) {
-      return parent !== undefined;
+  #comesTooLate(
+    parent: CallParent | undefined,
+    route: FleetRoute,
+    pool: string,
+  ): boolean {
+    if (this.#endsAtMs === undefined) {
+      return false;
     }
-    const { graph, observer } = this.#parts;
-    const { routeName } = parent.served.request;
-    return graph.calls(routeName, route.name) ||
-      !observer.hasEnoughRuns(routeName);
-  }
-
-  #authenticate(
-    received: ReceivedRequest,
-    { route, key, parent }: {
-      route: FleetRoute;
-      key: string | undefined;
-      parent: CallParent | undefined;
-    },
-  ): RequestAccess {
-    const { authenticator, decodeParentId } = this.#parts;
-    return authenticator.authenticate({
-      route,
-      key,
-      parent: this.#isCallOf(parent, route) ? parent?.served : undefined,
-      hasCallId: decodeParentId(this.#requestId(received)) !== undefined,
-    });
-  }
-
-  /** Returns whether a request that is sent now will probably run in time. */
-  #canRunUntil(endsAtMs: number, route: FleetRoute, pool: string): boolean {
     const { channels } = this.#parts.exchange;
     const runMs = channels.longestRunMs(pool, route.name);
-    return performance.now() + LATE_CALL_RUN_FACTOR * runMs < endsAtMs;
+    return parent === undefined ||
+      performance.now() + LATE_CALL_RUN_FACTOR * runMs >= this.#endsAtMs;
   }
 
   #createRequest(
@@ -307,13 +298,11 @@
     },
   ): RoutedRequest {
     const { message, body, arrivedAtMs, inputDelayMs } = received;
-    parent?.served.calledRouteNames.push(route.name);
-    this.#parts.observer.recordReceived(route.name, parent !== undefined);
     const isCall = key === undefined && this.#isCall(route, parent);
     // A downstream call inherits the latency goal of the request that makes it.
     // Queues are ordered by goal, so requests that have been running longest
     // are completed first.
-    const inheritedGoalAtMs = isCall ? parent?.served.goalAtMs : undefined;
+    const inheritedGoalAtMs = parent?.served.goalAtMs;
     const expiresAtMs = arrivedAtMs +
       Math.min(callerTimeoutMs, route.timeoutMs);
     return {
@@ -357,14 +346,14 @@
 
   /**
    * Returns whether a request is treated as a downstream call for admission: one
-   * of this parent, or one of a route that is known to be called, here or by
+   * that has a parent, or one of a route that is known to be called, here or by
    * others, although its parent was not found. To refuse a call would lose the
    * work of its parent.
    */
   #isCall(route: FleetRoute, parent: CallParent | undefined): boolean {
     const { graph, observer } = this.#parts;
-    return graph.isCalled(route.name) || observer.isCalled(route.name) ||
-      this.#isCallOf(parent, route);
+    return parent !== undefined || graph.isCalled(route.name) ||
+      observer.isCalled(route.name);
   }
 
   #refuse(
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -4,7 +4,9 @@
 import { CallObserver } from "../decisions/routing/call_graph.ts";
 import type { ForwardedRequest } from "../link/upstream_channel.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
+import { CallParents } from "./call_parents.ts";
 import { CallTimes } from "./call_times.ts";
+import type { ServedRequest } from "./served_request.ts";
 import {
   OutboundService,
   type OutboundServiceParts,
@@ -42,6 +44,15 @@
   };
   const ignore = () => {};
   const callTimes = new CallTimes();
+  const decodeParentId = () => namedParent && PARENT_ID;
+  const createServed = (properties: { goalAtMs: number } | undefined) =>
+    properties && {
+      ...properties,
+      calledRouteNames: [] as string[],
+      chanceRouteNames: [] as string[],
+      callTimes,
+      request: { routeName: PARENT_ROUTE },
+    } as ServedRequest;
   const parts = {
     names: {
       deadlineMs: "deadline",
@@ -53,20 +64,18 @@
       routes: { match: () => ROUTE, choosePool: () => "plates" },
       version: 1,
     },
-    decodeParentId: () => namedParent && PARENT_ID,
-    gate: {
-      findRunning: (id: string | undefined) =>
-        id === PARENT_ID
-          ? { ...namedParent, calledRouteNames: [], callTimes }
-          : undefined,
-      findParent: () =>
-        parent && {
-          ...parent,
-          calledRouteNames: [],
-          callTimes,
-          request: { routeName: PARENT_ROUTE },
-        },
-    },
+    decodeParentId,
+    callParents: new CallParents({
+      decodeParentId,
+      gate: {
+        findRunning: (id) =>
+          id === PARENT_ID ? createServed(namedParent) : undefined,
+        findByExpiry: () => createServed(parent),
+        upstreamId: "u-1",
+      },
+      observer,
+      graph,
+    }),
     observer,
     graph,
     admission: { findRefusingPool: ignore, isCoordinated: () => false },
--- a/src/fleet/running_requests.ts
+++ b/src/fleet/running_requests.ts
@@ -8,8 +8,12 @@
  */
 const EXPIRY_STEPS_MAX_COUNT = 4;
 
-/** Distances at which the deadline of a call matches that of a request, in ms. */
-const EXPIRY_OFFSETS_MS = [0, 1, -1, 2, -2];
+/**
+ * Distances from the deadline of a call at which that of its parent is found, in
+ * ms. The deadline is computed from the time that was left when the call was
+ * sent, so the way of the call, and that of the parent to the upstream, delay it.
+ */
+const EXPIRY_OFFSETS_MS = [0, -1, 1, -2, 2, -3, -4, -5, -6, -7, -8, -9, -10];
 
 /**
  * Ids up to this length are keys of a map that retains removed keys. A caller
@@ -70,12 +74,12 @@
   }
 
   /**
-   * Finds the request that makes a downstream call. A call carries the deadline
-   * that was sent to the upstream with the request.
+   * Finds the request that probably makes a downstream call. A call carries the
+   * deadline that was sent to the upstream with the request.
    *
    * @param expiresAtMs Deadline of the call, as a monotonic time in ms.
-   * @returns The request; undefined when none has a deadline that is within 2 ms
-   *   of this one.
+   * @returns The request with the nearest deadline; undefined when none has one
+   *   that is at most 10 ms earlier or 2 ms later.
    */
   findByExpiry(expiresAtMs: number): ServedRequest | undefined {
     const key = Math.round(expiresAtMs);
--- a/src/fleet/running_requests_test.ts
+++ b/src/fleet/running_requests_test.ts
@@ -23,3 +23,19 @@
   assert.equal(running.findById(long.requestId), undefined);
   assert.equal(running.findByExpiry(201), undefined);
 });
+
+// Guards against calls that are not recognized because they were under way for
+// some milliseconds.
+test("a deadline matches the nearest request that ends up to 10 ms earlier or 2 ms later", () => {
+  const running = new RunningRequests();
+  const first = createServed("call-1", 100);
+  const second = createServed("call-2", 106);
+  running.add(first);
+  running.add(second);
+  assert.equal(running.findByExpiry(97), undefined);
+  assert.equal(running.findByExpiry(98), first);
+  assert.equal(running.findByExpiry(102), first);
+  assert.equal(running.findByExpiry(104), second);
+  assert.equal(running.findByExpiry(116), second);
+  assert.equal(running.findByExpiry(117), undefined);
+});
--- a/src/fleet/served_request.ts
+++ b/src/fleet/served_request.ts
@@ -57,6 +57,8 @@
   requestId = "";
   /** Route of each downstream call that the upstream has made for it. */
   readonly calledRouteNames: string[] = [];
+  /** Route of each request that has a deadline near its own by chance. */
+  readonly chanceRouteNames: string[] = [];
   /**
    * Deadline that was sent to the upstream, as a monotonic time in whole ms.
    */
--- a/src/fleet/served_results.ts
+++ b/src/fleet/served_results.ts
@@ -60,6 +60,7 @@
     }
     this.#observer.recordRun(served.request.routeName, {
       calledRouteNames: served.calledRouteNames,
+      chanceRouteNames: served.chanceRouteNames,
       isSuccessful: result === "answered",
     });
   }
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -104,6 +104,11 @@
       : this.limitCount * MS_PER_S / Math.max(1, this.#expectedRunMs);
   }
 
+  /** Identity of the upstream; undefined while it is not known. */
+  get upstreamId(): string | undefined {
+    return this.#options.upstream.report?.upstreamId;
+  }
+
   /** Whether new requests are refused because the process is stopping. */
   get isStopped(): boolean {
     return this.#isStopped;
@@ -218,13 +223,13 @@
   }
 
   /**
-   * Finds the running request that makes a downstream call; see
+   * Finds the running request whose deadline a downstream call may have; see
    * {@link RunningRequests.findByExpiry}.
    *
    * @param expiresAtMs Deadline of the call, as a monotonic time in ms.
    * @returns The running request; undefined when none matches.
    */
-  findParent(expiresAtMs: number): ServedRequest | undefined {
+  findByExpiry(expiresAtMs: number): ServedRequest | undefined {
     return this.#running.findByExpiry(expiresAtMs);
   }
 
--- a/src/reference_pages/error_advice.ts
+++ b/src/reference_pages/error_advice.ts
@@ -17,6 +17,8 @@
     "that does; look at `goldcrest_fleet_currency_age_ms`",
   parent_not_running: "Expected when a request ends before its calls; " +
     "otherwise the caller must send its key",
+  parent_unproven: "Have the upstream name the running request in the ids of " +
+    "its calls; a caller must send its key",
   usage_capped: "Expected over the tenant's cap; raise `rate_per_s` or `burst`",
   no_route: "Add the route, or correct the caller's method or path",
   shed: "Expected under overload, least important class first; find the " +
--- a/src/testing/currency_fleet.ts
+++ b/src/testing/currency_fleet.ts
@@ -134,6 +134,7 @@
       route: ROUTE,
       key,
       parent: undefined,
+      mayBeCall: false,
       hasCallId: false,
     });
   }
