Parse the options of Connection in linear time

Cause: copyEndToEndHeaders split the field with /\s*,\s*/, which takes quadratic time in a run of spaces: 0.4 s of the event loop for a head within the limits. Also, only the last Connection field counted, and each header was compared with each option.

Change: parseConnectionOptions splits at commas, trims the parts and returns a set. Both data paths use it. It reads each byte a fixed number of times, so no head within the limits takes long.

--- a/src/fleet/header_names.ts
+++ b/src/fleet/header_names.ts
@@ -1,4 +1,5 @@
 /** Names of the platform's headers, and the copying of headers to forward. */
+import { parseConnectionOptions } from "../core/connection_options.ts";
 import { HOP_BY_HOP_HEADERS } from "../core/hop_by_hop_headers.ts";
 
 /** Header names in lower case, supplied by the adapter of the platform. */
@@ -49,27 +50,30 @@
   dropped: readonly string[],
 ): string[] {
   const kept: string[] = [];
-  let connectionOptions: string[] = [];
+  const connectionOptions = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = (rawHeaders[index] as string).toLowerCase();
     if (name === "connection") {
-      connectionOptions = (rawHeaders[index + 1] as string).toLowerCase().split(
-        /\s*,\s*/,
-      );
+      for (const option of parseConnectionOptions(rawHeaders[index + 1])) {
+        connectionOptions.add(option);
+      }
     }
     if (!DROPPED_HEADERS.has(name) && !dropped.includes(name)) {
       kept.push(rawHeaders[index] as string, rawHeaders[index + 1] as string);
     }
   }
-  return connectionOptions.length === 0
+  return connectionOptions.size === 0
     ? kept
     : withoutNames(kept, connectionOptions);
 }
 
 /** Removes the headers with the given names, and their values. */
-function withoutNames(headers: string[], names: readonly string[]): string[] {
+function withoutNames(
+  headers: string[],
+  names: ReadonlySet<string>,
+): string[] {
   return headers.filter((_, index) =>
-    !names.includes((headers[index & ~1] as string).toLowerCase())
+    !names.has((headers[index & ~1] as string).toLowerCase())
   );
 }
 
--- a/src/proxy/header_filter.ts
+++ b/src/proxy/header_filter.ts
@@ -1,4 +1,5 @@
 /** Removes hop-by-hop and internal headers. */
+import { parseConnectionOptions } from "../core/connection_options.ts";
 import { HOP_BY_HOP_HEADERS } from "../core/hop_by_hop_headers.ts";
 
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
@@ -23,10 +24,7 @@
   rawHeaders: readonly string[],
   connection: string | undefined,
 ): string[] {
-  const connectionHeaders =
-    connection === undefined || /^(close|keep-alive)$/i.test(connection)
-      ? []
-      : connection.toLowerCase().split(",").map((part) => part.trim());
+  const connectionOptions = parseConnectionOptions(connection);
   const kept: string[] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string;
@@ -34,7 +32,7 @@
     if (
       DROPPED_HEADERS.has(lowerName) ||
       lowerName.startsWith(INTERNAL_PREFIX) ||
-      connectionHeaders.includes(lowerName)
+      connectionOptions.has(lowerName)
     ) {
       continue;
     }
