Count the header fields of requests, and refuse stalled heads

Cause: the account of what is held for callers counted 8 KiB and the text of a head. Each field takes 128 bytes more. Such a request could be refused for its body only, 10 bytes here; the first request of a connection was always admitted; the bound ignored the size of the heap.

Change: requestBytesOf counts the fields; the head is part of the claim of a request whose body is received; while the account is full, requests over 16 KiB are refused on any connection; a process holds at most 0.4 of its heap for callers. hasBody and announcedBytesOf stand once.

--- a/src/decisions/memory/caller_memory.ts
+++ b/src/decisions/memory/caller_memory.ts
@@ -22,6 +22,8 @@
 
 /** A caller whose request body is received. */
 export interface ReceivedCaller {
+  /** Bytes that its request takes besides the body. */
+  readonly requestBytes: number;
   /** Bytes that are held or announced; written by {@link CallerMemory} only. */
   claimBytes: number;
   /** Bytes that have arrived; written by {@link CallerMemory} only. */
@@ -39,7 +41,9 @@
  * Counts the bytes that are held for all callers. When there are too many,
  * callers whose requests have not been forwarded are refused. A body with an
  * announced length counts as a whole from the beginning, so that a crowd of
- * large bodies is refused early and those that are admitted are completed.
+ * large bodies is refused early and those that are admitted are completed. The
+ * head of its request counts with it, so that a crowd of large heads without
+ * their bodies is refused, too.
  *
  * @example
  * const memory = new CallerMemory(75_000_000);
@@ -111,11 +115,11 @@
     caller: ReceivedCaller,
     { announcedBytes, nowMs }: { announcedBytes: number; nowMs: number },
   ): void {
-    caller.claimBytes = announcedBytes;
+    caller.claimBytes = caller.requestBytes + announcedBytes;
     caller.receivedBytes = 0;
     caller.progressAtMs = nowMs;
     this.#receiving.add(caller);
-    this.#receivingBytes += announcedBytes;
+    this.#receivingBytes += caller.claimBytes;
     this.#evictExcess(nowMs);
   }
 
@@ -129,7 +133,8 @@
   add(caller: ReceivedCaller, bytes: number, nowMs: number): void {
     caller.progressAtMs = nowMs;
     caller.receivedBytes += bytes;
-    const growthBytes = caller.receivedBytes - caller.claimBytes;
+    const growthBytes = caller.requestBytes + caller.receivedBytes -
+      caller.claimBytes;
     if (growthBytes <= 0) {
       return;
     }
@@ -162,7 +167,7 @@
     if (this.#receiving.delete(caller)) {
       this.#receivingBytes -= caller.claimBytes;
       this.#collect(nowMs);
-      this.#uncollectedBytes += caller.receivedBytes;
+      this.#uncollectedBytes += caller.requestBytes + caller.receivedBytes;
     } else if (this.#forwarded.delete(caller)) {
       this.#otherBytes -= caller.claimBytes;
     }
--- a/src/decisions/memory/caller_memory_test.ts
+++ b/src/decisions/memory/caller_memory_test.ts
@@ -5,11 +5,16 @@
 const MAX_BYTES = 1_000;
 
 class StubCaller implements ReceivedCaller {
+  readonly requestBytes: number;
   claimBytes = 0;
   receivedBytes = 0;
   progressAtMs = 0;
   isEvicted = false;
 
+  constructor(requestBytes = 0) {
+    this.requestBytes = requestBytes;
+  }
+
   evict(): void {
     this.isEvicted = true;
   }
@@ -36,6 +41,23 @@
   assert.equal(callers[11]?.isEvicted, true);
 });
 
+// Guards against a heap that is full of heads whose bodies are never sent.
+test("the heads of unfinished requests count, and the largest are refused first", () => {
+  const memory = new CallerMemory(MAX_BYTES);
+  const callers = [300, 50, 500, 250].map((bytes) => new StubCaller(bytes));
+  for (const caller of callers) {
+    memory.start(caller, { announcedBytes: 10, nowMs: 0 });
+  }
+  assert.deepEqual(
+    callers.map(({ isEvicted }) => isEvicted),
+    [false, false, true, false],
+  );
+  assert.equal(memory.heldBytes, 630);
+  memory.forward(callers[0] as StubCaller);
+  memory.end(callers[0] as StubCaller, 0);
+  assert.equal(memory.heldBytes, 320);
+});
+
 test("bodies without an announced length count by their bytes", () => {
   const memory = new CallerMemory(MAX_BYTES);
   const callers = startCallers(memory, 4, 0);
--- a/src/decisions/memory/machine_bounds.ts
+++ b/src/decisions/memory/machine_bounds.ts
@@ -13,6 +13,11 @@
  * released. With 0.35, a crowd of unfinished bodies took a process over 200 MB.
  */
 const HELD_RATIO = 0.25;
+/**
+ * Part of the heap for what callers cause to be held. Heads are on the heap, and
+ * the rest is for the process itself and for what has not been collected.
+ */
+const HEAP_HELD_RATIO = 0.4;
 /** Least bytes that are held for callers, on a machine of any size. */
 const HELD_MIN_BYTES = 8_388_608;
 /** Part of the descriptors for connections of callers. */
@@ -29,6 +34,8 @@
 export type MachineLimits = {
   /** Memory that the process may use. */
   readonly memoryMaxBytes?: number | undefined;
+  /** Size that the heap may have. */
+  readonly heapMaxBytes?: number | undefined;
   /** File descriptors that the process may open. */
   readonly descriptorsMaxCount?: number | undefined;
 };
@@ -53,6 +60,7 @@
 export function deriveMachineBounds(
   {
     memoryMaxBytes = DEFAULT_MEMORY_BYTES,
+    heapMaxBytes = Infinity,
     descriptorsMaxCount = DEFAULT_DESCRIPTORS_COUNT,
   }: MachineLimits,
 ): MachineBounds {
@@ -61,7 +69,10 @@
   return {
     heldMaxBytes: Math.max(
       HELD_MIN_BYTES,
-      Math.floor((memoryMaxBytes - OWN_MEMORY_BYTES) * HELD_RATIO),
+      Math.floor(Math.min(
+        (memoryMaxBytes - OWN_MEMORY_BYTES) * HELD_RATIO,
+        heapMaxBytes * HEAP_HELD_RATIO,
+      )),
     ),
     callersMaxCount: portion(CALLERS_RATIO),
     upstreamMaxCount: Math.min(UPSTREAM_MAX_COUNT, portion(UPSTREAM_RATIO)),
--- a/src/fleet/outbound_listener.ts
+++ b/src/fleet/outbound_listener.ts
@@ -31,6 +31,7 @@
   COSTLY_BODIES_MAX_COUNT,
   PROGRESS_CHECK_MS,
 } from "../reception/body_reception.ts";
+import { hasBody } from "../reception/announced_body.ts";
 import type { CallerLimits } from "../reception/caller_limits.ts";
 import { answerParserError, type ParserError } from "./answer_parser_error.ts";
 import type { InputParts } from "./create_input_parts.ts";
@@ -71,11 +72,6 @@
   retryAfterMs(kind: ErrorKind): number | undefined;
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    (headers["content-length"] ?? "0") !== "0";
-}
-
 /**
  * Receives HTTP requests, and sends the answers of its handler in the order of
  * the requests on a connection.
--- a/src/proxy/body_reader.ts
+++ b/src/proxy/body_reader.ts
@@ -6,6 +6,7 @@
 } from "../decisions/memory/caller_connections.ts";
 import { mayForward } from "../decisions/memory/forwarded_bodies.ts";
 import { RelayError } from "../errors/relay_error.ts";
+import { announcedBytesOf, hasBody } from "../reception/announced_body.ts";
 import {
   BodyReception,
   type BodyRefusal,
@@ -30,18 +31,6 @@
   deadlineMs: number;
 };
 
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    (headers["content-length"] ?? "0") !== "0";
-}
-
-/** Returns the announced length of a body; 0 if it is chunked. */
-function announcedBytesOf({ headers }: IncomingMessage): number {
-  return headers["transfer-encoding"] === undefined
-    ? Number(headers["content-length"])
-    : 0;
-}
-
 /** A request whose body is read. */
 type ReadRequest = {
   readonly message: IncomingMessage;
--- a/src/reception/body_reception.ts
+++ b/src/reception/body_reception.ts
@@ -8,6 +8,8 @@
   ReceivedCaller,
 } from "../decisions/memory/caller_memory.ts";
 import type { CostlyBodies } from "../decisions/memory/costly_bodies.ts";
+import { requestBytesOf } from "../decisions/memory/request_memory.ts";
+import { announcedBytesOf } from "./announced_body.ts";
 
 /** Chunks after which their number is checked again. */
 export const CHUNKS_CHECK_COUNT = 256;
@@ -51,13 +53,6 @@
   onRefused: (kind: BodyRefusal) => void;
 };
 
-/** Returns the announced size of a body, 0 if it is not announced. */
-function announcedBytesOf({ headers }: IncomingMessage): number {
-  return headers["transfer-encoding"] === undefined
-    ? Number(headers["content-length"] ?? 0)
-    : 0;
-}
-
 /** Collects the body of one request until it is complete or refused. */
 export class BodyReception implements ReceivedCaller {
   readonly #message: IncomingMessage;
@@ -70,6 +65,8 @@
   #isRefused = false;
   #startedAtMs = performance.now();
   /** @inheritdoc */
+  readonly requestBytes: number;
+  /** @inheritdoc */
   claimBytes = 0;
   /** @inheritdoc */
   receivedBytes = 0;
@@ -83,6 +80,7 @@
   constructor(message: IncomingMessage, options: BodyReceptionOptions) {
     this.#message = message;
     this.#options = options;
+    this.requestBytes = requestBytesOf(message);
   }
 
   /**
--- a/src/reception/caller_limits.ts
+++ b/src/reception/caller_limits.ts
@@ -1,4 +1,5 @@
 /** Bounds on what a daemon holds for its callers. */
+import { getHeapStatistics } from "node:v8";
 import { CallerMemory } from "../decisions/memory/caller_memory.ts";
 import {
   deriveMachineBounds,
@@ -30,7 +31,10 @@
   limits: MachineLimits,
   log: Logger,
 ): CallerLimits {
-  const bounds = deriveMachineBounds(limits);
+  const bounds = deriveMachineBounds({
+    heapMaxBytes: getHeapStatistics().heap_size_limit,
+    ...limits,
+  });
   return {
     memory: new CallerMemory(bounds.heldMaxBytes),
     connectionsMaxCount: bounds.callersMaxCount,
--- a/src/reception/pipelined_requests.ts
+++ b/src/reception/pipelined_requests.ts
@@ -3,27 +3,22 @@
 import type { Socket } from "node:net";
 import { PIPELINED_MAX_COUNT } from "../decisions/memory/connection_order.ts";
 import type { CallerMemory } from "../decisions/memory/caller_memory.ts";
+import {
+  isUsualRequest,
+  requestBytesOf,
+} from "../decisions/memory/request_memory.ts";
 import type { OpenResponses } from "../core/open_responses.ts";
 import type { CallerRefusals } from "../telemetry/caller_refusals.ts";
 import { stopParsing } from "../core/stoppable_message.ts";
+import { hasBody } from "./announced_body.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import type { StoppedConnections } from "./stopped_connections.ts";
 
-/** Memory that a request takes besides its head and its body. */
-const REQUEST_BYTES = 8_192;
-
-/** Returns the size of the head of a request, in bytes. */
-function headBytesOf({ url, rawHeaders }: IncomingMessage): number {
-  return rawHeaders.reduce(
-    (sumBytes, { length }) => sumBytes + length,
-    url?.length ?? 0,
-  );
-}
-
 /**
- * Counts the heads of open requests in the account of the process. A connection
- * with many open requests is not read, and a request behind others is refused
- * while the account is full.
+ * Counts open requests without a body in the account of the process; those with
+ * one count while it is received and after that. A connection with many open
+ * requests is not read. While the account is full, a request behind others and
+ * one that takes more memory than usual are refused.
  */
 export class PipelinedRequests {
   readonly #memory: CallerMemory;
@@ -85,8 +80,10 @@
   ): boolean {
     const { socket } = message;
     const openCount = this.#openResponses.countOf(socket);
-    const isAdmitted = openCount <= 1 || !this.#memory.isFull;
-    const heldBytes = headBytesOf(message) + REQUEST_BYTES;
+    const requestBytes = requestBytesOf(message);
+    const isAdmitted = !this.#memory.isFull ||
+      (openCount <= 1 && isUsualRequest(requestBytes));
+    const heldBytes = hasBody(message) ? 0 : requestBytes;
     this.#memory.hold(heldBytes);
     if (openCount === PIPELINED_MAX_COUNT) {
       this.#refusals.record("requests_pipelined", {
--- a/src/testing/caller_crowd.ts
+++ b/src/testing/caller_crowd.ts
@@ -23,6 +23,8 @@
 export const HEAD_CROWD_KINDS = [
   /** Large permitted heads, without their end. */
   "unfinishedHeads",
+  /** Complete heads with many small fields, without the announced body. */
+  "manyFields",
   /** Many small requests in a row on each connection. */
   "pipelinedRequests",
 ] as const;
@@ -57,6 +59,9 @@
 /** Size of an unfinished head. */
 const HEAD_BYTES = 60_000;
 const HEAD_LINE = `Pad: ${"x".repeat(993)}\r\n`;
+/** Size of a head with many fields, and that of a field. */
+const MANY_FIELDS_BYTES = 15_800;
+const FIELD_BYTES = 20;
 /** Requests that each caller sends in a row. */
 const PIPELINED_COUNT = 2_000;
 
@@ -70,6 +75,12 @@
   return Array.from({ length: count }, () => piece);
 }
 
+/** Returns fields of 20 bytes with different names. */
+function createFields(count: number): string {
+  const numbers = Array.from({ length: count }, (_, n) => `${100_000 + n}`);
+  return numbers.map((number) => `f-${number}: ${number}ab\r\n`).join("");
+}
+
 function sendingOf(kind: CrowdKind, headLines: readonly string[]): Sending {
   const piecesCount = CROWD_BODY_MAX_BYTES / PIECE_BYTES;
   const announced = `Content-Length: ${CROWD_BODY_MAX_BYTES}`;
@@ -103,6 +114,13 @@
       const lines = HEAD_LINE.repeat(HEAD_BYTES / HEAD_LINE.length);
       return { framing: undefined, pieces: [Buffer.from(lines)] };
     }
+    case "manyFields": {
+      const fields = createFields(MANY_FIELDS_BYTES / FIELD_BYTES);
+      return {
+        framing: undefined,
+        pieces: [Buffer.from(`Content-Length: 10\r\n${fields}\r\n`)],
+      };
+    }
     case "pipelinedRequests": {
       const request = [...headLines, "", ""].join("\r\n");
       return {
