Refuse heartbeats of another service or address

Cause: the heartbeat replaced the report of the local upstream. Its start was later, so all heartbeats of the endpoint counted as outdated: ignored, but acknowledged. Service and address were not compared with the settings.

Change: a heartbeat with another service or address than the settings name is refused with 400, logged, and changes nothing.

--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -187,6 +187,7 @@
     );
     this.#announcements = new UpstreamAnnouncements({
       decode: platform.decodeAnnouncement,
+      settings,
       upstream: this.#upstreamParts.upstream,
       client: this.#upstreamParts.client,
       directory: this.#directory,
--- a/src/fleet/fleet_platform.ts
+++ b/src/fleet/fleet_platform.ts
@@ -5,11 +5,20 @@
 import type { FleetConfig, UpstreamReport } from "../schemas/fleet_schema.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { MemberStore } from "./member_directory.ts";
+import type { Address } from "../schemas/common_schema.ts";
 import type { ControlRequest } from "./control_listener.ts";
 
-/** Decoded announcement of the local upstream. */
+/** Decoded heartbeat. */
+export type HeartbeatAnnouncement = {
+  readonly kind: "heartbeat";
+  /** Address of the upstream that it reports. */
+  readonly address: Address;
+  readonly report: UpstreamReport;
+};
+
+/** Decoded announcement of an upstream. */
 export type Announcement =
-  | { readonly kind: "heartbeat"; readonly report: UpstreamReport }
+  | HeartbeatAnnouncement
   | { readonly kind: "leave"; readonly upstreamId: string };
 
 /** Header names, object store and formats of a deployment platform. */
--- a/src/fleet/upstream_announcements.ts
+++ b/src/fleet/upstream_announcements.ts
@@ -1,7 +1,8 @@
 /** Handles the announcements of the local upstream. */
 import { setTimeout as delay } from "node:timers/promises";
 import { errorFields, type Logger } from "../telemetry/logger.ts";
-import type { FleetPlatform } from "./fleet_platform.ts";
+import type { FleetSettings } from "../schemas/fleet_schema.ts";
+import type { FleetPlatform, HeartbeatAnnouncement } from "./fleet_platform.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 import type { ControlAnswer, ControlRequest } from "./control_listener.ts";
@@ -13,9 +14,13 @@
  */
 const ACKNOWLEDGE_WAIT_MS = 400;
 
+/** Answer to an announcement that is not applied. */
+const INVALID_ANSWER: ControlAnswer = { status: 400, body: "{}" };
+
 /** Options of {@link UpstreamAnnouncements}. */
 export type UpstreamAnnouncementsOptions = {
   decode: FleetPlatform["decodeAnnouncement"];
+  settings: Pick<FleetSettings, "pool" | "upstream">;
   upstream: LocalUpstream;
   client: UpstreamHttpClient;
   directory: MemberDirectory;
@@ -40,18 +45,28 @@
    * Handles one announcement.
    *
    * @param request Control request of the upstream.
-   * @returns Acknowledgement, or status 400 for an invalid request.
+   * @returns Acknowledgement, or status 400 for an invalid request and for a
+   *   heartbeat of another upstream.
    */
   async handle(request: ControlRequest): Promise<ControlAnswer> {
     const { decode, upstream, log } = this.#options;
     const announcement = decode(request);
     if (announcement === undefined) {
       log.warn("Announcement is not readable", { url: request.url });
-      return { status: 400, body: "{}" };
+      return INVALID_ANSWER;
     }
     if (announcement.kind === "leave") {
       upstream.markLeaving(announcement.upstreamId);
     } else {
+      if (!this.#isOfLocalUpstream(announcement)) {
+        const { report, address } = announcement;
+        log.warn("Heartbeat of another upstream refused", {
+          upstreamId: report.upstreamId,
+          pool: report.pool,
+          address: `${address.host}:${address.port}`,
+        });
+        return INVALID_ANSWER;
+      }
       // A late heartbeat of an upstream that has left must not be accepted
       // before this process knows of the departure.
       await this.#options.directory.ownRecordKnown;
@@ -102,6 +117,17 @@
     }
   }
 
+  /**
+   * Returns whether a heartbeat is of the upstream beside this daemon. One of
+   * another writer would replace its state, and a later start would make all
+   * heartbeats of the local upstream outdated.
+   */
+  #isOfLocalUpstream({ address, report }: HeartbeatAnnouncement): boolean {
+    const { pool, upstream } = this.#options.settings;
+    return report.pool === pool && address.host === upstream.host &&
+      address.port === upstream.port;
+  }
+
   async #storeDeparture(): Promise<void> {
     const { upstream, directory } = this.#options;
     const { departure } = upstream;
