Let an id that two tenants use name no parent of calls

Callers would see: while requests of two tenants run at one upstream with the same id, the calls of the earlier one run with the tenant of the later one.

Cause: the table of running requests keeps the newest request of an id.

Change: SharedIds counts running requests with the same id. While their tenants differ, and until all have ended, the id names none of them, and calls that name it get 503.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -165,6 +165,7 @@
       decisions,
       log,
       requestIdHeader: REQUEST_ID_HEADER,
+      tenantHeader: HEADERS.tenant,
     });
     this.poolFigures = new PoolFiguresSource(this.gate);
     this.#publisher = new StatePublisher({
--- a/src/fleet/create_upstream_parts.ts
+++ b/src/fleet/create_upstream_parts.ts
@@ -73,6 +73,7 @@
     decisions: options.decisions,
     log,
     requestIdHeader: platform.headers.requestId,
+    tenantHeader: platform.headers.tenant,
   });
   return { upstream, client, gate };
 }
--- a/src/fleet/running_requests.ts
+++ b/src/fleet/running_requests.ts
@@ -1,6 +1,8 @@
 /** Requests that run at the local upstream, to find the ones that make calls. */
 import { ChurnMap } from "../core/churn_map.ts";
+import { findHeader } from "./header_names.ts";
 import type { ServedRequest } from "./served_request.ts";
+import { SharedIds } from "./shared_ids.ts";
 
 /**
  * Maximum steps of 1 ms by which a deadline is shortened to make it unique, so
@@ -26,6 +28,15 @@
   readonly #byExpiresAtMs = new ChurnMap<number, ServedRequest>();
   readonly #byRequestId = new ChurnMap<string, ServedRequest>();
   readonly #byLongRequestId = new Map<string, ServedRequest>();
+  readonly #sharedIds = new SharedIds();
+  readonly #tenantHeader: string;
+
+  /**
+   * @param tenantHeader Name of the header with the tenant, in lower case.
+   */
+  constructor(tenantHeader: string) {
+    this.#tenantHeader = tenantHeader;
+  }
 
   /**
    * Adds a request that is sent to the upstream, and chooses the deadline that
@@ -44,7 +55,7 @@
       expiryMs--;
     }
     served.sentExpiresAtMs = expiryMs;
-    this.#mapFor(served.requestId).set(served.requestId, served);
+    this.#addId(served);
     this.#byExpiresAtMs.set(expiryMs, served);
   }
 
@@ -57,6 +68,7 @@
     if (this.#byExpiresAtMs.get(served.sentExpiresAtMs) === served) {
       this.#byExpiresAtMs.delete(served.sentExpiresAtMs);
     }
+    this.#sharedIds.remove(served.requestId);
     const byRequestId = this.#mapFor(served.requestId);
     if (byRequestId.get(served.requestId) === served) {
       byRequestId.delete(served.requestId);
@@ -67,10 +79,13 @@
    * Finds a request by the id that its caller gave to it.
    *
    * @param requestId Id.
-   * @returns The request; undefined when none has the id.
+   * @returns The request; undefined when none has the id, or when requests of
+   *   different tenants have it.
    */
   findById(requestId: string): ServedRequest | undefined {
-    return this.#mapFor(requestId).get(requestId);
+    return this.#sharedIds.isAmbiguous(requestId)
+      ? undefined
+      : this.#mapFor(requestId).get(requestId);
   }
 
   /**
@@ -92,6 +107,23 @@
     return undefined;
   }
 
+  #addId(served: ServedRequest): void {
+    const { requestId } = served;
+    const byRequestId = this.#mapFor(requestId);
+    const running = byRequestId.get(requestId);
+    if (running !== undefined || this.#sharedIds.has(requestId)) {
+      this.#sharedIds.add(requestId, {
+        running: running && this.#tenantOf(running),
+        added: this.#tenantOf(served),
+      });
+    }
+    byRequestId.set(requestId, served);
+  }
+
+  #tenantOf({ request }: ServedRequest): string | undefined {
+    return findHeader(request.headers, this.#tenantHeader);
+  }
+
   #mapFor(requestId: string) {
     return requestId.length > RETAINED_ID_MAX_LENGTH
       ? this.#byLongRequestId
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -54,6 +54,8 @@
   log: Logger;
   /** Name of the header with the caller's request id, in lower case. */
   requestIdHeader: string;
+  /** Name of the header with the tenant, in lower case. */
+  tenantHeader: string;
 };
 
 /** Limits the requests that run at the upstream, and queues the others. */
@@ -63,7 +65,7 @@
   readonly #options: UpstreamGateOptions;
   readonly #slots = new SlotQueue<ServedRequest>();
   readonly #results: ServedResults;
-  readonly #running = new RunningRequests();
+  readonly #running: RunningRequests;
   readonly #busy = new MovingAverage(BUSY_WEIGHT, 0);
   readonly #starts: StartControl;
   #isStopped = false;
@@ -75,6 +77,7 @@
    */
   constructor(options: UpstreamGateOptions) {
     this.#options = options;
+    this.#running = new RunningRequests(options.tenantHeader);
     this.#results = new ServedResults(options.observer);
     this.capacity = new UpstreamCapacity(options.log);
     this.#starts = new StartControl({
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -40,6 +40,7 @@
     decisions: new DecisionLog(new NullLogger()),
     log: new NullLogger(),
     requestIdHeader: "request-id",
+    tenantHeader: "tenant",
   });
   gate.updateLimit();
   const failures: ForwardFailure[] = [];
