Split the call observer from the call graph

call_graph.ts had grown to 412 lines with two jobs: counting the calls of the runs at one upstream, and merging the edges of all daemons. The first is call_observer.ts now, with its tests. No change of behaviour.

--- a/bench/recovery/simulated_daemon.ts
+++ b/bench/recovery/simulated_daemon.ts
@@ -2,10 +2,8 @@
 import type { IncomingMessage } from "node:http";
 import { empty } from "most";
 import type { RandomSource } from "../../src/core/random.ts";
-import {
-  CallGraph,
-  CallObserver,
-} from "../../src/decisions/routing/call_graph.ts";
+import { CallGraph } from "../../src/decisions/routing/call_graph.ts";
+import { CallObserver } from "../../src/decisions/routing/call_observer.ts";
 import { RetryBudget } from "../../src/decisions/retries/retry_budget.ts";
 import type { ErrorKind } from "../../src/errors/error_kinds.ts";
 import { errorAnswer } from "../../src/errors/error_kinds.ts";
--- a/src/fleet/call_parents.ts
+++ b/src/fleet/call_parents.ts
@@ -1,9 +1,6 @@
 /** Assigns downstream calls to the running requests that make them. */
-import type { CallEvidence } from "../decisions/routing/call_evidence.ts";
-import type {
-  CallGraph,
-  CallObserver,
-} from "../decisions/routing/call_graph.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import type { ServedRequest } from "./served_request.ts";
 import type { UpstreamGate } from "./upstream_gate.ts";
@@ -15,6 +12,18 @@
  */
 const CHANCE_OFFSET_MS = 14;
 
+/**
+ * What shows that a request is a downstream call:
+ *
+ * - `id`: its id contains that of the running request. Besides the daemons, only
+ *   the caller and the upstream of that request know the id, so this proves that
+ *   the call is made for it.
+ * - `deadline`: it has the deadline of the running request. Any request may have
+ *   it by chance, so this may decide how a request is queued, but not who its
+ *   caller is.
+ */
+export type CallEvidence = "id" | "deadline";
+
 /** Running request that makes a downstream call. */
 export type CallParent = {
   readonly served: ServedRequest;
--- a/src/fleet/call_parents_test.ts
+++ b/src/fleet/call_parents_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CallObserver } from "../decisions/routing/call_graph.ts";
+import { CallObserver } from "../decisions/routing/call_observer.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import { CallParents } from "./call_parents.ts";
 import type { ServedRequest } from "./served_request.ts";
--- a/src/fleet/create_upstream_parts.ts
+++ b/src/fleet/create_upstream_parts.ts
@@ -1,7 +1,7 @@
 /** Creates the parts of a daemon that serve its local upstream. */
 import { SystemClock } from "../core/clock.ts";
 import type { StartQueue } from "../core/start_queue.ts";
-import type { CallObserver } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import type { FleetSettings } from "../schemas/fleet_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { DecisionLog } from "./decision_log.ts";
--- a/src/fleet/fleet_daemon.ts
+++ b/src/fleet/fleet_daemon.ts
@@ -2,7 +2,8 @@
 import type { Stream } from "most";
 import { EventLoop } from "../core/event_loop.ts";
 import type { RandomSource } from "../core/random.ts";
-import { CallGraph, CallObserver } from "../decisions/routing/call_graph.ts";
+import { CallGraph } from "../decisions/routing/call_graph.ts";
+import { CallObserver } from "../decisions/routing/call_observer.ts";
 import { LinkServer } from "../link/link_server.ts";
 import type { LinkHost } from "../link/link_host.ts";
 import type { FleetSettings, MemberRecord } from "../schemas/fleet_schema.ts";
--- a/src/fleet/outbound_service.ts
+++ b/src/fleet/outbound_service.ts
@@ -1,9 +1,7 @@
 /** Routes, admits and forwards requests of callers and downstream calls. */
 import type { RandomSource } from "../core/random.ts";
-import type {
-  CallGraph,
-  CallObserver,
-} from "../decisions/routing/call_graph.ts";
+import type { CallGraph } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import { LargeAnswers } from "../decisions/memory/large_answers.ts";
 import { spreadRetryAfterMs } from "../decisions/sharing/retry_after.ts";
 import { bearerKey } from "../decisions/tenants/credential.ts";
--- a/src/fleet/outbound_service_test.ts
+++ b/src/fleet/outbound_service_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
 import { test } from "node:test";
-import { CallObserver } from "../decisions/routing/call_graph.ts";
+import { CallObserver } from "../decisions/routing/call_observer.ts";
 import type { ForwardedRequest } from "../link/upstream_channel.ts";
 import type { FleetRoute } from "../schemas/fleet_schema.ts";
 import { CallParents } from "./call_parents.ts";
--- a/src/fleet/served_results.ts
+++ b/src/fleet/served_results.ts
@@ -1,5 +1,5 @@
 /** What the results of served requests tell of the local upstream. */
-import type { CallObserver } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import { RefusalMeter } from "../decisions/sharing/refusal_meter.ts";
 import type { ServedRequest, ServedResult } from "./served_request.ts";
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -1,8 +1,6 @@
 /** Sends the state of the local upstream to the other daemons. */
-import type {
-  CallEdge,
-  CallObserver,
-} from "../decisions/routing/call_graph.ts";
+import type { CallEdge } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import { REFUSED_MIN_RATIO } from "../decisions/sharing/completion_levels.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
--- a/src/fleet/state_publisher_test.ts
+++ b/src/fleet/state_publisher_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CallObserver } from "../decisions/routing/call_graph.ts";
+import { CallObserver } from "../decisions/routing/call_observer.ts";
 import type { UpstreamState } from "../schemas/link_schema.ts";
 import type { LocalUpstream } from "./local_upstream.ts";
 import { StatePublisher } from "./state_publisher.ts";
--- a/src/fleet/upstream_gate.ts
+++ b/src/fleet/upstream_gate.ts
@@ -1,6 +1,6 @@
 /** Concurrency limit and queue of the local upstream. */
 import type { StartQueue } from "../core/start_queue.ts";
-import type { CallObserver } from "../decisions/routing/call_graph.ts";
+import type { CallObserver } from "../decisions/routing/call_observer.ts";
 import { MovingAverage } from "../decisions/moving_average.ts";
 import {
   exceedsGoal,
--- a/src/fleet/upstream_gate_test.ts
+++ b/src/fleet/upstream_gate_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setImmediate as nextIteration } from "node:timers/promises";
 import { StartQueue } from "../core/start_queue.ts";
-import { CallObserver } from "../decisions/routing/call_graph.ts";
+import { CallObserver } from "../decisions/routing/call_observer.ts";
 import type {
   ForwardedRequest,
   ForwardFailure,
