Reserve room at the peer before a large body is sent

Cause: a request with its body is one frame, which can be refused only when it is complete and in memory.

Change: a body of 1 MiB or more is sent after the peer has reserved room for it (frames reserve, reserved); without room the request is refused as not run. Reserved bytes count in the account of the peer until the body has arrived, the request is cancelled or the link closes.

--- a/src/decisions/memory/caller_memory.ts
+++ b/src/decisions/memory/caller_memory.ts
@@ -90,6 +90,16 @@
     return this.#otherBytes > this.#maxBytes;
   }
 
+  /**
+   * Returns whether more bytes fit, if callers that can be refused are.
+   *
+   * @param bytes Number of the bytes.
+   * @returns False when they would exceed the bound.
+   */
+  hasRoomFor(bytes: number): boolean {
+    return this.#otherBytes + bytes <= this.#maxBytes;
+  }
+
   /**
    * Sets the largest permitted body. The bound is at least so large that one is
    * received.
--- a/src/fleet/daemon_link_host.ts
+++ b/src/fleet/daemon_link_host.ts
@@ -280,6 +280,11 @@
     this.#parts.config.applyFromPeer(config);
   }
 
+  /** @inheritdoc */
+  hasRoomFor(bodyBytes: number): boolean {
+    return this.#parts.memory.hasRoomFor(bodyBytes);
+  }
+
   /** @inheritdoc */
   onIncomplete(changeBytes: number): void {
     this.#parts.memory.hold(changeBytes);
--- a/src/link/link_exchanges.ts
+++ b/src/link/link_exchanges.ts
@@ -5,19 +5,34 @@
   FRAME,
   type RefusalFrame,
   type RequestFrame,
+  reservedFrameSchema,
   runningFrameSchema,
 } from "../schemas/link_schema.ts";
+import { BodyReservations } from "./body_reservations.ts";
 import type { ConfigPeer } from "./config_peer.ts";
 import type { LinkHost } from "./link_host.ts";
 import type { LinkSocket } from "./link_socket.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import type {
   ForwardedRequest,
+  ForwardFailure,
   RequestHandle,
   ResultReceiver,
   UpstreamLoad,
 } from "./upstream_channel.ts";
 
+/**
+ * Size from which on the peer is asked for room before a body is sent, because it
+ * cannot refuse a frame that it receives.
+ */
+const RESERVED_MIN_BYTES = 1_048_576;
+/** Failure of a request that waits for room when the link closes. */
+const NOT_SENT: ForwardFailure = {
+  kind: "peer_failed",
+  isNotRun: true,
+  hasReached: false,
+};
+
 /** Options of {@link LinkExchanges}. */
 export type LinkExchangesOptions = {
   /** Load of the upstream as the sender sees it. */
@@ -34,6 +49,7 @@
 export class LinkExchanges {
   readonly #options: LinkExchangesOptions;
   readonly #pending: PendingRequests;
+  readonly #reservations = new BodyReservations();
 
   /**
    * @param options Load, daemon, peer and connection.
@@ -62,6 +78,30 @@
     receiver: ResultReceiver,
   ): RequestHandle {
     const exchangeId = this.#pending.add(receiver);
+    const startedAtMs = performance.now();
+    const sendRequest = () =>
+      this.#sendRequest(socket, request, {
+        exchangeId,
+        waitedMs: performance.now() - startedAtMs,
+      });
+    const bodyBytes = request.body?.length ?? 0;
+    if (bodyBytes < RESERVED_MIN_BYTES) {
+      sendRequest();
+    } else {
+      socket.send([FRAME.reserve, exchangeId, bodyBytes]);
+      this.#reservations.add(exchangeId, sendRequest);
+    }
+    return {
+      cancel: () => this.#cancel(exchangeId),
+      queryRun: () => this.#queryRun(exchangeId),
+    };
+  }
+
+  #sendRequest(
+    socket: LinkSocket,
+    request: ForwardedRequest,
+    { exchangeId, waitedMs }: { exchangeId: number; waitedMs: number },
+  ): void {
     const { encoder } = socket;
     const frame: RequestFrame = [
       FRAME.request,
@@ -71,19 +111,21 @@
       request.path,
       encoder.encodeAll(request.headers),
       request.body,
-      Math.round(request.remainingMs),
+      Math.round(request.remainingMs - waitedMs),
       encoder.encode(request.routeName),
-      Math.round(request.goalRemainingMs),
+      Math.round(request.goalRemainingMs - waitedMs),
       request.isRefusable,
       encoder.encode(request.callerPool),
       this.#options.host.configVersion,
       Math.round(performance.now()),
     ];
     socket.send(frame);
-    return {
-      cancel: () => this.#cancel(exchangeId),
-      queryRun: () => this.#queryRun(exchangeId),
-    };
+  }
+
+  /** Handles the report that the peer has reserved room for a body. */
+  handleReserved(frame: unknown[]): void {
+    const [, exchangeId] = reservedFrameSchema.parse(frame);
+    this.#reservations.grant(exchangeId);
   }
 
   /** Handles the answer to a request. */
@@ -102,6 +144,7 @@
   handleRefusal(frame: RefusalFrame): void {
     const { host, peer } = this.#options;
     const [, exchangeId, kind, isNotRun, hasReached, load, version] = frame;
+    this.#reservations.remove(exchangeId);
     const receiver = this.#pending.remove(exchangeId);
     this.#options.load.update(load);
     host.onConfigVersion(version, peer);
@@ -117,6 +160,9 @@
 
   /** Fails the requests without a result. */
   failAll(): void {
+    for (const exchangeId of this.#reservations.clear()) {
+      this.#pending.remove(exchangeId)?.onFailure(NOT_SENT);
+    }
     this.#pending.failAll();
   }
 
@@ -127,6 +173,7 @@
   }
 
   #cancel(exchangeId: number): void {
+    this.#reservations.remove(exchangeId);
     if (this.#pending.remove(exchangeId) !== undefined) {
       this.#options.getSocket()?.send([FRAME.cancel, exchangeId]);
     }
--- a/src/link/link_server.ts
+++ b/src/link/link_server.ts
@@ -16,10 +16,12 @@
   helloFrameSchema,
   type LoadReport,
   type RequestFrame,
+  reserveFrameSchema,
   type UpstreamState,
 } from "../schemas/link_schema.ts";
 import type { Logger } from "../telemetry/logger.ts";
 import type { ConfigPeer } from "./config_peer.ts";
+import { FrameMemory } from "./frame_memory.ts";
 import { type FrameReceiver, LinkSocket } from "./link_socket.ts";
 
 /**
@@ -36,6 +38,13 @@
   hasReached: true,
 };
 
+/** Failure of a request for whose body there is no room. */
+const NO_ROOM: ForwardFailure = {
+  kind: "memory_short",
+  isNotRun: true,
+  hasReached: false,
+};
+
 /** State and operations of the daemon that accepted links use. */
 export interface LinkServerHost {
   /** Member record of this daemon. */
@@ -76,7 +85,12 @@
   readonly config: unknown;
   /** Records of all known members, for a peer's query. */
   readonly members: readonly MemberRecord[];
-  /** Called when the bytes of incomplete frames change, by how many. */
+  /** Returns whether there is room for a body that a peer would send. */
+  hasRoomFor?(bodyBytes: number): boolean;
+  /**
+   * Called when the bytes of incomplete frames and of reservations change, by how
+   * many.
+   */
   onIncomplete?(changeBytes: number): void;
   /**
    * Called with a peer's message to this daemon as the owner of usage caps.
@@ -104,6 +118,7 @@
   });
   readonly #onEnd: (link: AcceptedLink) => void;
   readonly #frameDelay = new MessageDelay();
+  readonly #memory: FrameMemory;
   /** @inheritdoc */
   peerName = "";
   /** @inheritdoc */
@@ -117,13 +132,16 @@
   ) {
     this.#host = host;
     this.#onEnd = onEnd;
+    this.#memory = new FrameMemory(
+      (changeBytes) => host.onIncomplete?.(changeBytes),
+    );
     this.socket = new LinkSocket(tcp, this);
     this.socket.send([FRAME.hello, host.ownRecord, host.ownState]);
   }
 
   /** @inheritdoc */
   onIncomplete(changeBytes: number): void {
-    this.#host.onIncomplete?.(changeBytes);
+    this.#memory.changeIncomplete(changeBytes);
   }
 
   /** @inheritdoc */
@@ -133,6 +151,8 @@
         return this.#onRequest(frame as RequestFrame);
       case FRAME.cancel:
         return this.#onCancel(frame[1] as number);
+      case FRAME.reserve:
+        return this.#onReserve(frame);
       case FRAME.runQuery:
         return this.#handles.get(frame[1] as number)?.queryRun?.();
       case FRAME.ping:
@@ -178,6 +198,7 @@
     this.isUp = false;
     this.#handles.values().forEach((handle) => handle.cancel());
     this.#handles.clear();
+    this.#memory.clear();
     this.#onEnd(this);
   }
 
@@ -193,7 +214,35 @@
     }
   }
 
+  /** Reserves room for the body of a request, or refuses the request. */
+  #onReserve(frame: unknown[]): void {
+    const { exchangeId, bodyBytes } = reserveFrameSchema.parse(frame);
+    if (this.#host.hasRoomFor?.(bodyBytes) === false) {
+      this.#sendFailure(exchangeId, NO_ROOM);
+      return;
+    }
+    this.#memory.reserve(exchangeId, bodyBytes);
+    this.socket.send([FRAME.reserved, exchangeId]);
+  }
+
+  #sendFailure(
+    exchangeId: number,
+    { kind, isNotRun, hasReached }: ForwardFailure,
+  ): void {
+    const { ownLoad, configVersion } = this.#host;
+    this.socket.send([
+      FRAME.refusal,
+      exchangeId,
+      kind,
+      isNotRun,
+      hasReached,
+      ownLoad,
+      configVersion,
+    ]);
+  }
+
   #onCancel(exchangeId: number): void {
+    this.#memory.release(exchangeId);
     this.#handles.get(exchangeId)?.cancel();
     this.#handles.delete(exchangeId);
   }
@@ -212,27 +261,18 @@
 
   #onRequest(frame: RequestFrame): void {
     const exchangeId = frame[1];
+    this.#memory.release(exchangeId);
     // Field 12 is the configuration version of the sender.
     this.#host.onConfigVersion(frame[12], this);
     let isDone = false;
-    const sendResult = (
-      buildFrame: (load: LoadReport, configVersion: number) => unknown[],
-    ) => {
+    const end = () => {
       isDone = true;
       this.#handles.delete(exchangeId);
-      const { ownLoad, configVersion } = this.#host;
-      this.socket.send(buildFrame(ownLoad, configVersion));
     };
-    const sendFailure = ({ kind, isNotRun, hasReached }: ForwardFailure) =>
-      sendResult((load, configVersion) => [
-        FRAME.refusal,
-        exchangeId,
-        kind,
-        isNotRun,
-        hasReached,
-        load,
-        configVersion,
-      ]);
+    const sendFailure = (failure: ForwardFailure) => {
+      end();
+      this.#sendFailure(exchangeId, failure);
+    };
     const { encoder, decoder } = this.socket;
     const handle = this.#host.serve({
       upstreamId: decoder.decode(frame[2]),
@@ -252,14 +292,16 @@
           sendFailure(UNDELIVERED);
           return;
         }
-        sendResult((load, configVersion) => [
+        end();
+        const { ownLoad, configVersion } = this.#host;
+        this.socket.send([
           FRAME.answer,
           exchangeId,
           status,
           encoder.encodeAll(headers),
           body,
           Math.round(runMs),
-          load,
+          ownLoad,
           configVersion,
         ]);
       },
--- a/src/link/link_server_test.ts
+++ b/src/link/link_server_test.ts
@@ -193,3 +193,35 @@
   const answers = frames.filter(([kind]) => kind === FRAME.running);
   assert.deepEqual(answers, [[FRAME.running, 7, 4_200]]);
 });
+
+// Guards against room that is never free again, or is counted twice while the body
+// arrives.
+test("room is reserved until the body has arrived, its request is cancelled or the link closes", async (t) => {
+  let heldBytes = 0;
+  const bodyBytes = 200_000;
+  const { socket, tcp, frames, waitForFrame } = await connectPeer(t, {
+    onIncomplete: (changeBytes) => heldBytes += changeBytes,
+    hasRoomFor: (bytes) => heldBytes + bytes <= 2 * bodyBytes,
+  });
+  const reserve = (exchangeId: number) =>
+    socket.send([FRAME.reserve, exchangeId, bodyBytes]);
+  [1, 2, 3].forEach(reserve);
+  await waitForFrame(FRAME.refusal);
+  const results = frames.filter(([kind]) =>
+    kind === FRAME.reserved || kind === FRAME.refusal
+  );
+  assert.deepEqual(results.map(([, exchangeId]) => exchangeId), [1, 2, 3]);
+  assert.deepEqual(results[2]?.slice(2, 5), ["memory_short", true, false]);
+  assert.equal(heldBytes, 2 * bodyBytes);
+
+  socket.send([FRAME.cancel, 2]);
+  const text = socket.encoder.encode("x");
+  const body = Buffer.alloc(bodyBytes);
+  const request = [text, text, "/", [], body, 1_000, text, 500, true, text, 1];
+  socket.send([FRAME.request, 1, ...request]);
+  await waitFor("both reservations have ended", () => heldBytes === 0);
+  reserve(4);
+  await waitFor("room is reserved", () => heldBytes === bodyBytes);
+  tcp.destroy();
+  await waitFor("the link has closed", () => heldBytes === 0);
+});
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -212,6 +212,8 @@
         return this.#exchanges.handleRefusal(frame as RefusalFrame);
       case FRAME.running:
         return this.#exchanges.handleRunning(frame);
+      case FRAME.reserved:
+        return this.#exchanges.handleReserved(frame);
       case FRAME.hello:
         return this.#onHello(frame);
       case FRAME.state:
--- a/src/link/peer_link_test.ts
+++ b/src/link/peer_link_test.ts
@@ -137,11 +137,13 @@
   const reader = new FrameReader();
   peer.on("data", (chunk: Buffer) =>
     reader.push(chunk, (frame) => {
-      if (frame[0] === FRAME.request) {
+      if (frame[0] === FRAME.reserve) {
+        peer.write(encodeFrame([FRAME.reserved, frame[1]]));
+        peer.pause();
+      } else if (frame[0] === FRAME.request) {
         sizes.push((frame[6] as Uint8Array).length);
       }
     }));
-  peer.pause();
   const failures: ForwardFailure[] = [];
   const send = (bodyBytes: number) =>
     link.send({ ...REQUEST, body: Buffer.alloc(bodyBytes) }, {
@@ -162,6 +164,64 @@
   assert.equal(link.isUp, true);
 });
 
+/** Sends a large body, and returns the frames that the peer gets and the result. */
+function sendLarge(link: PeerLink, socket: Socket) {
+  const kinds: unknown[] = [];
+  const failures: ForwardFailure[] = [];
+  const reader = new FrameReader();
+  socket.on(
+    "data",
+    (chunk: Buffer) => reader.push(chunk, ([kind]) => kinds.push(kind)),
+  );
+  const handle = link.send({ ...REQUEST, body: Buffer.alloc(2_000_000) }, {
+    onAnswer: () => {},
+    onFailure: (failure) => failures.push(failure),
+  });
+  return { kinds, failures, handle };
+}
+
+// Guards against large bodies that are sent to a peer without memory for them.
+test("a large body is not sent when the peer has no room, the link closes or its request is cancelled", async (t) => {
+  const failure = { kind: "memory_short", isNotRun: true, hasReached: false };
+  const refused = await connectLink(t);
+  const refusedBody = sendLarge(refused.link, refused.sockets[0]!);
+  await until(() => refusedBody.kinds.includes(FRAME.reserve));
+  refused.sockets[0]!.write(
+    encodeFrame([FRAME.refusal, 1, failure.kind, true, false, [0, 0, 0], 1]),
+  );
+  await until(() => refusedBody.failures.length === 1);
+  assert.deepEqual(refusedBody.failures, [failure]);
+
+  const closed = await connectLink(t);
+  const closedBody = sendLarge(closed.link, closed.sockets[0]!);
+  await until(() => closedBody.kinds.includes(FRAME.reserve));
+  closed.sockets[0]!.destroy();
+  await until(() => closedBody.failures.length === 1);
+  assert.deepEqual(closedBody.failures, [{ ...failure, kind: "peer_failed" }]);
+
+  const cancelled = await connectLink(t);
+  const cancelledBody = sendLarge(cancelled.link, cancelled.sockets[0]!);
+  await until(() => cancelledBody.kinds.includes(FRAME.reserve));
+  cancelledBody.handle.cancel();
+  await until(() => cancelledBody.kinds.includes(FRAME.cancel));
+
+  for (const { kinds } of [refusedBody, closedBody, cancelledBody]) {
+    assert.equal(kinds.includes(FRAME.request), false);
+  }
+});
+
+// Guards against requests that get no answer beside daemons of earlier versions,
+// which do not know the query.
+test("a large body is sent although the peer does not answer the query for room", async (t) => {
+  const { link, sockets } = await connectLink(t);
+  const { kinds } = sendLarge(link, sockets[0]!);
+  await until(() => kinds.includes(FRAME.request));
+  const sent = kinds.filter((kind) =>
+    kind === FRAME.reserve || kind === FRAME.request
+  );
+  assert.deepEqual(sent, [FRAME.reserve, FRAME.request]);
+});
+
 // After a pause of this process the answers that wait for it would be taken for
 // present figures.
 test("an answer does not replace that to a later report of offered runs", async (t) => {
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -41,6 +41,8 @@
   poolFigures: 20,
   runQuery: 21,
   running: 22,
+  reserve: 23,
+  reserved: 24,
 } as const;
 
 /** Schema of the state that a daemon reports of its local upstream. */
@@ -199,6 +201,22 @@
 
 const countSchema = z.number().min(0);
 
+/**
+ * Schema of a query for room for the body of a request, which is sent after the
+ * answer `reserved`. Without room, the answer is a refusal.
+ */
+export const reserveFrameSchema = z.tuple([
+  z.literal(FRAME.reserve),
+  z.number().describe("Number of the exchange"),
+  countSchema.describe("Size of the body, in bytes"),
+]).transform(([, exchangeId, bodyBytes]) => ({ exchangeId, bodyBytes }));
+
+/** Schema of the answer to a query for room that has been reserved. */
+export const reservedFrameSchema = z.tuple([
+  z.literal(FRAME.reserved),
+  z.number().describe("Number of the exchange"),
+]);
+
 /** Schema of a message to the owner of usage caps. */
 export const usageAskFrameSchema = z.tuple([
   z.literal(FRAME.usageAsk),
