Ask only peers that answer for room for a body

With a body that is sent 300 ms after an unanswered query, a peer that was slow could refuse the query as not run and then run the request that followed it.

The state of a daemon now says whether it answers the query. Others, which are of earlier versions, get the body at once, and a body is never sent before the answer.

--- a/src/fleet/entry_admission_test.ts
+++ b/src/fleet/entry_admission_test.ts
@@ -78,6 +78,7 @@
     refusedRatio: 0,
     configVersion: 1,
     isWatching: false,
+    reservesRoom: false,
     calls: [],
   };
   const channel: UpstreamChannel = {
--- a/src/fleet/state_publisher.ts
+++ b/src/fleet/state_publisher.ts
@@ -99,6 +99,7 @@
       refusedRatio: gate.refusedRatio,
       configVersion: configVersion(),
       isWatching: isWatching(),
+      reservesRoom: true,
       calls: this.#calls,
     };
   }
--- a/src/link/link_exchanges.ts
+++ b/src/link/link_exchanges.ts
@@ -70,12 +70,14 @@
    * @param socket Connection of the link.
    * @param request The request.
    * @param receiver Receiver of its result.
+   * @param options Whether the peer answers queries for room.
    * @returns Handle of the request.
    */
   send(
     socket: LinkSocket,
     request: ForwardedRequest,
     receiver: ResultReceiver,
+    { reservesRoom }: { reservesRoom: boolean },
   ): RequestHandle {
     const exchangeId = this.#pending.add(receiver);
     const startedAtMs = performance.now();
@@ -85,11 +87,11 @@
         waitedMs: performance.now() - startedAtMs,
       });
     const bodyBytes = request.body?.length ?? 0;
-    if (bodyBytes < RESERVED_MIN_BYTES) {
-      sendRequest();
-    } else {
+    if (reservesRoom && bodyBytes >= RESERVED_MIN_BYTES) {
       socket.send([FRAME.reserve, exchangeId, bodyBytes]);
       this.#reservations.add(exchangeId, sendRequest);
+    } else {
+      sendRequest();
     }
     return {
       cancel: () => this.#cancel(exchangeId),
--- a/src/link/peer_link.ts
+++ b/src/link/peer_link.ts
@@ -198,7 +198,9 @@
       });
       return { cancel: () => {} };
     }
-    return this.#exchanges.send(socket, request, receiver);
+    return this.#exchanges.send(socket, request, receiver, {
+      reservesRoom: this.#state?.reservesRoom ?? false,
+    });
   }
 
   /** @inheritdoc */
--- a/src/schemas/link_schema.ts
+++ b/src/schemas/link_schema.ts
@@ -61,6 +61,9 @@
   configVersion: z.number(),
   isWatching: z.boolean().default(false)
     .describe("Whether the daemon watches the store closely and reaches it"),
+  reservesRoom: z.boolean().default(false).describe(
+    "Whether the daemon answers queries for room; earlier versions do not",
+  ),
   calls: z.array(z.tuple([z.string(), z.string(), z.number()]))
     .describe(
       "Calling route, called route, calls per run of the calling route",
--- a/src/testing/upstream_state.ts
+++ b/src/testing/upstream_state.ts
@@ -11,5 +11,6 @@
   refusedRatio: 0,
   configVersion: 1,
   isWatching: false,
+  reservesRoom: true,
   calls: [],
 };
